--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/builder.py
@@ -0,0 +1,59 @@
+"""Build test data with defaults, so that a test names only what matters to it."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from corianderlb_core.catalogue import (
+    Account,
+    Catalogue,
+    Entry,
+    Model,
+    Route,
+    Upstream,
+    UpstreamKind,
+)
+from corianderlb_core.change import Change, apply_change
+
+
+def a_model(name: str = "ember-llm", **fields: Any) -> Model:
+    """Build a model served by the upstream of the same name."""
+    defaults = {"owner": "model-team", "upstream": name, "weights_version": "w1"}
+    return Model(name=name, **{**defaults, **fields})
+
+
+def an_account(name: str = "northwest-charcoal", **fields: Any) -> Account:
+    """Build a client account whose key is ``key-<name>``."""
+    digest = hashlib.sha256(f"key-{name}".encode()).hexdigest()
+    defaults = {"owner": "account-team", "key_digests": (digest,)}
+    return Account(name=name, **{**defaults, **fields})
+
+
+def a_route(name: str = "sign-off", **fields: Any) -> Route:
+    """Build a route to the plain service ``yard-app``."""
+    defaults = {"owner": "yard-team", "upstream": "yard-app", "methods": ("POST",)}
+    return Route(name=name, **{**defaults, **fields})
+
+
+def an_upstream(name: str = "ember-llm", **fields: Any) -> Upstream:
+    """Build an engine upstream."""
+    defaults = {"owner": "platform-team", "upstream_kind": UpstreamKind.ENGINE}
+    return Upstream(name=name, **{**defaults, **fields})
+
+
+def a_change(version: int = 1, *put: Entry, **fields: Any) -> Change:
+    """Build an accepted change that puts the given entries."""
+    defaults = {
+        "edit_id": f"edit-{version}",
+        "author": "ann",
+        "owner": "platform-team",
+        "reason": "test",
+        "accepted_at": "2026-01-01T00:00:00Z",
+    }
+    return Change(version=version, put=put, **{**defaults, **fields})
+
+
+def a_catalogue(*entries: Entry) -> Catalogue:
+    """Build a catalogue at version 1 that holds the given entries."""
+    return apply_change(Catalogue(), a_change(1, *entries))
