--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONDONTWRITEBYTECODE := 1
 PROMPT ?=
 
-.PHONY: setup demo test lint format bench slopes
+.PHONY: setup demo test test-fast lint format bench slopes
 
 setup: $(VENV)/.ready
 
@@ -26,6 +26,10 @@
 test: setup
 	$(BIN)/python tests/run_all.py
 
+# The tests of the packages alone, without separate processes.
+test-fast: setup
+	$(BIN)/python tests/run_all.py --packages
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -14,6 +14,9 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 """The root of the workspace."""
 
+PACKAGES_ONLY: Final = "--packages"
+"""The argument that leaves the tests with separate processes out."""
+
 
 def known_red() -> frozenset[str]:
     """Return the ids of the tests that ``KNOWN-RED.txt`` lists."""
@@ -24,12 +27,14 @@
     return frozenset(line.split(":", 1)[0].strip() for line in lines if ":" in line)
 
 
-def load_suite(patterns: list[str]) -> unittest.TestSuite:
-    """Collect the tests of all packages and the multi-process tests.
+def load_suite(patterns: list[str], packages_only: bool) -> unittest.TestSuite:
+    """Collect the tests of all packages and, unless left out, the multi-process ones.
 
     Patterns, when given, keep the tests whose id contains one of them.
     """
-    folders = [*sorted(ROOT.glob("packages/*/tests")), ROOT / "tests"]
+    folders = sorted(ROOT.glob("packages/*/tests"))
+    if not packages_only:
+        folders.append(ROOT / "tests")
     suite = unittest.TestSuite()
     for folder in folders:
         # Each folder needs a loader of its own: a loader remembers its top folder.
@@ -41,7 +46,9 @@
 
 def main() -> int:
     """Run the suite; return 0 when nothing but a known red test failed."""
-    result = unittest.TextTestRunner(verbosity=1).run(load_suite(sys.argv[1:]))
+    patterns = [word for word in sys.argv[1:] if word != PACKAGES_ONLY]
+    suite = load_suite(patterns, PACKAGES_ONLY in sys.argv)
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
     broken = [test.id() for test, _ in result.failures + result.errors]
     broken += [test.id() for test in result.unexpectedSuccesses]
     red = known_red()
