--- a/packages/corianderlb-core/src/corianderlb_core/codec.py
+++ b/packages/corianderlb-core/src/corianderlb_core/codec.py
@@ -9,7 +9,8 @@
 
 import dataclasses
 import json
-from typing import Any, TypeVar, get_type_hints
+import re
+from typing import Any, Final, TypeVar, get_type_hints
 
 import cbor2
 import msgspec
@@ -19,8 +20,19 @@
 T = TypeVar("T")
 
 
+_AT_PATH: Final = re.compile(r" - at `\$\.?([^`]*)`$")
+"""How the codec library's message ends: with the path of the field."""
+
+
 class DecodeError(InvalidInputError):
-    """Signal bytes or values that do not fit the expected type."""
+    """Signal bytes or values that do not fit the expected type.
+
+    ``path`` names the field, such as ``listen.port``; empty for the whole value.
+    """
+
+    def __init__(self, text: str, path: str = "") -> None:
+        super().__init__(f"{path}: {text}" if path else text)
+        self.path = path
 
 
 def to_plain(value: Any) -> Any:
@@ -38,7 +50,9 @@
     try:
         return msgspec.convert(plain, cls)
     except (msgspec.ValidationError, ValueError, TypeError) as exc:
-        raise DecodeError(f"{cls.__name__}: {exc}") from exc
+        at = _AT_PATH.search(str(exc))
+        text = _AT_PATH.sub("", str(exc))
+        raise DecodeError(text, at.group(1) if at else cls.__name__) from exc
 
 
 def to_json(value: Any) -> bytes:
@@ -86,6 +100,6 @@
     for name, value in plain.items():
         if name not in known:
             raise DecodeError(
-                f"{path}{name}: unknown field; use one of {', '.join(known)}"
+                f"unknown field; use one of {', '.join(known)}", f"{path}{name}"
             )
         _refuse_unknown(hints[name], value, f"{path}{name}.")
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -1,26 +1,25 @@
 """Settings of a router, written in YAML and checked as a whole before anything starts.
 
-Unknown fields, wrong types and values out of range are refused with the file, the line
-and the path of the field. Secrets are never in the file: it names files that hold them.
+``settings_file`` reads them. A range stands in the annotation of the field, so that the
+check and its message need no code here. Secrets are never in the file: it names files
+that hold them.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Any
+from typing import Annotated, TypeAlias
 
-import yaml
+from msgspec import Meta
 
-from .codec import DecodeError, from_plain
-from .error import CorianderError
-from .result import ResultCode
+Port: TypeAlias = Annotated[int, Meta(ge=0, le=65535)]
+"""A TCP port; 0 lets the kernel pick one."""
 
+Seconds: TypeAlias = Annotated[float, Meta(gt=0.0, le=86400.0)]
+"""A time above zero and up to a day."""
 
-class SettingsError(CorianderError):
-    """Signal settings that cannot be used, with file, line, field and remedy."""
-
-    code = ResultCode.SETTINGS_INVALID
+Name: TypeAlias = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+"""A name of the platform: letters, digits, dot, underscore and hyphen."""
 
 
 @dataclass(frozen=True)
@@ -28,9 +27,9 @@
     """Say where callers and peers reach this instance; port 0 lets the kernel pick."""
 
     host: str = "127.0.0.1"
-    port: int = 8080
+    port: Port = 8080
     peer_host: str = "127.0.0.1"
-    peer_port: int = 8081
+    peer_port: Port = 8081
 
 
 @dataclass(frozen=True)
@@ -38,7 +37,7 @@
     """Say where the platform's object service is."""
 
     url: str
-    timeout_s: float = 2.0
+    timeout_s: Seconds = 2.0
 
 
 @dataclass(frozen=True)
@@ -47,8 +46,8 @@
 
     key_file: str
     """File with the shared key; a router without it cannot join."""
-    n_peers: int = 6
-    heartbeat_s: float = 1.0
+    n_peers: Annotated[int, Meta(ge=1, le=64)] = 6
+    heartbeat_s: Seconds = 1.0
 
 
 @dataclass(frozen=True)
@@ -62,23 +61,10 @@
 class RouterSettings:
     """Hold all settings of one router."""
 
-    instance: str
-    zone: str
-    region: str
+    instance: Name
+    zone: Name
+    region: Name
     store: StoreSettings
     peer: PeerSettings
     operator: OperatorSettings
     listen: ListenSettings = field(default_factory=ListenSettings)
-
-
-def load_settings(path: Path) -> RouterSettings:
-    """Return the settings in a YAML file; raise ``SettingsError`` if they are wrong."""
-    try:
-        plain: Any = yaml.safe_load(path.read_text())
-        return from_plain(RouterSettings, plain)
-    except OSError as exc:
-        raise SettingsError(f"{path}: {exc.strerror}; give a readable file") from exc
-    except (yaml.YAMLError, UnicodeDecodeError) as exc:
-        raise SettingsError(f"{path}: not YAML: {exc}") from exc
-    except DecodeError as exc:
-        raise SettingsError(f"{path}: {exc}") from exc
