--- a/packages/corianderlb-router/src/corianderlb_router/store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store.py
@@ -22,7 +22,21 @@
 
 
 class StoreUnavailableError(StoreError):
-    """Signal that the call surely had no effect: no connection, or a clean refusal."""
+    """Signal that the call surely had no effect: no connection, or a clean refusal.
+
+    A failed read is one as well, since a read has no effect.
+    """
+
+    def __init__(self, message: str, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+        """Seconds that the store asked to wait, if it did."""
+
+
+class StoreRefusedError(StoreError):
+    """Signal a call that the store will never take, such as a value above 1 MB."""
+
+    code = ResultCode.INTERNAL
 
 
 class StoreUnknownError(StoreError):
@@ -43,6 +57,8 @@
     value: bytes
     version: str
     """Opaque; a conditional update names it."""
+    revision: int = 0
+    """A revision of the store no newer than the read, where a watch may start."""
 
 
 @dataclass(frozen=True)
