Add the placement interface that the dispatcher asks

The dispatcher needs candidates for a request and reports back how attempts went. Health of an instance is judged on the data path, so the directory learns it by set_retired.

--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
@@ -16,7 +16,13 @@
 from corianderlb_core.identity import AttemptId, InstanceId, RequestId
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import MemberState, Message
-from corianderlb_core.request import Refusal, RequestFacts
+from corianderlb_core.request import (
+    AttemptOutcome,
+    Candidate,
+    Decision,
+    Refusal,
+    RequestFacts,
+)
 
 
 @dataclass(frozen=True)
@@ -72,6 +78,35 @@
     def mark_leaving(self, instance: InstanceId, epoch: int) -> None:
         """Stop new work to this life of the instance, and tell the peers."""
 
+    @abstractmethod
+    def set_retired(self, instance: InstanceId, retired: bool) -> None:
+        """Make an instance unusable after failures, or usable again once proved."""
+
+
+class Placer(ABC):
+    """Choose upstream instances for requests, from what is in memory."""
+
+    @abstractmethod
+    def place(
+        self,
+        facts: RequestFacts,
+        catalogue: Catalogue,
+        avoid: Collection[InstanceId] = (),
+    ) -> Decision | Refusal:
+        """Return the candidates, best first, without those to avoid.
+
+        A plain service is placed here too. The refusal is ``NO_UPSTREAM`` when no
+        usable instance is left.
+        """
+
+    @abstractmethod
+    def attempt_started(self, facts: RequestFacts, candidate: Candidate) -> None:
+        """Count an attempt that is about to be sent."""
+
+    @abstractmethod
+    def attempt_ended(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
+        """Take back the count and learn from how the attempt went."""
+
 
 Handler: TypeAlias = Callable[[InstanceId, Any], Awaitable[None]]
 """Takes the sending peer and the message."""
