--- a/packages/corianderlb-core/src/corianderlb_core/chart.py
+++ b/packages/corianderlb-core/src/corianderlb_core/chart.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from functools import cache
 from importlib import resources
+from types import MappingProxyType
 
 from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
@@ -47,3 +49,19 @@
 def _load(chart_name: str) -> Statechart:
     folder = resources.files(__package__) / "charts"
     return import_from_yaml((folder / f"{chart_name}.yaml").read_text())
+
+
+@cache
+def transitions(chart_name: str) -> Mapping[tuple[str, str], str]:
+    """Return the target state by (state, event) of a chart without nested states.
+
+    For records of which a process holds thousands: an interpreter each would cost too
+    much, and the chart stays the one place that lists the transitions.
+    """
+    chart = _load(chart_name)
+    found = {
+        (state, transition.event): transition.target
+        for state in chart.states
+        for transition in chart.transitions_from(state)
+    }
+    return MappingProxyType(found)
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -57,6 +57,33 @@
     key_file: str
 
 
+@dataclass(frozen=True)
+class JournalSettings:
+    """Tune the journal of non-repeatable calls; alike on all routers of a fleet."""
+
+    n_shards: int = 8
+    """Objects that calls are spread over; change it only while no call runs."""
+    retention_s: float = 86400.0
+    """How long a repeat of a call gets the first answer."""
+    seal_bytes: int = 128 * 1024
+    """Size from which settled records leave a shard's head for a sealed segment."""
+    max_segments: int = 32
+    """Sealed segments a shard may have; a full shard refuses new calls, not run."""
+    inline_bytes: int = 1024
+    """Answers up to this size stand in the record; longer ones are own objects."""
+    begin_timeout_s: float = 3.0
+    """Longest wait for the store before a call is refused, not run."""
+    finish_wait_s: float = 1.0
+    """Longest that an answer is held back until it is recorded."""
+    repeat_wait_s: float = 2.0
+    """Longest that a repeat waits for the first run on the same router."""
+    owner_grace_s: float = 3.0
+    """How long a call's router may be missing among the peers before the call counts
+    as in doubt."""
+    in_doubt_s: float = 120.0
+    """How long a call may run before a repeat is told that its outcome is unknown."""
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Hold all settings of one router."""
@@ -68,3 +95,4 @@
     peer: PeerSettings
     operator: OperatorSettings
     listen: ListenSettings = field(default_factory=ListenSettings)
+    journal: JournalSettings = field(default_factory=JournalSettings)
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Collection, Sequence
 from dataclasses import dataclass
@@ -162,6 +163,11 @@
     """Tell that this attempt alone may run the call."""
 
     attempt_id: AttemptId
+    key: bytes = b""
+    """The journal's key of the call."""
+    send_before: float = math.inf
+    """Router's clock. The first byte leaves before this or never: a router that was
+    paused longer abandons the call as not run, since its record may be gone."""
 
 
 @dataclass(frozen=True)
@@ -181,7 +187,8 @@
         """Record the call before its first byte goes upstream.
 
         Only ``BegunCall`` allows sending. A refusal carries the true code: not run,
-        in progress, outcome unknown, or the key was used with another body.
+        in progress, outcome unknown, or the key was used with another body. The
+        request's ``body_digest`` has to cover method, path and body.
         """
 
     @abstractmethod
