--- /dev/null
+++ b/packages/corianderlb-core/src/corianderlb_core/baseline_placement.py
@@ -0,0 +1,73 @@
+"""Baseline policies, to measure the default beside and to fall back on.
+
+Each looks at one thing alone: the turn, the load, or the home of a prefix.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import ClassVar
+
+from . import rendezvous
+from .instance_load import InstanceLoad
+from .placement import N_CANDIDATES, PlacementPolicy, PlacementQuery
+from .request import Candidate
+from .settings import PlacementSettings
+
+
+class RoundRobinPolicy(PlacementPolicy):
+    """Take the instances in turn; a baseline."""
+
+    name: ClassVar = "round_robin"
+
+    def __init__(self, cfg: PlacementSettings, rng: random.Random) -> None:
+        super().__init__(cfg, rng)
+        self._n_chosen = rng.randrange(1 << 16)
+
+    def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
+        """Return the instance whose turn it is, and those after it."""
+        usable = query.usable()
+        if not usable:
+            return ()
+        self._n_chosen += 1
+        start = self._n_chosen % len(usable)
+        turn = (usable[start:] + usable[:start])[:N_CANDIDATES]
+        return tuple(_candidate(load, query, "its turn") for load in turn)
+
+
+class LeastLoadedPolicy(PlacementPolicy):
+    """Take the instance with the fewest requests; a baseline."""
+
+    name: ClassVar = "least_loaded"
+
+    def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
+        """Return the instances by requests reported and sent since."""
+        usable = query.usable()
+        self.rng.shuffle(usable)
+        usable.sort(key=InstanceLoad.n_outstanding)
+        return tuple(
+            _candidate(load, query, f"{load.n_outstanding()} requests")
+            for load in usable[:N_CANDIDATES]
+        )
+
+
+class HashOnlyPolicy(PlacementPolicy):
+    """Take the rendezvous home of one prefix, whatever its load; a baseline."""
+
+    name: ClassVar = "hash_only"
+
+    def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
+        """Return the instances in rendezvous order of the chosen prefix."""
+        keys = query.facts.prefix_keys
+        key = query.facts.account.encode()
+        if keys:
+            key = keys[min(self.cfg.hash_pieces, len(keys)) - 1]
+        by_name = {load.incarnation.instance: load for load in query.usable()}
+        order = rendezvous.rank(key, by_name)[:N_CANDIDATES]
+        return tuple(_candidate(by_name[n], query, "rendezvous home") for n in order)
+
+
+def _candidate(load: InstanceLoad, query: PlacementQuery, reason: str) -> Candidate:
+    n_pieces = len(query.facts.prefix_keys)
+    ttft_s = load.wait_s(query.now) + n_pieces * query.cost.prefill_s_per_piece
+    return Candidate(load.incarnation, 0, 0, ttft_s, reason)
--- /dev/null
+++ b/packages/corianderlb-core/src/corianderlb_core/placement_registry.py
@@ -0,0 +1,38 @@
+"""Choose a placement policy by the word that settings name it by."""
+
+from __future__ import annotations
+
+import random
+from types import MappingProxyType
+from typing import Final
+
+from .baseline_placement import HashOnlyPolicy, LeastLoadedPolicy, RoundRobinPolicy
+from .default_placement import DefaultPolicy
+from .error import InvalidInputError
+from .placement import PlacementPolicy
+from .result import ResultCode
+from .settings import PlacementSettings
+
+POLICIES: Final = MappingProxyType(
+    {
+        cls.name: cls
+        for cls in (DefaultPolicy, RoundRobinPolicy, LeastLoadedPolicy, HashOnlyPolicy)
+    }
+)
+"""The policies by the word that chooses them."""
+
+
+class UnknownPolicyError(InvalidInputError):
+    """Signal settings that name no policy."""
+
+    code = ResultCode.SETTINGS_INVALID
+
+
+def make_policy(cfg: PlacementSettings, rng: random.Random) -> PlacementPolicy:
+    """Return the policy that the settings name."""
+    if cfg.policy not in POLICIES:
+        allowed = ", ".join(sorted(POLICIES))
+        raise UnknownPolicyError(
+            f"placement.policy: {cfg.policy!r}; use one of {allowed}"
+        )
+    return POLICIES[cfg.policy](cfg, rng)
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -84,6 +84,18 @@
     """How long a call may run before a repeat is told that its outcome is unknown."""
 
 
+@dataclass(frozen=True)
+class PlacementSettings:
+    """Tune how requests are spread over the instances of an upstream."""
+
+    policy: str = "default"
+    """``default``, or a baseline: ``round_robin``, ``least_loaded``, ``hash_only``."""
+    hash_pieces: Annotated[int, Meta(ge=1)] = 1
+    """Pieces of the prompt that ``hash_only`` hashes."""
+    zone_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
+    """What an instance in another zone must be better by."""
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Hold all settings of one router."""
@@ -95,4 +107,5 @@
     peer: PeerSettings
     operator: OperatorSettings
     listen: ListenSettings = field(default_factory=ListenSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
     journal: JournalSettings = field(default_factory=JournalSettings)
