--- a/packages/corianderlb-core/src/corianderlb_core/baseline_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/baseline_placement.py
@@ -68,6 +68,6 @@
 
 
 def _candidate(load: InstanceLoad, query: PlacementQuery, reason: str) -> Candidate:
-    n_pieces = len(query.facts.prefix_keys)
-    ttft_s = load.wait_s(query.now) + n_pieces * query.cost.prefill_s_per_piece
-    return Candidate(load.incarnation, 0, 0, ttft_s, reason)
+    work_s = query.cost.work_s(len(query.facts.prefix_keys))
+    ttft_s = load.wait_s(query.now) + work_s
+    return Candidate(load.incarnation, 0, 0, ttft_s, reason, work_s)
--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -31,7 +31,7 @@
         n_pieces = len(query.facts.prefix_keys)
         is_home = load.incarnation.instance in homes
         hits = n_pieces if is_home else 0
-        missing_s = (n_pieces - hits) * query.cost.prefill_s_per_piece
-        ttft_s = load.wait_s(query.now) + missing_s
+        work_s = query.cost.work_s(n_pieces - hits)
+        ttft_s = load.wait_s(query.now) + work_s
         reason = "home of the prefix" if is_home else "spill"
-        return Candidate(load.incarnation, hits, 0, ttft_s, reason)
+        return Candidate(load.incarnation, hits, 0, ttft_s, reason, work_s)
--- a/packages/corianderlb-core/src/corianderlb_core/placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement.py
@@ -14,7 +14,7 @@
 from typing import ClassVar, Final
 
 from .catalogue import Model
-from .identity import Incarnation
+from .identity import Incarnation, InstanceId
 from .instance_load import InstanceLoad, InstanceSet
 from .request import AttemptOutcome, Candidate, RequestFacts
 from .settings import PlacementSettings
@@ -37,12 +37,10 @@
         can_import = model.import_s_per_piece if model.kv_cache else None
         return cls(model.prefill_s_per_piece, can_import)
 
-    def work_s(self, facts: RequestFacts, candidate: Candidate) -> float:
-        """Return the estimated engine seconds before the request's first token."""
-        missing = len(facts.prefix_keys) - candidate.expected_hits
-        imported = candidate.import_pieces * (self.import_s_per_piece or 0.0)
-        computed = (missing - candidate.import_pieces) * self.prefill_s_per_piece
-        return imported + computed
+    def work_s(self, n_missing: int, n_imported: int = 0) -> float:
+        """Return the engine seconds that the missing pieces take."""
+        imported = n_imported * (self.import_s_per_piece or 0.0)
+        return imported + (n_missing - n_imported) * self.prefill_s_per_piece
 
 
 @dataclass(frozen=True)
@@ -53,17 +51,17 @@
     instances: InstanceSet
     cost: ModelCost
     now: float
-    exclude: Collection[Incarnation] = ()
-    """Lives that the request must not be sent to, such as those it was tried on."""
+    avoid: Collection[InstanceId] = ()
+    """Instances that the request must not be sent to, such as those it was tried on."""
 
     def usable(self) -> list[InstanceLoad]:
-        """Return the instances that are not excluded."""
-        if not self.exclude:
+        """Return the instances that need not be avoided."""
+        if not self.avoid:
             return list(self.instances.instances)
         return [
             load
             for load in self.instances.instances
-            if load.incarnation not in self.exclude
+            if load.incarnation.instance not in self.avoid
         ]
 
 
@@ -81,10 +79,12 @@
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
         """Return candidates, best first; none when no instance is usable."""
 
-    def dispatched(self, query: PlacementQuery, candidate: Candidate) -> None:
+    def dispatched(self, facts: RequestFacts, candidate: Candidate, now: float) -> None:
         """Take note that the request goes to the candidate; override to learn."""
 
-    def answered(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
+    def answered(
+        self, facts: RequestFacts, outcome: AttemptOutcome, now: float
+    ) -> None:
         """Take note of what an attempt showed; override to learn."""
 
     def forget(self, incarnation: Incarnation) -> None:
--- a/packages/corianderlb-core/src/corianderlb_core/request.py
+++ b/packages/corianderlb-core/src/corianderlb_core/request.py
@@ -46,6 +46,8 @@
     """Estimated seconds to the first token."""
     reason: str
     """Why it stands where it stands, for ``explain``."""
+    work_s: float = 0.0
+    """Estimated engine seconds of its own prefill, without the wait before it."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -14,7 +14,7 @@
 from typing import Any, TypeAlias
 
 from corianderlb_core.catalogue import Catalogue
-from corianderlb_core.identity import AttemptId, InstanceId, RequestId
+from corianderlb_core.identity import AttemptId, Incarnation, InstanceId, RequestId
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import MemberState, Message
 from corianderlb_core.request import (
@@ -104,6 +104,9 @@
     def attempt_started(self, facts: RequestFacts, candidate: Candidate) -> None:
         """Count an attempt that is about to be sent."""
 
+    def first_token(self, facts: RequestFacts, incarnation: Incarnation) -> None:
+        """Learn that the first token came, so that the request left the queue."""
+
     @abstractmethod
     def attempt_ended(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
         """Take back the count and learn from how the attempt went."""
--- a/packages/corianderlb-router/src/corianderlb_router/placer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/placer.py
@@ -1,114 +1,111 @@
-"""Place requests on upstream instances: the data path's way to the policies.
+"""Place requests on upstream instances by the policy that settings name.
 
-The dispatcher calls ``place``, then ``dispatched`` for the candidate it sends to, then
-``first_token`` and ``finished`` as the attempt goes on. Nothing here waits.
+The dispatcher calls ``place``, then ``attempt_started`` for the candidate it sends to,
+then ``first_token`` and ``attempt_ended`` as the attempt goes on. Nothing here waits.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable, Collection
+from typing import Final
 
 import trio
 
 from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind
-from corianderlb_core.identity import DecisionId, Incarnation
+from corianderlb_core.identity import DecisionId, Incarnation, InstanceId
 from corianderlb_core.placement import ModelCost, PlacementPolicy, PlacementQuery
 from corianderlb_core.request import (
     AttemptOutcome,
     Candidate,
     Decision,
+    Refusal,
     RequestFacts,
 )
+from corianderlb_core.result import ResultCode
 
-from .interface import CatalogueSource
+from .interface import Placer
 from .upstream_directory import PlatformDirectory
 
+RETRY_AFTER_S: Final = 2.0
+"""When to come back without a usable instance: about the time of a list's read."""
 
-class Placer:
+
+class PolicyPlacer(Placer):
     """Rank instances for requests and feed back how the attempts went."""
 
     def __init__(
         self,
         policy: PlacementPolicy,
         directory: PlatformDirectory,
-        catalogue: CatalogueSource,
         rng: random.Random,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._policy = policy
         self._directory = directory
-        self._catalogue = catalogue
         self._rng = rng
         self._clock = clock
 
     def place(
-        self, facts: RequestFacts, exclude: Collection[Incarnation] = ()
-    ) -> Decision:
-        """Return the decision for a request; without candidates nothing is usable.
-
-        ``exclude`` names the lives that the request was already tried on.
-        """
-        catalogue = self._in_force()
-        query = self._query(facts, exclude, catalogue)
+        self,
+        facts: RequestFacts,
+        catalogue: Catalogue,
+        avoid: Collection[InstanceId] = (),
+    ) -> Decision | Refusal:
+        """Return the candidates, best first, without those to avoid."""
+        query = PlacementQuery(
+            facts=facts,
+            instances=self._directory.usable(facts.upstream),
+            cost=_cost(facts, catalogue),
+            now=self._clock(),
+            avoid=avoid,
+        )
+        candidates = self._policy.choose(query)
+        if not candidates:
+            return Refusal(
+                ResultCode.NO_UPSTREAM,
+                f"No instance of {facts.upstream} is usable now; come back later.",
+                RETRY_AFTER_S,
+            )
         return Decision(
             decision_id=DecisionId(f"d-{self._rng.getrandbits(64):016x}"),
             request_id=facts.request_id,
             catalogue_version=catalogue.version,
             policy=self._policy.name,
-            candidates=self._policy.choose(query),
+            candidates=candidates,
             rested_on=_rested_on(facts, catalogue),
         )
 
-    def dispatched(self, facts: RequestFacts, candidate: Candidate) -> None:
-        """Take note that the request is being sent to the candidate."""
-        query = self._query(facts, (), self._in_force())
+    def attempt_started(self, facts: RequestFacts, candidate: Candidate) -> None:
+        """Count an attempt that is about to be sent."""
+        now = self._clock()
         load = self._directory.load_of(candidate.incarnation)
         if load is not None:
-            load.dispatched(
-                facts.request_id, query.cost.work_s(facts, candidate), query.now
-            )
-        self._policy.dispatched(query, candidate)
+            load.dispatched(facts.request_id, candidate.work_s, now)
+        self._policy.dispatched(facts, candidate, now)
 
     def first_token(self, facts: RequestFacts, incarnation: Incarnation) -> None:
-        """Take note that the first token came, so the request left the queue."""
+        """Learn that the first token came, so that the request left the queue."""
         load = self._directory.load_of(incarnation)
         if load is not None:
             load.first_token(facts.request_id, self._clock())
 
-    def finished(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
-        """Take note of an attempt's end, whichever way; call it once an attempt.
-
-        ``outcome.incarnation`` is the life that the request was dispatched to.
-        """
+    def attempt_ended(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
+        """Take back the count and learn from how the attempt went."""
         load = self._directory.load_of(outcome.incarnation)
         if load is not None:
             load.finished(facts.request_id, self._clock())
-        self._policy.answered(facts, outcome)
+        self._policy.answered(facts, outcome, self._clock())
 
     def forget(self, incarnation: Incarnation) -> None:
         """Drop what was learnt about a life that ended."""
         self._policy.forget(incarnation)
 
-    def _in_force(self) -> Catalogue:
-        in_force = self._catalogue.current()
-        return in_force.catalogue if in_force else Catalogue()
 
-    def _query(
-        self,
-        facts: RequestFacts,
-        exclude: Collection[Incarnation],
-        catalogue: Catalogue,
-    ) -> PlacementQuery:
-        adapter = catalogue.adapter(facts.target)
-        model = catalogue.model(adapter.model if adapter else facts.target)
-        return PlacementQuery(
-            facts=facts,
-            instances=self._directory.usable(facts.upstream),
-            cost=ModelCost.of(model) if model else ModelCost(),
-            now=self._clock(),
-            exclude=exclude,
-        )
+def _cost(facts: RequestFacts, catalogue: Catalogue) -> ModelCost:
+    adapter = catalogue.adapter(facts.target)
+    model = catalogue.model(adapter.model if adapter else facts.target)
+    return ModelCost.of(model) if model else ModelCost()
 
 
 def _rested_on(facts: RequestFacts, catalogue: Catalogue) -> tuple[str, ...]:
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -159,8 +159,8 @@
         """Take a peer's word that a life is leaving; it is passed on once."""
         self.mark_leaving(message.instance, message.epoch)
 
-    def retire(self, instance: InstanceId, retired: bool = True) -> None:
-        """Stop or resume new work to the newest life after failures seen here."""
+    def set_retired(self, instance: InstanceId, retired: bool) -> None:
+        """Make an instance unusable after failures, or usable again once proved."""
         known = self._known.get(instance)
         if known is not None and known.retired is not retired:
             known.retired = retired
