--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -61,26 +61,26 @@
 class JournalSettings:
     """Tune the journal of non-repeatable calls; alike on all routers of a fleet."""
 
-    n_shards: int = 8
+    n_shards: Annotated[int, Meta(ge=1, le=999)] = 8
     """Objects that calls are spread over; change it only while no call runs."""
-    retention_s: float = 86400.0
+    retention_s: Annotated[float, Meta(ge=60.0)] = 86400.0
     """How long a repeat of a call gets the first answer."""
-    seal_bytes: int = 128 * 1024
+    seal_bytes: Annotated[int, Meta(ge=1024, le=256 * 1024)] = 128 * 1024
     """Size from which settled records leave a shard's head for a sealed segment."""
-    max_segments: int = 32
+    max_segments: Annotated[int, Meta(ge=1, le=1000)] = 32
     """Sealed segments a shard may have; a full shard refuses new calls, not run."""
-    inline_bytes: int = 1024
+    inline_bytes: Annotated[int, Meta(ge=0, le=2048)] = 1024
     """Answers up to this size stand in the record; longer ones are own objects."""
-    begin_timeout_s: float = 3.0
+    begin_timeout_s: Seconds = 3.0
     """Longest wait for the store before a call is refused, not run."""
-    finish_wait_s: float = 1.0
+    finish_wait_s: Seconds = 1.0
     """Longest that an answer is held back until it is recorded."""
-    repeat_wait_s: float = 2.0
+    repeat_wait_s: Seconds = 2.0
     """Longest that a repeat waits for the first run on the same router."""
-    owner_grace_s: float = 3.0
+    owner_grace_s: Seconds = 3.0
     """How long a call's router may be missing among the peers before the call counts
     as in doubt."""
-    in_doubt_s: float = 120.0
+    in_doubt_s: Seconds = 120.0
     """How long a call may run before a repeat is told that its outcome is unknown."""
 
 
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/call_journal.py
@@ -0,0 +1,302 @@
+"""The journal of non-repeatable calls, kept in the platform's store.
+
+A sign-off that ran twice bills a buyer twice. So a call's record is in the store
+before its first byte goes upstream, and whoever finds a record does not run the call:
+it gets the first answer, or is told honestly that the outcome is open.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import trio
+
+from corianderlb_core.identity import AttemptId, InstanceId
+from corianderlb_core.journal import (
+    Abandon,
+    Begin,
+    CallRecord,
+    CallState,
+    Finish,
+    StoredAnswer,
+    Verdict,
+    call_key,
+    in_doubt,
+    judge,
+    request_digest,
+    shard_of,
+)
+from corianderlb_core.request import Refusal, RequestFacts
+from corianderlb_core.result import ResultCode
+from corianderlb_core.settings import JournalSettings
+
+from ._future import Future
+from ._journal_shard import CHUNK_BYTES, JournalShard, Work, chunk_key
+from .interface import BegunCall, CallAnswer, CallJournal, EarlierAnswer, PeerNetwork
+from .store import ObjectStore, StoreError
+
+SEND_WINDOW_S: Final = 10.0
+"""How long after the record a call's first byte may leave; far below the retention."""
+
+STORE_RETRY_S: Final = 2.0
+"""When to come back after the store failed."""
+
+PROGRESS_RETRY_S: Final = 1.0
+"""When to come back while the first run goes on."""
+
+FULL_RETRY_S: Final = 60.0
+"""When to come back while a shard has no room."""
+
+DRAIN_POLL_S: Final = 0.02
+"""Pause between two looks at what is still unwritten."""
+
+_REFUSALS: Final = {
+    Verdict.IN_PROGRESS: Refusal(
+        ResultCode.CALL_IN_PROGRESS,
+        "the first request with this key still runs; repeat it with the same key",
+        PROGRESS_RETRY_S,
+    ),
+    Verdict.UNKNOWN: Refusal(
+        ResultCode.OUTCOME_UNKNOWN,
+        "the call was begun and its outcome was lost; ask the service whether it ran",
+    ),
+    Verdict.KEY_REUSED: Refusal(
+        ResultCode.IDEMPOTENCY_KEY_REUSED,
+        "this key belongs to another request; send this one under a new key",
+    ),
+    Verdict.FULL: Refusal(
+        ResultCode.STORE_UNAVAILABLE,
+        "the call was not run: its journal shard is full; operators can raise "
+        "journal.max_segments or lower journal.retention_s",
+        FULL_RETRY_S,
+    ),
+}
+
+_STORE_DOWN: Final = Refusal(
+    ResultCode.STORE_UNAVAILABLE,
+    "this request was not run, since it could not be recorded; "
+    "repeat it with the same key",
+    STORE_RETRY_S,
+)
+
+_ANSWER_UNREADABLE: Final = Refusal(
+    ResultCode.CALL_IN_PROGRESS,
+    "the call ran, and its answer cannot be read now; repeat it with the same key",
+    STORE_RETRY_S,
+)
+
+
+@dataclass
+class _Run:
+    """Hold a call that this router runs, until its end is written."""
+
+    answer: Future[CallAnswer | None] = field(default_factory=Future)
+    end: Work | None = None
+
+
+class StoreCallJournal(CallJournal):
+    """Run a call at most once over all routers that share a store.
+
+    ``run`` has to be running for ``begin`` to get an answer; one life of a router
+    makes one journal, with its own epoch.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        router: InstanceId,
+        epoch: int,
+        cfg: JournalSettings | None = None,
+        network: PeerNetwork | None = None,
+        wall_clock: Callable[[], float] = time.time,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._store = store
+        self._router = router
+        self._epoch = epoch
+        self._cfg = cfg or JournalSettings()
+        self._network = network
+        self._wall_clock = wall_clock
+        rng = rng or random.Random()
+        self.shards = tuple(
+            JournalShard(n, store, self._cfg, router, epoch, wall_clock, rng)
+            for n in range(self._cfg.n_shards)
+        )
+        """The shards, by number; their ``counts`` are for metrics."""
+        self._running: dict[AttemptId, _Run] = {}
+
+    async def run(self) -> None:
+        """Run all shards until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for shard in self.shards:
+                nursery.start_soon(shard.run)
+
+    async def drain(self) -> None:
+        """Wait until everything is written; bound it, since the store may be down."""
+        while any(shard.n_pending for shard in self.shards):
+            await trio.sleep(DRAIN_POLL_S)
+
+    async def begin(
+        self, facts: RequestFacts, key: str
+    ) -> BegunCall | EarlierAnswer | Refusal:
+        """Record the call before its first byte goes upstream.
+
+        A repeat on the router that runs the call waits a bounded time for the answer;
+        elsewhere it is told at once to come back.
+        """
+        record = self._record(facts, key)
+        wait_until = min(facts.deadline, trio.current_time() + self._cfg.repeat_wait_s)
+        with trio.move_on_at(wait_until):
+            answer = await self._answer_of_run_here(record)
+            if answer is not None:
+                return EarlierAnswer(answer)
+        shard = self._shard(record.key)
+        held = shard.find(record.key)
+        verdict = judge(held, record.digest) if held is not None else Verdict.RUN
+        if held is None or held.state is not CallState.FINISHED:
+            asked = await self._ask(shard, record, facts.deadline)
+            if asked is None:
+                # What this router last saw is worth more to the caller than "not
+                # run", which would not be true of the call that it saw begun.
+                return self._refusal(shard, record.key, verdict, _STORE_DOWN)
+            verdict = asked
+        if verdict is Verdict.RUN:
+            return self._begun(record)
+        if verdict is Verdict.EARLIER:
+            return await self._earlier(shard, record.key)
+        return self._refusal(shard, record.key, verdict, _STORE_DOWN)
+
+    async def finish(self, call: BegunCall, answer: CallAnswer) -> None:
+        """Record the answer; wait for the write a bounded time.
+
+        The shard goes on trying after that. If this router dies first, a repeat is
+        told that the outcome is unknown, which is then true for all anyone knows.
+        """
+        inline = len(answer.body) <= self._cfg.inline_bytes
+        stored = StoredAnswer(
+            answer.status,
+            answer.headers,
+            answer.body if inline else b"",
+            0 if inline else _n_chunks(answer.body),
+        )
+        operation = Finish(call.key, call.attempt_id, stored)
+        work = Work(operation, body=b"" if inline else answer.body)
+        await self._settle(call, work, answer)
+
+    async def abandon(self, call: BegunCall, ran: bool) -> None:
+        """Record that no answer came; with ``ran`` false the key may begin again."""
+        work = Work(Abandon(call.key, call.attempt_id, ran))
+        await self._settle(call, work, None)
+
+    def _record(self, facts: RequestFacts, key: str) -> CallRecord:
+        return CallRecord(
+            key=call_key(facts.account, key),
+            digest=request_digest(facts.target, facts.body_digest),
+            attempt_id=AttemptId(uuid.uuid4().hex),
+            router=self._router,
+            epoch=self._epoch,
+            begun_at=self._wall_clock(),
+        )
+
+    def _shard(self, key: bytes) -> JournalShard:
+        return self.shards[shard_of(key, len(self.shards))]
+
+    async def _ask(
+        self, shard: JournalShard, record: CallRecord, deadline: float
+    ) -> Verdict | None:
+        """Return the shard's verdict, or None when the store gave none in time."""
+        until = min(deadline, trio.current_time() + self._cfg.begin_timeout_s)
+        work = shard.submit(Work(Begin(record)))
+        verdict = None
+        try:
+            with trio.move_on_at(until):
+                verdict = await work.reply.wait()
+        finally:
+            # Also when the caller hung up: a record that nobody will run must not
+            # stay, or a repeat would hear of an unknown outcome.
+            if verdict is None:
+                shard.withdraw(work)
+        return verdict
+
+    def _begun(self, record: CallRecord) -> BegunCall:
+        self._forget_written()
+        self._running[record.attempt_id] = _Run()
+        send_before = trio.current_time() + SEND_WINDOW_S
+        return BegunCall(record.attempt_id, record.key, send_before)
+
+    async def _answer_of_run_here(self, record: CallRecord) -> CallAnswer | None:
+        held = self._shard(record.key).find(record.key)
+        if held is None or held.digest != record.digest:
+            return None
+        running = self._running.get(held.attempt_id)
+        return None if running is None else await running.answer.wait()
+
+    async def _earlier(
+        self, shard: JournalShard, key: bytes
+    ) -> EarlierAnswer | Refusal:
+        held = shard.find(key)
+        if held is None or held.answer is None:
+            return _REFUSALS[Verdict.UNKNOWN]
+        stored = held.answer
+        body = stored.body
+        try:
+            for n in range(stored.n_chunks):
+                chunk = await self._store.get(chunk_key(held.attempt_id, n))
+                if chunk is None:
+                    return _REFUSALS[Verdict.UNKNOWN]
+                body += chunk.value
+        except StoreError:
+            return _ANSWER_UNREADABLE
+        return EarlierAnswer(CallAnswer(stored.status, stored.headers, body))
+
+    def _refusal(
+        self, shard: JournalShard, key: bytes, verdict: Verdict, otherwise: Refusal
+    ) -> Refusal:
+        if verdict is Verdict.IN_PROGRESS and self._in_doubt(shard, key):
+            verdict = Verdict.UNKNOWN
+        return _REFUSALS.get(verdict, otherwise)
+
+    def _in_doubt(self, shard: JournalShard, key: bytes) -> bool:
+        held = shard.find(key)
+        if held is None or held.state is not CallState.BEGUN:
+            return False
+        if held.attempt_id in self._running:
+            return False
+        members = self._network.members() if self._network is not None else ()
+        return in_doubt(
+            held,
+            {member.instance: member.epoch for member in members},
+            shard.seen_for(held.attempt_id, trio.current_time()),
+            self._cfg.owner_grace_s,
+            self._cfg.in_doubt_s,
+        )
+
+    async def _settle(
+        self, call: BegunCall, work: Work, answer: CallAnswer | None
+    ) -> None:
+        """Write down how the call ended; until it is written, repeats here know."""
+        self._shard(call.key).submit(work)
+        run = self._running.get(call.attempt_id)
+        if run is not None:
+            run.end = work
+            run.answer.set(answer)
+        with trio.move_on_after(self._cfg.finish_wait_s):
+            await work.reply.wait()
+
+    def _forget_written(self) -> None:
+        written = [
+            attempt_id
+            for attempt_id, run in self._running.items()
+            if run.end is not None and run.end.reply.value is not None
+        ]
+        for attempt_id in written:
+            del self._running[attempt_id]
+
+
+def _n_chunks(body: bytes) -> int:
+    return -(-len(body) // CHUNK_BYTES)
--- a/packages/corianderlb-standins/src/corianderlb_standins/builder.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/builder.py
@@ -11,10 +11,13 @@
     Entry,
     Model,
     Route,
+    ServiceClass,
     Upstream,
     UpstreamKind,
 )
 from corianderlb_core.change import Change, apply_change
+from corianderlb_core.identity import AccountId, RequestId
+from corianderlb_core.request import RequestFacts
 
 
 def a_model(name: str = "ember-llm", **fields: Any) -> Model:
@@ -57,3 +60,17 @@
 def a_catalogue(*entries: Entry) -> Catalogue:
     """Build a catalogue at version 1 that holds the given entries."""
     return apply_change(Catalogue(), a_change(1, *entries))
+
+
+def some_facts(request_id: str = "request-1", **fields: Any) -> RequestFacts:
+    """Build the facts of a standard request for the sign-off route."""
+    defaults: dict[str, Any] = {
+        "account": AccountId("northwest-charcoal"),
+        "service_class": ServiceClass.STANDARD,
+        "target": "sign-off",
+        "upstream": "yard-app",
+        "arrived_at": 0.0,
+        "deadline": 60.0,
+        "body_digest": b"body",
+    }
+    return RequestFacts(request_id=RequestId(request_id), **{**defaults, **fields})
