--- /dev/null
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/history.py
@@ -0,0 +1,88 @@
+"""``corianderctl history``: the audit trail of accepted changes."""
+
+from __future__ import annotations
+
+import argparse
+from dataclasses import dataclass
+from typing import ClassVar, Final
+
+from corianderlb_core.catalogue import EntryKey
+from corianderlb_core.catalogue_codec import key_from_str
+from corianderlb_core.change import Change
+from corianderlb_core.edit import difference_of, touched
+from corianderlb_router.catalogue_editor import CatalogueEditor
+
+from .command import Command, Context, Report, Table
+
+DEFAULT_LIMIT: Final = 50
+"""Changes that are read unless the command line says otherwise."""
+
+
+@dataclass(frozen=True)
+class ChangeView:
+    """Hold one accepted change as an auditor reads it."""
+
+    version: int
+    accepted_at: str
+    author: str
+    owner: str
+    reason: str
+    edit_id: str
+    differences: tuple[str, ...]
+
+
+class History(Command):
+    """Print who changed what, when, why, and who answers for it."""
+
+    name: ClassVar[str] = "history"
+    summary: ClassVar[str] = "print the audit trail of accepted changes"
+    example: ClassVar[str] = "corianderctl history --entry account/northwest-charcoal"
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Take where to start and what to look for."""
+        parser.add_argument(
+            "--after", type=int, default=0, metavar="VERSION", help="start after it"
+        )
+        parser.add_argument("--limit", type=int, default=DEFAULT_LIMIT)
+        parser.add_argument("--entry", metavar="KIND/NAME", help="only its changes")
+
+    async def run(self, context: Context) -> Report:
+        """Read the changes from the store; each is its own audit record."""
+        arguments = context.arguments
+        editor = CatalogueEditor(context.store)
+        changes = await editor.history(arguments.after, arguments.limit)
+        if arguments.entry:
+            changes = _of_entry(changes, key_from_str(arguments.entry))
+        views = tuple(map(_view, changes))
+        return Report(views, tables=(_table(views),))
+
+
+def _of_entry(changes: list[Change], key: EntryKey) -> list[Change]:
+    return [change for change in changes if key in touched(change)]
+
+
+def _view(change: Change) -> ChangeView:
+    return ChangeView(
+        change.version,
+        change.accepted_at,
+        change.author,
+        change.owner,
+        change.reason,
+        change.edit_id,
+        tuple(map(str, difference_of(change))),
+    )
+
+
+def _table(views: tuple[ChangeView, ...]) -> Table:
+    rows = tuple(
+        (
+            str(view.version),
+            view.accepted_at,
+            view.author,
+            view.owner,
+            view.reason,
+            "\n".join(view.differences),
+        )
+        for view in views
+    )
+    return Table(("version", "at", "author", "owner", "reason", "difference"), rows)
--- /dev/null
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/output.py
@@ -0,0 +1,30 @@
+"""Print a report for people or for programs."""
+
+from __future__ import annotations
+
+import json
+from typing import Final
+
+from tabulate import tabulate
+
+from corianderlb_core.codec import to_plain
+
+from .command import Report, Table
+
+OUTPUTS: Final = ("table", "json")
+"""What ``--output`` takes."""
+
+
+def render(report: Report, output: str) -> str:
+    """Return the text that a command prints."""
+    if output == "json":
+        return json.dumps(to_plain(report.value), indent=2, ensure_ascii=False)
+    if report.text:
+        return report.text
+    parts = [_table_text(table) for table in report.tables]
+    return "\n\n".join([*parts, *report.notes])
+
+
+def _table_text(table: Table) -> str:
+    text = tabulate(table.rows, headers=table.columns, disable_numparse=True)
+    return f"{table.title}\n{text}" if table.title else text
