Let a repeat run in the batch that takes a stray record back

A write that was given up on could land after its router had looked for it in vain. The stray was mended behind the repeat that found it, so that repeat was told that the call was in progress. Strays now come first in the batch. Seen failing without the mending; the race test now starts from routers that both hold the head.

--- a/packages/corianderlb-router/src/corianderlb_router/_journal_shard.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_journal_shard.py
@@ -225,7 +225,8 @@
             mine = record.router == self._router and record.epoch == self._epoch
             if mine and record.attempt_id not in self._live:
                 stray = Abandon(record.key, record.attempt_id, ran=False)
-                self._pending.append(Work(stray))
+                # First in line, so that a repeat in the same batch may run.
+                self._pending.insert(0, Work(stray))
         self._first_seen = seen
 
     async def _commit(self) -> None:
@@ -237,6 +238,7 @@
             for work in batch:
                 work.read = True
             await self._load()
+            batch = self._pending[:MAX_BATCH]
             draft, verdicts = self._apply(batch)
         if draft.records != self._state.records:
             for work in batch:
--- a/packages/corianderlb-router/tests/test_at_most_once.py
+++ b/packages/corianderlb-router/tests/test_at_most_once.py
@@ -126,6 +126,8 @@
             outcomes.append(await self.begin(journal))
 
         async with self.running("r1") as one, self.running("r2") as two:
+            for n, journal in enumerate((one, two)):
+                await self.begin(journal, key=f"warm {n}")
             self.store.faults.delay_s = 0.01
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(race, one)
@@ -182,6 +184,24 @@
             await journal.drain()
             self.assertIsInstance(await self.begin(journal), BegunCall)
 
+    async def test_record_that_lands_after_it_was_taken_back(self) -> None:
+        """A write lands so late that the router has already looked for it in vain.
+
+        The caller heard "not run", so its repeat has to run the call.
+        """
+        async with self.running(begin_timeout_s=0.5) as journal:
+            await self.begin(journal, key="warm")
+            self.store.faults.n_late_writes = 1
+            self.store.faults.late_s = 4.0
+            self.store.before_write = self._go_down_after_this_write
+            outcome = await self.begin(journal)
+            self.assert_refused(outcome, ResultCode.STORE_UNAVAILABLE)
+            self.store.before_write = None
+            self.store.faults.unavailable = False
+            await journal.drain()
+            await trio.sleep(6)
+            self.assertIsInstance(await self.begin(journal), BegunCall)
+
     async def _go_down_after_this_write(self, key: str) -> None:
         self.store.faults.unavailable = True
 
