Count what a router does with OpenTelemetry

Requests by result code and class, attempts, times to first token, prompt tokens by source, and gauges and tallies that other parts keep, in Prometheus' text format. Each Metrics has its own registry, so routers in one process do not mix.

--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/metric.py
@@ -0,0 +1,119 @@
+"""Counters and gauges of a router, kept with OpenTelemetry, read by Prometheus.
+
+Counters are the first thing an operator looks at; logs only tell changes of state. No
+label has a value from a caller's free text, so the number of series stays bounded.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Final
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import CollectorRegistry, generate_latest
+
+from corianderlb_core.catalogue import ServiceClass
+from corianderlb_core.result import ResultCode
+
+TTFT_BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 4.0, 8.0, 16.0)
+"""Borders for times to first token, with one at the 1.7 s that users ask for."""
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the exposition."""
+
+
+class Gauge(Enum):
+    """Name the values that are read at the time of a scrape."""
+
+    CATALOGUE_VERSION = "corianderlb_catalogue_version"
+    CATALOGUE_CONFIRMED_AGE = "corianderlb_catalogue_confirmed_age_seconds"
+    IN_FLIGHT = "corianderlb_requests_in_flight"
+    WAITING = "corianderlb_requests_waiting"
+    QUARANTINED = "corianderlb_quarantined_requests"
+    PEERS = "corianderlb_peers_connected"
+    UPSTREAMS_USABLE = "corianderlb_upstream_instances_usable"
+
+
+class Tally(Enum):
+    """Name the counters that other parts keep and that are read at a scrape."""
+
+    STORE_CALLS = "corianderlb_store_calls_total"
+    STORE_FAILURES = "corianderlb_store_call_failures_total"
+    PEER_BYTES = "corianderlb_peer_bytes_total"
+    PEER_MESSAGES = "corianderlb_peer_messages_total"
+    PEER_REJECTIONS = "corianderlb_peer_rejections_total"
+
+
+class Metrics:
+    """Count what a router does.
+
+    For example ``request_ended(ResultCode.OK, ServiceClass.URGENT)`` adds one to
+    ``corianderlb_requests_total{code="0",class="urgent"}``.
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        buckets = ExplicitBucketHistogramAggregation(TTFT_BUCKETS_S)
+        view = View(instrument_name="corianderlb_ttft_seconds", aggregation=buckets)
+        self._provider = MeterProvider(metric_readers=[reader], views=[view])
+        self._meter = self._provider.get_meter("corianderlb")
+        counter = self._meter.create_counter
+        self._requests = counter("corianderlb_requests_total")
+        self._attempts = counter("corianderlb_attempts_total")
+        self._events = counter("corianderlb_stream_events_total")
+        self._tokens = counter("corianderlb_prompt_tokens_total")
+        self._ttft = self._meter.create_histogram("corianderlb_ttft_seconds")
+
+    def request_ended(self, code: ResultCode, service_class: ServiceClass) -> None:
+        """Count one answer to a caller."""
+        labels = {"code": str(int(code)), "class": service_class.value}
+        self._requests.add(1, labels)
+
+    def attempt_ended(self, code: ResultCode, is_retry: bool) -> None:
+        """Count one attempt at an upstream instance."""
+        labels = {"code": str(int(code)), "retry": str(is_retry).lower()}
+        self._attempts.add(1, labels)
+
+    def first_token(self, seconds: float, service_class: ServiceClass) -> None:
+        """Record the time from the arrival of a request to its first token."""
+        self._ttft.record(seconds, {"class": service_class.value})
+
+    def prompt_served(self, cached_tokens: int, computed_tokens: int) -> None:
+        """Count prompt tokens by whether the engine had them cached.
+
+        The hit rate is ``cached`` over the sum of both; ``computed`` of prompts that
+        were sent before is wasted recomputation.
+        """
+        self._tokens.add(cached_tokens, {"source": "cached"})
+        self._tokens.add(computed_tokens, {"source": "computed"})
+
+    def events_relayed(self, n_events: int) -> None:
+        """Count the events of a stream, once at its end."""
+        self._events.add(n_events)
+
+    def watch_gauge(self, gauge: Gauge, read: Callable[[], float]) -> None:
+        """Have a value read at each scrape."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(gauge.value, [observe])
+
+    def watch_tally(self, tally: Tally, read: Callable[[], dict[str, float]]) -> None:
+        """Have a counter of another part read at each scrape, by its kind."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(n, {"kind": kind}) for kind, n in read().items()]
+
+        self._meter.create_observable_counter(tally.value, [observe])
+
+    def exposition(self) -> bytes:
+        """Return all values in Prometheus' text format."""
+        return generate_latest(self._registry)
