--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -96,6 +96,29 @@
     """What an instance in another zone must be better by."""
 
 
+@dataclass(frozen=True)
+class DataPathSettings:
+    """Tune how requests are taken in, relayed and finished."""
+
+    max_body_bytes: int = 8 << 20
+    max_header_bytes: int = 32 << 10
+    max_answer_bytes: int = 8 << 20
+    """Longest answer of a plain service; a longer one is an upstream failure."""
+    default_deadline_s: float = 600.0
+    """For a request that names no deadline of its own."""
+    connect_timeout_s: float = 1.0
+    first_event_timeout_s: float = 10.0
+    """Silence allowed before the first event, while the prompt is computed."""
+    stall_timeout_s: float = 5.0
+    """Silence allowed between two events of a stream."""
+    caller_stall_timeout_s: float = 60.0
+    """How long a caller may leave its answer unread."""
+    balancer_lag_s: float = 5.0
+    """How long the balancer may go on sending after readiness turned."""
+    n_decisions: int = 2000
+    """Decisions that are kept for ``corianderctl explain``."""
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Hold all settings of one router."""
@@ -109,3 +132,4 @@
     listen: ListenSettings = field(default_factory=ListenSettings)
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     journal: JournalSettings = field(default_factory=JournalSettings)
+    data_path: DataPathSettings = field(default_factory=DataPathSettings)
