Join the routers by a sparse overlay and know which of them live

Cause: routers need each other's word on members, catalogue versions, leaving upstreams and crashes, without a full mesh and without strangers. Change: core overlay (links chosen by zone ring, ring of all and picks from other zones), membership (heartbeats, platform's list, suspicion and its refutation, leaving sticky per life), flood_filter; router peer_link (seam), _websocket_transport, _handshake (mutual HMAC proof, then a tag on each frame), _peer_connection (bounded queue), peer_network.OverlayNetwork. Messages Welcome, Suspicion and Flood are new; Heartbeat carries the version always and whole member states only while they are news. PeerSettings gains silent_after_s and suspect_after_s. Chosen: state by gossip where only the newest counts (members, versions), a flood with known copies where each message counts (UpstreamLeaving, CrashReport, SuspectCleared). LoadVector goes one hop; its owner merges and passes on. Ruled out: heartbeat counters of all members over all links (at 410 routers more than 2 KB/s); pings of the websocket library (another clock, nothing carried). Seen to fail, each by taking the mechanism out: silence timeout, tries at lost routers, passing floods on, proof check, frame tag check, pause check, sticky leaving, list revision.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -23,29 +23,37 @@
 """Longest frame a router takes from a peer."""
 
 
+@dataclass(frozen=True)
+class Challenge:
+    """Ask the connecting router to prove that it holds the peer key."""
+
+    instance: InstanceId
+    epoch: int
+    nonce: bytes
+
+
 @dataclass(frozen=True)
 class Hello:
-    """Open a connection: who speaks, and the proof of the shared peer key.
+    """Answer a challenge: who speaks, the proof, and a challenge in return.
 
-    ``proof`` is the HMAC-SHA256 of ``challenge + instance`` under the peer key; the
-    accepting side sends the challenge first.
+    ``handshake`` tells what the proofs cover.
     """
 
     instance: InstanceId
     epoch: int
     zone: str
     region: str
+    nonce: bytes
     proof: bytes
 
 
 @dataclass(frozen=True)
-class Challenge:
-    """Ask the connecting router to prove that it holds the peer key."""
+class Welcome:
+    """Prove to the connecting router that the accepting one holds the key as well."""
 
-    instance: InstanceId
-    epoch: int
-    nonce: bytes
-    proof: bytes = b""
+    zone: str
+    region: str
+    proof: bytes
 
 
 @dataclass(frozen=True)
@@ -66,12 +74,44 @@
     """When that version came into force there, ISO 8601 in UTC."""
 
 
+@dataclass(frozen=True)
+class Suspicion:
+    """Spread that a router does not answer; a later heartbeat of its refutes it."""
+
+    instance: InstanceId
+    epoch: int
+    heartbeat: int
+    """The newest heartbeat that the accuser knows of."""
+
+
 @dataclass(frozen=True)
 class Heartbeat:
-    """Spread the liveness of the sender and of members it heard of lately."""
+    """Show that the sender lives and what it has, and pass on news of members.
+
+    It goes over every link each second, so it holds the whole state of a member only
+    when that is new to someone, and now and then to mend what was lost.
+    """
 
-    sender: InstanceId
-    members: tuple[MemberState, ...]
+    heartbeat: int
+    catalogue_version: int
+    members: tuple[MemberState, ...] = ()
+    suspected: tuple[Suspicion, ...] = ()
+
+
+@dataclass(frozen=True)
+class Flood:
+    """Carry a message to all routers: each passes it on once.
+
+    ``origin``, ``epoch`` and ``sequence`` name it, so that a copy that came another
+    way round is known and dropped.
+    """
+
+    origin: InstanceId
+    epoch: int
+    sequence: int
+    hops_left: int
+    frame: bytes
+    """The message as ``encode`` gives it."""
 
 
 @dataclass(frozen=True)
@@ -161,9 +201,11 @@
 
 
 Message: TypeAlias = (
-    Hello
-    | Challenge
+    Challenge
+    | Hello
+    | Welcome
     | Heartbeat
+    | Flood
     | CatalogueRequest
     | CatalogueChanges
     | LoadVector
@@ -177,9 +219,11 @@
 _TYPES: Final[dict[str, type]] = {
     cls.__name__: cls
     for cls in (
-        Hello,
         Challenge,
+        Hello,
+        Welcome,
         Heartbeat,
+        Flood,
         CatalogueRequest,
         CatalogueChanges,
         LoadVector,
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -47,7 +47,12 @@
     key_file: str
     """File with the shared key; a router without it cannot join."""
     n_peers: Annotated[int, Meta(ge=1, le=64)] = 6
+    """Links to other routers that an instance has about; all when there are few."""
     heartbeat_s: Seconds = 1.0
+    silent_after_s: Seconds = 5.0
+    """Silence after which a link counts as dead; several heartbeats long."""
+    suspect_after_s: Seconds = 5.0
+    """How long a router must be out of reach before the others are told."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/corianderlb-core/tests/test_membership.py
@@ -0,0 +1,154 @@
+"""Old word about a router never replaces newer word, and a sleeper accuses nobody."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+
+from corianderlb_core.flood_filter import WINDOW, FloodFilter
+from corianderlb_core.identity import (
+    Incarnation,
+    InstanceId,
+    InstanceRecord,
+    Presence,
+    Role,
+)
+from corianderlb_core.membership import Learned, Membership
+from corianderlb_core.message import MemberState, Suspicion
+from corianderlb_core.overlay import choose_links
+
+
+def a_member(name: str = "r2", epoch: int = 1, heartbeat: int = 1, **fields):
+    defaults = {"presence": Presence.LIVE, "zone": "z1", "region": "pnw"}
+    places = {"address": "a", "peer_address": "p", "catalogue_version": 0}
+    return MemberState(
+        InstanceId(name), epoch, heartbeat, **{**defaults, **places, **fields}
+    )
+
+
+def a_record(name: str = "r2", presence: Presence = Presence.LIVE) -> InstanceRecord:
+    return InstanceRecord(
+        InstanceId(name), Role.ROUTER, "z1", "pnw", "a", presence, peer_address="p"
+    )
+
+
+def names(membership: Membership) -> list[str]:
+    return [state.instance for state in membership.members()]
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.membership = Membership(a_member("r1"), suspect_after_s=5.0)
+
+    def presence(self, name: str = "r2") -> Presence:
+        found = {state.instance: state for state in self.membership.members()}
+        return found[InstanceId(name)].presence
+
+    def test_older_life_never_replaces_newer(self) -> None:
+        self.membership.hear(a_member(epoch=2), 0.0)
+        late = a_member(epoch=1, heartbeat=99)
+        self.assertIs(self.membership.hear(late, 1.0), Learned.NOTHING)
+        self.assertEqual(self.membership.state_of(InstanceId("r2")).epoch, 2)
+
+    def test_leaving_is_final_for_a_life(self) -> None:
+        """A router says it leaves; an older word that it lives comes round later.
+
+        Taking that word would give a router that is about to stop new duties.
+        """
+        leaving = a_member(heartbeat=5, presence=Presence.LEAVING)
+        self.membership.hear(leaving, 0.0)
+        for heartbeat in (4, 6):
+            self.membership.hear(a_member(heartbeat=heartbeat), 1.0)
+            self.assertIs(self.presence(), Presence.LEAVING)
+        self.membership.hear(a_member(epoch=2), 2.0)
+        self.assertIs(self.presence(), Presence.LIVE)
+
+    def test_leaving_word_that_came_late_counts(self) -> None:
+        self.membership.hear(a_member(heartbeat=9), 0.0)
+        late = a_member(heartbeat=5, presence=Presence.LEAVING)
+        self.assertIs(self.membership.hear(late, 1.0), Learned.NEWS)
+        self.assertIs(self.presence(), Presence.LEAVING)
+
+    def test_older_list_never_replaces_newer(self) -> None:
+        """The platform answers with a list from before a router was told to go."""
+        self.membership.hear(a_member(), 0.0)
+        self.membership.take_list(7, [a_record(presence=Presence.LEAVING)])
+        self.assertFalse(self.membership.take_list(6, [a_record()]))
+        self.assertIs(self.presence(), Presence.LEAVING)
+
+    def test_unheard_routers_of_the_list_are_only_candidates(self) -> None:
+        self.membership.take_list(1, [a_record("r9")])
+        self.assertEqual(names(self.membership), ["r1"])
+        self.assertEqual([s.instance for s in self.membership.candidates()], ["r9"])
+
+    def test_out_of_reach_is_suspected_and_refuted(self) -> None:
+        self.membership.hear(a_member(heartbeat=3), 0.0)
+        self.membership.out_of_reach(InstanceId("r2"), 0.0)
+        for second in range(5):
+            self.membership.look(float(second))
+        self.assertEqual(names(self.membership), ["r1", "r2"])
+        self.membership.look(5.0)
+        self.assertEqual(names(self.membership), ["r1"])
+        _, suspected = self.membership.news(random.Random(1))
+        self.assertEqual(suspected, [Suspicion(InstanceId("r2"), 1, 3)])
+        self.membership.hear(a_member(heartbeat=3), 6.0)
+        self.assertEqual(names(self.membership), ["r1"])
+        self.membership.hear(a_member(heartbeat=4), 6.0)
+        self.assertEqual(names(self.membership), ["r1", "r2"])
+
+    def test_accused_router_outdoes_the_accusation(self) -> None:
+        self.membership.hear_suspicion(Suspicion(InstanceId("r1"), 1, 40), 0.0)
+        states, _ = self.membership.news(random.Random(1))
+        self.assertEqual((states[0].instance, states[0].heartbeat), ("r1", 41))
+
+    def test_sleeper_accuses_nobody(self) -> None:
+        """A router is stopped for a minute, and finds all its links silent on waking.
+
+        Without notice of its own pause it would take all the others for dead, and
+        claim their accounts and orders for itself.
+        """
+        for name in ("r2", "r3"):
+            self.membership.hear(a_member(name), 0.0)
+            self.membership.out_of_reach(InstanceId(name), 0.5)
+        self.assertTrue(self.membership.look(1.0))
+        self.assertFalse(self.membership.look(61.0))
+        self.membership.look(62.0)
+        self.assertEqual(names(self.membership), ["r1", "r2", "r3"])
+
+
+class OverlayTest(unittest.TestCase):
+    def test_overlay_joins_all_and_spans_zones(self) -> None:
+        members = [a_member(f"r{i:03d}", zone=f"z{i % 6}") for i in range(410)]
+        links: dict[str, set[str]] = {member.instance: set() for member in members}
+        for own in members:
+            others = [member for member in members if member is not own]
+            for name in choose_links(own, others, 6):
+                links[own.instance].add(name)
+                links[name].add(own.instance)
+        reached = {"r000"}
+        hops = 0
+        while len(reached) < len(members):
+            reached |= {name for member in reached for name in links[member]}
+            hops += 1
+            self.assertLess(hops, 10)
+        mean = sum(map(len, links.values())) / len(links)
+        self.assertLess(mean, 6.5)
+        zones = {member.instance: member.zone for member in members}
+        for name, peers in links.items():
+            self.assertGreater(len({zones[peer] for peer in peers}), 1, name)
+
+    def test_few_routers_link_to_all(self) -> None:
+        others = [a_member(name) for name in ("r2", "r3", "r4")]
+        self.assertEqual(choose_links(a_member("r1"), others, 6), ["r2", "r3", "r4"])
+
+
+class FloodFilterTest(unittest.TestCase):
+    def test_copies_are_known(self) -> None:
+        seen = FloodFilter()
+        origin = Incarnation(InstanceId("r1"), 1)
+        self.assertTrue(all(seen.is_new(origin, n) for n in (3, 1, 2, 9)))
+        self.assertFalse(any(seen.is_new(origin, n) for n in (1, 2, 3, 9)))
+        self.assertTrue(seen.is_new(dataclasses.replace(origin, epoch=2), 3))
+        self.assertTrue(seen.is_new(origin, 9 + 2 * WINDOW))
+        self.assertFalse(seen.is_new(origin, 9))
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -0,0 +1,400 @@
+"""Join the routers by a sparse overlay of links, and know which of them live.
+
+Each router keeps links to a few others, chosen by ``corianderlb_core.overlay``. Over
+each link goes a heartbeat a second with the catalogue version and news of members. A
+message to all routers is flooded: each passes it on once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Final
+
+import eliot
+import trio
+
+from corianderlb_core.codec import DecodeError
+from corianderlb_core.flood_filter import FloodFilter
+from corianderlb_core.identity import Incarnation, InstanceId, Presence
+from corianderlb_core.membership import MAX_GAP_S, Learned, Membership
+from corianderlb_core.message import (
+    CrashReport,
+    Flood,
+    Heartbeat,
+    MemberState,
+    Message,
+    SuspectCleared,
+    UpstreamLeaving,
+    decode,
+    encode,
+)
+from corianderlb_core.overlay import choose_links
+from corianderlb_core.settings import PeerSettings
+
+from ._handshake import PeerIdentity, SealedLink, accept, introduce
+from ._peer_connection import PeerConnection, PeerCounters
+from .interface import Handler, PeerNetwork
+from .peer_link import FrameRefusedError, LinkClosedError, PeerLink, PeerTransport
+from .store import InstanceList
+
+HANDSHAKE_S: Final = 3.0
+"""Longest time from an open link to its proof, in seconds."""
+
+MAX_UNPROVED: Final = 32
+"""Links without a proof at a time; a stranger cannot use up memory with more."""
+
+FLOODED: Final = (UpstreamLeaving, CrashReport, SuspectCleared)
+"""What ``broadcast`` carries to all routers, over as many links as it takes."""
+
+MAX_HOPS: Final = 16
+"""Links a flooded message passes at most; the overlay's diameter is far below."""
+
+BACKLOG: Final = 128
+"""Flooded messages kept for links that open later."""
+
+DIAL_AGAIN_S: Final = 2.0
+"""Mean seconds between two tries to reach a router."""
+
+LOST_AGAIN_S: Final = 10.0
+"""Mean seconds between two tries to reach some suspected router."""
+
+MIN_BEAT_GAP_S: Final = 0.05
+"""Least time between two heartbeats, however much news there is."""
+
+RANDOM_MEMBER_EVERY: Final = 5
+"""Heartbeats to one that carries the state of a random member on top."""
+
+
+class OverlayNetwork(PeerNetwork):
+    """Keep the links, the membership and the flooding of one router.
+
+    ``run`` listens, dials and beats until cancelled. ``version`` gives the catalogue
+    version and since when it is in force, for the heartbeats.
+    """
+
+    def __init__(
+        self,
+        own: MemberState,
+        key: bytes,
+        transport: PeerTransport,
+        cfg: PeerSettings,
+        rng: random.Random,
+    ) -> None:
+        self.counters = PeerCounters()
+        """What went over the links."""
+        self.version: Callable[[], tuple[int, str]] = lambda: (0, "")
+        """Asked for the version in force and since when, at each heartbeat."""
+        max_gap_s = max(MAX_GAP_S, 2 * cfg.heartbeat_s)
+        self._membership = Membership(own, cfg.suspect_after_s, max_gap_s)
+        self._identity = PeerIdentity(own.instance, own.epoch, own.zone, own.region)
+        self._key = key
+        self._transport = transport
+        self._cfg = cfg
+        self._rng = rng
+        self._connections: dict[InstanceId, PeerConnection] = {}
+        self._dialling: set[InstanceId] = set()
+        self._handlers: dict[type, list[Handler]] = defaultdict(list)
+        self._seen = FloodFilter()
+        self._backlog: deque[bytes] = deque(maxlen=BACKLOG)
+        self._n_floods = 0
+        self._n_beats = 0
+        self._n_unproved = 0
+        self._beat_wanted = trio.Event()
+
+    # What other parts of the router use.
+
+    def subscribe(self, cls: type, handler: Handler) -> None:
+        """Have a handler called for each arriving message of a class.
+
+        The next message of that peer waits for the handler, so a long task belongs
+        into the handler's own actor. A flooded message comes with its origin as peer.
+        """
+        self._handlers[cls].append(handler)
+
+    def send(self, peer: InstanceId, message: Message) -> bool:
+        """Queue a message to a linked peer; False when there is no link to it now."""
+        conn = self._connections.get(peer)
+        return conn is not None and conn.post(encode(message))
+
+    def broadcast(self, message: Message) -> int:
+        """Queue a message to the linked peers; return how many.
+
+        Classes in ``FLOODED`` are passed on by them until all routers have them.
+        """
+        frame = encode(message)
+        if isinstance(message, FLOODED):
+            frame = self._wrap(frame)
+        return sum(conn.post(frame) for conn in self._connections.values())
+
+    def members(self) -> Sequence[MemberState]:
+        """Return the routers thought to run, this one included.
+
+        Those with presence LEAVING finish what they have; give them nothing new.
+        """
+        return self._membership.members()
+
+    def linked(self) -> Sequence[InstanceId]:
+        """Return the routers that a link works to now."""
+        return tuple(self._connections)
+
+    def take_list(self, listed: InstanceList) -> bool:
+        """Take the platform's list of instances; False for an older one."""
+        return self._membership.take_list(listed.revision, listed.instances)
+
+    def announce_leaving(self) -> None:
+        """Tell the others that this router leaves; it keeps its links."""
+        self._membership.leave()
+        self.beat_now()
+
+    def beat_now(self) -> None:
+        """Send the next heartbeat at once, since there is news."""
+        self._beat_wanted.set()
+
+    # The tasks.
+
+    async def run(
+        self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keep the overlay until cancelled; the status tells ``host:port``."""
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(self._transport.serve, self._take_link)
+            task_status.started(address)
+            nursery.start_soon(self._keep_beating)
+            await self._keep_links(nursery)
+
+    async def _keep_beating(self) -> None:
+        while True:
+            self._beat()
+            await trio.sleep(MIN_BEAT_GAP_S)
+            with trio.move_on_after(self._cfg.heartbeat_s - MIN_BEAT_GAP_S):
+                await self._beat_wanted.wait()
+            self._beat_wanted = trio.Event()
+
+    def _beat(self) -> None:
+        self._n_beats += 1
+        own = self._membership.beat(*self.version())
+        n_random = 0 if self._n_beats % RANDOM_MEMBER_EVERY else 1
+        states, suspected = self._membership.news(self._rng, n_random)
+        frame = encode(
+            Heartbeat(
+                own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
+            )
+        )
+        for conn in self._connections.values():
+            conn.post(frame)
+
+    async def _keep_links(self, nursery: trio.Nursery) -> None:
+        lost_at = trio.current_time() + self._wait_s(LOST_AGAIN_S)
+        while True:
+            now = trio.current_time()
+            on_time = self._membership.look(now)
+            self._close_silent(now, on_time)
+            for state in self._wanted():
+                self._dial_soon(nursery, state)
+            lost = self._membership.lost()
+            if lost and now >= lost_at:
+                lost_at = now + self._wait_s(LOST_AGAIN_S)
+                self._dial_soon(nursery, self._rng.choice(lost))
+            await trio.sleep(self._cfg.heartbeat_s / 2)
+
+    def _wanted(self) -> list[MemberState]:
+        """Return the routers to link to that no link goes to yet."""
+        candidates = self._membership.candidates()
+        by_name = {state.instance: state for state in candidates}
+        chosen = choose_links(self._membership.own, candidates, self._cfg.n_peers)
+        missing = [by_name[name] for name in chosen if name not in self._connections]
+        return [state for state in missing if state.peer_address]
+
+    def _close_silent(self, now: float, on_time: bool) -> None:
+        for conn in list(self._connections.values()):
+            if not on_time:
+                # This process slept: the silence was here, not there.
+                conn.last_heard = now
+            elif now - conn.last_heard >= self._cfg.silent_after_s:
+                self.counters.n_links_silent += 1
+                eliot.log_message("peer_silent", peer=conn.peer.instance)
+                conn.close()
+
+    def _dial_soon(self, nursery: trio.Nursery, state: MemberState) -> None:
+        if state.instance not in self._dialling | self._connections.keys():
+            self._dialling.add(state.instance)
+            nursery.start_soon(self._dial, state)
+
+    async def _dial(self, state: MemberState) -> None:
+        """Try once to reach a router, and run the link for as long as it lasts."""
+        proved = False
+        try:
+            async with self._transport.dial(state.peer_address) as link:
+                sealed = await self._prove(link, partial(introduce, link))
+                if sealed is not None:
+                    proved = True
+                    await self._run_link(sealed, dialled=True)
+        except LinkClosedError:
+            pass
+        if not proved and state.instance not in self._connections:
+            self.counters.n_dials_failed += 1
+            self._membership.out_of_reach(state.instance, trio.current_time())
+            await trio.sleep(self._wait_s(DIAL_AGAIN_S))
+        self._dialling.discard(state.instance)
+
+    async def _take_link(self, link: PeerLink) -> None:
+        """Run a link that another router opened."""
+        if self._n_unproved >= MAX_UNPROVED:
+            self.counters.n_strangers += 1
+            return
+        self._n_unproved += 1
+        try:
+            sealed = await self._prove(link, partial(accept, link))
+        finally:
+            self._n_unproved -= 1
+        if sealed is not None:
+            await self._run_link(sealed, dialled=False)
+
+    async def _prove(
+        self, link: PeerLink, handshake: Callable[..., object]
+    ) -> SealedLink | None:
+        """Return the link once both sides proved the key, or None."""
+        try:
+            with trio.fail_after(HANDSHAKE_S):
+                sealed = await handshake(self._identity, self._key)
+        except FrameRefusedError:
+            self.counters.n_refused += 1
+        except (LinkClosedError, trio.TooSlowError) as exc:
+            self.counters.n_strangers += 1
+            eliot.log_message("peer_not_proved", reason=str(exc))
+        else:
+            if sealed.peer.instance != self._identity.instance:
+                return sealed
+        await link.aclose()
+        return None
+
+    async def _run_link(self, link: SealedLink, dialled: bool) -> None:
+        now = trio.current_time()
+        conn = PeerConnection(link, dialled, self.counters, now)
+        name = conn.peer.instance
+        if not self._take_place(conn):
+            await link.aclose()
+            return
+        self.counters.n_links_opened += 1
+        self._membership.in_reach(name)
+        eliot.log_message("peer_linked", peer=name, epoch=conn.peer.epoch)
+        self._greet(conn)
+        try:
+            await conn.run(self._handle)
+        finally:
+            if self._connections.get(name) is conn:
+                del self._connections[name]
+                self._membership.out_of_reach(name, trio.current_time())
+                eliot.log_message("peer_unlinked", peer=name)
+            with trio.move_on_after(HANDSHAKE_S, shield=True):
+                await link.aclose()
+
+    def _take_place(self, conn: PeerConnection) -> bool:
+        """Put a new link in the place of an older one to the same router, or refuse.
+
+        When both routers dial at once there are two links, and each side must give up
+        the same one: the link of the router with the lower name stays. A link of a
+        newer life, or a second one from the same side, means that the first is dead.
+        """
+        name = conn.peer.instance
+        held = self._connections.get(name)
+        if held is not None:
+            if conn.peer.epoch < held.peer.epoch:
+                return False
+            crossed = conn.peer.epoch == held.peer.epoch and (
+                conn.dialled is not held.dialled
+            )
+            mine_stays = self._identity.instance < name
+            if crossed and conn.dialled is not mine_stays:
+                return False
+            held.close()
+        self._connections[name] = conn
+        return True
+
+    def _greet(self, conn: PeerConnection) -> None:
+        """Tell a new peer all there is to know, and what was flooded of late."""
+        own = self._membership.beat(*self.version())
+        states, suspected = self._membership.everything()
+        beat = Heartbeat(
+            own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
+        )
+        conn.post(encode(beat))
+        for frame in self._backlog:
+            conn.post(frame)
+
+    # Arriving messages.
+
+    async def _handle(self, conn: PeerConnection, message: Message, size: int) -> None:
+        name = conn.peer.instance
+        if isinstance(message, Heartbeat):
+            self._take_heartbeat(conn, message)
+        if isinstance(message, Flood):
+            await self._take_flood(conn, message)
+            return
+        await self._deliver(name, message)
+
+    async def _deliver(self, sender: InstanceId, message: Message) -> None:
+        for handler in self._handlers[type(message)]:
+            await handler(sender, message)
+
+    def _take_heartbeat(self, conn: PeerConnection, beat: Heartbeat) -> None:
+        now = trio.current_time()
+        member = self._membership
+        learned = [member.hear(state, now) for state in beat.members]
+        learned += [member.hear_suspicion(word, now) for word in beat.suspected]
+        peer = conn.peer
+        learned.append(
+            member.hear_heartbeat(
+                peer.instance, peer.epoch, beat.heartbeat, beat.catalogue_version, now
+            )
+        )
+        if Learned.NEWS in learned:
+            self.beat_now()
+
+    async def _take_flood(self, conn: PeerConnection, flood: Flood) -> None:
+        origin = Incarnation(flood.origin, flood.epoch)
+        if flood.origin == self._identity.instance or not self._seen.is_new(
+            origin, flood.sequence
+        ):
+            self.counters.n_flood_copies += 1
+            return
+        try:
+            message = decode(flood.frame)
+        except DecodeError:
+            # The peer that passed it on may be of another release; only drop it.
+            self.counters.n_refused += 1
+            return
+        self._pass_on(conn, flood)
+        if isinstance(message, FLOODED):
+            await self._deliver(flood.origin, message)
+
+    def _pass_on(self, source: PeerConnection, flood: Flood) -> None:
+        passed = Flood(
+            flood.origin, flood.epoch, flood.sequence, flood.hops_left - 1, flood.frame
+        )
+        frame = encode(passed)
+        self._backlog.append(frame)
+        if flood.hops_left <= 0:
+            return
+        for conn in self._connections.values():
+            if conn is not source and conn.peer.instance != flood.origin:
+                conn.post(frame)
+
+    def _wrap(self, frame: bytes) -> bytes:
+        self._n_floods += 1
+        own = self._identity
+        flood = Flood(own.instance, own.epoch, self._n_floods, MAX_HOPS, frame)
+        wrapped = encode(flood)
+        self._backlog.append(wrapped)
+        return wrapped
+
+    def _wait_s(self, mean_s: float) -> float:
+        return mean_s * self._rng.uniform(0.5, 1.5)
+
+    @property
+    def presence(self) -> Presence:
+        """Whether this router stays or leaves."""
+        return self._membership.own.presence
