Put the peer network into the node and pass news on by state

Cause: the quarantine and the upstream directory pass a peer's news on themselves while it is news to them; a flood below them would send each word once more from every router. The node starts OverlayNetwork, prints its peer address, tells its addresses, and announces its leaving with the first signal. PlatformDirectory.heard_leaving becomes the handler on_upstream_leaving. Ruled out: sequence numbers and windows per origin, since what is known already tells a copy.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -83,6 +83,13 @@
         )
         return self._own
 
+    def set_addresses(self, address: str, peer_address: str) -> None:
+        """Note where this router is reached."""
+        self._own = dataclasses.replace(
+            self._own, address=address, peer_address=peer_address
+        )
+        self._spread(self._own.instance)
+
     def leave(self) -> None:
         """Note that this router is leaving; there is no way back in this life."""
         self._own = dataclasses.replace(self._own, presence=Presence.LEAVING)
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -98,22 +98,6 @@
     suspected: tuple[Suspicion, ...] = ()
 
 
-@dataclass(frozen=True)
-class Flood:
-    """Carry a message to all routers: each passes it on once.
-
-    ``origin``, ``epoch`` and ``sequence`` name it, so that a copy that came another
-    way round is known and dropped.
-    """
-
-    origin: InstanceId
-    epoch: int
-    sequence: int
-    hops_left: int
-    frame: bytes
-    """The message as ``encode`` gives it."""
-
-
 @dataclass(frozen=True)
 class CatalogueRequest:
     """Ask a peer for the changes after a version."""
@@ -205,7 +189,6 @@
     | Hello
     | Welcome
     | Heartbeat
-    | Flood
     | CatalogueRequest
     | CatalogueChanges
     | LoadVector
@@ -223,7 +206,6 @@
         Hello,
         Welcome,
         Heartbeat,
-        Flood,
         CatalogueRequest,
         CatalogueChanges,
         LoadVector,
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -39,8 +39,6 @@
     n_links_silent: int = 0
     """Links closed because nothing came over them for too long."""
     n_dials_failed: int = 0
-    n_flood_copies: int = 0
-    """Flooded messages that had come before, another way round."""
 
 
 class PeerConnection:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -17,13 +17,14 @@
 import trio
 
 from corianderlb_core.chart import LifeCycle
-from corianderlb_core.identity import InstanceId
+from corianderlb_core.identity import InstanceId, Presence
+from corianderlb_core.message import MemberState, UpstreamLeaving
 from corianderlb_core.placement_registry import make_policy
 from corianderlb_core.retry import RetryBudgets
 from corianderlb_core.settings import RouterSettings
 from corianderlb_core.settings_file import read_secret
 
-from ._stub import LonePeers
+from ._websocket_transport import WebSocketTransport
 from .app import make_app
 from .attempt import Parts
 from .call_journal import StoreCallJournal
@@ -39,6 +40,7 @@
 from .instance_list import InstanceListReader
 from .open_admission import OpenAdmission
 from .operator_desk import OperatorDesk
+from .peer_network import OverlayNetwork
 from .placer import PolicyPlacer
 from .upstream_client import UpstreamClient
 from .upstream_directory import PlatformDirectory
@@ -71,13 +73,35 @@
         self._rng = random.Random()
         self._store = HttpObjectStore(settings.store.url, settings.store.timeout_s)
         self._board = ExchangeBoard()
-        self._peers = LonePeers()
+        self._peers = self._make_peers()
         self._compose()
 
+    def _make_peers(self) -> OverlayNetwork:
+        cfg = self._settings
+        own = MemberState(
+            instance=InstanceId(cfg.instance),
+            epoch=self._epoch,
+            heartbeat=0,
+            presence=Presence.LIVE,
+            zone=cfg.zone,
+            region=cfg.region,
+            address="",
+            peer_address="",
+            catalogue_version=0,
+        )
+        transport = WebSocketTransport(cfg.listen.peer_host, cfg.listen.peer_port)
+        key = read_secret(cfg.peer.key_file)
+        return OverlayNetwork(own, key, transport, cfg.peer, self._rng)
+
+    def _version(self) -> tuple[int, str]:
+        in_force = self._catalogue.current()
+        return (in_force.catalogue.version, in_force.since) if in_force else (0, "")
+
     def _compose(self) -> None:
         cfg = self._settings
         self._client = UpstreamClient(TcpConnector())
-        directory = PlatformDirectory()
+        directory = PlatformDirectory(announce=self._peers.broadcast)
+        self._peers.subscribe(UpstreamLeaving, directory.on_upstream_leaving)
         placer = PolicyPlacer(
             make_policy(cfg.placement, self._rng), directory, self._rng
         )
@@ -99,7 +123,9 @@
         self._journal = StoreCallJournal(
             self._store, InstanceId(cfg.instance), self._epoch, cfg.journal, self._peers
         )
-        instances = InstanceListReader(self._store, [directory.apply_list], self._rng)
+        self._peers.version = self._version
+        takers = [directory.apply_list, self._peers.take_list]
+        instances = InstanceListReader(self._store, takers, self._rng)
         self._tasks: list[Callable[[], Awaitable[None]]] = [
             self._catalogue.run,
             instances.run,
@@ -116,10 +142,13 @@
             dispatcher, self._desk(), read_secret(self._settings.operator.key_file)
         )
         async with trio.open_nursery() as nursery:
+            peer_address = await nursery.start(self._peers.run)
             for task in self._tasks:
                 nursery.start_soon(task)
             bound = await nursery.start(self._serve, app)
-            self._print_listening(bound)
+            address = bound[0].removeprefix("http://")
+            self._peers.set_addresses(address, peer_address)
+            self._print_listening(address, peer_address)
             nursery.start_soon(self._become_ready)
             nursery.start_soon(self._take_signals)
             await self._live()
@@ -160,9 +189,9 @@
             task_status=task_status,
         )
 
-    def _print_listening(self, bound: list[str]) -> None:
-        address = bound[0].removeprefix("http://")
-        sys.stdout.write(json.dumps({"listening": {"http": address}}) + "\n")
+    def _print_listening(self, address: str, peer_address: str) -> None:
+        listening = {"listening": {"http": address, "peer": peer_address}}
+        sys.stdout.write(json.dumps(listening) + "\n")
         sys.stdout.flush()
 
     async def _become_ready(self) -> None:
@@ -178,6 +207,7 @@
     def _on_terminate(self) -> None:
         """Take a request to end: the first drains, the second ends at once."""
         self._send("terminate")
+        self._peers.announce_leaving()
         self._terminate.set()
         self._terminate = trio.Event()
 
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -2,7 +2,8 @@
 
 Each router keeps links to a few others, chosen by ``corianderlb_core.overlay``. Over
 each link goes a heartbeat a second with the catalogue version and news of members. A
-message to all routers is flooded: each passes it on once.
+broadcast goes one link far: who learns something new from it broadcasts it in turn, so
+it reaches every router over as many links as it takes, and old news stop by themselves.
 """
 
 from __future__ import annotations
@@ -16,19 +17,15 @@
 import eliot
 import trio
 
-from corianderlb_core.codec import DecodeError
-from corianderlb_core.flood_filter import FloodFilter
-from corianderlb_core.identity import Incarnation, InstanceId, Presence
+from corianderlb_core.identity import InstanceId, Presence
 from corianderlb_core.membership import MAX_GAP_S, Learned, Membership
 from corianderlb_core.message import (
     CrashReport,
-    Flood,
     Heartbeat,
     MemberState,
     Message,
     SuspectCleared,
     UpstreamLeaving,
-    decode,
     encode,
 )
 from corianderlb_core.overlay import choose_links
@@ -46,14 +43,14 @@
 MAX_UNPROVED: Final = 32
 """Links without a proof at a time; a stranger cannot use up memory with more."""
 
-FLOODED: Final = (UpstreamLeaving, CrashReport, SuspectCleared)
-"""What ``broadcast`` carries to all routers, over as many links as it takes."""
+KEPT: Final = (UpstreamLeaving, CrashReport, SuspectCleared)
+"""Broadcasts that a router which links later must hear of as well."""
 
-MAX_HOPS: Final = 16
-"""Links a flooded message passes at most; the overlay's diameter is far below."""
+N_KEPT: Final = 128
+"""Broadcasts kept for later links at most."""
 
-BACKLOG: Final = 128
-"""Flooded messages kept for links that open later."""
+KEPT_S: Final = 120.0
+"""Seconds for which they are kept."""
 
 DIAL_AGAIN_S: Final = 2.0
 """Mean seconds between two tries to reach a router."""
@@ -97,20 +94,16 @@
         self._connections: dict[InstanceId, PeerConnection] = {}
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
-        self._seen = FloodFilter()
-        self._backlog: deque[bytes] = deque(maxlen=BACKLOG)
-        self._n_floods = 0
+        self._kept: deque[tuple[float, bytes]] = deque(maxlen=N_KEPT)
         self._n_beats = 0
         self._n_unproved = 0
         self._beat_wanted = trio.Event()
 
-    # What other parts of the router use.
-
     def subscribe(self, cls: type, handler: Handler) -> None:
         """Have a handler called for each arriving message of a class.
 
         The next message of that peer waits for the handler, so a long task belongs
-        into the handler's own actor. A flooded message comes with its origin as peer.
+        into the handler's own actor.
         """
         self._handlers[cls].append(handler)
 
@@ -120,13 +113,10 @@
         return conn is not None and conn.post(encode(message))
 
     def broadcast(self, message: Message) -> int:
-        """Queue a message to the linked peers; return how many.
-
-        Classes in ``FLOODED`` are passed on by them until all routers have them.
-        """
+        """Queue a message to the linked peers; return how many."""
         frame = encode(message)
-        if isinstance(message, FLOODED):
-            frame = self._wrap(frame)
+        if isinstance(message, KEPT):
+            self._kept.append((trio.current_time(), frame))
         return sum(conn.post(frame) for conn in self._connections.values())
 
     def members(self) -> Sequence[MemberState]:
@@ -144,6 +134,11 @@
         """Take the platform's list of instances; False for an older one."""
         return self._membership.take_list(listed.revision, listed.instances)
 
+    def set_addresses(self, address: str, peer_address: str) -> None:
+        """Tell the others where this router is reached, once it is bound."""
+        self._membership.set_addresses(address, peer_address)
+        self.beat_now()
+
     def announce_leaving(self) -> None:
         """Tell the others that this router leaves; it keeps its links."""
         self._membership.leave()
@@ -153,8 +148,6 @@
         """Send the next heartbeat at once, since there is news."""
         self._beat_wanted.set()
 
-    # The tasks.
-
     async def run(
         self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -315,30 +308,23 @@
         return True
 
     def _greet(self, conn: PeerConnection) -> None:
-        """Tell a new peer all there is to know, and what was flooded of late."""
+        """Tell a new peer all there is to know, and what was broadcast of late."""
         own = self._membership.beat(*self.version())
         states, suspected = self._membership.everything()
         beat = Heartbeat(
             own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
         )
         conn.post(encode(beat))
-        for frame in self._backlog:
-            conn.post(frame)
-
-    # Arriving messages.
+        oldest = trio.current_time() - KEPT_S
+        for kept_at, frame in self._kept:
+            if kept_at >= oldest:
+                conn.post(frame)
 
     async def _handle(self, conn: PeerConnection, message: Message, size: int) -> None:
-        name = conn.peer.instance
         if isinstance(message, Heartbeat):
             self._take_heartbeat(conn, message)
-        if isinstance(message, Flood):
-            await self._take_flood(conn, message)
-            return
-        await self._deliver(name, message)
-
-    async def _deliver(self, sender: InstanceId, message: Message) -> None:
         for handler in self._handlers[type(message)]:
-            await handler(sender, message)
+            await handler(conn.peer.instance, message)
 
     def _take_heartbeat(self, conn: PeerConnection, beat: Heartbeat) -> None:
         now = trio.current_time()
@@ -354,43 +340,6 @@
         if Learned.NEWS in learned:
             self.beat_now()
 
-    async def _take_flood(self, conn: PeerConnection, flood: Flood) -> None:
-        origin = Incarnation(flood.origin, flood.epoch)
-        if flood.origin == self._identity.instance or not self._seen.is_new(
-            origin, flood.sequence
-        ):
-            self.counters.n_flood_copies += 1
-            return
-        try:
-            message = decode(flood.frame)
-        except DecodeError:
-            # The peer that passed it on may be of another release; only drop it.
-            self.counters.n_refused += 1
-            return
-        self._pass_on(conn, flood)
-        if isinstance(message, FLOODED):
-            await self._deliver(flood.origin, message)
-
-    def _pass_on(self, source: PeerConnection, flood: Flood) -> None:
-        passed = Flood(
-            flood.origin, flood.epoch, flood.sequence, flood.hops_left - 1, flood.frame
-        )
-        frame = encode(passed)
-        self._backlog.append(frame)
-        if flood.hops_left <= 0:
-            return
-        for conn in self._connections.values():
-            if conn is not source and conn.peer.instance != flood.origin:
-                conn.post(frame)
-
-    def _wrap(self, frame: bytes) -> bytes:
-        self._n_floods += 1
-        own = self._identity
-        flood = Flood(own.instance, own.epoch, self._n_floods, MAX_HOPS, frame)
-        wrapped = encode(flood)
-        self._backlog.append(wrapped)
-        return wrapped
-
     def _wait_s(self, mean_s: float) -> float:
         return mean_s * self._rng.uniform(0.5, 1.5)
 
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -155,7 +155,9 @@
         if self._remember_leaving(Incarnation(instance, epoch)):
             self._announce(UpstreamLeaving(instance, epoch))
 
-    def heard_leaving(self, message: UpstreamLeaving) -> None:
+    async def on_upstream_leaving(
+        self, sender: InstanceId, message: UpstreamLeaving
+    ) -> None:
         """Take a peer's word that a life is leaving; it is passed on once."""
         self.mark_leaving(message.instance, message.epoch)
 
