Count requests, attempts, first tokens and store and peer traffic

The counters that parts keep are read at a scrape and shown in status, so that an operator and the slope measurements look at the same numbers. /metrics gave the library's global registry, which had nothing of ours. Retry-After of the small answers was rounded, which made 0 of 0.4 s; it is rounded up now.

--- a/packages/corianderlb-router/src/corianderlb_router/app.py
+++ b/packages/corianderlb-router/src/corianderlb_router/app.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import hmac
+import math
 import uuid
 from typing import Any, Final
 
 import quart
-from prometheus_client import generate_latest
 from quart_trio import QuartTrio
 
 from corianderlb_core.catalogue import EntryKind
@@ -32,6 +32,7 @@
 )
 from .dispatcher import Dispatcher
 from .inbound import BEARER, authenticate
+from .metric import CONTENT_TYPE
 from .operator_desk import OperatorDesk
 
 JSON: Final = "application/json"
@@ -141,7 +142,8 @@
     @app.get("/metrics")
     async def metrics() -> quart.Response:
         check_operator()
-        return quart.Response(generate_latest(), mimetype="text/plain")
+        exposition = desk.parts.metrics.exposition()
+        return quart.Response(exposition, content_type=CONTENT_TYPE)
 
 
 def _add_error_handlers(app: QuartTrio) -> None:
@@ -168,5 +170,5 @@
         error_body(refusal), status=RESULT_INFO[refusal.code].status, mimetype=JSON
     )
     if refusal.retry_after_s > 0:
-        response.headers["retry-after"] = str(round(refusal.retry_after_s))
+        response.headers["retry-after"] = str(math.ceil(refusal.retry_after_s))
     return response
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -36,6 +36,7 @@
 from .flight import Flight, FlightBoard
 from .health_board import HealthBoard
 from .interface import Placer, Quarantine, UpstreamDirectory, UpstreamInstance
+from .metric import Metrics
 from .upstream_client import RefusedError, UpstreamClient, WrongAnswerError
 
 FAILURE_CODES = {
@@ -70,6 +71,7 @@
     decisions: DecisionLog
     budgets: RetryBudgets
     rng: random.Random = field(default_factory=random.Random)
+    metrics: Metrics = field(default_factory=Metrics)
 
 
 @dataclass(frozen=True)
@@ -229,6 +231,9 @@
 
     def _ended(self, leg: Leg, outcome: AttemptOutcome) -> None:
         self._parts.placer.attempt_ended(self._facts, outcome)
+        self._parts.metrics.attempt_ended(outcome.code, is_retry=self._n_legs > 1)
+        computed = outcome.prompt_tokens - outcome.cached_tokens
+        self._parts.metrics.prompt_served(outcome.cached_tokens, max(0, computed))
         report = AttemptReport(
             attempt_id=leg.attempt_id,
             instance=outcome.incarnation.instance,
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -11,6 +11,7 @@
 import trio
 
 from corianderlb_core import header
+from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.identity import DecisionId, RequestId
 from corianderlb_core.request import Refusal
@@ -79,6 +80,8 @@
         """When the answer began, on the router's clock."""
         self.result = ResultCode.OK
         """How the exchange ended."""
+        self.service_class = ServiceClass.STANDARD
+        """Set once the request is parsed."""
         self.replayed = False
         """True when the answer is the one of an earlier run of the same call."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -183,7 +183,10 @@
     def _on_first(self) -> None:
         assert self._leg is not None
         incarnation = self._leg.candidate.incarnation
-        self._parts.placer.first_token(self._req.facts, incarnation)
+        facts = self._req.facts
+        self._parts.placer.first_token(facts, incarnation)
+        ttft_s = trio.current_time() - facts.arrived_at
+        self._parts.metrics.first_token(ttft_s, facts.service_class)
 
     def _observe(self, leg: Leg, epoch: int) -> None:
         if epoch and epoch != self._epoch:
@@ -256,6 +259,7 @@
             await self._parts.client.cancel(address, leg.attempt_id)
 
     async def _finish(self) -> None:
+        self._parts.metrics.events_relayed(self._assembler.n_relayed)
         if isinstance(self._sink, AnswerSink):
             body = assemble_answer(self._sink.stream)
             await self._caller.answer(200, [JSON_TYPE], body)
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -77,6 +77,8 @@
                 await caller.fail(Refusal(ResultCode.INTERNAL, detail))
             finally:
                 self._parts.decisions.finish(caller.decision_id, caller.result)
+                metrics = self._parts.metrics
+                metrics.request_ended(caller.result, caller.service_class)
         if entry.was_cut and not caller.finished:
             await self._tell_cut(caller)
 
@@ -102,6 +104,7 @@
         body = await caller.read_body(self._cfg.max_body_bytes)
         catalogue = in_force.catalogue
         req = parse_completion(caller, body, catalogue, self._cfg.default_deadline_s)
+        caller.service_class = req.facts.service_class
 
         async def run() -> None:
             slot = await self._admit(req.facts)
@@ -118,6 +121,7 @@
         body = await caller.read_body(self._cfg.max_body_bytes)
         catalogue = in_force.catalogue
         req = parse_service_call(caller, body, catalogue, self._cfg.default_deadline_s)
+        caller.service_class = req.facts.service_class
         if not req.route.repeatable:
             # Once it may have begun, nobody may stop it half way: neither the caller
             # by hanging up nor its deadline.
--- a/packages/corianderlb-router/src/corianderlb_router/metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/metric.py
@@ -30,12 +30,9 @@
     """Name the values that are read at the time of a scrape."""
 
     CATALOGUE_VERSION = "corianderlb_catalogue_version"
-    CATALOGUE_CONFIRMED_AGE = "corianderlb_catalogue_confirmed_age_seconds"
     IN_FLIGHT = "corianderlb_requests_in_flight"
-    WAITING = "corianderlb_requests_waiting"
     QUARANTINED = "corianderlb_quarantined_requests"
     PEERS = "corianderlb_peers_connected"
-    UPSTREAMS_USABLE = "corianderlb_upstream_instances_usable"
 
 
 class Tally(Enum):
@@ -43,9 +40,8 @@
 
     STORE_CALLS = "corianderlb_store_calls_total"
     STORE_FAILURES = "corianderlb_store_call_failures_total"
-    PEER_BYTES = "corianderlb_peer_bytes_total"
-    PEER_MESSAGES = "corianderlb_peer_messages_total"
-    PEER_REJECTIONS = "corianderlb_peer_rejections_total"
+    PEERS = "corianderlb_peer_traffic_total"
+    """Bytes, messages, refused frames and links, by kind."""
 
 
 class Metrics:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -38,6 +38,7 @@
 from .health_board import HealthBoard
 from .http_store import HttpObjectStore
 from .instance_list import InstanceListReader
+from .node_metric import NodeCounters
 from .open_admission import OpenAdmission
 from .operator_desk import OperatorDesk
 from .peer_network import OverlayNetwork
@@ -124,6 +125,10 @@
             self._store, InstanceId(cfg.instance), self._epoch, cfg.journal, self._peers
         )
         self._peers.version = self._version
+        self._counters = NodeCounters(
+            self._store, self._peers, self._board, self._catalogue, self._quarantine
+        )
+        self._counters.watch(self._parts.metrics)
         takers = [directory.apply_list, self._peers.take_list]
         instances = InstanceListReader(self._store, takers, self._rng)
         self._tasks: list[Callable[[], Awaitable[None]]] = [
@@ -166,6 +171,7 @@
             quarantine=self._quarantine,
             peers=self._peers,
             board=self._board,
+            counters=self._counters,
             start_drain=self._on_terminate,
         )
 
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -0,0 +1,66 @@
+"""Connect the counters that the parts of a router keep to its metrics and status."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+
+from corianderlb_core.status import CounterStatus
+
+from .catalogue_follower import CatalogueFollower
+from .exchange_board import ExchangeBoard
+from .fleet_quarantine import FleetQuarantine
+from .http_store import HttpObjectStore
+from .metric import Gauge, Metrics, Tally
+from .peer_network import OverlayNetwork
+
+
+@dataclass(frozen=True)
+class NodeCounters:
+    """Hold the parts that count, and read them on request."""
+
+    store: HttpObjectStore
+    peers: OverlayNetwork
+    board: ExchangeBoard
+    catalogue: CatalogueFollower
+    quarantine: FleetQuarantine
+
+    def watch(self, metrics: Metrics) -> None:
+        """Have the counters and gauges read at each scrape."""
+        metrics.watch_tally(Tally.STORE_CALLS, self.store_calls)
+        metrics.watch_tally(Tally.STORE_FAILURES, self.store_failures)
+        metrics.watch_tally(Tally.PEERS, self.peer_counts)
+        metrics.watch_gauge(Gauge.CATALOGUE_VERSION, self._version)
+        metrics.watch_gauge(Gauge.IN_FLIGHT, lambda: len(self.board))
+        metrics.watch_gauge(Gauge.PEERS, lambda: len(self.peers.linked()))
+        metrics.watch_gauge(Gauge.QUARANTINED, lambda: len(self.quarantine.status()))
+
+    def status(self) -> tuple[CounterStatus, ...]:
+        """Return all counters, for ``corianderctl status`` and the slopes."""
+        groups = {
+            "store_calls": self.store_calls(),
+            "store_failures": self.store_failures(),
+            "peers": self.peer_counts(),
+        }
+        return tuple(
+            CounterStatus(f"{group}.{kind}", value)
+            for group, counts in groups.items()
+            for kind, value in sorted(counts.items())
+        )
+
+    def store_calls(self) -> dict[str, float]:
+        """Return the calls to the store, by kind."""
+        return {kind.value: float(n) for kind, n in self.store.n_calls.items()}
+
+    def store_failures(self) -> dict[str, float]:
+        """Return the calls to the store that failed, by kind."""
+        return {kind.value: float(n) for kind, n in self.store.n_failed.items()}
+
+    def peer_counts(self) -> dict[str, float]:
+        """Return what went over the links to other routers."""
+        counted = dataclasses.asdict(self.peers.counters)
+        return {name.removeprefix("n_"): float(n) for name, n in counted.items()}
+
+    def _version(self) -> float:
+        in_force = self.catalogue.current()
+        return float(in_force.catalogue.version) if in_force else 0.0
--- a/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
+++ b/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
@@ -23,6 +23,7 @@
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .interface import CatalogueSource, PeerNetwork, UpstreamInstance
+from .node_metric import NodeCounters
 
 READY_STATES = frozenset({"serving"})
 """States of the router's chart in which the balancer may send requests."""
@@ -40,6 +41,7 @@
     quarantine: FleetQuarantine
     peers: PeerNetwork
     board: ExchangeBoard
+    counters: NodeCounters
     start_drain: Callable[[], None]
     """Begins the shutdown as the first SIGTERM does."""
 
@@ -91,6 +93,7 @@
             members=tuple(_member(known) for known in self.peers.members()),
             upstreams=tuple(self._upstreams(now)),
             quarantine=self.quarantine.status(),
+            counters=self.counters.status(),
         )
 
     def _upstreams(self, now: float) -> list[UpstreamStatus]:
