Place by nested homes, pressure, hints and estimated time to first token

Each level of a prompt has homes by rendezvous hashing, chosen among those of the level above. A prefix has one home until its homes are busy; then the shortest prefix narrower than its share calls for is widened, and narrowed one step each 120 s. Hints hang on (incarnation, key) and age at a pace the answers teach.

Heat that is relayed carries its age: without it two routers kept a width alive by telling each other.

Seen to fail without the mechanism: widening (press left out), slow narrowing (two steps at a time), the age of relayed heat, lifetimes learnt from answers, the gap rule, hints by incarnation (matched by instance), the bound of the table, rendezvous (replaced by a hash that depends on the number of instances), and the trial's skewed case with recomputation weighed 0.5.

--- a/packages/corianderlb-core/src/corianderlb_core/baseline_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/baseline_placement.py
@@ -20,8 +20,10 @@
 
     name: ClassVar = "round_robin"
 
-    def __init__(self, cfg: PlacementSettings, rng: random.Random) -> None:
-        super().__init__(cfg, rng)
+    def __init__(
+        self, cfg: PlacementSettings, rng: random.Random, zone: str = ""
+    ) -> None:
+        super().__init__(cfg, rng, zone)
         self._n_chosen = rng.randrange(1 << 16)
 
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -1,13 +1,61 @@
-"""The default policy: the instance with the least estimated time to first token."""
+"""The default policy: the least estimated time to first token, shared caches in mind.
+
+A handful of instances is weighed for each request: the homes of its prefixes, where to
+spill from there, those that were said to hold the longest prefix, and two at random.
+The estimate is the queue in front plus the pieces that are probably missing.
+"""
 
 from __future__ import annotations
 
-from typing import ClassVar
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import ClassVar, Final
 
-from . import rendezvous
+from .catalogue import ServiceClass
+from .heat import HotPrefix, PrefixHeat
+from .hint import CacheEvent, HintTable
+from .identity import Incarnation
 from .instance_load import InstanceLoad
-from .placement import N_CANDIDATES, PlacementPolicy, PlacementQuery
-from .request import Candidate
+from .placement import N_CANDIDATES, N_CHOICES, PlacementPolicy, PlacementQuery
+from .prefix_home import Home, HomeFinder
+from .request import AttemptOutcome, Candidate, RequestFacts
+from .result import ResultCode
+from .settings import PlacementSettings
+
+WEIGH_ALL: Final = 6
+"""Up to this many instances are all weighed; of more only a selection."""
+
+N_HINTED: Final = 3
+"""Holders of the longest known prefix that are weighed."""
+
+HOME_PRIOR: Final = 0.9
+"""Chance that a home holds a prefix of which nothing was heard here."""
+
+NEAR_EQUAL_S: Final = 0.004
+"""Scores closer than this are equal; the estimates are no better than that."""
+
+PRESSURE_PIECES: Final = 2.0
+"""A home is busy when its queue takes longer than computing this many pieces."""
+
+RECOMPUTE_WEIGHT: Final = {
+    ServiceClass.URGENT: 6.0,
+    ServiceClass.STANDARD: 10.0,
+    ServiceClass.DEFERRABLE: 20.0,
+}
+"""What an engine second of recomputation weighs against a second of waiting.
+
+All other requests wait for recomputation too, and what it stores evicts their pieces.
+With small weights a queue makes requests spill, the spill makes recomputation, and that
+makes the queue longer. Work that may wait weighs it more.
+"""
+
+
+@dataclass(frozen=True)
+class _Weighed:
+    score: float
+    load: InstanceLoad
+    candidate: Candidate
 
 
 class DefaultPolicy(PlacementPolicy):
@@ -15,23 +63,180 @@
 
     name: ClassVar = "default"
 
+    def __init__(
+        self, cfg: PlacementSettings, rng: random.Random, zone: str = ""
+    ) -> None:
+        super().__init__(cfg, rng, zone)
+        self._hints = HintTable()
+        self._heat: dict[str, PrefixHeat] = {}
+        self._finders: dict[str, tuple[int, HomeFinder]] = {}
+
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
-        """Return the home of the prompt unless its queue costs more than it saves."""
-        loads = {load.incarnation.instance: load for load in query.usable()}
+        """Return the instances with the least weighed time to first token."""
+        options = self._options(query)
+        self._press(query, options)
+        weighed = [self._weigh(query, home) for home in options]
+        weighed.sort(key=lambda item: item.score)
+        self._break_tie(weighed)
+        return tuple(item.candidate for item in weighed[:N_CANDIDATES])
+
+    def dispatched(self, facts: RequestFacts, candidate: Candidate, now: float) -> None:
+        """Count the request's prefixes."""
+        if facts.prefix_keys:
+            self._heat_of(facts.upstream).observe(facts.prefix_keys, now)
+
+    def answered(
+        self, facts: RequestFacts, outcome: AttemptOutcome, now: float
+    ) -> None:
+        """Learn from the cached tokens that the engine reported."""
+        if outcome.code is not ResultCode.OK or not outcome.prompt_tokens:
+            return
+        n_hits = pieces_cached(facts, outcome)
+        self._hints.answered(outcome.incarnation, facts.prefix_keys, n_hits, now)
+
+    def take_events(
+        self, incarnation: Incarnation, events: Sequence[CacheEvent], now: float
+    ) -> None:
+        """Learn from an engine's cache events."""
+        self._hints.take_events(incarnation, events, now)
+
+    def forget(self, incarnation: Incarnation) -> None:
+        """Drop what was said about a life that ended."""
+        self._hints.forget(incarnation)
+
+    def hottest(self, upstream: str, limit: int, now: float) -> tuple[HotPrefix, ...]:
+        """Return the hot prefixes of an upstream, for peers."""
+        return self._heat_of(upstream).hottest(limit, now)
+
+    def hear_hot(self, upstream: str, hot: Iterable[HotPrefix], now: float) -> None:
+        """Take what a peer found hot."""
+        self._heat_of(upstream).hear(hot, now)
+
+    def _heat_of(self, upstream: str) -> PrefixHeat:
+        heat = self._heat.get(upstream)
+        if heat is None:
+            heat = self._heat[upstream] = PrefixHeat()
+        return heat
+
+    def _options(self, query: PlacementQuery) -> list[Home]:
+        """Return the instances that are worth weighing."""
+        instances = query.instances.instances
+        homes = self._homes(query)
+        found = {home.load.incarnation.instance: home for home in homes}
+        if len(instances) <= WEIGH_ALL:
+            others: Iterable[InstanceLoad] = instances
+        else:
+            others = self._hinted(query) + self.rng.sample(instances, N_CHOICES)
+        for load in others:
+            found.setdefault(load.incarnation.instance, Home(load, 0))
+        options = [home for name, home in found.items() if name not in query.avoid]
+        ready = [home for home in options if query.is_ready(home.load)]
+        if ready:
+            return ready
+        # What was picked is excluded or has other weights: look at all the rest.
+        rest = query.usable()
+        ready_loads = [load for load in rest if query.is_ready(load)]
+        return [Home(load, 0) for load in ready_loads or rest]
+
+    def _homes(self, query: PlacementQuery) -> list[Home]:
         keys = query.facts.prefix_keys
-        homes = rendezvous.rank(keys[0], loads)[:1] if keys else []
-        found = [self._weigh(load, query, homes) for load in loads.values()]
-        self.rng.shuffle(found)
-        found.sort(key=lambda candidate: candidate.estimated_ttft_s)
-        return tuple(found[:N_CANDIDATES])
-
-    def _weigh(
-        self, load: InstanceLoad, query: PlacementQuery, homes: list[str]
-    ) -> Candidate:
-        n_pieces = len(query.facts.prefix_keys)
-        is_home = load.incarnation.instance in homes
-        hits = n_pieces if is_home else 0
-        work_s = query.cost.work_s(n_pieces - hits)
-        ttft_s = load.wait_s(query.now) + work_s
-        reason = "home of the prefix" if is_home else "spill"
-        return Candidate(load.incarnation, hits, 0, ttft_s, reason, work_s)
+        instances = query.instances
+        if not keys or not instances.instances:
+            return []
+        generation, finder = self._finders.get(instances.upstream, (-1, None))
+        if finder is None or generation != instances.generation:
+            finder = HomeFinder(instances)
+            self._finders[instances.upstream] = (instances.generation, finder)
+        heat = self._heat_of(instances.upstream)
+        n_instances = len(instances.instances)
+        return finder.find(keys, lambda key: heat.width(key, n_instances, query.now))
+
+    def _press(self, query: PlacementQuery, options: Sequence[Home]) -> None:
+        """Have the prompt's hot prefix widened when all its homes are busy."""
+        keys = query.facts.prefix_keys
+        if not keys:
+            return
+        busy_s = PRESSURE_PIECES * query.cost.prefill_s_per_piece
+        waits = [
+            home.load.wait_s(query.now)
+            for home in options
+            if home.n_pieces == len(keys)
+        ]
+        if waits and min(waits) > busy_s:
+            n_instances = len(query.instances.instances)
+            self._heat_of(query.instances.upstream).press(keys, n_instances, query.now)
+
+    def _hinted(self, query: PlacementQuery) -> list[InstanceLoad]:
+        """Return holders of the longest prefix that any usable life holds."""
+        found: list[InstanceLoad] = []
+        for key in reversed(query.facts.prefix_keys):
+            for life in self._hints.holders(key):
+                load = query.instances.by_name.get(life.instance)
+                if load is not None and load.incarnation == life:
+                    found.append(load)
+                    if len(found) >= N_HINTED:
+                        return found
+        return found
+
+    def _weigh(self, query: PlacementQuery, home: Home) -> _Weighed:
+        facts, load, cost = query.facts, home.load, query.cost
+        hits = self._expected_hits(query, home)
+        n_missing = len(facts.prefix_keys) - hits
+        wait_s = load.wait_s(query.now)
+        work_s = cost.work_s(n_missing)
+        score = wait_s + work_s * RECOMPUTE_WEIGHT[facts.service_class]
+        if load.zone != self.zone:
+            score += self.cfg.zone_penalty_s
+        candidate = Candidate(
+            load.incarnation, round(hits), 0, wait_s + work_s, _reason(home), work_s
+        )
+        return _Weighed(score, load, candidate)
+
+    def _expected_hits(self, query: PlacementQuery, home: Home) -> float:
+        """Return the number of leading pieces that are probably held."""
+        life = home.load.incarnation
+        chance, hits = 1.0, 0.0
+        for depth, key in enumerate(query.facts.prefix_keys):
+            prior = HOME_PRIOR if depth < home.n_pieces else 0.0
+            said_at = self._hints.holders(key).get(life)
+            if said_at is not None:
+                trust = self._hints.trust(life, said_at, query.now)
+                prior = max(trust, prior / 2)
+            if not prior:
+                break
+            # A piece is of use only with all those before it.
+            chance = min(chance, prior)
+            hits += chance
+        return hits
+
+    def _break_tie(self, weighed: list[_Weighed]) -> None:
+        """Put the less busy of two random near-equals first.
+
+        Routers with the same reports would otherwise all send to the same instance
+        until the next report; one would notice queues that swing.
+        """
+        if len(weighed) < N_CHOICES:
+            return
+        bound = weighed[0].score + NEAR_EQUAL_S
+        n_equal = sum(1 for item in weighed if item.score <= bound)
+        if n_equal < N_CHOICES:
+            return
+        places = self.rng.sample(range(n_equal), N_CHOICES)
+        best = min(places, key=lambda i: weighed[i].load.n_outstanding())
+        weighed.insert(0, weighed.pop(best))
+
+
+def pieces_cached(facts: RequestFacts, outcome: AttemptOutcome) -> int:
+    """Return how many whole pieces the reported cached tokens stand for.
+
+    The last piece of a prompt is on average half full.
+    """
+    n_pieces = len(facts.prefix_keys)
+    share = outcome.cached_tokens / outcome.prompt_tokens
+    return min(n_pieces, round(share * (n_pieces + 0.5)))
+
+
+def _reason(home: Home) -> str:
+    if home.n_pieces:
+        return f"home of the first {home.n_pieces} pieces"
+    return "spill or hint"
--- a/packages/corianderlb-core/src/corianderlb_core/instance_load.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_load.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from . import rendezvous
 from .identity import Incarnation, RequestId
 from .load import LoadReport
 
@@ -36,12 +37,15 @@
         "incarnation",
         "report",
         "reported_at",
+        "seed",
         "zone",
     )
 
     def __init__(self, incarnation: Incarnation, zone: str = "") -> None:
         self.incarnation = incarnation
         self.zone = zone
+        self.seed = rendezvous.seed(incarnation.instance)
+        """Stands for the instance in rendezvous hashing."""
         self.report: LoadReport | None = None
         """The newest report of this life."""
         self.reported_at = 0.0
--- a/packages/corianderlb-core/src/corianderlb_core/placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement.py
@@ -22,6 +22,9 @@
 N_CANDIDATES: Final = 4
 """How many candidates a ranking names; retries seldom go further."""
 
+N_CHOICES: Final = 2
+"""Random choices among near-equal instances; two are enough to avoid a herd."""
+
 
 @dataclass(frozen=True)
 class ModelCost:
@@ -51,6 +54,8 @@
     instances: InstanceSet
     cost: ModelCost
     now: float
+    model: Model | None = None
+    """The catalogue's model; None for a plain service."""
     avoid: Collection[InstanceId] = ()
     """Instances that the request must not be sent to, such as those it was tried on."""
 
@@ -64,6 +69,15 @@
             if load.incarnation.instance not in self.avoid
         ]
 
+    def is_ready(self, load: InstanceLoad) -> bool:
+        """Tell whether the newest report allows that the wanted weights are loaded.
+
+        The engine has the last word: it refuses, not run, what expects others.
+        """
+        if self.model is None or load.report is None or load.report.weights is None:
+            return True
+        return load.report.weights.get(self.model.name) == self.model.weights_version
+
 
 class PlacementPolicy(ABC):
     """Rank the instances of an upstream for a request."""
@@ -71,9 +85,13 @@
     name: ClassVar[str]
     """The word that settings choose it by."""
 
-    def __init__(self, cfg: PlacementSettings, rng: random.Random) -> None:
+    def __init__(
+        self, cfg: PlacementSettings, rng: random.Random, zone: str = ""
+    ) -> None:
         self.cfg = cfg
         self.rng = rng
+        self.zone = zone
+        """The router's own availability zone."""
 
     @abstractmethod
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
--- a/packages/corianderlb-core/src/corianderlb_core/placement_registry.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement_registry.py
@@ -28,11 +28,13 @@
     code = ResultCode.SETTINGS_INVALID
 
 
-def make_policy(cfg: PlacementSettings, rng: random.Random) -> PlacementPolicy:
-    """Return the policy that the settings name."""
+def make_policy(
+    cfg: PlacementSettings, rng: random.Random, zone: str = ""
+) -> PlacementPolicy:
+    """Return the policy that the settings name, for a router in a zone."""
     if cfg.policy not in POLICIES:
         allowed = ", ".join(sorted(POLICIES))
         raise UnknownPolicyError(
             f"placement.policy: {cfg.policy!r}; use one of {allowed}"
         )
-    return POLICIES[cfg.policy](cfg, rng)
+    return POLICIES[cfg.policy](cfg, rng, zone)
--- a/packages/corianderlb-core/src/corianderlb_core/rendezvous.py
+++ b/packages/corianderlb-core/src/corianderlb_core/rendezvous.py
@@ -12,9 +12,19 @@
 import xxhash
 
 
+def seed(node: str) -> int:
+    """Return what stands for a node in its weights; worth keeping with the node."""
+    return xxhash.xxh3_64_intdigest(node.encode())
+
+
+def seeded_weight(key: bytes, node_seed: int) -> int:
+    """Return the weight of the node with that seed for a key, 64 bits."""
+    return xxhash.xxh3_64_intdigest(key, node_seed)
+
+
 def weight(key: bytes, node: str) -> int:
     """Return the weight of a node for a key, 64 bits."""
-    return xxhash.xxh3_64_intdigest(key, xxhash.xxh3_64_intdigest(node.encode()))
+    return seeded_weight(key, seed(node))
 
 
 def rank(key: bytes, nodes: Iterable[str]) -> list[str]:
--- a/packages/corianderlb-router/src/corianderlb_router/placer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/placer.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind
+from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind, Model
 from corianderlb_core.identity import DecisionId, Incarnation, InstanceId
 from corianderlb_core.placement import ModelCost, PlacementPolicy, PlacementQuery
 from corianderlb_core.request import (
@@ -53,11 +53,13 @@
         avoid: Collection[InstanceId] = (),
     ) -> Decision | Refusal:
         """Return the candidates, best first, without those to avoid."""
+        model = _model(facts, catalogue)
         query = PlacementQuery(
             facts=facts,
             instances=self._directory.usable(facts.upstream),
-            cost=_cost(facts, catalogue),
+            cost=ModelCost.of(model) if model else ModelCost(),
             now=self._clock(),
+            model=model,
             avoid=avoid,
         )
         candidates = self._policy.choose(query)
@@ -102,10 +104,9 @@
         self._policy.forget(incarnation)
 
 
-def _cost(facts: RequestFacts, catalogue: Catalogue) -> ModelCost:
+def _model(facts: RequestFacts, catalogue: Catalogue) -> Model | None:
     adapter = catalogue.adapter(facts.target)
-    model = catalogue.model(adapter.model if adapter else facts.target)
-    return ModelCost.of(model) if model else ModelCost()
+    return catalogue.model(adapter.model if adapter else facts.target)
 
 
 def _rested_on(facts: RequestFacts, catalogue: Catalogue) -> tuple[str, ...]:
