Put the catalogue in force everywhere by watchers, peers and a backstop

Cause: a change must be in force on all routers within 13 s while the store answers one router only, and no router may go back or serve an old copy. Change: core catalogue_chain (takes the very next version only, keeps the stored bytes); CatalogueFollower trades changes with peers, tells at once of a new version; CatalogueReader watches for its zone (one router a zone), else polls every 6 to 10 s, starts from peers first (2 routers read at once, the others after 2 to 4 s); SnapshotWriter every 32 versions; is_stale after 12 s without word from the store and every peer, asked at each decision, so that a frozen process notices before its first answer; IsolationWatch turns readiness. Peer seeds in the settings find peers while the list cannot be read. Counters of all this stand in the status under catalogue.*. Chosen: a group of routers cut off together goes on, since it cannot tell that from an outage of the store; a router cut off alone refuses; one that is stale hands its catalogue to nobody. Ruled out: a full read by each start; heartbeats that confirm from a lower version (a fresh router would confirm an old one).

--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -53,6 +53,9 @@
     """Silence after which a link counts as dead; several heartbeats long."""
     suspect_after_s: Seconds = 5.0
     """How long a router must be out of reach before the others are told."""
+    seeds: tuple[str, ...] = ()
+    """Peer addresses, as host:port, to try while no link is open. A router that starts
+    while the platform's list cannot be read finds the others by them alone."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -95,6 +95,9 @@
         if in_force is None:
             detail = "This instance has no catalogue yet."
             raise refuse(ResultCode.NOT_READY, detail, NOT_READY_RETRY_S)
+        if self._catalogue.is_stale():
+            detail = "This instance is cut off and may have an old catalogue."
+            raise refuse(ResultCode.STALE_CONFIGURATION, detail, NOT_READY_RETRY_S)
         caller.catalogue_version = in_force.catalogue.version
         return in_force
 
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -44,6 +44,10 @@
     def current(self) -> InForce | None:
         """Return what is in force, or None before the first catalogue arrived."""
 
+    def is_stale(self) -> bool:
+        """Tell whether what is in force may have been replaced too long ago."""
+        return False
+
 
 @dataclass(frozen=True)
 class UpstreamInstance:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -29,6 +29,7 @@
 from .attempt import Parts
 from .call_journal import StoreCallJournal
 from .catalogue_follower import CatalogueFollower
+from .catalogue_reader import CatalogueReader
 from .connection import TcpConnector
 from .decision_log import DecisionLog
 from .dispatcher import Dispatcher
@@ -38,6 +39,7 @@
 from .health_board import HealthBoard
 from .http_store import HttpObjectStore
 from .instance_list import InstanceListReader
+from .isolation_watch import IsolationWatch
 from .node_metric import NodeCounters
 from .open_admission import OpenAdmission
 from .operator_desk import OperatorDesk
@@ -120,19 +122,29 @@
             budgets=RetryBudgets(),
             rng=self._rng,
         )
-        self._catalogue = CatalogueFollower(self._store, self._rng)
+        own = InstanceId(cfg.instance)
+        self._catalogue = CatalogueFollower(self._peers)
+        reader = CatalogueReader(
+            self._store, self._catalogue, self._peers, own, cfg.zone, self._rng
+        )
         self._journal = StoreCallJournal(
-            self._store, InstanceId(cfg.instance), self._epoch, cfg.journal, self._peers
+            self._store, own, self._epoch, cfg.journal, self._peers
         )
         self._peers.version = self._version
         self._counters = NodeCounters(
-            self._store, self._peers, self._board, self._catalogue, self._quarantine
+            store=self._store,
+            peers=self._peers,
+            board=self._board,
+            catalogue=self._catalogue,
+            reader=reader,
+            quarantine=self._quarantine,
         )
         self._counters.watch(self._parts.metrics)
         takers = [directory.apply_list, self._peers.take_list]
         instances = InstanceListReader(self._store, takers, self._rng)
         self._tasks: list[Callable[[], Awaitable[None]]] = [
-            self._catalogue.run,
+            reader.run,
+            IsolationWatch(self._catalogue, self._send).run,
             instances.run,
             self._journal.run,
             health.run,
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -8,6 +8,7 @@
 from corianderlb_core.status import CounterStatus
 
 from .catalogue_follower import CatalogueFollower
+from .catalogue_reader import CatalogueReader
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .http_store import HttpObjectStore
@@ -23,6 +24,7 @@
     peers: OverlayNetwork
     board: ExchangeBoard
     catalogue: CatalogueFollower
+    reader: CatalogueReader
     quarantine: FleetQuarantine
 
     def watch(self, metrics: Metrics) -> None:
@@ -41,6 +43,7 @@
             "store_calls": self.store_calls(),
             "store_failures": self.store_failures(),
             "peers": self.peer_counts(),
+            "catalogue": self.catalogue_counts(),
         }
         return tuple(
             CounterStatus(f"{group}.{kind}", value)
@@ -61,6 +64,12 @@
         counted = dataclasses.asdict(self.peers.counters)
         return {name.removeprefix("n_"): float(n) for name, n in counted.items()}
 
+    def catalogue_counts(self) -> dict[str, float]:
+        """Return the ways that the catalogue came here, and what they cost."""
+        counted = dataclasses.asdict(self.catalogue.counters)
+        counted |= dataclasses.asdict(self.reader.counters)
+        return {name.removeprefix("n_"): float(n) for name, n in counted.items()}
+
     def _version(self) -> float:
         in_force = self.catalogue.current()
         return float(in_force.catalogue.version) if in_force else 0.0
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections import defaultdict, deque
 from collections.abc import Callable, Sequence
@@ -98,6 +99,8 @@
         self._n_beats = 0
         self._n_unproved = 0
         self._beat_wanted = trio.Event()
+        self._links_wanted = trio.Event()
+        self._listed = trio.Event()
 
     def subscribe(self, cls: type, handler: Handler) -> None:
         """Have a handler called for each arriving message of a class.
@@ -130,9 +133,25 @@
         """Return the routers that a link works to now."""
         return tuple(self._connections)
 
+    def candidates(self) -> Sequence[MemberState]:
+        """Return the other routers that a link may be kept to, heard of or listed."""
+        return self._membership.candidates()
+
+    def knows_others(self) -> bool:
+        """Tell whether there should be other routers, in reach or not."""
+        others = (*self._membership.candidates(), *self._membership.lost())
+        return any(state.presence is Presence.LIVE for state in others)
+
     def take_list(self, listed: InstanceList) -> bool:
         """Take the platform's list of instances; False for an older one."""
-        return self._membership.take_list(listed.revision, listed.instances)
+        taken = self._membership.take_list(listed.revision, listed.instances)
+        self._links_wanted.set()
+        self._listed.set()
+        return taken
+
+    async def wait_listed(self) -> None:
+        """Return once the platform's list was read."""
+        await self._listed.wait()
 
     def set_addresses(self, address: str, peer_address: str) -> None:
         """Tell the others where this router is reached, once it is bound."""
@@ -185,13 +204,15 @@
             now = trio.current_time()
             on_time = self._membership.look(now)
             self._close_silent(now, on_time)
-            for state in self._wanted():
+            for state in (*self._wanted(), *self._seeds()):
                 self._dial_soon(nursery, state)
             lost = self._membership.lost()
             if lost and now >= lost_at:
                 lost_at = now + self._wait_s(LOST_AGAIN_S)
                 self._dial_soon(nursery, self._rng.choice(lost))
-            await trio.sleep(self._cfg.heartbeat_s / 2)
+            with trio.move_on_after(self._cfg.heartbeat_s / 2):
+                await self._links_wanted.wait()
+            self._links_wanted = trio.Event()
 
     def _wanted(self) -> list[MemberState]:
         """Return the routers to link to that no link goes to yet."""
@@ -201,6 +222,19 @@
         missing = [by_name[name] for name in chosen if name not in self._connections]
         return [state for state in missing if state.peer_address]
 
+    def _seeds(self) -> list[MemberState]:
+        """Return whom to try when nobody is linked, by address alone."""
+        if self._connections:
+            return []
+        own = self._membership.own
+        return [
+            dataclasses.replace(
+                own, instance=InstanceId(address), epoch=0, peer_address=address
+            )
+            for address in self._cfg.seeds
+            if address != own.peer_address
+        ]
+
     def _close_silent(self, now: float, on_time: bool) -> None:
         for conn in list(self._connections.values()):
             if not on_time:
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -236,6 +236,19 @@
             found = {s.instance: s.epoch for s in fleet.networks["r00"].members()}
             self.assertEqual(found["r01"], 2)
 
+    async def test_start_without_the_list_finds_peers_by_seeds(self) -> None:
+        """A replaced router starts while the platform cannot be asked for the list.
+
+        It knows nobody, and those who run do not know its new address.
+        """
+        fleet = Fleet(4)
+        newcomer = fleet.record("r99", 0, 1)
+        fleet.listed, fleet.cfg = False, PeerSettings("unused", seeds=("r02", "gone"))
+        fleet.networks["r99"] = fleet.network(newcomer, 1)
+        async with fleet.running():
+            await trio.sleep(6)
+            fleet.assert_all_know(self, sorted(fleet.networks))
+
     async def test_leaving_router_is_told_and_stays_listed(self) -> None:
         fleet = Fleet(12)
         async with fleet.running():
--- a/packages/corianderlb-standins/src/corianderlb_standins/fake_store.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fake_store.py
@@ -166,7 +166,7 @@
     def _put(self, key: str, value: bytes) -> str:
         self._note(key)
         version = str(self._revision)
-        self.objects[key] = StoredObject(key, value, version)
+        self.objects[key] = StoredObject(key, value, version, self._revision)
         return version
 
     def _note(self, key: str) -> None:
