Add the stand-ins as processes: store, engine, service, KV cache, fault proxy

Cause: everything is to be tried on real processes, and the platform, engines and services are not ours. Ruled out: quart for the stand-ins, since the engine must not be the bottleneck of a measurement and bare ASGI needs less per stream event; one signal receiver per task, which lost a SIGTERM that came between the two. Change: each stand-in is one process with faults set over HTTP; keys of cached pieces live in the core so that engine and router agree. Not measured yet.

--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -0,0 +1,117 @@
+"""Run a stand-in, the demo or a measurement: ``python -m corianderlb_standins``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+
+import trio
+
+from ._asgi import serve_app
+from .batch import BatchCost
+from .engine import Engine
+from .engine_settings import EngineSettings
+from .fault_proxy import FaultProxy
+from .kv_cache import KvCache
+from .service import Service
+from .store import Store
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run what the first argument names; return the exit code."""
+    args = _parser().parse_args(argv)
+    return args.run(args) or 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="corianderlb_standins", description=__doc__)
+    commands = parser.add_subparsers(required=True, metavar="what")
+    store = _add(commands, "store", _run_store, "the platform's object service")
+    store.set_defaults(epoch=0)
+    _add_engine(commands)
+    service = _add(commands, "service", _run_service, "a plain service")
+    service.add_argument("--instance", default="service")
+    kv_cache = _add(commands, "kv-cache", _run_kv_cache, "a KV cache upstream")
+    kv_cache.add_argument("--capacity", type=int, default=100_000)
+    proxy = _add(commands, "fault-proxy", _run_proxy, "a TCP proxy with faults")
+    proxy.add_argument("--target", required=True, metavar="HOST:PORT")
+    proxy.add_argument("--control-port", type=int, default=0)
+    return parser
+
+
+def _add(commands, name, run, text):  # type: ignore[no-untyped-def]
+    parser = commands.add_parser(name, help=text)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--epoch", type=int, default=time.time_ns() // 1_000_000)
+    parser.set_defaults(run=run)
+    return parser
+
+
+def _add_engine(commands) -> None:  # type: ignore[no-untyped-def]
+    parser = _add(commands, "engine", _run_engine, "a model engine")
+    parser.add_argument("--instance", default="engine")
+    parser.add_argument("--model", action="append", default=[], metavar="NAME=VERSION")
+    parser.add_argument(
+        "--adapter", action="append", default=[], metavar="NAME=VERSION"
+    )
+    parser.add_argument("--piece-chars", type=int, default=4000)
+    parser.add_argument("--cache-pieces", type=int, default=256)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--prefill-s", type=float, default=0.1)
+    parser.add_argument("--token-s", type=float, default=0.02)
+    parser.add_argument("--import-s", type=float, default=0.02)
+    parser.add_argument("--load-lag-s", type=float, default=0.0)
+    parser.add_argument("--event-lag-s", type=float, default=0.0)
+    parser.add_argument("--event-loss", type=float, default=0.0)
+    parser.add_argument("--checks-fencing", action="store_true")
+    parser.add_argument("--kv-cache", default="", metavar="HOST:PORT")
+    parser.add_argument("--weight-store", default="", metavar="HOST:PORT")
+
+
+def _run_store(args: argparse.Namespace) -> None:
+    trio.run(serve_app, Store(), args.host, args.port)
+
+
+def _run_service(args: argparse.Namespace) -> None:
+    app = Service(args.instance, args.epoch)
+    trio.run(serve_app, app, args.host, args.port)
+
+
+def _run_kv_cache(args: argparse.Namespace) -> None:
+    app = KvCache(args.epoch, args.capacity)
+    trio.run(serve_app, app, args.host, args.port)
+
+
+def _run_proxy(args: argparse.Namespace) -> None:
+    app = FaultProxy(args.target)
+    trio.run(app.run, args.host, args.port, args.control_port)
+
+
+def _run_engine(args: argparse.Namespace) -> None:
+    cfg = EngineSettings(
+        instance=args.instance,
+        epoch=args.epoch,
+        models=_pairs(args.model),
+        adapters=_pairs(args.adapter),
+        piece_chars=args.piece_chars,
+        cache_pieces=args.cache_pieces,
+        cost=BatchCost(args.slots, args.prefill_s, args.token_s),
+        import_s_per_piece=args.import_s,
+        load_lag_s=args.load_lag_s,
+        event_lag_s=args.event_lag_s,
+        event_loss=args.event_loss,
+        checks_fencing=args.checks_fencing,
+        kv_cache=args.kv_cache,
+        weight_store=args.weight_store,
+    )
+    trio.run(serve_app, Engine(cfg), args.host, args.port)
+
+
+def _pairs(words: list[str]) -> dict[str, str]:
+    return dict(word.split("=", 1) for word in words)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -0,0 +1,189 @@
+"""Serve a stand-in over HTTP with bare ASGI, which costs least per stream event."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import signal
+import sys
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from corianderlb_core.codec import DecodeError, from_plain, plain_from_json
+
+T = TypeVar("T")
+
+
+class CutConnectionError(Exception):
+    """End the answer in the middle, so that the connection is closed."""
+
+
+@dataclass(frozen=True)
+class Call:
+    """Hold one HTTP request and the means to answer it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    """Names in lower case."""
+    body: bytes
+    receive: Any
+    send: Any
+
+    def plain(self) -> Any:
+        """Return the body read as JSON; an empty body is an empty map."""
+        return plain_from_json(self.body) if self.body else {}
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+        message = {"type": "http.response.start", "status": status, "headers": pairs}
+        await self.send(message)
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Send a part of the body; ``more=False`` ends the answer."""
+        message = {"type": "http.response.body", "body": data, "more_body": more}
+        await self.send(message)
+
+    async def answer(
+        self, status: int, value: Any = None, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer, JSON unless the value is bytes already."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        kind = "application/octet-stream" if isinstance(value, bytes) else ""
+        defaults = {
+            "content-type": kind or "application/json",
+            "content-length": str(len(body)),
+        }
+        await self.start(status, {**defaults, **(headers or {})})
+        await self.write(body, more=False)
+
+    async def cut(self) -> None:
+        """Close the connection with no more than the status line of an answer."""
+        await self.start(200, {"content-length": "1"})
+        await self.write(b"")
+        raise CutConnectionError
+
+    async def disconnected(self) -> None:
+        """Return once the client has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+class StandIn(ABC):
+    """Answer HTTP calls in place of a system around the router."""
+
+    faults: Any = None
+    """A frozen data class that ``POST /debug/fault`` updates field by field."""
+
+    @abstractmethod
+    async def handle(self, call: Call) -> None:
+        """Answer one call."""
+
+    def counters(self) -> dict[str, Any]:
+        """Return what ``GET /debug/calls`` shows."""
+        return {}
+
+    async def extra_addresses(self) -> dict[str, str]:
+        """Return more addresses to print besides the one served here."""
+        return {}
+
+    async def background(self) -> None:
+        """Run beside the server; override where needed."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve as an ASGI application."""
+        if scope["type"] != "http":
+            await _lifespan(receive, send)
+            return
+        call = await _read_call(scope, receive, send)
+        try:
+            await self._route(call)
+        except DecodeError as exc:
+            await call.answer(400, {"error": str(exc)})
+
+    async def _route(self, call: Call) -> None:
+        if call.path == "/debug/calls":
+            await call.answer(200, self.counters())
+        elif call.path == "/debug/fault":
+            self.faults = updated(self.faults, call.plain())
+            await call.answer(200, dataclasses.asdict(self.faults))
+        else:
+            await self.handle(call)
+
+
+def updated(value: T, fields: Any) -> T:
+    """Return a frozen data class with some fields replaced, checked by type."""
+    plain = {**dataclasses.asdict(value), **fields}  # type: ignore[call-overload]
+    return from_plain(type(value), plain)
+
+
+async def serve_app(app: StandIn, host: str, port: int, name: str = "http") -> None:
+    """Serve until SIGTERM or SIGINT; print where once the socket listens."""
+    cfg = Config()
+    cfg.bind = [f"{host}:{port}"]
+    cfg.keep_alive_timeout = 600
+    cfg.keep_alive_max_requests = 1_000_000_000
+    cfg.graceful_timeout = 1.0
+    cfg.accesslog = None
+    cfg.errorlog = None
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_set_on_signal, stop)
+        nursery.start_soon(app.background)
+        run = partial(serve, app, cfg, shutdown_trigger=stop.wait)
+        binds = await nursery.start(run)
+        addresses = {name: binds[0].split("://")[-1]}
+        print_listening(**addresses, **await app.extra_addresses())
+        await stop.wait()
+        nursery.cancel_scope.cancel()
+
+
+def print_listening(**addresses: str) -> None:
+    """Print the one line that tells the harness where the process listens."""
+    sys.stdout.write(json.dumps({"listening": addresses}) + "\n")
+    sys.stdout.flush()
+
+
+async def _set_on_signal(
+    stop: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for _ in signals:
+            stop.set()
+
+
+async def _read_call(scope: Any, receive: Any, send: Any) -> Call:
+    body = b""
+    while True:
+        message = await receive()
+        body += message.get("body", b"")
+        if not message.get("more_body", False):
+            break
+    query = parse_qs(scope["query_string"].decode())
+    return Call(
+        method=scope["method"],
+        path=scope["path"],
+        query={name: values[-1] for name, values in query.items()},
+        headers={k.decode().lower(): v.decode() for k, v in scope["headers"]},
+        body=body,
+        receive=receive,
+        send=send,
+    )
+
+
+async def _lifespan(receive: Any, send: Any) -> None:
+    while True:
+        kind = (await receive())["type"]
+        await send({"type": f"{kind}.complete"})
+        if kind == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/kv_cache.py
@@ -0,0 +1,54 @@
+"""Stand in for the upstream that keeps KV cache pieces outside the engines."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import trio
+
+from corianderlb_core import header
+from corianderlb_core.codec import to_plain
+from corianderlb_core.load import LoadReport
+
+from ._asgi import Call, StandIn
+from .engine_settings import EngineFaults
+from .piece_cache import PieceCache
+
+
+class KvCache(StandIn):
+    """Keep the keys of exported pieces, least recently stored out first."""
+
+    def __init__(self, epoch: int, capacity: int) -> None:
+        self.faults = EngineFaults()
+        self._epoch = epoch
+        self._pieces = PieceCache(capacity, 0.0, random.Random(0))
+        self._calls: Counter[str] = Counter()
+
+    def counters(self) -> dict[str, Any]:
+        """Return calls by path and how many pieces are held."""
+        return {"calls": dict(self._calls), "pieces": len(self._pieces)}
+
+    async def handle(self, call: Call) -> None:
+        """Answer one call of the protocol."""
+        headers = {header.INCARNATION: str(self._epoch)}
+        self._calls[call.path] += 1
+        if self.faults.freeze:
+            await trio.sleep_forever()
+        if call.path == "/pieces/lookup":
+            keys = _keys(call)
+            held = [key.hex() for key in keys if self._pieces.count_hits([key])]
+            await call.answer(200, {"held": held}, headers)
+        elif call.path == "/pieces/store":
+            self._pieces.add(_keys(call), trio.current_time())
+            await call.answer(200, {}, headers)
+        elif call.path == "/control/load":
+            report = LoadReport(epoch=self._epoch, leaving=self.faults.leaving)
+            await call.answer(200, to_plain(report), headers)
+        else:
+            await call.answer(200, {}, headers)
+
+
+def _keys(call: Call) -> list[bytes]:
+    return [bytes.fromhex(key) for key in call.plain().get("keys", [])]
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/weights.py
@@ -0,0 +1,75 @@
+"""The weights and adapters that an engine stand-in holds, and orders about them."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, Final
+
+import httpx
+import trio
+
+from corianderlb_core import header
+
+from ._asgi import Call
+from .engine_settings import EngineSettings
+
+ALONE_LOAD_S: Final = 0.8
+"""Seconds of a load that asks no weight store."""
+
+
+class Orders:
+    """Take orders, refuse outdated fencing tokens when told to, and load weights."""
+
+    def __init__(self, cfg: EngineSettings) -> None:
+        self.weights = dict(cfg.models)
+        self.adapters = dict(cfg.adapters)
+        self.role = "serving"
+        self.fencing_token = 0
+        self.n_loading = 0
+        self.taken: list[dict[str, Any]] = []
+        """Every order that was taken, in order, with its fencing token."""
+        self._cfg = cfg
+        self._send, self._receive = trio.open_memory_channel[dict[str, Any]](math.inf)
+
+    def resolve(self, name: str) -> tuple[str, str]:
+        """Return model and adapter that a request's model name stands for."""
+        if name in self.adapters and self.weights:
+            adapter = f"{name}:{self.adapters[name]}"
+            return next(iter(self.weights)), adapter
+        return name, ""
+
+    async def take(self, call: Call, headers: dict[str, str]) -> None:
+        """Take or refuse one order."""
+        token = int(call.headers.get(header.FENCING_TOKEN, "0"))
+        if self._cfg.checks_fencing and token < self.fencing_token:
+            refusal = {**headers, header.NOT_RUN: "true"}
+            await call.answer(409, {"error": "a newer holder gave orders"}, refusal)
+            return
+        self.fencing_token = max(self.fencing_token, token)
+        order = {**call.plain(), "fencing_token": token}
+        self.taken.append(order)
+        self.n_loading += 1
+        self._send.send_nowait(order)
+        await call.answer(202, {}, headers)
+
+    async def run(self) -> None:
+        """Carry out orders one after the other."""
+        async for order in self._receive:
+            await self._carry_out(order)
+            self.n_loading -= 1
+
+    async def _carry_out(self, order: dict[str, Any]) -> None:
+        if order["kind"] == "change_role":
+            self.role = order["name"]
+            return
+        await self._fetch()
+        held = self.adapters if order["kind"] == "load_adapter" else self.weights
+        held[order["name"]] = order["version"]
+
+    async def _fetch(self) -> None:
+        if not self._cfg.weight_store:
+            await trio.sleep(ALONE_LOAD_S)
+            return
+        url = f"http://{self._cfg.weight_store}/weights/fetch"
+        async with httpx.AsyncClient(timeout=60.0) as client:
+            await client.post(url)
