Let the heat of prefixes work on a clock that starts far from zero

Cause: the weight of a count is an exponential of the time since an origin that was 0 at the start. The runtime's clock starts at an arbitrary large number, and idles for long, so the first completion on a real router failed with an overflow. Ruled out: the policy and its hints, which the unit tests drive from 0 on. Change: the exponent is looked at before the weight is worked out, and all counts are scaled down by at most what a float holds.

--- a/packages/corianderlb-core/src/corianderlb_core/heat.py
+++ b/packages/corianderlb-core/src/corianderlb_core/heat.py
@@ -43,7 +43,11 @@
 PRESSURE_TO_WIDEN: Final = 2.5
 """Requests that found busy homes within about a second before a prefix is widened."""
 
-_RESCALE_AT: Final = 1e100
+_RESCALE_AT: Final = 230.0
+"""Exponent of a count's weight from which all counts are scaled down."""
+
+_FORGET_AT: Final = 700.0
+"""Exponent that a float still holds; counts that old are nothing either way."""
 
 
 @dataclass(frozen=True)
@@ -74,10 +78,13 @@
 
     def add(self, keys: Sequence[bytes], now: float) -> None:
         """Count one request that has all the keys."""
-        unit = math.exp((now - self._origin) * self._rate)
-        if unit > _RESCALE_AT:
-            self._rescale(unit)
-            self._origin, unit = now, 1.0
+        growth = (now - self._origin) * self._rate
+        if growth > _RESCALE_AT:
+            # Rescaled before the weight is worked out: after a long idle time, or on
+            # a clock that starts far from zero, it is too large for a float.
+            self._rescale(math.exp(min(growth, _FORGET_AT)))
+            self._origin, growth = now, 0.0
+        unit = math.exp(growth)
         self._unit = unit
         self._total += unit
         counts = self._counts
