--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -42,6 +42,8 @@
 @dataclass
 class _Known:
     state: MemberState
+    heard: bool = True
+    """False for a router that only the platform's list has told of."""
     suspected_since: float | None = None
     out_of_reach_since: float | None = None
 
@@ -104,7 +106,7 @@
         running = [
             self._with_list(known.state)
             for known in self._known.values()
-            if known.suspected_since is None
+            if known.heard and known.suspected_since is None
         ]
         return tuple(sorted([self._own, *running], key=lambda item: item.instance))
 
@@ -121,14 +123,15 @@
     def candidates(self) -> tuple[MemberState, ...]:
         """Return the routers a link may be kept to: members, and listed ones unheard.
 
-        A fresh router knows nobody but from the list.
+        A fresh router knows nobody but from the list. A listed one that cannot be
+        reached is left out like a suspected member: the list names the dead for long,
+        and each of them would take the place of a link that works.
         """
-        found = {state.instance: state for state in self.members()}
-        found.pop(self._own.instance)
-        for record in self._listed.values():
-            if record.instance not in self._known:
-                found[record.instance] = _state_of_record(record)
-        return tuple(found.values())
+        return tuple(
+            self._with_list(known.state)
+            for known in self._known.values()
+            if known.suspected_since is None
+        )
 
     def lost(self) -> tuple[MemberState, ...]:
         """Return the suspected routers, which are worth a try now and then.
@@ -137,7 +140,7 @@
         they would stay apart after the way is back.
         """
         return tuple(
-            known.state
+            self._with_list(known.state)
             for known in self._known.values()
             if known.suspected_since is not None
         )
@@ -147,7 +150,7 @@
         if state.instance == self._own.instance:
             return self._hear_of_self(state)
         known = self._known.get(state.instance)
-        if known is None:
+        if known is None or not known.heard:
             self._known[state.instance] = _Known(state)
             self._spread(state.instance)
             return Learned.NEWS
@@ -196,7 +199,7 @@
             self._spread(self._own.instance)
             return Learned.NEWS
         known = self._known.get(suspicion.instance)
-        if known is None or known.suspected_since is not None:
+        if known is None or not known.heard or known.suspected_since is not None:
             return Learned.NOTHING
         if (suspicion.epoch, suspicion.heartbeat) < _age(known.state):
             return Learned.NOTHING
@@ -214,6 +217,7 @@
             for record in records
             if record.role is Role.ROUTER and record.instance != self._own.instance
         }
+        self._know_listed()
         return True
 
     def in_reach(self, instance: InstanceId) -> None:
@@ -259,7 +263,11 @@
             self._news[name] -= 1
             if self._news[name] <= 0:
                 del self._news[name]
-        others = [name for name in self._known if name not in names]
+        others = [
+            name
+            for name, known in self._known.items()
+            if known.heard and name not in names
+        ]
         names += rng.sample(others, min(n_random, len(others)))
         return self._split(names)
 
@@ -276,7 +284,7 @@
             known = self._known.get(name)
             if name == self._own.instance:
                 states.append(self._own)
-            elif known is not None:
+            elif known is not None and known.heard:
                 states.append(known.state)
                 if known.suspected_since is not None:
                     suspected.append(_suspicion(known.state))
@@ -285,7 +293,21 @@
     def _suspect(self, known: _Known, now: float) -> None:
         if known.suspected_since is None:
             known.suspected_since = now
-            self._spread(known.state.instance)
+            if known.heard:
+                self._spread(known.state.instance)
+
+    def _know_listed(self) -> None:
+        """Add the routers that only the list tells of; drop those it tells no more."""
+        unheard = [name for name, known in self._known.items() if not known.heard]
+        for name in unheard:
+            if name not in self._listed:
+                del self._known[name]
+        for name, record in self._listed.items():
+            known = self._known.get(name)
+            if known is None:
+                self._known[name] = _Known(_state_of_record(record), heard=False)
+            elif not known.heard:
+                known.state = _state_of_record(record)
 
     def _forget(self, now: float) -> None:
         for name, known in list(self._known.items()):
--- a/packages/corianderlb-core/tests/test_membership.py
+++ b/packages/corianderlb-core/tests/test_membership.py
@@ -79,6 +79,19 @@
         self.assertEqual(names(self.membership), ["r1"])
         self.assertEqual([s.instance for s in self.membership.candidates()], ["r9"])
 
+    def test_dead_router_of_the_list_is_no_candidate(self) -> None:
+        """The platform's list names a router that died before this one started.
+
+        It would stay among the links to keep, in the place of one that works.
+        """
+        self.membership.take_list(1, [a_record("r9")])
+        self.membership.out_of_reach(InstanceId("r9"), 0.0)
+        for second in range(6):
+            self.membership.look(float(second))
+        self.assertEqual(self.membership.candidates(), ())
+        self.assertEqual([s.instance for s in self.membership.lost()], ["r9"])
+        self.assertEqual(self.membership.everything()[1], [])
+
     def test_out_of_reach_is_suspected_and_refuted(self) -> None:
         self.membership.hear(a_member(heartbeat=3), 0.0)
         self.membership.out_of_reach(InstanceId("r2"), 0.0)
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
@@ -53,6 +53,9 @@
 BACKOFF_S: Final = (0.5, 5.0)
 """First and longest wait after a failed read, before jitter."""
 
+MAX_RETRY_AFTER_S: Final = 10.0
+"""Longest wait that the store may ask for."""
+
 WAITING_LOG_S: Final = 2.0
 """Seconds without a catalogue after which the log says that the router waits."""
 
@@ -215,7 +218,7 @@
             self.counters.n_failures += 1
             self._note(failing=True, reason=str(exc))
             if isinstance(exc, StoreUnavailableError) and exc.retry_after_s:
-                await trio.sleep(exc.retry_after_s)
+                await trio.sleep(min(exc.retry_after_s, MAX_RETRY_AFTER_S))
             return False
         self._note(failing=False)
         return True
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections import defaultdict, deque
 from collections.abc import Callable, Sequence
@@ -59,6 +60,9 @@
 LOST_AGAIN_S: Final = 10.0
 """Mean seconds between two tries to reach some suspected router."""
 
+STRANGER_LOG_S: Final = 60.0
+"""Least seconds between two log lines about links without a proof."""
+
 MIN_BEAT_GAP_S: Final = 0.05
 """Least time between two heartbeats, however much news there is."""
 
@@ -98,6 +102,7 @@
         self._kept: deque[tuple[float, bytes]] = deque(maxlen=N_KEPT)
         self._n_beats = 0
         self._n_unproved = 0
+        self._stranger_logged_at = -math.inf
         self._beat_wanted = trio.Event()
         self._links_wanted = trio.Event()
         self._listed = trio.Event()
@@ -242,7 +247,7 @@
                 conn.last_heard = now
             elif now - conn.last_heard >= self._cfg.silent_after_s:
                 self.counters.n_links_silent += 1
-                eliot.log_message("peer_silent", peer=conn.peer.instance)
+                eliot.log_message(message_type="peer:silent", peer=conn.peer.instance)
                 conn.close()
 
     def _dial_soon(self, nursery: trio.Nursery, state: MemberState) -> None:
@@ -290,14 +295,21 @@
         except FrameRefusedError:
             self.counters.n_refused += 1
         except (LinkClosedError, trio.TooSlowError) as exc:
-            self.counters.n_strangers += 1
-            eliot.log_message("peer_not_proved", reason=str(exc))
+            self._count_stranger(str(exc))
         else:
             if sealed.peer.instance != self._identity.instance:
                 return sealed
         await link.aclose()
         return None
 
+    def _count_stranger(self, reason: str) -> None:
+        """Count a link that proved nothing; log the first, and one a minute at most."""
+        self.counters.n_strangers += 1
+        now = trio.current_time()
+        if now - self._stranger_logged_at >= STRANGER_LOG_S:
+            self._stranger_logged_at = now
+            eliot.log_message(message_type="peer:not_proved", reason=reason)
+
     async def _run_link(self, link: SealedLink, dialled: bool) -> None:
         now = trio.current_time()
         conn = PeerConnection(link, dialled, self.counters, now)
@@ -307,7 +319,7 @@
             return
         self.counters.n_links_opened += 1
         self._membership.in_reach(name)
-        eliot.log_message("peer_linked", peer=name, epoch=conn.peer.epoch)
+        eliot.log_message(message_type="peer:linked", peer=name, epoch=conn.peer.epoch)
         self._greet(conn)
         try:
             await conn.run(self._handle)
@@ -315,7 +327,7 @@
             if self._connections.get(name) is conn:
                 del self._connections[name]
                 self._membership.out_of_reach(name, trio.current_time())
-                eliot.log_message("peer_unlinked", peer=name)
+                eliot.log_message(message_type="peer:unlinked", peer=name)
             with trio.move_on_after(HANDSHAKE_S, shield=True):
                 await link.aclose()
 
