--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -18,6 +18,9 @@
 Seconds: TypeAlias = Annotated[float, Meta(gt=0.0, le=86400.0)]
 """A time above zero and up to a day."""
 
+Positive: TypeAlias = Annotated[int, Meta(ge=1)]
+"""A number from one on."""
+
 Name: TypeAlias = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 """A name of the platform: letters, digits, dot, underscore and hyphen."""
 
@@ -108,22 +111,24 @@
 class DataPathSettings:
     """Tune how requests are taken in, relayed and finished."""
 
-    max_body_bytes: int = 8 << 20
-    max_header_bytes: int = 32 << 10
-    max_answer_bytes: int = 8 << 20
+    max_body_bytes: Positive = 8 << 20
+    max_header_bytes: Positive = 32 << 10
+    max_answer_bytes: Positive = 8 << 20
     """Longest answer of a plain service; a longer one is an upstream failure."""
-    default_deadline_s: float = 600.0
+    default_deadline_s: Seconds = 600.0
     """For a request that names no deadline of its own."""
-    connect_timeout_s: float = 1.0
-    first_event_timeout_s: float = 10.0
+    connect_timeout_s: Seconds = 1.0
+    first_event_timeout_s: Seconds = 10.0
     """Silence allowed before the first event, while the prompt is computed."""
-    stall_timeout_s: float = 5.0
+    resume_timeout_s: Seconds = 2.0
+    """Silence allowed before the head of the answer to a resume."""
+    stall_timeout_s: Seconds = 5.0
     """Silence allowed between two events of a stream."""
-    caller_stall_timeout_s: float = 60.0
+    caller_stall_timeout_s: Seconds = 60.0
     """How long a caller may leave its answer unread."""
-    balancer_lag_s: float = 5.0
+    balancer_lag_s: Annotated[float, Meta(ge=0.0, le=3600.0)] = 5.0
     """How long the balancer may go on sending after readiness turned."""
-    n_decisions: int = 2000
+    n_decisions: Positive = 2000
     """Decisions that are kept for ``corianderctl explain``."""
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Final
 
 import trio
 
@@ -39,14 +40,29 @@
 from .metric import Metrics
 from .upstream_client import RefusedError, UpstreamClient, WrongAnswerError
 
-FAILURE_CODES = {
+NO_INSTANCE_WAIT_S: Final = 0.5
+"""Wait of a request that had attempts, while no instance of its upstream is usable;
+a retired instance that answers is back within about this time."""
+
+SETTLE_S: Final = 0.2
+"""Wait of a suspect before it runs again, in which the other routers' reports of the
+same crash arrive and all suspects are known everywhere."""
+
+WAVE_S: Final = 1.0
+"""Wait between two suspects for whom there is only one instance. Suspects of different
+routers do not see each other's attempts; the time keeps them apart."""
+
+RESERVED_POLL_S: Final = 0.05
+"""How often a suspect looks whether its instance is free of other suspects."""
+
+FAILURE_CODES: Final = {
     FailureKind.NOT_SENT: ResultCode.NO_UPSTREAM,
     FailureKind.REFUSED: ResultCode.UPSTREAM_REFUSED,
     FailureKind.SILENT: ResultCode.UPSTREAM_TIMEOUT,
 }
 """Codes of failed attempts; any other failure is ``UPSTREAM_FAILED``."""
 
-VERDICTS = {
+VERDICTS: Final = {
     FailureKind.NOT_SENT: Verdict.FAILURE,
     FailureKind.BROKEN: Verdict.FAILURE,
     FailureKind.SILENT: Verdict.FAILURE,
@@ -116,16 +132,46 @@
         self._caller = caller
         self._avoid: set[InstanceId] = set()
         self._n_legs = 0
+        self._rank: int | None = None
         names = (f"upstream/{facts.upstream}", f"account/{facts.account}")
         parts.budgets.record_first_attempt(names, trio.current_time())
         self.retries = RetryRun(policy, parts.budgets, names, facts.deadline, parts.rng)
         """What follows a failed attempt."""
 
-    def next_leg(self) -> Leg:
-        """Return the next attempt; raise ``RequestRefusedError`` without instances."""
-        decision = self._place()
-        candidate = self._pick(decision)
+    async def settle(self) -> None:
+        """Wait after a crash until this suspect may run again.
+
+        Its rank among all suspects gives it an instance and a turn, by the same rule
+        on all routers, so that no two suspects share an instance though their routers
+        do not ask each other.
+        """
+        await trio.sleep(SETTLE_S)
+        if not self._parts.quarantine.must_run_apart(self._facts):
+            return
+        known = self._parts.directory.instances(self._facts.upstream)
+        n_usable = sum(found.usable for found in known)
+        self._rank = self._parts.quarantine.rank(self._facts)
+        await trio.sleep(WAVE_S * (self._rank // max(1, n_usable)))
+
+    async def next_leg(self) -> Leg | AttemptFailure:
+        """Return the next attempt, or the failure to find an instance for it.
+
+        Raise ``RequestRefusedError`` when not even the first attempt finds one. After
+        an attempt the request may have run, so that refusal would not be true.
+        """
+        while True:
+            decision = self._place()
+            if isinstance(decision, Refusal):
+                return self._without_instance(decision)
+            candidate = self._pick(decision)
+            if candidate is not None:
+                break
+            await trio.sleep(RESERVED_POLL_S)
+        self._parts.decisions.record(decision, self._facts, self._catalogue)
+        self._caller.decision_id = decision.decision_id
         found = self._find(candidate)
+        if found is None:
+            return AttemptFailure(FailureKind.NOT_SENT, "the instance has just left")
         self._n_legs += 1
         attempt_id = AttemptId(f"{self._facts.request_id}.{self._n_legs}")
         return Leg(attempt_id, candidate, found, trio.current_time())
@@ -177,21 +223,25 @@
         )
         self._ended(leg, outcome)
 
-    def _place(self) -> Decision:
+    def _place(self) -> Decision | Refusal:
         parts = self._parts
         found = parts.placer.place(self._facts, self._catalogue, self._avoid)
         if isinstance(found, Refusal) and self._avoid:
             # Every instance failed once: one that did is better than none.
             self._avoid.clear()
             found = parts.placer.place(self._facts, self._catalogue)
-        if isinstance(found, Refusal):
-            raise RequestRefusedError(found)
-        parts.decisions.record(found, self._facts, self._catalogue)
-        self._caller.decision_id = found.decision_id
         return found
 
-    def _pick(self, decision: Decision) -> Candidate:
-        """Return the best candidate that may take the request now."""
+    def _without_instance(self, refusal: Refusal) -> AttemptFailure:
+        if not self._n_legs:
+            raise RequestRefusedError(refusal)
+        return AttemptFailure(FailureKind.NOT_SENT, refusal.detail, NO_INSTANCE_WAIT_S)
+
+    def _pick(self, decision: Decision) -> Candidate | None:
+        """Return the best candidate that may take the request now.
+
+        None tells a suspect to wait for its instance.
+        """
         if self._parts.quarantine.must_run_apart(self._facts):
             return self._pick_apart(decision)
         for candidate in decision.candidates:
@@ -203,31 +253,24 @@
                 return candidate
         return decision.candidates[0]
 
-    def _pick_apart(self, decision: Decision) -> Candidate:
-        """Return the instance of a suspect: no two suspects share one.
-
-        The candidates are taken in an order that all routers share, from the
-        suspect's rank on, so that suspects of different routers go to different
-        instances without asking each other.
-        """
-        flights = self._parts.flights
+    def _pick_apart(self, decision: Decision) -> Candidate | None:
+        """Return the instance of a suspect, or None while another suspect has it."""
         ordered = sorted(
             decision.candidates, key=lambda known: known.incarnation.instance
         )
-        first = self._parts.quarantine.rank(self._facts) % len(ordered)
-        rotated = ordered[first:] + ordered[:first]
-        for candidate in rotated:
-            if not flights.is_reserved(candidate.incarnation.instance):
-                return candidate
-        return rotated[0]
+        if self._rank is None:
+            self._rank = self._parts.quarantine.rank(self._facts)
+        candidate = ordered[self._rank % len(ordered)]
+        if self._parts.flights.is_reserved(candidate.incarnation.instance):
+            return None
+        return candidate
 
-    def _find(self, candidate: Candidate) -> UpstreamInstance:
+    def _find(self, candidate: Candidate) -> UpstreamInstance | None:
         wanted = candidate.incarnation.instance
         for known in self._parts.directory.instances(self._facts.upstream):
             if known.instance == wanted:
                 return known
-        detail = f"The instance {wanted} has just left."
-        raise RequestRefusedError(Refusal(ResultCode.NO_UPSTREAM, detail, 1.0))
+        return None
 
     def _ended(self, leg: Leg, outcome: AttemptOutcome) -> None:
         self._parts.placer.attempt_ended(self._facts, outcome)
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -33,10 +33,6 @@
 from .relay import AnswerSink, CallerSink, StreamRelay
 from .upstream_client import Outbound, Patience, RefusedError, epoch_of
 
-SETTLE_S: Final = 0.2
-"""Wait of a suspect before it runs again, in which the other routers' reports of the
-same crash arrive and all suspects are known everywhere."""
-
 PRIORITIES: Final = {
     ServiceClass.URGENT: "0",
     ServiceClass.STANDARD: "1",
@@ -88,9 +84,9 @@
         Raise ``RequestRefusedError`` when the request ends without its whole answer.
         """
         while True:
-            leg = self._series.next_leg()
+            leg = await self._series.next_leg()
             n_before = self._assembler.n_relayed
-            failure = await self._run_leg(leg)
+            failure = leg if isinstance(leg, AttemptFailure) else await self._run(leg)
             if failure is None:
                 break
             made_progress = self._assembler.n_relayed > n_before
@@ -98,7 +94,7 @@
         await self._finish()
         return self._tokens()
 
-    async def _run_leg(self, leg: Leg) -> AttemptFailure | None:
+    async def _run(self, leg: Leg) -> AttemptFailure | None:
         """Run one attempt and its resumes; return how it failed, or None."""
         self._leg = leg
         self._epoch = leg.candidate.incarnation.epoch
@@ -146,7 +142,9 @@
     async def _attempt(self, leg: Leg, resume: bool) -> AttemptFailure | None:
         """Send the request, or the resume, and relay what comes."""
         cfg = self._parts.cfg
-        patience = Patience(cfg.connect_timeout_s, cfg.first_event_timeout_s)
+        # A life that still has the stream answers a resume at once.
+        first_s = cfg.resume_timeout_s if resume else cfg.first_event_timeout_s
+        patience = Patience(cfg.connect_timeout_s, first_s)
         try:
             await self._exchange(self._outbound(leg, resume), leg, patience)
         except RefusedError as exc:
@@ -165,11 +163,17 @@
             if not response.is_success:
                 message = f"{outbound.address}: status {response.status_code}"
                 raise UpstreamStatusError(message, sent=True)
-            await self._relay.run(response, patience.first_s)
+            await self._relay.run(response, self._first_event_s())
         finally:
             with trio.CancelScope(shield=True):
                 await response.aclose()
 
+    def _first_event_s(self) -> float:
+        """Return how long the next event may take after the head of an answer."""
+        cfg = self._parts.cfg
+        relayed = self._assembler.n_relayed > 0
+        return cfg.stall_timeout_s if relayed else cfg.first_event_timeout_s
+
     def _refused(self, leg: Leg, exc: RefusedError, resume: bool) -> AttemptFailure:
         """Tell a refusal from a resume that found another life in place."""
         new_life = resume and exc.epoch != 0 and exc.epoch != self._epoch
@@ -226,10 +230,9 @@
         action = self._series.retries.after(failure, trio.current_time(), made_progress)
         if isinstance(action, GiveUp):
             raise RequestRefusedError(self._given_up(action, failure))
-        delay_s = action.delay_s
+        await trio.sleep(action.delay_s)
         if failure.kind is FailureKind.CRASHED:
-            delay_s += SETTLE_S
-        await trio.sleep(delay_s)
+            await self._series.settle()
         self._refuse_if_quarantined()
 
     def _refuse_if_quarantined(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/service_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/service_run.py
@@ -14,7 +14,6 @@
 import trio
 
 from corianderlb_core.catalogue import Catalogue
-from corianderlb_core.identity import Incarnation
 from corianderlb_core.request import AttemptOutcome, Refusal
 from corianderlb_core.result import ResultCode
 from corianderlb_core.retry import (
@@ -105,59 +104,62 @@
 
     async def _send(self, begun: BegunCall | None) -> CallAnswer:
         while True:
-            leg = self._series.next_leg()
+            leg = await self._series.next_leg()
+            if isinstance(leg, AttemptFailure):
+                await self._prepare_retry(leg)
+                continue
             with self._series.flight(leg):
-                answer, failure = await self._attempt(leg, begun)
-            if answer is not None:
-                return answer
-            assert failure is not None
+                outcome = await self._attempt(leg, begun)
+            if isinstance(outcome, CallAnswer):
+                return outcome
             self._sending = False
-            await self._prepare_retry(failure)
+            await self._prepare_retry(outcome)
 
     async def _attempt(
         self, leg: Leg, begun: BegunCall | None
-    ) -> tuple[CallAnswer | None, AttemptFailure | None]:
+    ) -> CallAnswer | AttemptFailure:
         """Send the call once; return its answer, or how the attempt failed."""
-        ended = False
         self._sending = True
         try:
-            answer, epoch = await self._exchange(leg, begun)
-            failure = _failure_in(answer)
-            ended = True
+            answer = await self._exchange(leg, begun)
         except UpstreamError as exc:
-            failure = failure_of(exc)
-            if failure.kind is FailureKind.BROKEN and await self._is_dead(leg):
-                failure = AttemptFailure(FailureKind.CRASHED, str(exc))
-                self._series.crashed(leg, leg.candidate.incarnation.epoch)
-            if failure.kind is FailureKind.SILENT:
-                await self._parts.client.retire(leg.upstream_instance.address)
-            ended = True
-            answer = None
-        finally:
-            if not ended:
-                self._series.dropped(leg)
-        if failure is None:
-            self._series.succeeded(leg, _outcome(leg, epoch))
-        else:
+            failure = await self._judge(leg, exc)
             self._series.failed(leg, failure)
-        return answer, failure if answer is None else None
+            return failure
+        except BaseException:
+            self._series.dropped(leg)
+            raise
+        if answer.status >= SERVER_ERROR:
+            # The caller gets the service's own word; its health gets the blame.
+            detail = f"status {answer.status}"
+            self._series.failed(leg, AttemptFailure(FailureKind.FAILED, detail))
+        else:
+            self._series.succeeded(leg, _outcome(leg))
+        return answer
 
-    async def _exchange(
-        self, leg: Leg, begun: BegunCall | None
-    ) -> tuple[CallAnswer, int]:
+    async def _judge(self, leg: Leg, exc: UpstreamError) -> AttemptFailure:
+        """Return how an attempt failed, and act on what that says of its instance."""
+        failure = failure_of(exc)
+        if failure.kind is FailureKind.SILENT:
+            await self._parts.client.retire(leg.upstream_instance.address)
+        if failure.kind is FailureKind.BROKEN and await self._is_dead(leg):
+            self._series.crashed(leg, leg.candidate.incarnation.epoch)
+            return AttemptFailure(FailureKind.CRASHED, str(exc))
+        return failure
+
+    async def _exchange(self, leg: Leg, begun: BegunCall | None) -> CallAnswer:
         cfg = self._parts.cfg
         patience = Patience(cfg.connect_timeout_s, self._req.route.timeout_s)
         response = await self._parts.client.open(self._outbound(leg, begun), patience)
         try:
-            epoch = epoch_of(response)
             instance = leg.candidate.incarnation.instance
-            self._parts.directory.observe_epoch(instance, epoch)
+            self._parts.directory.observe_epoch(instance, epoch_of(response))
             body = await self._read(response)
         finally:
             with trio.CancelScope(shield=True):
                 await response.aclose()
         headers = plain_headers(response, DROPPED_HEADERS)
-        return CallAnswer(response.status_code, headers, body), epoch
+        return CallAnswer(response.status_code, headers, body)
 
     async def _read(self, response: httpx.Response) -> bytes:
         """Return the whole body, which may not be longer than a router can hold."""
@@ -218,19 +220,11 @@
                 Refusal(action.code, detail, action.retry_after_s)
             )
         await trio.sleep(action.delay_s)
+        if failure.kind is FailureKind.CRASHED:
+            await self._series.settle()
 
 
-def _failure_in(answer: CallAnswer) -> AttemptFailure | None:
-    """Return the failure that an answer tells of; the caller gets it all the same."""
-    if answer.status < SERVER_ERROR:
-        return None
-    return AttemptFailure(FailureKind.FAILED, f"status {answer.status}")
-
-
-def _outcome(leg: Leg, epoch: int) -> AttemptOutcome:
-    instance = leg.candidate.incarnation.instance
+def _outcome(leg: Leg) -> AttemptOutcome:
     return AttemptOutcome(
-        Incarnation(instance, epoch or leg.candidate.incarnation.epoch),
-        ResultCode.OK,
-        at=trio.current_time(),
+        leg.candidate.incarnation, ResultCode.OK, at=trio.current_time()
     )
