--- a/packages/corianderlb-ctl/src/corianderlb_ctl/command.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/command.py
@@ -42,8 +42,10 @@
     value: Any
     """What ``--output json`` prints: a data class, or a list of them."""
     tables: tuple[Table, ...] = ()
+    headline: tuple[str, ...] = ()
+    """Lines for people, before the tables."""
     notes: tuple[str, ...] = ()
-    """Sentences for people, after the tables."""
+    """Lines for people, after the tables."""
     exit_code: ExitCode = ExitCode.OK
     text: str = ""
     """Printed as it is, in place of tables, where the output is a file."""
--- a/packages/corianderlb-ctl/src/corianderlb_ctl/explain.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/explain.py
@@ -102,7 +102,7 @@
 def _report(explanation: Explanation) -> Report:
     decision = explanation.decision
     code = ResultCode(decision.code)
-    notes = (
+    headline = (
         f"{decision.at}: {decision.account} asked for {decision.target} "
         f"({decision.service_class}), request {decision.request_id}",
         f"decided by policy {decision.policy} under version "
@@ -110,7 +110,7 @@
         f"(ran: {RESULT_INFO[code].ran.value})",
     )
     tables = (_candidates(decision), _attempts(decision), _trace_table(explanation))
-    return Report(explanation, tables=tables, notes=notes)
+    return Report(explanation, tables=tables, headline=headline)
 
 
 def _candidates(decision: DecisionReport) -> Table:
--- a/packages/corianderlb-ctl/src/corianderlb_ctl/output.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/output.py
@@ -21,8 +21,9 @@
         return json.dumps(to_plain(report.value), indent=2, ensure_ascii=False)
     if report.text:
         return report.text
-    parts = [_table_text(table) for table in report.tables]
-    return "\n\n".join([*parts, *report.notes])
+    tables = [_table_text(table) for table in report.tables]
+    parts = ["\n".join(report.headline), *tables, "\n".join(report.notes)]
+    return "\n\n".join(filter(None, parts))
 
 
 def _table_text(table: Table) -> str:
