Read each upstream's load on one router and spread it as a packed vector

A report is read by the rendezvous home of the instance among the region's live routers; all others hear it from a vector of 4 bytes an instance, or 1 byte when there are more than 100. A zone that is cut off sees no other routers and so reads all by itself. Intervals stretch so that reading and gossip stay within byte budgets of the settings.

Ages are rounded up, so that two routers cannot keep a dead engine's last report fresh. Entries carry bits of the epoch. News of a new life are flooded, and kept for later links like those of leaving. LoadVector replaces the earlier draft of the message, which nobody sent; the round trip test uses another nested message now.

Found by the leaving test: a life that was never heard of stayed usable after a peer had called it leaving, since the epoch was not known here; mark_leaving now notes the epoch first.

--- a/packages/corianderlb-core/src/corianderlb_core/heat.py
+++ b/packages/corianderlb-core/src/corianderlb_core/heat.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+import struct
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -49,6 +50,8 @@
 _FORGET_AT: Final = 700.0
 """Exponent that a float still holds; counts that old are nothing either way."""
 
+_HOT: Final = struct.Struct(f">{SHORT_KEY_BYTES}sBB")
+
 
 @dataclass(frozen=True)
 class HotPrefix:
@@ -61,6 +64,22 @@
     that two routers cannot keep a width alive by telling each other."""
 
 
+def pack_hot(hot: Iterable[HotPrefix]) -> bytes:
+    """Return hot prefixes as bytes, ten each; ages are rounded up to seconds."""
+    return b"".join(
+        _HOT.pack(item.short_key, min(item.width, 255), min(math.ceil(item.age_s), 255))
+        for item in hot
+    )
+
+
+def unpack_hot(packed: bytes) -> tuple[HotPrefix, ...]:
+    """Return the hot prefixes in bytes; bytes that do not fit hold none."""
+    if len(packed) % _HOT.size:
+        return ()
+    found = _HOT.iter_unpack(packed)
+    return tuple(HotPrefix(key, width, float(age_s)) for key, width, age_s in found)
+
+
 class DecayedCounts:
     """Count keys with exponentially fading weight, at one addition a key.
 
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -14,7 +14,6 @@
 
 from .codec import DecodeError, from_plain, plain_from_cbor, to_plain
 from .identity import AccountId, InstanceId, Presence
-from .load import LoadReport
 
 PROTOCOL_VERSION: Final = 1
 """Grows with a change that older routers cannot ignore."""
@@ -118,21 +117,31 @@
 
 
 @dataclass(frozen=True)
-class UpstreamLoad:
-    """Hold one upstream instance's report as a reader got it."""
+class LoadVector:
+    """Spread the load of a region's upstream instances, as ``load_vector`` packs it.
 
-    instance: InstanceId
-    age_s: float
-    """Seconds since the report was read, at the time of sending."""
-    report: LoadReport
+    It holds what the sender read itself and what it heard, each with its age.
+    """
+
+    digest: int
+    """Of the instances' names; a vector over another list is of no use."""
+    packed: bytes
 
 
 @dataclass(frozen=True)
-class LoadVector:
-    """Spread load reports of the upstream instances that the sender reads."""
+class HotPrefixes:
+    """Spread over how many instances hot prefixes are spread, as ``heat`` packs it."""
+
+    upstream: str
+    packed: bytes
 
-    reader: InstanceId
-    loads: tuple[UpstreamLoad, ...]
+
+@dataclass(frozen=True)
+class UpstreamLife:
+    """Spread that an upstream instance came back with a higher epoch, empty."""
+
+    instance: InstanceId
+    epoch: int
 
 
 @dataclass(frozen=True)
@@ -192,6 +201,8 @@
     | CatalogueRequest
     | CatalogueChanges
     | LoadVector
+    | HotPrefixes
+    | UpstreamLife
     | UpstreamLeaving
     | GrantRequest
     | Grant
@@ -209,6 +220,8 @@
         CatalogueRequest,
         CatalogueChanges,
         LoadVector,
+        HotPrefixes,
+        UpstreamLife,
         UpstreamLeaving,
         GrantRequest,
         Grant,
--- a/packages/corianderlb-core/src/corianderlb_core/placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement.py
@@ -9,11 +9,12 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import ClassVar, Final
 
 from .catalogue import Model
+from .heat import HotPrefix
 from .identity import Incarnation, InstanceId
 from .instance_load import InstanceLoad, InstanceSet
 from .request import AttemptOutcome, Candidate, RequestFacts
@@ -107,3 +108,10 @@
 
     def forget(self, incarnation: Incarnation) -> None:
         """Drop what is known about a life that ended; override to learn."""
+
+    def hottest(self, upstream: str, limit: int, now: float) -> tuple[HotPrefix, ...]:
+        """Return the hot prefixes of an upstream, for peers; override to tell."""
+        return ()
+
+    def hear_hot(self, upstream: str, hot: Iterable[HotPrefix], now: float) -> None:
+        """Take what a peer found hot; override to learn."""
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -105,6 +105,19 @@
     """Pieces of the prompt that ``hash_only`` hashes."""
     zone_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
     """What an instance in another zone must be better by."""
+    report_lag_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
+    """Age that a load report has when it is read."""
+    read_min_s: Seconds = 0.5
+    """Shortest time between two reads of an upstream instance's load."""
+    read_budget: Annotated[float, Meta(gt=0)] = 1000.0
+    """Bytes a second that reading loads may take; more instances are read less
+    often."""
+    gossip_min_s: Seconds = 0.5
+    """Shortest time between two load vectors to the peers."""
+    gossip_budget: Annotated[float, Meta(gt=0)] = 800.0
+    """Bytes a second that load vectors may take, over all peers."""
+    import_wait_s: Seconds = 1.0
+    """Longest that a request waits for pieces to be imported."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/tests/placement_trial.py
+++ b/packages/corianderlb-core/tests/placement_trial.py
@@ -224,8 +224,6 @@
     def spread_heat(self) -> None:
         """Give each router's hot prefixes to the others, once a second."""
         policies = [router.policy for router in self.routers]
-        if not hasattr(policies[0], "hottest"):
-            return
         hot: list[HotPrefix] = []
         for policy in policies:
             hot += policy.hottest(UPSTREAM, 32, self.now)
--- a/packages/corianderlb-core/tests/test_codec.py
+++ b/packages/corianderlb-core/tests/test_codec.py
@@ -9,7 +9,6 @@
 from corianderlb_core.change import Change, apply_change
 from corianderlb_core.chart import LifeCycle
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.load import LoadReport
 from corianderlb_core.result import RESULT_INFO, ResultCode
 
 
@@ -45,9 +44,11 @@
         self.assertEqual(catalogue_codec.catalogue_from_json(data), catalogue)
 
     def test_message_round_trip(self) -> None:
-        load = message.UpstreamLoad(InstanceId("u"), 0.5, LoadReport(epoch=3))
-        sent = message.LoadVector(InstanceId("r"), (load,))
+        suspicion = message.Suspicion(InstanceId("u"), 3, 5)
+        sent = message.Heartbeat(1, 2, suspected=(suspicion,))
         self.assertEqual(message.decode(message.encode(sent)), sent)
+        vector = message.LoadVector(1 << 63, b"\x00\xff")
+        self.assertEqual(message.decode(message.encode(vector)), vector)
         proof = message.Challenge(InstanceId("r"), 1, b"\x00\xff")
         self.assertEqual(message.decode(message.encode(proof)), proof)
 
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -40,6 +40,7 @@
 from .http_store import HttpObjectStore
 from .instance_list import InstanceListReader
 from .isolation_watch import IsolationWatch
+from .load_gossip import LoadGossip
 from .node_metric import NodeCounters
 from .open_admission import OpenAdmission
 from .operator_desk import OperatorDesk
@@ -47,6 +48,7 @@
 from .placer import PolicyPlacer
 from .upstream_client import UpstreamClient
 from .upstream_directory import PlatformDirectory
+from .upstream_reader import UpstreamReader
 
 READY_POLL_S: Final = 0.02
 """How often a starting router looks whether its catalogue has arrived."""
@@ -105,9 +107,9 @@
         self._client = UpstreamClient(TcpConnector())
         directory = PlatformDirectory(announce=self._peers.broadcast)
         self._peers.subscribe(UpstreamLeaving, directory.on_upstream_leaving)
-        placer = PolicyPlacer(
-            make_policy(cfg.placement, self._rng), directory, self._rng
-        )
+        policy = make_policy(cfg.placement, self._rng, cfg.zone)
+        placer = PolicyPlacer(policy, directory, self._rng)
+        directory.on_life_ended = placer.forget
         self._quarantine = FleetQuarantine(self._peers)
         health = HealthBoard(directory, self._client, self._rng)
         self._parts = Parts(
@@ -127,6 +129,18 @@
         reader = CatalogueReader(
             self._store, self._catalogue, self._peers, own, cfg.zone, self._rng
         )
+        loads = UpstreamReader(
+            own,
+            cfg.region,
+            directory,
+            self._peers,
+            self._client,
+            cfg.placement,
+            self._rng,
+        )
+        gossip = LoadGossip(
+            cfg.region, directory, self._peers, policy, cfg.placement, self._rng
+        )
         self._journal = StoreCallJournal(
             self._store, own, self._epoch, cfg.journal, self._peers
         )
@@ -146,6 +160,8 @@
             reader.run,
             IsolationWatch(self._catalogue, self._send).run,
             instances.run,
+            loads.run,
+            gossip.run,
             self._journal.run,
             health.run,
         ]
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -28,6 +28,7 @@
     Message,
     SuspectCleared,
     UpstreamLeaving,
+    UpstreamLife,
     encode,
 )
 from corianderlb_core.overlay import choose_links
@@ -45,7 +46,7 @@
 MAX_UNPROVED: Final = 32
 """Links without a proof at a time; a stranger cannot use up memory with more."""
 
-KEPT: Final = (UpstreamLeaving, CrashReport, SuspectCleared)
+KEPT: Final = (UpstreamLeaving, UpstreamLife, CrashReport, SuspectCleared)
 """Broadcasts that a router which links later must hear of as well."""
 
 N_KEPT: Final = 128
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -24,7 +24,7 @@
 )
 from corianderlb_core.instance_load import InstanceLoad, InstanceSet
 from corianderlb_core.load import LoadReport
-from corianderlb_core.message import UpstreamLeaving
+from corianderlb_core.message import UpstreamLeaving, UpstreamLife
 
 from .interface import UpstreamDirectory, UpstreamInstance
 from .store import InstanceList
@@ -33,6 +33,10 @@
 """Lives remembered as leaving; the oldest is forgotten first, so memory is bounded."""
 
 
+def _nothing(news: object) -> None:
+    """Take news that nobody asked for."""
+
+
 @dataclass
 class _Known:
     record: InstanceRecord
@@ -43,18 +47,19 @@
 class PlatformDirectory(UpstreamDirectory):
     """Hold the upstream instances of the newest list, each with its newest life.
 
-    ``announce`` is called once for each life that is found leaving here, to spread it;
+    ``announce`` is called once for each life that is found leaving here, and for each
+    new life that took an old one's place, to spread it;
     ``on_life_ended`` for each life that is over, so that others forget it too.
     """
 
     def __init__(
         self,
-        announce: Callable[[UpstreamLeaving], object] = lambda message: None,
-        on_life_ended: Callable[[Incarnation], object] = lambda incarnation: None,
+        announce: Callable[[UpstreamLeaving | UpstreamLife], object] = _nothing,
+        on_life_ended: Callable[[Incarnation], object] = _nothing,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._announce = announce
-        self._on_life_ended = on_life_ended
+        self.on_life_ended = on_life_ended
         self._clock = clock
         self._revision = -1
         self._known: dict[InstanceId, _Known] = {}
@@ -78,7 +83,7 @@
             if record.role is Role.UPSTREAM
         }
         for instance in [name for name in self._known if name not in records]:
-            self._on_life_ended(self._known.pop(instance).load.incarnation)
+            self.on_life_ended(self._known.pop(instance).load.incarnation)
         for record in records.values():
             self._take_record(record)
         self._changed()
@@ -97,9 +102,13 @@
         known = self._known.get(instance)
         return self._view(known) if known else None
 
-    def all_instances(self) -> Sequence[UpstreamInstance]:
-        """Return the instances of all upstreams."""
-        return [self._view(known) for known in self._known.values()]
+    def in_region(self, region: str) -> list[UpstreamInstance]:
+        """Return the instances of a region, of all upstreams, in order of name."""
+        return [
+            self._view(known)
+            for _, known in sorted(self._known.items())
+            if known.record.region == region
+        ]
 
     def usable(self, upstream: str) -> InstanceSet:
         """Return the instances that may get new work, as placement takes them."""
@@ -135,7 +144,8 @@
             eliot.log_message(
                 message_type="upstream:new_life", instance=instance, epoch=epoch
             )
-        self._on_life_ended(ended)
+            self._announce(UpstreamLife(instance, epoch))
+        self.on_life_ended(ended)
         self._changed()
 
     def take_report(
@@ -151,7 +161,12 @@
             self.mark_leaving(instance, report.epoch)
 
     def mark_leaving(self, instance: InstanceId, epoch: int) -> None:
-        """Stop new work to this life of the instance, and tell the peers."""
+        """Stop new work to this life of the instance, and tell the peers.
+
+        The life may be one that never answered here: it is known from now on, or it
+        would go on as a life without a name and get new work.
+        """
+        self.observe_epoch(instance, epoch)
         if self._remember_leaving(Incarnation(instance, epoch)):
             self._announce(UpstreamLeaving(instance, epoch))
 
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_upstream_news.py
@@ -0,0 +1,268 @@
+"""Test how routers learn about the upstream instances, each read by one of them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import httpx
+import trio
+
+from corianderlb_core.codec import to_json
+from corianderlb_core.identity import InstanceRecord, Presence, Role
+from corianderlb_core.load import LoadReport
+from corianderlb_core.load_vector import LoadSample, names_digest, pack, unpack
+from corianderlb_core.message import LoadVector, MemberState, UpstreamLeaving
+from corianderlb_core.placement_registry import make_policy
+from corianderlb_core.settings import PlacementSettings
+from corianderlb_router.interface import PeerNetwork
+from corianderlb_router.load_gossip import LoadGossip
+from corianderlb_router.store import InstanceList
+from corianderlb_router.upstream_directory import PlatformDirectory
+from corianderlb_router.upstream_reader import UpstreamReader
+from corianderlb_standins.trio_case import TrioTestCase
+
+CFG = PlacementSettings()
+
+
+class FakePeers(PeerNetwork):
+    """Link routers in memory; a message goes to the linked ones at once."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.handlers = {}
+        self.waiting = []
+
+    def subscribe(self, cls, handler):
+        self.handlers[cls] = handler
+
+    def send(self, peer, message):
+        raise NotImplementedError
+
+    def broadcast(self, message):
+        others = [peers for peers in self.fleet.peers if peers is not self]
+        for peers in others:
+            peers.waiting.append((self.name, message))
+        return len(others)
+
+    def members(self):
+        return self.fleet.members
+
+    async def deliver(self):
+        """Handle what has arrived."""
+        waiting, self.waiting = self.waiting, []
+        for sender, message in waiting:
+            await self.handlers[type(message)](sender, message)
+
+
+class FakeClient:
+    """Answer for the upstream instances; those without a report are down."""
+
+    def __init__(self) -> None:
+        self.reports = {}
+        self.asked = Counter()
+
+    async def get(self, address, path, patience):
+        self.asked[address] += 1
+        if address not in self.reports:
+            raise httpx.ConnectError("down")
+        return httpx.Response(200, content=to_json(self.reports[address]))
+
+
+class Router:
+    """Hold the parts of one router that these tests are about."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        rng = random.Random(name)
+        self.peers = FakePeers(fleet, name)
+        self.directory = PlatformDirectory(self.peers.broadcast)
+        self.peers.subscribe(UpstreamLeaving, self.directory.on_upstream_leaving)
+        self.reader = UpstreamReader(
+            name, "pnw", self.directory, self.peers, fleet.client, CFG, rng
+        )
+        policy = make_policy(CFG, rng)
+        self.gossip = LoadGossip("pnw", self.directory, self.peers, policy, CFG, rng)
+
+    def report(self, instance: str) -> LoadReport | None:
+        return self.directory.find(instance).report
+
+    def usable(self) -> list[str]:
+        found = self.directory.usable("ember-llm").instances
+        return [load.incarnation.instance for load in found]
+
+
+class Fleet:
+    """Hold a few routers before the same upstream instances."""
+
+    def __init__(self, n_routers: int, n_instances: int) -> None:
+        self.client = FakeClient()
+        self.peers = []
+        self.members = []
+        self.names = [f"e{i:03}" for i in range(n_instances)]
+        names = [f"r{i}" for i in range(n_routers)]
+        self.routers = [Router(self, name) for name in names]
+        self.peers = [router.peers for router in self.routers]
+        self.members = [
+            MemberState(name, 1, 1, Presence.LIVE, "z1", "pnw", "", "", 0)
+            for name in names
+        ]
+        for router in self.routers:
+            self.list_instances(router, 1)
+
+    def list_instances(self, router: Router, revision: int) -> None:
+        records = [
+            InstanceRecord(n, Role.UPSTREAM, "z1", "pnw", n, upstream="ember-llm")
+            for n in self.names
+        ]
+        router.directory.apply_list(InstanceList(revision, tuple(records)))
+
+    async def read(self) -> None:
+        """Have each router read its share once."""
+        for router in self.routers:
+            await router.reader.read(router.reader.share())
+
+    async def gossip(self) -> None:
+        """Have each router send one round, and all that follows from it delivered."""
+        for router in self.routers:
+            router.gossip.send()
+        while any(peers.waiting for peers in self.peers):
+            for peers in self.peers:
+                await peers.deliver()
+
+
+class TestUpstreamNews(TrioTestCase):
+    """Every router knows the loads, and none has to read them all."""
+
+    async def test_each_instance_has_one_reader(self):
+        """A router dies, and the instances that it read are read by the others."""
+        fleet = Fleet(4, 20)
+        await fleet.read()
+        self.assertEqual(set(fleet.client.asked.values()), {1})
+        self.assertEqual(len(fleet.client.asked), 20)
+        del fleet.members[0], fleet.routers[0]
+        fleet.client.asked.clear()
+        await fleet.read()
+        self.assertEqual(len(fleet.client.asked), 20)
+
+    async def test_loads_reach_all_and_lose_little(self):
+        """What one router read, the others know with its age."""
+        fleet = Fleet(3, 5)
+        for name in fleet.names:
+            fleet.client.reports[name] = LoadReport(2, 3, 4, queued_prefill_s=0.7)
+        await fleet.read()
+        await fleet.gossip()
+        for router in fleet.routers:
+            report = router.report("e003")
+            self.assertEqual(report.n_running + report.n_queued, 7)
+            self.assertAlmostEqual(report.queued_prefill_s, 0.7, delta=0.03)
+
+    async def test_old_reports_are_not_made_new(self):
+        """An engine falls silent while two routers tell each other its last load.
+
+        If an age could shrink on the way, it would look idle for ever.
+        """
+        for n_instances in (5, 150):
+            fleet = Fleet(3, n_instances)
+            for name in fleet.names:
+                fleet.client.reports[name] = LoadReport(2, queued_prefill_s=0.2)
+            read_at = trio.current_time()
+            await fleet.read()
+            for _ in range(60):
+                await fleet.gossip()
+                for router in fleet.routers:
+                    found = router.directory.find("e001")
+                    self.assertLessEqual(found.reported_at, read_at)
+                await trio.sleep(0.47)
+
+    async def test_load_of_another_life_is_ignored(self):
+        """The news that an engine came back, empty, overtakes a vector from before.
+
+        Taken for the new life's, the old queue would keep work away from it.
+        """
+        fleet = Fleet(2, 1)
+        router = fleet.routers[0]
+        router.directory.observe_epoch("e000", 5)
+        packed = pack([LoadSample(4, 9.0, 30, 0.1)])
+        vector = LoadVector(names_digest(["e000"]), packed)
+        await router.gossip.on_load_vector("r1", vector)
+        self.assertIsNone(router.report("e000"))
+
+    async def test_vector_over_another_list_is_ignored(self):
+        """One router's list has an instance replaced; entries would hit others."""
+        fleet = Fleet(2, 3)
+        fleet.names[0] = "e009"
+        fleet.list_instances(fleet.routers[0], 2)
+        for name in fleet.names:
+            fleet.client.reports[name] = LoadReport(2, n_running=int(name[1:]))
+        await fleet.routers[0].reader.read(fleet.routers[0].reader.share())
+        await fleet.gossip()
+        self.assertEqual(fleet.routers[1].gossip.n_unfit, 1)
+        self.assertIsNone(fleet.routers[1].report("e001"))
+
+    async def test_new_life_is_known_to_all(self):
+        """An engine crashes and returns; one router sees it in an answer."""
+        fleet = Fleet(3, 2)
+        for router in fleet.routers:
+            router.directory.observe_epoch("e001", 1)
+        fleet.routers[0].directory.observe_epoch("e001", 2)
+        await fleet.gossip()
+        for router in fleet.routers:
+            self.assertEqual(router.directory.find("e001").epoch, 2)
+
+    async def test_leaving_upstream_gets_no_new_work_anywhere(self):
+        """An engine is told to go, but the platform's list has it as live for long.
+
+        Requests that still go there are cut when it ends.
+        """
+        fleet = Fleet(3, 4)
+        for name in fleet.names:
+            fleet.client.reports[name] = LoadReport(2)
+        await fleet.read()
+        fleet.client.reports["e002"] = LoadReport(2, leaving=True)
+        async with trio.open_nursery() as nursery:
+            for router in fleet.routers:
+                nursery.start_soon(router.reader.run)
+            await trio.sleep(4.0)
+            await fleet.gossip()
+            nursery.cancel_scope.cancel()
+        for router in fleet.routers:
+            fleet.list_instances(router, 5)
+            self.assertEqual(router.usable(), ["e000", "e001", "e003"])
+
+    async def test_upstream_that_does_not_answer_is_left_to_health(self):
+        """An engine is down when its load is asked for; the other reports count."""
+        fleet = Fleet(1, 2)
+        fleet.client.reports["e000"] = LoadReport(2, n_running=1)
+        await fleet.read()
+        self.assertEqual(fleet.routers[0].reader.n_failures, 1)
+        self.assertEqual(fleet.routers[0].report("e000").n_running, 1)
+        self.assertEqual(fleet.routers[0].usable(), ["e000", "e001"])
+
+    async def test_bytes_stay_within_the_budget_at_the_size_to_design_for(self):
+        """Two regions share 930 runners; a router has six peers and reads its part."""
+        fleet = Fleet(7, 465)
+        for name in fleet.names:
+            fleet.client.reports[name] = LoadReport(2, 3, 4, 0.4)
+        router = fleet.routers[0]
+        await fleet.read()
+        with trio.move_on_after(60):
+            await router.gossip.run()
+        self.assertLess(router.gossip.n_bytes / 60, 1.15 * CFG.gossip_budget)
+        self.assertAlmostEqual(router.reader.interval_s(3), 1.8)
+
+
+class TestLoadVector(TrioTestCase):
+    """A vector holds what placement needs, rounded to the safe side."""
+
+    def test_round_trip(self):
+        for n in (3, 200):
+            samples = [LoadSample(5, 0.5, 0, 1.0), None, LoadSample(6, 0.0, 0, 9.0)]
+            samples += [None] * (n - 3)
+            found = unpack(pack(samples), n)
+            self.assertAlmostEqual(found[0].wait_s, 0.5, delta=0.02)
+            self.assertGreaterEqual(found[0].age_s, 1.0)
+            self.assertIsNone(found[1])
+            self.assertEqual(found[2].epoch_mark, 6)
+            self.assertGreaterEqual(found[2].age_s, 9.0)
+            self.assertIsNone(unpack(pack(samples) + b"x", n))
