Count the bytes of all links, and keep heartbeats short

Cause: on four routers the status told 119 bytes a second out and 309 in, though all sent alike: += around an await takes the old sum, so links overwrote each other's bytes. Ruled out: frames sent twice (messages in and out were equal). Change: add after the wait; count the tag of arriving frames as well; leave fields with their default out of a message; the state of a random member goes with each tenth heartbeat. Conclusion: in and out are equal over a fleet, which the test of four routers now asks; it fails with the old line.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -232,9 +233,15 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return the frame that carries a message."""
-    name = type(message).__name__
-    return cbor2.dumps([PROTOCOL_VERSION, name, to_plain(message)])
+    """Return the frame that carries a message.
+
+    Fields that have their default are left out, which keeps heartbeats short.
+    """
+    body = to_plain(message)
+    for field in dataclasses.fields(message):
+        if getattr(message, field.name) == field.default:
+            del body[field.name]
+    return cbor2.dumps([PROTOCOL_VERSION, type(message).__name__, body])
 
 
 def decode(frame: bytes) -> Message:
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -11,7 +11,7 @@
 from corianderlb_core.codec import DecodeError
 from corianderlb_core.message import Message, decode
 
-from ._handshake import PeerIdentity, SealedLink
+from ._handshake import TAG_BYTES, PeerIdentity, SealedLink
 from .peer_link import FrameRefusedError, LinkClosedError
 
 MAX_QUEUED: Final = 256
@@ -80,9 +80,9 @@
         self._scope.cancel()
 
     async def run(
-        self, handle: Callable[[PeerConnection, Message, int], Awaitable[None]]
+        self, handle: Callable[[PeerConnection, Message], Awaitable[None]]
     ) -> None:
-        """Pass arriving messages on, with their length, and send queued ones."""
+        """Pass arriving messages on, and send queued ones."""
         with self._scope:
             try:
                 async with trio.open_nursery() as nursery:
@@ -93,7 +93,7 @@
                 pass
 
     async def _read(
-        self, handle: Callable[[PeerConnection, Message, int], Awaitable[None]]
+        self, handle: Callable[[PeerConnection, Message], Awaitable[None]]
     ) -> None:
         while True:
             try:
@@ -104,11 +104,13 @@
                 return
             self.last_heard = trio.current_time()
             self._counters.n_messages_in += 1
-            self._counters.n_bytes_in += len(frame)
-            await handle(self, message, len(frame))
+            self._counters.n_bytes_in += TAG_BYTES + len(frame)
+            await handle(self, message)
 
     async def _write(self) -> None:
         async for frame in self._queue:
             self._n_queued_bytes -= len(frame)
-            self._counters.n_bytes_out += await self._link.send(frame)
+            n_bytes = await self._link.send(frame)
+            # Added after the wait: other links count into the same number meanwhile.
+            self._counters.n_bytes_out += n_bytes
             self._counters.n_messages_out += 1
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -67,7 +67,7 @@
 MIN_BEAT_GAP_S: Final = 0.05
 """Least time between two heartbeats, however much news there is."""
 
-RANDOM_MEMBER_EVERY: Final = 5
+RANDOM_MEMBER_EVERY: Final = 10
 """Heartbeats to one that carries the state of a random member on top."""
 
 
@@ -367,7 +367,7 @@
             if kept_at >= oldest:
                 conn.post(frame)
 
-    async def _handle(self, conn: PeerConnection, message: Message, size: int) -> None:
+    async def _handle(self, conn: PeerConnection, message: Message) -> None:
         if isinstance(message, Heartbeat):
             self._take_heartbeat(conn, message)
         for handler in self._handlers[type(message)]:
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -96,8 +96,12 @@
         async with fleet.running():
             await trio.sleep(3)
             fleet.assert_all_know(self, sorted(fleet.networks))
+            counters = [network.counters for network in fleet.networks.values()]
             for network in fleet.networks.values():
                 self.assertEqual(len(network.linked()), 3)
+            n_in = sum(count.n_bytes_in for count in counters)
+            n_out = sum(count.n_bytes_out for count in counters)
+            self.assertEqual(n_in, n_out)
 
     async def test_many_routers_keep_few_links(self) -> None:
         fleet = Fleet(24)
