Run fleets of separate processes, the demo, and the thin path as a test

Ruled out: keys of cached pieces worked out apart in the stand-in, since the core's prefix module has them; adding the demo's catalogue by hand, since the operators' command is part of the path. Change: Fleet starts, registers, faults, restarts and ends processes; the demo checks each step.

--- a/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -5,11 +5,13 @@
 import argparse
 import sys
 import time
+from pathlib import Path
 
 import trio
 
 from ._asgi import serve_app
 from .batch import BatchCost
+from .demo import run_demo
 from .engine import Engine
 from .engine_settings import EngineSettings
 from .fault_proxy import FaultProxy
@@ -37,6 +39,9 @@
     proxy = _add(commands, "fault-proxy", _run_proxy, "a TCP proxy with faults")
     proxy.add_argument("--target", required=True, metavar="HOST:PORT")
     proxy.add_argument("--control-port", type=int, default=0)
+    demo = commands.add_parser("demo", help="the whole path on separate processes")
+    demo.add_argument("--prompt-file", type=Path, help="a prompt of your own")
+    demo.set_defaults(run=_run_demo)
     return parser
 
 
@@ -89,6 +94,10 @@
     trio.run(app.run, args.host, args.port, args.control_port)
 
 
+def _run_demo(args: argparse.Namespace) -> int:
+    return trio.run(run_demo, args.prompt_file)
+
+
 def _run_engine(args: argparse.Namespace) -> None:
     cfg = EngineSettings(
         instance=args.instance,
--- a/packages/corianderlb-standins/src/corianderlb_standins/engine.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/engine.py
@@ -15,7 +15,7 @@
 from corianderlb_core import header
 from corianderlb_core.codec import to_plain
 from corianderlb_core.load import LoadReport
-from corianderlb_core.piece_key import chain_start, piece_keys, prompt_text
+from corianderlb_core.prefix import PrefixScope, prefix_keys, prompt_text
 
 from ._asgi import Call, CutConnectionError, StandIn
 from .batch import Batch, Job
@@ -164,14 +164,14 @@
         self, call: Call, plain: Any, weights: str, adapter: str
     ) -> _Stream:
         chat = "messages" in plain
-        prompt = _prompt_of(plain)
+        prompt = prompt_text(plain)
         attempt_id = call.headers.get(header.ATTEMPT_ID, "")
         salt = call.headers.get(header.CACHE_SALT, "")
-        start = chain_start(salt, weights, adapter)
+        scope = PrefixScope(salt, weights, adapter)
         job = Job(
             attempt_id=attempt_id,
             prompt=prompt,
-            keys=tuple(piece_keys(start, prompt, self.cfg.piece_chars)),
+            keys=prefix_keys(prompt, scope, self.cfg.piece_chars),
             n_tokens=int(plain.get("max_tokens") or DEFAULT_MAX_TOKENS),
             priority=int(call.headers.get(header.PRIORITY, "1")),
         )
@@ -368,10 +368,3 @@
 async def _cancel_when_gone(call: Call, scope: trio.CancelScope) -> None:
     await call.disconnected()
     scope.cancel()
-
-
-def _prompt_of(plain: Any) -> str:
-    if "messages" not in plain:
-        return str(plain.get("prompt", ""))
-    pairs = ((str(m.get("role")), str(m.get("content"))) for m in plain["messages"])
-    return prompt_text(pairs)
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fleet_plan.py
@@ -0,0 +1,105 @@
+"""What a fleet for demo, tests and measurements consists of."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from corianderlb_core.catalogue import (
+    Account,
+    Entry,
+    Limits,
+    Model,
+    Route,
+    ServiceClass,
+    Upstream,
+    UpstreamKind,
+)
+
+from .builder import a_model, a_route, an_account, an_upstream
+
+REGION: Final = "pnw"
+"""The region of the imitated fleet."""
+
+ZONES: Final = ("pnw-a", "pnw-b", "pnw-c")
+"""Its availability zones; instances take them in turn."""
+
+MODEL: Final = "ember-llm"
+"""The model, and the upstream of its engines."""
+
+SERVICE: Final = "yard-app"
+"""The upstream of plain services."""
+
+KV_CACHE: Final = "prompt-cellar"
+"""The upstream that keeps KV cache."""
+
+LARGE_ACCOUNTS: Final = ("northwest-charcoal", "cascade-pulp")
+"""Accounts with most of the traffic."""
+
+SMALL_ACCOUNTS: Final = (
+    "alder-works",
+    "birch-kilns",
+    "cedar-yard",
+    "dogwood-coop",
+    "elm-street",
+    "fir-valley",
+)
+"""The other accounts."""
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """Say how many processes of each kind run, and how they are set up."""
+
+    n_engines: int = 5
+    n_services: int = 2
+    n_routers: int = 4
+    with_kv_cache: bool = False
+    proxied: frozenset[str] = frozenset()
+    """Kinds behind a fault proxy: ``store``, ``engine``, ``service``."""
+    engine_arguments: tuple[str, ...] = ("--prefill-s", "0.02", "--token-s", "0.005")
+    router_settings: Mapping[str, Any] = field(default_factory=dict)
+    """Sections that are merged into the settings of each router."""
+    entries: tuple[Entry, ...] | None = None
+    """The catalogue; None for ``default_entries``."""
+
+
+def account_key(name: str) -> str:
+    """Return the key of an account of ``default_entries``."""
+    return f"key-{name}"
+
+
+def default_entries(**model_fields: Any) -> tuple[Entry, ...]:
+    """Return a catalogue with a model, two routes and eight accounts."""
+    return (
+        *_upstreams(),
+        a_model(MODEL, prefill_s_per_piece=0.02, **model_fields),
+        *_routes(),
+        *_accounts(),
+    )
+
+
+def _upstreams() -> tuple[Upstream, ...]:
+    return (
+        an_upstream(MODEL),
+        an_upstream(SERVICE, upstream_kind=UpstreamKind.SERVICE),
+        an_upstream(KV_CACHE, upstream_kind=UpstreamKind.KV_CACHE),
+    )
+
+
+def _routes() -> tuple[Route, ...]:
+    return (
+        a_route("status", methods=("GET",), service_class=ServiceClass.URGENT),
+        a_route("sign-off", repeatable=False),
+    )
+
+
+def _accounts() -> tuple[Account, ...]:
+    limits = Limits(requests_per_s=500.0, concurrent=200)
+    large = (an_account(name, weight=4.0, limits=limits) for name in LARGE_ACCOUNTS)
+    small = (an_account(name, limits=limits) for name in SMALL_ACCOUNTS)
+    return (*large, *small)
+
+
+__all__ = ["FleetPlan", "Model", "account_key", "default_entries"]
--- a/packages/corianderlb-standins/src/corianderlb_standins/weights.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/weights.py
@@ -9,6 +9,7 @@
 import trio
 
 from corianderlb_core import header
+from corianderlb_core.prefix import adapter_label
 
 from ._asgi import Call
 from .engine_settings import EngineSettings
@@ -34,7 +35,7 @@
     def resolve(self, name: str) -> tuple[str, str]:
         """Return model and adapter that a request's model name stands for."""
         if name in self.adapters and self.weights:
-            adapter = f"{name}:{self.adapters[name]}"
+            adapter = adapter_label(name, self.adapters[name])
             return next(iter(self.weights)), adapter
         return name, ""
 
