--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -1,4 +1,4 @@
-"""A request goes from a caller through a router to an upstream, all in own processes."""
+"""A request goes through a router to an upstream, all in processes of their own."""
 
 from __future__ import annotations
 
