Keep one decision a request, for refusals and replays too

Cause: a decision id was made at each placement, so a refusal by limits, quarantine or want of an instance and a replayed answer named none, and corianderctl explain could not trace them. Change: the decision begins when the request is parsed, with the entries it rests on; placements and attempts are added to it. Its id starts with the instance, so explain asks the right router first. A caller that leaves is recorded as such and not as OK. The placer no longer says what a decision rested on; the test of that moved to the decision log.

--- a/packages/corianderlb-core/src/corianderlb_core/request.py
+++ b/packages/corianderlb-core/src/corianderlb_core/request.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .catalogue import ServiceClass
-from .identity import AccountId, DecisionId, Incarnation, InstanceId, RequestId
+from .identity import AccountId, Incarnation, InstanceId, RequestId
 from .result import ResultCode
 
 
@@ -52,16 +52,13 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """Hold the outcome of placement, with what it rested on."""
+    """Hold the outcome of placement."""
 
-    decision_id: DecisionId
     request_id: RequestId
     catalogue_version: int
     policy: str
     candidates: tuple[Candidate, ...]
     """Best first."""
-    rested_on: tuple[str, ...] = ()
-    """Catalogue entries, as ``kind/name``."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -52,6 +52,7 @@
     RETRY_BUDGET_SPENT = 305
     DEADLINE_EXCEEDED = 306
     CUT_BY_SHUTDOWN = 307
+    CALLER_GONE = 308
     # 4xx: the catalogue and its operators.
     CATALOGUE_INVALID = 400
     EDIT_CONFLICT = 401
@@ -164,6 +165,9 @@
     ResultCode.CUT_BY_SHUTDOWN: _info(
         503, _UNKNOWN, True, "Repeat the request on another instance."
     ),
+    ResultCode.CALLER_GONE: _info(
+        499, _UNKNOWN, True, "Seen in records alone: the caller left first."
+    ),
     ResultCode.CATALOGUE_INVALID: _info(
         422, _NO, False, "Correct the named entry and field."
     ),
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -12,7 +12,7 @@
 
 from corianderlb_core.catalogue import Catalogue
 from corianderlb_core.health import Verdict
-from corianderlb_core.identity import AttemptId, DecisionId, InstanceId
+from corianderlb_core.identity import AttemptId, InstanceId
 from corianderlb_core.request import (
     AttemptOutcome,
     Candidate,
@@ -167,8 +167,7 @@
             if candidate is not None:
                 break
             await trio.sleep(RESERVED_POLL_S)
-        self._parts.decisions.record(decision, self._facts, self._catalogue)
-        self._caller.decision_id = decision.decision_id
+        self._parts.decisions.placed(self._caller.decision_id, decision)
         found = self._find(candidate)
         if found is None:
             return AttemptFailure(FailureKind.NOT_SENT, "the instance has just left")
@@ -285,4 +284,4 @@
             started_after_s=leg.started_at - self._facts.arrived_at,
             lasted_s=trio.current_time() - leg.started_at,
         )
-        self._parts.decisions.add_attempt(DecisionId(self._caller.decision_id), report)
+        self._parts.decisions.add_attempt(self._caller.decision_id, report)
--- a/packages/corianderlb-router/src/corianderlb_router/decision_log.py
+++ b/packages/corianderlb-router/src/corianderlb_router/decision_log.py
@@ -4,10 +4,10 @@
 
 import dataclasses
 from collections import OrderedDict
+from collections.abc import Iterator
 from datetime import UTC, datetime
 
-from corianderlb_core.catalogue import Catalogue
-from corianderlb_core.catalogue_codec import key_from_str
+from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind
 from corianderlb_core.identity import DecisionId
 from corianderlb_core.request import Candidate, Decision, RequestFacts
 from corianderlb_core.result import ResultCode
@@ -22,28 +22,42 @@
 class DecisionLog:
     """Hold a bounded number of decisions; the oldest makes room for the newest."""
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, instance: str, capacity: int) -> None:
+        self._instance = instance
         self._capacity = capacity
         self._reports: OrderedDict[DecisionId, DecisionReport] = OrderedDict()
 
-    def record(
-        self, decision: Decision, facts: RequestFacts, catalogue: Catalogue
-    ) -> None:
-        """Keep a decision with the entries it rested on."""
-        self._reports[decision.decision_id] = DecisionReport(
-            decision_id=decision.decision_id,
-            request_id=decision.request_id,
+    def begin(self, facts: RequestFacts, catalogue: Catalogue) -> DecisionId:
+        """Keep a request with the entries that whatever is decided rests on.
+
+        Refusals and replayed answers are decisions too: an auditor asks for their
+        grounds as much as for an instance that was chosen.
+        """
+        decision_id = DecisionId(f"{self._instance}-{facts.request_id}")
+        self._reports[decision_id] = DecisionReport(
+            decision_id=decision_id,
+            request_id=facts.request_id,
             account=facts.account,
             target=facts.target,
             service_class=facts.service_class.value,
-            catalogue_version=decision.catalogue_version,
-            policy=decision.policy,
+            catalogue_version=catalogue.version,
+            policy="",
             at=datetime.now(UTC).isoformat(),
-            candidates=tuple(_candidate(found) for found in decision.candidates),
-            rested_on=tuple(_reference(name, catalogue) for name in decision.rested_on),
+            rested_on=tuple(_references(facts, catalogue)),
         )
         if len(self._reports) > self._capacity:
             self._reports.popitem(last=False)
+        return decision_id
+
+    def placed(self, decision_id: DecisionId, decision: Decision) -> None:
+        """Note the candidates; those of a retry take the place of the first ones."""
+        report = self._reports.get(decision_id)
+        if report is not None:
+            self._reports[decision_id] = dataclasses.replace(
+                report,
+                policy=decision.policy,
+                candidates=tuple(_candidate(found) for found in decision.candidates),
+            )
 
     def add_attempt(self, decision_id: DecisionId, attempt: AttemptReport) -> None:
         """Add an attempt that was made on a decision."""
@@ -74,7 +88,19 @@
     )
 
 
-def _reference(name: str, catalogue: Catalogue) -> EntryReference:
-    key = key_from_str(name)
-    entry = catalogue.entries[key]
-    return EntryReference(name, entry.owner, catalogue.changed_in[key])
+def _references(facts: RequestFacts, catalogue: Catalogue) -> Iterator[EntryReference]:
+    """Return the entries that routing, limits and refusals of a request rest on."""
+    keys = [
+        EntryKey(EntryKind.ACCOUNT, facts.account),
+        EntryKey(EntryKind.MODEL, facts.target),
+        EntryKey(EntryKind.ADAPTER, facts.target),
+        EntryKey(EntryKind.ROUTE, facts.target),
+        EntryKey(EntryKind.UPSTREAM, facts.upstream),
+    ]
+    adapter = catalogue.adapter(facts.target)
+    if adapter is not None:
+        keys.append(EntryKey(EntryKind.MODEL, adapter.model))
+    for key in keys:
+        entry = catalogue.entries.get(key)
+        if entry is not None:
+            yield EntryReference(str(key), entry.owner, catalogue.changed_in[key])
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -8,6 +8,7 @@
 import eliot
 import trio
 
+from corianderlb_core.catalogue import Catalogue
 from corianderlb_core.error import CorianderError
 from corianderlb_core.request import Refusal, RequestFacts
 from corianderlb_core.result import ResultCode
@@ -76,6 +77,8 @@
                 detail = f"The router failed on request {caller.request_id}."
                 await caller.fail(Refusal(ResultCode.INTERNAL, detail))
             finally:
+                if not caller.finished and not entry.was_cut:
+                    caller.result = ResultCode.CALLER_GONE
                 self._parts.decisions.finish(caller.decision_id, caller.result)
                 metrics = self._parts.metrics
                 metrics.request_ended(caller.result, caller.service_class)
@@ -107,7 +110,7 @@
         body = await caller.read_body(self._cfg.max_body_bytes)
         catalogue = in_force.catalogue
         req = parse_completion(caller, body, catalogue, self._cfg.default_deadline_s)
-        caller.service_class = req.facts.service_class
+        self._begin_decision(caller, req.facts, catalogue)
 
         async def run() -> None:
             slot = await self._admit(req.facts)
@@ -124,7 +127,7 @@
         body = await caller.read_body(self._cfg.max_body_bytes)
         catalogue = in_force.catalogue
         req = parse_service_call(caller, body, catalogue, self._cfg.default_deadline_s)
-        caller.service_class = req.facts.service_class
+        self._begin_decision(caller, req.facts, catalogue)
         if not req.route.repeatable:
             # Once it may have begun, nobody may stop it half way: neither the caller
             # by hanging up nor its deadline.
@@ -134,6 +137,13 @@
             caller, req.facts, lambda: self._run_call(caller, req, in_force)
         )
 
+    def _begin_decision(
+        self, caller: CallerExchange, facts: RequestFacts, catalogue: Catalogue
+    ) -> None:
+        """Have a decision to name in the answer, also when it is a refusal."""
+        caller.service_class = facts.service_class
+        caller.decision_id = self._parts.decisions.begin(facts, catalogue)
+
     async def _run_call(
         self, caller: CallerExchange, req: ServiceRequest, in_force: InForce
     ) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -120,7 +120,7 @@
             health=health,
             flights=FlightBoard(),
             client=self._client,
-            decisions=DecisionLog(cfg.data_path.n_decisions),
+            decisions=DecisionLog(cfg.instance, cfg.data_path.n_decisions),
             budgets=RetryBudgets(),
             rng=self._rng,
         )
--- a/packages/corianderlb-router/src/corianderlb_router/placer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/placer.py
@@ -12,8 +12,8 @@
 
 import trio
 
-from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind, Model
-from corianderlb_core.identity import DecisionId, Incarnation, InstanceId
+from corianderlb_core.catalogue import Catalogue, Model
+from corianderlb_core.identity import Incarnation, InstanceId
 from corianderlb_core.placement import ModelCost, PlacementPolicy, PlacementQuery
 from corianderlb_core.request import (
     AttemptOutcome,
@@ -70,12 +70,10 @@
                 RETRY_AFTER_S,
             )
         return Decision(
-            decision_id=DecisionId(f"d-{self._rng.getrandbits(64):016x}"),
             request_id=facts.request_id,
             catalogue_version=catalogue.version,
             policy=self._policy.name,
             candidates=candidates,
-            rested_on=_rested_on(facts, catalogue),
         )
 
     def attempt_started(self, facts: RequestFacts, candidate: Candidate) -> None:
@@ -107,18 +105,3 @@
 def _model(facts: RequestFacts, catalogue: Catalogue) -> Model | None:
     adapter = catalogue.adapter(facts.target)
     return catalogue.model(adapter.model if adapter else facts.target)
-
-
-def _rested_on(facts: RequestFacts, catalogue: Catalogue) -> tuple[str, ...]:
-    """Return the entries that the decision rested on, for auditors."""
-    keys = [
-        EntryKey(EntryKind.ACCOUNT, facts.account),
-        EntryKey(EntryKind.MODEL, facts.target),
-        EntryKey(EntryKind.ADAPTER, facts.target),
-        EntryKey(EntryKind.ROUTE, facts.target),
-        EntryKey(EntryKind.UPSTREAM, facts.upstream),
-    ]
-    adapter = catalogue.adapter(facts.target)
-    if adapter is not None:
-        keys.append(EntryKey(EntryKind.MODEL, adapter.model))
-    return tuple(str(key) for key in keys if key in catalogue.entries)
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -428,7 +428,7 @@
             health=self.health,
             flights=self.flights,
             client=self.client,
-            decisions=DecisionLog(100),
+            decisions=DecisionLog(name, 100),
             budgets=RetryBudgets(),
             rng=rng,
         )
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_decision_log.py
@@ -0,0 +1,58 @@
+"""Every answer can be traced: placements, refusals, replays and callers that left."""
+
+from __future__ import annotations
+
+from corianderlb_core import header
+from corianderlb_core.identity import DecisionId
+from corianderlb_core.result import ResultCode
+from corianderlb_core.status import DecisionReport
+from corianderlb_standins.trio_case import TrioTestCase
+from data_path_fakes import FakeCaller, FakeInstance, FakeRouter, with_router
+
+
+def report_of(router: FakeRouter, caller: FakeCaller) -> DecisionReport:
+    """Return the decision that an answer names."""
+    decision_id = DecisionId(caller.answer_headers[header.DECISION_ID])
+    report = router.parts.decisions.get(decision_id)
+    assert report is not None, "the answer names a decision that is not kept"
+    return report
+
+
+class DecisionLogTest(TrioTestCase):
+    async def test_a_placement_names_entries_owners_and_versions(self) -> None:
+        async def check(router: FakeRouter) -> None:
+            report = report_of(router, await router.ask())
+            rested = {
+                (ref.entry, ref.owner, ref.changed_in) for ref in report.rested_on
+            }
+            self.assertIn(("model/ember-llm", "model-team", 1), rested)
+            self.assertIn(("account/northwest-charcoal", "account-team", 1), rested)
+            self.assertEqual(report.code, ResultCode.OK)
+            self.assertEqual(len(report.attempts), 1)
+
+        await with_router(check, FakeInstance("e0"))
+
+    async def test_a_refusal_is_a_decision_too(self) -> None:
+        """Nothing can answer the request. An auditor who is shown the refusal asks on
+        whose entries it rested, and found no decision before."""
+
+        async def check(router: FakeRouter) -> None:
+            caller = await router.ask()
+            self.assertEqual(caller.error["code"], ResultCode.NO_UPSTREAM)
+            report = report_of(router, caller)
+            self.assertEqual(report.code, ResultCode.NO_UPSTREAM)
+            self.assertEqual(report.candidates, ())
+            self.assertTrue(report.rested_on)
+
+        await with_router(check)
+
+    async def test_a_replayed_answer_is_a_decision_too(self) -> None:
+        async def check(router: FakeRouter) -> None:
+            for _ in range(2):
+                call = FakeCaller("/services/sign-off/7", b"{}", idempotency_key="k")
+                caller = await router.ask(call)
+            report = report_of(router, caller)
+            self.assertEqual(report.attempts, ())
+            self.assertEqual(report.code, ResultCode.OK)
+
+        await with_router(check, FakeInstance("s0"))
--- a/packages/corianderlb-router/tests/test_placer.py
+++ b/packages/corianderlb-router/tests/test_placer.py
@@ -40,7 +40,7 @@
 
 
 class TestPlacer(unittest.TestCase):
-    """Every policy names usable instances only, and says what it rested on."""
+    """Every policy names usable instances only."""
 
     def test_each_policy_ranks_and_avoids(self):
         """An instance that the request was tried on is not named again."""
@@ -50,7 +50,6 @@
             self.assertIsInstance(decision, Decision)
             found = [c.incarnation.instance for c in decision.candidates]
             self.assertEqual(found, ["e2"], name)
-            self.assertEqual(decision.rested_on, ("model/ember-llm",))
 
     def test_nothing_usable_is_refused(self):
         """Without an instance the caller hears so at once, and when to come back."""
