Import missing pieces from the KV cache upstream where that is cheaper

Placement weighs importing against computing for each candidate, with a chance that the answers teach and that drifts back to one half, so that a cache that was empty once is asked again. The order goes out just before the request and the wait for it is bounded (1 s and a quarter of the time left); the request is sent whatever becomes of it. The engine looks the pieces up itself, so the router makes no lookup of its own, which would be one more round trip.

Seen to fail without the mechanism: the bound, learning from answers, the comparison of costs, strange answers.

New on shared ground: Parts.importer, Placer.imported (optional hook), UpstreamClient.post, CompletionRequest.scope in place of cache_salt, and the data path's test fixture builds an importer.

--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -17,6 +17,7 @@
 from .hint import CacheEvent, HintTable
 from .identity import Incarnation
 from .instance_load import InstanceLoad
+from .kv_import import ImportOdds, saved_s
 from .placement import N_CANDIDATES, N_CHOICES, PlacementPolicy, PlacementQuery
 from .prefix_home import Home, HomeFinder
 from .request import AttemptOutcome, Candidate, RequestFacts
@@ -69,6 +70,7 @@
         super().__init__(cfg, rng, zone)
         self._hints = HintTable()
         self._heat: dict[str, PrefixHeat] = {}
+        self._odds: dict[str, ImportOdds] = {}
         self._finders: dict[str, tuple[int, HomeFinder]] = {}
 
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
@@ -94,6 +96,14 @@
         n_hits = pieces_cached(facts, outcome)
         self._hints.answered(outcome.incarnation, facts.prefix_keys, n_hits, now)
 
+    def imported(
+        self, facts: RequestFacts, n_asked: int, n_imported: int, now: float
+    ) -> None:
+        """Learn how much the KV cache upstream had."""
+        self._odds.setdefault(facts.upstream, ImportOdds()).record(
+            n_asked, n_imported, now
+        )
+
     def take_events(
         self, incarnation: Incarnation, events: Sequence[CacheEvent], now: float
     ) -> None:
@@ -183,15 +193,28 @@
         hits = self._expected_hits(query, home)
         n_missing = len(facts.prefix_keys) - hits
         wait_s = load.wait_s(query.now)
-        work_s = cost.work_s(n_missing)
+        n_imports, gain_s = self._import(query, n_missing)
+        work_s = cost.work_s(n_missing) - gain_s
         score = wait_s + work_s * RECOMPUTE_WEIGHT[facts.service_class]
         if load.zone != self.zone:
             score += self.cfg.zone_penalty_s
         candidate = Candidate(
-            load.incarnation, round(hits), 0, wait_s + work_s, _reason(home), work_s
+            incarnation=load.incarnation,
+            expected_hits=round(hits),
+            import_pieces=n_imports,
+            estimated_ttft_s=wait_s + work_s,
+            reason=_reason(home),
+            work_s=work_s,
         )
         return _Weighed(score, load, candidate)
 
+    def _import(self, query: PlacementQuery, n_missing: float) -> tuple[int, float]:
+        """Return how many pieces to import, and the seconds that it saves."""
+        n_imports = round(n_missing)
+        odds = self._odds.setdefault(query.facts.upstream, ImportOdds())
+        gain_s = saved_s(n_imports, query.cost, odds.chance(query.now))
+        return (n_imports, gain_s) if gain_s > 0 else (0, 0.0)
+
     def _expected_hits(self, query: PlacementQuery, home: Home) -> float:
         """Return the number of leading pieces that are probably held."""
         life = home.load.incarnation
--- a/packages/corianderlb-core/src/corianderlb_core/placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement.py
@@ -41,10 +41,9 @@
         can_import = model.import_s_per_piece if model.kv_cache else None
         return cls(model.prefill_s_per_piece, can_import)
 
-    def work_s(self, n_missing: int, n_imported: int = 0) -> float:
-        """Return the engine seconds that the missing pieces take."""
-        imported = n_imported * (self.import_s_per_piece or 0.0)
-        return imported + (n_missing - n_imported) * self.prefill_s_per_piece
+    def work_s(self, n_missing: float) -> float:
+        """Return the engine seconds that computing the missing pieces takes."""
+        return n_missing * self.prefill_s_per_piece
 
 
 @dataclass(frozen=True)
@@ -106,6 +105,11 @@
     ) -> None:
         """Take note of what an attempt showed; override to learn."""
 
+    def imported(
+        self, facts: RequestFacts, n_asked: int, n_imported: int, now: float
+    ) -> None:
+        """Take note of what an import order brought; override to learn."""
+
     def forget(self, incarnation: Incarnation) -> None:
         """Drop what is known about a life that ended; override to learn."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -37,6 +37,7 @@
 from .flight import Flight, FlightBoard
 from .health_board import HealthBoard
 from .interface import Placer, Quarantine, UpstreamDirectory, UpstreamInstance
+from .kv_importer import KvImporter
 from .metric import Metrics
 from .upstream_client import RefusedError, UpstreamClient, WrongAnswerError
 
@@ -80,6 +81,7 @@
     cfg: DataPathSettings
     directory: UpstreamDirectory
     placer: Placer
+    importer: KvImporter
     quarantine: Quarantine
     health: HealthBoard
     flights: FlightBoard
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -103,6 +103,9 @@
         ended = False
         with self._series.flight(leg):
             try:
+                await self._parts.importer.prepare(
+                    leg, self._req.facts, self._req.scope
+                )
                 failure = await self._attempt(leg, resume=False)
                 if failure is not None and failure.kind in _RESUMABLE:
                     failure = await self._resume(leg, failure)
@@ -203,7 +206,7 @@
         left_ms = max(1, math.ceil((facts.deadline - trio.current_time()) * 1000))
         headers = [
             ("content-type", "application/json"),
-            (header.CACHE_SALT, self._req.cache_salt),
+            (header.CACHE_SALT, self._req.scope.salt),
             (header.PRIORITY, PRIORITIES[facts.service_class]),
             (header.EXPECT_WEIGHTS, self._req.model.weights_version),
             (header.DEADLINE_MS, str(left_ms)),
--- a/packages/corianderlb-router/src/corianderlb_router/inbound.py
+++ b/packages/corianderlb-router/src/corianderlb_router/inbound.py
@@ -59,8 +59,8 @@
     body: bytes
     """The body for the engine, which is always asked for a stream."""
     wants_stream: bool
-    cache_salt: str
-    """Keeps the engine from sharing cache entries between client accounts."""
+    scope: PrefixScope
+    """Whose salt keeps the engine from sharing cache entries between accounts."""
 
 
 @dataclass(frozen=True)
@@ -132,7 +132,7 @@
     )
     if not wants_stream:
         body = msgspec.json.encode({**plain, "stream": True})
-    return CompletionRequest(facts, model, req.path, body, wants_stream, salt)
+    return CompletionRequest(facts, model, req.path, body, wants_stream, scope)
 
 
 def parse_service_call(
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -111,6 +111,9 @@
     def first_token(self, facts: RequestFacts, incarnation: Incarnation) -> None:
         """Learn that the first token came, so that the request left the queue."""
 
+    def imported(self, facts: RequestFacts, n_asked: int, n_imported: int) -> None:
+        """Learn how many of the pieces an import order brought."""
+
     @abstractmethod
     def attempt_ended(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
         """Take back the count and learn from how the attempt went."""
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -40,6 +40,7 @@
 from .http_store import HttpObjectStore
 from .instance_list import InstanceListReader
 from .isolation_watch import IsolationWatch
+from .kv_importer import KvImporter
 from .load_gossip import LoadGossip
 from .node_metric import NodeCounters
 from .open_admission import OpenAdmission
@@ -116,6 +117,7 @@
             cfg=cfg.data_path,
             directory=directory,
             placer=placer,
+            importer=KvImporter(self._client, placer, cfg.placement.import_wait_s),
             quarantine=self._quarantine,
             health=health,
             flights=FlightBoard(),
--- a/packages/corianderlb-router/src/corianderlb_router/placer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/placer.py
@@ -90,6 +90,10 @@
         if load is not None:
             load.first_token(facts.request_id, self._clock())
 
+    def imported(self, facts: RequestFacts, n_asked: int, n_imported: int) -> None:
+        """Learn how many of the pieces an import order brought."""
+        self._policy.imported(facts, n_asked, n_imported, self._clock())
+
     def attempt_ended(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
         """Take back the count and learn from how the attempt went."""
         load = self._directory.load_of(outcome.incarnation)
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -103,6 +103,14 @@
         timeout = _timeout(patience)
         return await self._http.get(f"http://{address}{path}", timeout=timeout)
 
+    async def post(
+        self, address: str, path: str, body: bytes, patience: Patience
+    ) -> httpx.Response:
+        """Return a whole answer to an order that may be sent twice without harm."""
+        return await self._http.post(
+            f"http://{address}{path}", content=body, timeout=_timeout(patience)
+        )
+
     async def cancel(self, address: str, attempt_id: AttemptId) -> None:
         """Ask an instance to stop an attempt; do nothing when it cannot be asked."""
         body = json.dumps({"attempt_id": attempt_id})
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -51,6 +51,7 @@
     InForce,
     PeerNetwork,
 )
+from corianderlb_router.kv_importer import KvImporter
 from corianderlb_router.open_admission import OpenAdmission
 from corianderlb_router.placer import PolicyPlacer
 from corianderlb_router.store import InstanceList
@@ -416,14 +417,13 @@
         self.journal = journal or FakeJournal()
         self.board = ExchangeBoard()
         self.flights = FlightBoard()
+        policy = make_policy(PlacementSettings(policy="round_robin"), rng)
+        chosen = placer(policy, self.directory, rng)
         self.parts = Parts(
             cfg=cfg or DataPathSettings(),
             directory=self.directory,
-            placer=placer(
-                make_policy(PlacementSettings(policy="round_robin"), rng),
-                self.directory,
-                rng,
-            ),
+            placer=chosen,
+            importer=KvImporter(self.client, chosen, 1.0),
             quarantine=self.quarantine,
             health=self.health,
             flights=self.flights,
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_kv_importer.py
@@ -0,0 +1,128 @@
+"""Test importing missing pieces before a request is sent."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+
+import httpx
+import trio
+
+from corianderlb_core.catalogue import ServiceClass
+from corianderlb_core.default_placement import DefaultPolicy
+from corianderlb_core.identity import Incarnation
+from corianderlb_core.instance_load import InstanceLoad, InstanceSet
+from corianderlb_core.placement import ModelCost, PlacementQuery
+from corianderlb_core.prefix import PrefixScope
+from corianderlb_core.request import Candidate, RequestFacts
+from corianderlb_core.settings import PlacementSettings
+from corianderlb_router.attempt import Leg
+from corianderlb_router.interface import UpstreamInstance
+from corianderlb_router.kv_importer import KvImporter
+from corianderlb_standins.trio_case import TrioTestCase
+
+LIFE = Incarnation("e1", 1)
+SCOPE = PrefixScope("salt", "w1", "")
+FACTS = RequestFacts(
+    "r1", "kiln", ServiceClass.URGENT, "m", "m", 0, 8, prefix_keys=(b"k1", b"k2")
+)  # fmt: skip
+
+
+def a_leg(import_pieces: int) -> Leg:
+    """Build an attempt at an engine that should import pieces first."""
+    found = UpstreamInstance("e1", "m", "e1:80", "z1", 1, True, None, 0.0)
+    return Leg("r1.1", Candidate(LIFE, 0, import_pieces, 0.1, ""), found, 0.0)
+
+
+class FakeEngine:
+    """Take import orders after a time, in place of client and placer."""
+
+    def __init__(self, answer: bytes, after_s: float = 0.0) -> None:
+        self.answer = answer
+        self.after_s = after_s
+        self.bodies = []
+        self.learnt = []
+
+    async def post(self, address, path, body, patience):
+        self.bodies.append(json.loads(body))
+        await trio.sleep(self.after_s)
+        return httpx.Response(200, content=self.answer)
+
+    def imported(self, facts, n_asked, n_imported):
+        self.learnt.append((n_asked, n_imported))
+
+
+class TestKvImporter(TrioTestCase):
+    """An import saves time or is given up; the request goes on in any case."""
+
+    async def prepare(self, engine: FakeEngine, n_pieces: int = 2) -> KvImporter:
+        """Prepare an attempt at the engine at time 0."""
+        importer = KvImporter(engine, engine, wait_s=1.0)
+        with trio.fail_after(2):
+            await importer.prepare(a_leg(n_pieces), FACTS, SCOPE)
+        return importer
+
+    async def test_order_names_the_scope(self):
+        """The engine is asked for pieces of this account and these weights alone."""
+        engine = FakeEngine(b'{"imported": 2}')
+        await self.prepare(engine)
+        wanted = {
+            "salt": "salt",
+            "weights_version": "w1",
+            "adapter": "",
+            "keys": [b"k1".hex(), b"k2".hex()],
+        }
+        self.assertEqual(engine.bodies, [wanted])
+        self.assertEqual(engine.learnt, [(2, 2)])
+
+    async def test_nothing_is_ordered_where_it_does_not_pay(self):
+        engine = FakeEngine(b"")
+        await self.prepare(engine, n_pieces=0)
+        self.assertEqual(engine.bodies, [])
+
+    async def test_silent_engine_does_not_hold_the_request(self):
+        """The KV cache upstream hangs, and the engine with it, for minutes.
+
+        Without a bound the caller's first token would come as late.
+        """
+        engine = FakeEngine(b'{"imported": 2}', after_s=300)
+        importer = await self.prepare(engine)
+        self.assertEqual(importer.n_late, 1)
+        self.assertEqual(engine.learnt, [(2, 0)])
+
+    async def test_strange_answer_counts_as_nothing_imported(self):
+        """An engine answers an order with something else."""
+        for answer in (b"", b"[]", b"{}", b'{"imported": "some"}'):
+            engine = FakeEngine(answer)
+            await self.prepare(engine)
+            self.assertEqual(engine.learnt, [(2, 0)])
+
+
+class TestImportChoice(unittest.TestCase):
+    """Pieces are imported where that is cheaper than computing them."""
+
+    def choose(self, policy: DefaultPolicy, cost: ModelCost, now: float) -> Candidate:
+        instances = InstanceSet.of("m", 0, [InstanceLoad(LIFE)])
+        keys = tuple(b"key%d" % i for i in range(20))
+        facts = RequestFacts(**{**vars(FACTS), "prefix_keys": keys})
+        # Nothing is expected of a home that was seen to have evicted the prompt.
+        policy._expected_hits = lambda query, home: 0.0
+        return policy.choose(PlacementQuery(facts, instances, cost, now))[0]
+
+    def test_only_when_cheaper(self):
+        policy = DefaultPolicy(PlacementSettings(), random.Random(1))
+        cheap = self.choose(policy, ModelCost(0.1, 0.02), 0.0)
+        self.assertEqual(cheap.import_pieces, 20)
+        self.assertLess(cheap.work_s, 2.0)
+        for cost in (ModelCost(0.1, None), ModelCost(0.1, 0.2)):
+            self.assertEqual(self.choose(policy, cost, 0.0).import_pieces, 0)
+
+    def test_empty_kv_cache_is_left_alone_for_a_while(self):
+        """The KV cache upstream restarts empty; asking it delays each request."""
+        policy = DefaultPolicy(PlacementSettings(), random.Random(1))
+        for _ in range(60):
+            policy.imported(FACTS, 20, 0, 0.0)
+        cost = ModelCost(0.1, 0.02)
+        self.assertEqual(self.choose(policy, cost, 0.5).import_pieces, 0)
+        self.assertEqual(self.choose(policy, cost, 120.0).import_pieces, 20)
