Hold limits over all routers, and give turns by urgency and fair share

A home router per limited entry, by rendezvous, hands out chunks of rate and tokens and leases on places; a router whose home is silent spends its even share. Inside a router, start-time fair queueing by account within classes, and every fourth turn for classes that waited too long, in rotation: by longest wait, an overloaded middle class starved the last one (seen failing). A deadline that cannot be met is refused on arrival, with the time after which it could be.

Ruled out: asking the home for each request (a round trip each), and splitting the limit evenly (callers do not spread evenly). Places taken away count at the home until the earlier answer has ended, since the answer that takes them can be lost.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -14,7 +14,7 @@
 import cbor2
 
 from .codec import DecodeError, from_plain, plain_from_cbor, to_plain
-from .identity import AccountId, InstanceId, Presence
+from .identity import InstanceId, Presence
 
 PROTOCOL_VERSION: Final = 1
 """Grows with a change that older routers cannot ignore."""
@@ -155,26 +155,37 @@
 
 @dataclass(frozen=True)
 class GrantRequest:
-    """Ask the home router of a client account for a share of its limits."""
+    """Ask the home router of a limited entry for a share of its limits."""
 
-    account: AccountId
+    entry: str
+    """As ``kind/name``: a client account, a model, an adapter, a route."""
     requester: InstanceId
     requests: float
     tokens: float
     concurrent: int
+    """Places it wants; until the answer it uses no more than this."""
     used_concurrent: int
-    """Requests of the account that run at the requester now."""
+    """Requests of the entry that run at the requester now."""
+    number: int = 0
+    """Grows with each request of one requester; the grant carries it back."""
+    owed_tokens: float = 0.0
+    """Tokens that were used beyond what the requester held."""
 
 
 @dataclass(frozen=True)
 class Grant:
-    """Hand a router a share of an account's limits for a time."""
+    """Hand a router a share of an entry's limits for a time."""
 
-    account: AccountId
+    entry: str
     requests: float
     tokens: float
     concurrent: int
     valid_s: float
+    """Seconds from the moment the requester asked."""
+    number: int = 0
+    """Of the request that it answers."""
+    wait_s: float = 0.0
+    """Seconds until the home has more; 0 while it has some."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -95,6 +95,28 @@
     """How long a call may run before a repeat is told that its outcome is unknown."""
 
 
+@dataclass(frozen=True)
+class AdmissionSettings:
+    """Tune limits and waiting; alike on all routers of a fleet."""
+
+    concurrent_per_instance: Annotated[int, Meta(ge=1)] = 64
+    """Requests at one upstream instance, over all routers together."""
+    max_waiting: Annotated[int, Meta(ge=0)] = 512
+    """Requests that wait for one upstream at most; more are refused at once."""
+    standard_wait_s: Seconds = 2.0
+    """Waiting after which standard requests get turns beside urgent ones."""
+    deferrable_wait_s: Seconds = 15.0
+    """Waiting after which deferrable requests get turns beside all others."""
+    overdue_every: Annotated[int, Meta(ge=2)] = 4
+    """Every so many turns go to requests that waited so long."""
+    grant_valid_s: Seconds = 3.0
+    """How long a router may spend what an entry's home handed out."""
+    grant_burst_s: Seconds = 1.0
+    """Seconds of a rate that an idle entry saves up."""
+    grant_answer_s: Seconds = 0.5
+    """How long a home may be silent before a router takes its even share."""
+
+
 @dataclass(frozen=True)
 class PlacementSettings:
     """Tune how requests are spread over the instances of an upstream."""
@@ -159,3 +181,4 @@
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     journal: JournalSettings = field(default_factory=JournalSettings)
     data_path: DataPathSettings = field(default_factory=DataPathSettings)
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_fleet_limits.py
@@ -0,0 +1,283 @@
+"""Limits of the catalogue hold over four routers, whatever the network loses.
+
+The bounds asserted here are the tolerance that ``corianderlb_core.allowance`` states.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from corianderlb_core.catalogue import Catalogue, Limits, ServiceClass
+from corianderlb_core.identity import AccountId, InstanceId, InstanceRecord, Role
+from corianderlb_core.rendezvous import home
+from corianderlb_core.request import Refusal
+from corianderlb_core.result import ResultCode
+from corianderlb_core.settings import AdmissionSettings
+from corianderlb_router.interface import (
+    CatalogueSource,
+    InForce,
+    Slot,
+)
+from corianderlb_router.limiter import Limiter
+from corianderlb_router.store import InstanceList
+from corianderlb_router.upstream_directory import PlatformDirectory
+from corianderlb_standins.builder import a_catalogue, an_account, some_facts
+from corianderlb_standins.fake_network import FakeHub
+from corianderlb_standins.trio_case import TrioTestCase
+
+ROUTERS = ("r1", "r2", "r3", "r4")
+ENTRY = "account/northwest-charcoal"
+
+
+class FixedCatalogue(CatalogueSource):
+    def __init__(self, catalogue: Catalogue) -> None:
+        self.catalogue = catalogue
+
+    def current(self) -> InForce:
+        return InForce(self.catalogue, "", 0.0)
+
+
+def a_directory(n_instances: int) -> PlatformDirectory:
+    directory = PlatformDirectory()
+    records = [
+        InstanceRecord(
+            instance=InstanceId(f"yard-app-{n}"),
+            role=Role.UPSTREAM,
+            zone="zone-a",
+            region="pnw",
+            address="",
+            upstream="yard-app",
+        )
+        for n in range(n_instances)
+    ]
+    directory.apply_list(InstanceList(1, tuple(records)))
+    return directory
+
+
+class FleetLimitTest(TrioTestCase):
+    hub: FakeHub
+    limiters: dict[str, Limiter]
+
+    @asynccontextmanager
+    async def running(
+        self,
+        limits: Limits,
+        n_instances: int = 100,
+        routers: tuple[str, ...] = ROUTERS,
+        **cfg: float,
+    ) -> AsyncIterator[None]:
+        entries = (an_account(limits=limits), an_account("small-shop"))
+        catalogue = FixedCatalogue(a_catalogue(*entries))
+        async with trio.open_nursery() as nursery:
+            self.hub = FakeHub(nursery, random.Random(5))
+            self.limiters = {
+                name: Limiter(
+                    InstanceId(name),
+                    catalogue,
+                    a_directory(n_instances),
+                    self.hub.join(name),
+                    AdmissionSettings(**cfg),
+                )
+                for name in routers
+            }
+            for limiter in self.limiters.values():
+                nursery.start_soon(limiter.run)
+            yield
+            nursery.cancel_scope.cancel()
+
+    async def flood(
+        self, per_s: float, duration_s: float, hold_s: float = 0.0
+    ) -> dict[str, int]:
+        """Send requests to all routers alike; return how many each let through."""
+        admitted = dict.fromkeys(self.limiters, 0)
+
+        async def one(name: str) -> None:
+            slot = await self.admit(name)
+            if isinstance(slot, Slot):
+                admitted[name] += 1
+                await trio.sleep(hold_s)
+                slot.release(0)
+
+        rng = random.Random(2)
+        until = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                nursery.start_soon(one, rng.choice(list(self.limiters)))
+                await trio.sleep(rng.expovariate(per_s))
+        return admitted
+
+    async def admit(self, name: str, **fields: object) -> Slot | Refusal:
+        deadline = trio.current_time() + 30.0
+        facts = some_facts(**{"deadline": deadline, **fields})
+        return await self.limiters[name].admit(facts)
+
+    def home(self) -> str:
+        found = home(ENTRY.encode(), ROUTERS)
+        assert found is not None
+        return found
+
+    async def test_rate_over_all_routers(self) -> None:
+        async with self.running(Limits(requests_per_s=20.0)):
+            admitted = await self.flood(per_s=80.0, duration_s=15.0)
+        self.assertLessEqual(sum(admitted.values()), 20 * 15 + 20 + 4)
+        self.assertGreaterEqual(sum(admitted.values()), 20 * 15 * 0.9)
+        self.assertGreaterEqual(min(admitted.values()), 20 * 15 / 4 * 0.5)
+
+    async def test_traffic_within_the_rate_is_let_through(self) -> None:
+        async with self.running(Limits(requests_per_s=20.0)):
+            admitted = await self.flood(per_s=10.0, duration_s=15.0)
+            refused = [one.accounts()[0].n_refused for one in self.limiters.values()]
+        self.assertLessEqual(sum(refused), sum(admitted.values()) * 0.02)
+
+    async def test_rate_holds_while_messages_are_lost(self) -> None:
+        """A third of the messages between routers is lost, for a while.
+
+        If each router then took the whole limit for itself, a large account would get
+        four times what it pays for, at the others' cost.
+        """
+        async with self.running(Limits(requests_per_s=20.0)):
+            self.hub.loss = 0.3
+            admitted = await self.flood(per_s=80.0, duration_s=15.0)
+        most = 20 * 15 * (1 + 3 / 4) + 20 + 4
+        self.assertLessEqual(sum(admitted.values()), most)
+        self.assertGreaterEqual(sum(admitted.values()), 20 * 15 * 0.5)
+
+    async def test_rate_holds_when_one_router_is_cut_off(self) -> None:
+        """One router loses the way to the others, and callers still reach it.
+
+        It must go on serving its share, and the fleet must stay within the tolerance.
+        """
+        async with self.running(Limits(requests_per_s=20.0)):
+            cut = next(name for name in ROUTERS if name != self.home())
+            self.hub.cut.add(cut)
+            admitted = await self.flood(per_s=80.0, duration_s=15.0)
+        self.assertGreaterEqual(admitted[cut], 20 * 15 / 4 * 0.8)
+        self.assertLessEqual(sum(admitted.values()), 20 * 15 * 1.25 + 40 + 4)
+
+    async def test_home_dies(self) -> None:
+        async with self.running(Limits(requests_per_s=20.0)):
+            await self.flood(per_s=80.0, duration_s=5.0)
+            gone = self.home()
+            self.limiters.pop(gone)
+            self.hub.cut.add(gone)
+            silent = await self.flood(per_s=80.0, duration_s=5.0)
+            self.hub.dead.add(gone)
+            after = await self.flood(per_s=80.0, duration_s=10.0)
+        # Three shares of four while it is silent, and all once it is out of the list.
+        self.assertLessEqual(sum(silent.values()), 20 * 5 + 20 + 4)
+        self.assertGreaterEqual(sum(silent.values()), 20 * 5 * 0.5)
+        self.assertLessEqual(sum(after.values()), 20 * 10 + 2 * 20 + 4)
+        self.assertGreaterEqual(sum(after.values()), 20 * 10 * 0.8)
+
+    async def test_running_requests_over_all_routers(self) -> None:
+        """Messages that take places away from a router get lost.
+
+        It goes on with the places it had, so the home must not hand them out again
+        before they lapse.
+        """
+        for loss in (0.0, 0.3):
+            with self.subTest(loss=loss):
+                async with self.running(Limits(concurrent=20)):
+                    self.hub.loss = loss
+                    most = await self._most_running(loss)
+                self.assertLessEqual(most, 20 if loss == 0.0 else 20 * (1 + 3 / 4))
+
+    async def _most_running(self, loss: float) -> int:
+        most = 0
+
+        async def watch() -> None:
+            nonlocal most
+            while True:
+                running = [a.accounts() for a in self.limiters.values()]
+                most = max(most, sum(r[0].n_running for r in running if r))
+                await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            admitted = await self.flood(per_s=80.0, duration_s=15.0, hold_s=0.3)
+            nursery.cancel_scope.cancel()
+        self.assertGreater(sum(admitted.values()), 20 * 15 / 0.3 * 0.4)
+        return most
+
+    async def test_tokens_are_settled(self) -> None:
+        async with self.running(Limits(tokens_per_s=1000.0)):
+            slot = await self.admit("r1", prompt_tokens=100)
+            assert isinstance(slot, Slot)
+            slot.release(5000)
+            slot.release(5000)
+            refusal = await self.admit("r1", prompt_tokens=100)
+            assert isinstance(refusal, Refusal)
+            self.assertEqual(refusal.code, ResultCode.RATE_LIMITED)
+            await trio.sleep(refusal.retry_after_s + 4.0)
+            self.assertIsInstance(await self.admit("r1", prompt_tokens=100), Slot)
+
+    async def test_two_places_for_two_routers(self) -> None:
+        async with self.running(Limits(concurrent=2)):
+            first = await self.admit("r1")
+            self.assertIsInstance(first, Slot)
+            self.assertIsInstance(await self.admit("r2"), Slot)
+            refusal = await self.admit("r3")
+            assert isinstance(refusal, Refusal)
+            self.assertEqual(refusal.code, ResultCode.TOO_MANY_CONCURRENT)
+            self.assertGreater(refusal.retry_after_s, 0)
+
+    async def test_caller_hangs_up_in_the_queue(self) -> None:
+        """A caller hangs up while it waits for its turn.
+
+        Its place in the queue and in the limits is free at once; else an account whose
+        callers time out would lock itself out.
+        """
+        cfg = {"concurrent_per_instance": 1}
+        async with self.running(Limits(concurrent=2), 1, ("r1",), **cfg):
+            slot = await self.admit("r1")
+            assert isinstance(slot, Slot)
+            with trio.move_on_after(1):
+                await self.admit("r1")
+            gate = self.limiters["r1"].gates["yard-app"]
+            self.assertEqual(len(gate.queue), 0)
+            self.assertEqual(self.limiters["r1"].accounts()[0].n_running, 1)
+            slot.release(0)
+            self.assertIsInstance(await self.admit("r1"), Slot)
+            self.assertEqual(gate.n_running, 1)
+
+    async def test_refused_request_is_out_of_every_queue(self) -> None:
+        cfg = {"concurrent_per_instance": 1}
+        async with self.running(Limits(), 1, ("r1",), **cfg):
+            slot = await self.admit("r1")
+            late = await self.admit("r1", deadline=trio.current_time() + 1.0)
+            assert isinstance(late, Refusal)
+            self.assertEqual(late.code, ResultCode.DEADLINE_UNREACHABLE)
+            gate = self.limiters["r1"].gates["yard-app"]
+            self.assertEqual((len(gate.queue), gate.n_running), (0, 1))
+            assert isinstance(slot, Slot)
+            slot.release(0)
+            self.assertEqual(gate.n_running, 0)
+
+    async def test_small_account_gets_its_turn(self) -> None:
+        """A large account floods one upstream while a foreman asks for a kiln's state.
+
+        The foreman's request has to be among the next, not behind hundreds.
+        """
+        order: list[str] = []
+
+        async def ask(account: str, service_class: ServiceClass) -> None:
+            slot = await self.admit(
+                "r1", account=AccountId(account), service_class=service_class
+            )
+            assert isinstance(slot, Slot)
+            order.append(account)
+            await trio.sleep(0.05)
+            slot.release(0)
+
+        cfg = {"concurrent_per_instance": 1}
+        async with self.running(Limits(), 1, ("r1",), **cfg):
+            async with trio.open_nursery() as nursery:
+                for _ in range(50):
+                    nursery.start_soon(ask, "northwest-charcoal", ServiceClass.STANDARD)
+                await trio.sleep(0.01)
+                nursery.start_soon(ask, "small-shop", ServiceClass.STANDARD)
+        self.assertLess(order.index("small-shop"), 4)
