--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -167,6 +167,14 @@
     """Decisions that are kept for ``corianderctl explain``."""
 
 
+@dataclass(frozen=True)
+class CatalogueSettings:
+    """Tune how long a router decides without word that its catalogue is current."""
+
+    stale_after_s: Seconds = 12.0
+    """Seconds without the store and without any peer after which it refuses."""
+
+
 @dataclass(frozen=True)
 class RouterSettings:
     """Hold all settings of one router."""
@@ -180,5 +188,6 @@
     listen: ListenSettings = field(default_factory=ListenSettings)
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     journal: JournalSettings = field(default_factory=JournalSettings)
+    catalogue: CatalogueSettings = field(default_factory=CatalogueSettings)
     data_path: DataPathSettings = field(default_factory=DataPathSettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
--- a/packages/corianderlb-ctl/src/corianderlb_ctl/apply.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/apply.py
@@ -80,7 +80,7 @@
         arguments = context.arguments
         editor = CatalogueEditor(context.store)
         edit = await _edit(arguments, editor)
-        change = await editor.accept(edit)
+        change = await editor.accept(edit, repeated=bool(arguments.edit_id))
         notes = [f"accepted as version {change.version} (edit {change.edit_id})"]
         notes += [f"  {item}" for item in difference_of(change)]
         if arguments.wait is None:
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_editor.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_editor.py
@@ -35,6 +35,9 @@
 N_ATTEMPTS: Final = 4
 """Times that a write without an answer is read back and sent again."""
 
+N_SEARCHED: Final = 256
+"""Newest changes among which a repeated edit is looked for."""
+
 SETTLE_S: Final = 0.5
 """Seconds before the first repetition; doubles with each."""
 
@@ -93,14 +96,29 @@
         stored = await self._log.changes_after(after_version, limit)
         return [item.change for item in stored]
 
-    async def accept(self, edit: Edit) -> Change:
+    async def find(self, edit_id: str) -> Change | None:
+        """Return the change of an edit that was accepted of late, or None."""
+        version = (await self._log.newest()).version
+        for earlier in range(version, max(0, version - N_SEARCHED), -1):
+            change = await self.change(earlier)
+            if change is not None and change.edit_id == edit_id:
+                return change
+        return None
+
+    async def accept(self, edit: Edit, repeated: bool = False) -> Change:
         """Accept an edit, once, and return its change.
 
+        With ``repeated`` the edit may have been accepted before, as when its outcome
+        was unknown. Others may have edited the same entries since, so it is looked for
+        first: accepting it anew on the newest base would undo what they did.
+
         Raise ``EditConflictError`` when another edit was accepted on the same base,
         ``CatalogueInvalidError`` or ``EditError`` for an edit that cannot be accepted,
         ``StoreUnavailableError`` when surely nothing was written, and
         ``EditOutcomeUnknownError`` when the store did not tell.
         """
+        if repeated and (earlier := await self.find(edit.edit_id)) is not None:
+            return earlier
         base = await self._log.at(edit.base_version)
         mine = change_of(edit, base, self._wall_clock())
         self._require_size(base, mine)
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
@@ -19,6 +19,7 @@
 from corianderlb_core.catalogue_chain import CatalogueChain, ChainError
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import CatalogueChanges, CatalogueRequest, Heartbeat
+from corianderlb_core.settings import CatalogueSettings
 
 from .interface import CatalogueSource, InForce
 from .peer_network import OverlayNetwork
@@ -26,7 +27,7 @@
 ASK_AGAIN_S: Final = 1.0
 """Seconds without an answer after which the next peer that has more is asked."""
 
-STALE_AFTER_S: Final = 12.0
+STALE_AFTER_S: Final = CatalogueSettings().stale_after_s
 """Seconds without word from the store and from every peer after which decisions stop.
 
 A change is to be in force everywhere within 13 s. A router that hears of nobody for
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -127,7 +127,7 @@
             rng=self._rng,
         )
         own = InstanceId(cfg.instance)
-        self._catalogue = CatalogueFollower(self._peers)
+        self._catalogue = CatalogueFollower(self._peers, cfg.catalogue.stale_after_s)
         reader = CatalogueReader(
             self._store, self._catalogue, self._peers, own, cfg.zone, self._rng
         )
--- a/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
+++ b/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
@@ -53,6 +53,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
+        if self.catalogue_source.is_stale():
+            return False
         return self.cycle.state in READY_STATES
 
     @property
--- a/packages/corianderlb-router/tests/test_catalogue_editor.py
+++ b/packages/corianderlb-router/tests/test_catalogue_editor.py
@@ -104,6 +104,20 @@
         self.assertEqual((await editor.accept(an_edit())).version, 1)
         self.assertEqual(len(await editor.history()), 1)
 
+    async def test_repeated_edit_undoes_nothing(self) -> None:
+        """An edit's answer was lost; others edited the entry before it is run again.
+
+        Taking it as a new edit of the newest version would undo what they did.
+        """
+        editor = CatalogueEditor(FakeStore())
+        mine = an_edit(put=(an_upstream(owner="mine"),))
+        await editor.accept(mine)
+        await editor.accept(an_edit("e2", 1, put=(an_upstream(owner="theirs"),)))
+        again = dataclasses.replace(mine, base_version=2)
+        self.assertEqual((await editor.accept(again, repeated=True)).version, 1)
+        newest = await editor.newest()
+        self.assertEqual(newest.upstream("ember-llm").owner, "theirs")
+
     async def test_clean_refusal_says_so(self) -> None:
         store = FakeStore()
 
