--- /dev/null
+++ b/tests/test_processes_streams.py
@@ -0,0 +1,174 @@
+"""Streams reach their caller whole, whatever happens between engine and router."""
+
+from __future__ import annotations
+
+import trio
+
+from corianderlb_core.result import ResultCode
+from corianderlb_standins.fleet import Fleet, running_fleet, until
+from corianderlb_standins.load_client import LoadClient, StreamAnswer
+from fleet_case import PROMPT, FleetTestCase, small_plan
+
+N_TOKENS = 60
+N_EVENTS = N_TOKENS + 2
+SLOW = ("--prefill-s", "0.01", "--token-s", "0.02")
+
+
+class ProcessesStreamsTest(FleetTestCase):
+    async def stream_during(self, fleet: Fleet, act) -> tuple[StreamAnswer, str]:
+        """Stream once undisturbed, then again while ``act`` harms the busy engine."""
+        async with LoadClient(fleet.routers[0].address) as client:
+            expected = await client.stream(PROMPT, N_TOKENS)
+            answers: list[StreamAnswer] = []
+
+            async def stream() -> None:
+                answers.append(await client.stream(PROMPT, N_TOKENS))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream)
+                await until(lambda: self.busy_engine(fleet))
+                await trio.sleep(0.2)
+                await act(await self.busy_engine(fleet))
+            return answers[0], expected.text
+
+    async def test_engine_is_killed_in_the_middle(self) -> None:
+        """An engine process dies while it answers.
+
+        Without continuing elsewhere the caller would be left with half an answer.
+        """
+        plan = small_plan(engine_arguments=SLOW)
+        async with running_fleet(plan) as fleet:
+
+            async def act(name: str) -> None:
+                await fleet.processes[name].kill()
+
+            answer, expected = await self.stream_during(fleet, act)
+            self.assert_whole(answer, expected)
+
+    async def test_connection_goes_silent_in_the_middle(self) -> None:
+        """Something between router and engine loses track of the open connections.
+
+        Neither side hears of it; without a stall timeout the caller waits for ever.
+        """
+        plan = small_plan(engine_arguments=SLOW, proxied=frozenset({"engine"}))
+        async with running_fleet(plan) as fleet:
+
+            async def act(name: str) -> None:
+                await fleet.proxy_fault(name, freeze_now=True)
+
+            answer, expected = await self.stream_during(fleet, act)
+            self.assert_whole(answer, expected)
+            resumed = [await fleet.counters(item.name) for item in fleet.engines]
+            self.assertEqual(sum(c["calls"].get("resume", 0) for c in resumed), 1)
+
+    async def test_connection_is_cut_in_the_middle(self) -> None:
+        """A device between router and engine resets the open connections.
+
+        The engine still has the stream, so the caller must not pay for a second run.
+        """
+        plan = small_plan(engine_arguments=SLOW, proxied=frozenset({"engine"}))
+        async with running_fleet(plan) as fleet:
+
+            async def act(name: str) -> None:
+                await fleet.proxy_fault(name, cut_now=True)
+
+            answer, expected = await self.stream_during(fleet, act)
+            self.assert_whole(answer, expected)
+            counted = [await fleet.counters(item.name) for item in fleet.engines]
+            self.assertEqual(sum(sum(c["attempts"].values()) for c in counted), 2)
+
+    async def test_engine_is_paused_in_the_middle(self) -> None:
+        """An engine process is paused for good while it answers.
+
+        Its connections stay open and new ones are taken by the kernel, so that only
+        the missing progress shows that the caller has to be served elsewhere.
+        """
+        plan = small_plan(engine_arguments=SLOW)
+        async with running_fleet(plan) as fleet:
+
+            async def act(name: str) -> None:
+                fleet.processes[name].freeze()
+
+            answer, expected = await self.stream_during(fleet, act)
+            self.assert_whole(answer, expected)
+
+    async def test_engine_spoils_its_stream(self) -> None:
+        """An engine leaves out or repeats a token, or closes before the end.
+
+        The bytes look well formed; only the ids and the missing terminal event show
+        that the caller would get a wrong answer.
+        """
+        faults = [
+            {"skip_at": 5},
+            {"repeat_at": 5},
+            {"close_at": 7},
+            {"close_at": N_TOKENS},
+            {"close_at": N_TOKENS + 1},
+            {"cut_at": 3},
+            {"crossed": True},
+        ]
+        async with (
+            running_fleet(small_plan(n_engines=3)) as fleet,
+            LoadClient(fleet.routers[0].address) as client,
+        ):
+            expected = await client.stream(PROMPT, N_TOKENS)
+            self.assert_whole(expected)
+            for fault in faults:
+                with self.subTest(fault):
+                    for engine in fleet.engines:
+                        await fleet.fault(engine.name, n_affected=0)
+                    busy = await self.engine_of(fleet, client)
+                    await fleet.fault(busy, **_no_fault(), n_affected=1)
+                    await fleet.fault(busy, **fault)
+                    answer = await client.stream(PROMPT, N_TOKENS)
+                    self.assert_whole(answer, expected.text)
+
+    async def engine_of(self, fleet: Fleet, client: LoadClient) -> str:
+        """Return the engine that gets the next request of this prompt."""
+        before = await self.n_attempts(fleet)
+        self.assert_whole(await client.stream(PROMPT, 1))
+        after = await self.n_attempts(fleet)
+        return next(name for name in after if after[name] > before[name])
+
+    async def n_attempts(self, fleet: Fleet) -> dict[str, int]:
+        """Return attempts so far by engine."""
+        return {
+            item.name: sum((await fleet.counters(item.name))["attempts"].values())
+            for item in fleet.engines
+        }
+
+    async def test_all_engines_answer_with_old_weights(self) -> None:
+        """Engines run old weights and ignore the version that they are asked for.
+
+        Their answers look right; only the version in the answer's head tells that the
+        caller would be served from stale state.
+        """
+        async with (
+            running_fleet(small_plan()) as fleet,
+            LoadClient(fleet.routers[0].address) as client,
+        ):
+            for engine in fleet.engines:
+                await fleet.fault(engine.name, ignore_weights=True)
+            entries = _with_weights("w2")
+            await fleet.apply(*entries, reason="new weights")
+            answer = await client.stream(
+                PROMPT, headers={"corianderlb-deadline-ms": "500"}
+            )
+            self.assertEqual(answer.text, "")
+            self.assertFalse(answer.complete)
+            self.assertNotEqual(answer.error["code"], int(ResultCode.OK))
+
+
+def _no_fault() -> dict[str, object]:
+    indices = dict.fromkeys(("skip_at", "repeat_at", "close_at", "cut_at"), -1)
+    return {**indices, "crossed": False}
+
+
+def _with_weights(version: str):
+    from corianderlb_standins.fleet_plan import default_entries
+
+    return [
+        entry
+        for entry in default_entries(weights_version=version)
+        if entry.kind.value == "model"
+    ]
