Admit requests through the limiter, and show accounts in status

The node admitted everything. It now holds the limits of accounts, models, adapters and routes over all routers, and lets requests wait for their turn at an upstream. The tests of grants fail when the home forgets an earlier answer (places handed out twice) or a router takes an answer twice.

--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -41,9 +41,9 @@
 from .instance_list import InstanceListReader
 from .isolation_watch import IsolationWatch
 from .kv_importer import KvImporter
+from .limiter import Limiter
 from .load_gossip import LoadGossip
 from .node_metric import NodeCounters
-from .open_admission import OpenAdmission
 from .operator_desk import OperatorDesk
 from .peer_network import OverlayNetwork
 from .placer import PolicyPlacer
@@ -146,6 +146,9 @@
         self._journal = StoreCallJournal(
             self._store, own, self._epoch, cfg.journal, self._peers
         )
+        self._limiter = Limiter(
+            own, self._catalogue, directory, self._peers, cfg.admission
+        )
         self._peers.version = self._version
         self._counters = NodeCounters(
             store=self._store,
@@ -165,13 +168,14 @@
             loads.run,
             gossip.run,
             self._journal.run,
+            self._limiter.run,
             health.run,
         ]
 
     async def run(self) -> None:
         """Serve until told to end; return once nothing is left to finish."""
         dispatcher = Dispatcher(
-            self._parts, self._catalogue, OpenAdmission(), self._journal, self._board
+            self._parts, self._catalogue, self._limiter, self._journal, self._board
         )
         app = make_app(
             dispatcher, self._desk(), read_secret(self._settings.operator.key_file)
@@ -199,6 +203,7 @@
             catalogue_source=self._catalogue,
             parts=self._parts,
             quarantine=self._quarantine,
+            limiter=self._limiter,
             peers=self._peers,
             board=self._board,
             counters=self._counters,
--- a/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
+++ b/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
@@ -23,6 +23,7 @@
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .interface import CatalogueSource, PeerNetwork, UpstreamInstance
+from .limiter import Limiter
 from .node_metric import NodeCounters
 
 READY_STATES = frozenset({"serving"})
@@ -39,6 +40,7 @@
     catalogue_source: CatalogueSource
     parts: Parts
     quarantine: FleetQuarantine
+    limiter: Limiter
     peers: PeerNetwork
     board: ExchangeBoard
     counters: NodeCounters
@@ -95,6 +97,7 @@
             members=tuple(_member(known) for known in self.peers.members()),
             upstreams=tuple(self._upstreams(now)),
             quarantine=self.quarantine.status(),
+            accounts=tuple(self.limiter.accounts()),
             counters=self.counters.status(),
         )
 
