Expect nothing of a home that cannot have its prompts yet

Found while trying the import with separate processes: the prior that a home holds its prompts also stood for an engine that came back empty and for one that became the home because another went. So no import was ordered just when it pays most. A home now counts as settled 60 s after a change; before that only hints of its own life count for the estimate and for imports, while it stays the preferred place, so that prompts are not scattered as it fills.

The directory keeps a set of instances as long as the loads in it are the same: each poll of the list used to make a new one, which threw the kept rankings away.

--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -33,6 +33,9 @@
 HOME_PRIOR: Final = 0.9
 """Chance that a home holds a prefix of which nothing was heard here."""
 
+SETTLING_S: Final = 60.0
+"""For so long after a change a new home is not thought to have its prompts."""
+
 NEAR_EQUAL_S: Final = 0.004
 """Scores closer than this are equal; the estimates are no better than that."""
 
@@ -59,6 +62,16 @@
     candidate: Candidate
 
 
+@dataclass(frozen=True)
+class _Finders:
+    """Hold the finder of the newest set of instances and that of the one before."""
+
+    generation: int
+    newest: HomeFinder
+    before: HomeFinder | None = None
+    changed_at: float = 0.0
+
+
 class DefaultPolicy(PlacementPolicy):
     """Weigh the wait against the pieces that would have to be computed again."""
 
@@ -71,7 +84,7 @@
         self._hints = HintTable()
         self._heat: dict[str, PrefixHeat] = {}
         self._odds: dict[str, ImportOdds] = {}
-        self._finders: dict[str, tuple[int, HomeFinder]] = {}
+        self._finders: dict[str, _Finders] = {}
 
     def choose(self, query: PlacementQuery) -> tuple[Candidate, ...]:
         """Return the instances with the least weighed time to first token."""
@@ -149,17 +162,50 @@
         return [Home(load, 0) for load in ready_loads or rest]
 
     def _homes(self, query: PlacementQuery) -> list[Home]:
-        keys = query.facts.prefix_keys
-        instances = query.instances
-        if not keys or not instances.instances:
+        if not query.facts.prefix_keys or not query.instances.instances:
             return []
-        generation, finder = self._finders.get(instances.upstream, (-1, None))
-        if finder is None or generation != instances.generation:
-            finder = HomeFinder(instances)
-            self._finders[instances.upstream] = (instances.generation, finder)
-        heat = self._heat_of(instances.upstream)
-        n_instances = len(instances.instances)
-        return finder.find(keys, lambda key: heat.width(key, n_instances, query.now))
+        return self._find(query, self._finders_of(query).newest)
+
+    def _find(self, query: PlacementQuery, finder: HomeFinder) -> list[Home]:
+        heat = self._heat_of(query.instances.upstream)
+        n_instances = len(query.instances.instances)
+        return finder.find(
+            query.facts.prefix_keys,
+            lambda key: heat.width(key, n_instances, query.now),
+        )
+
+    def _finders_of(self, query: PlacementQuery) -> _Finders:
+        instances = query.instances
+        known = self._finders.get(instances.upstream)
+        if known is None or known.generation != instances.generation:
+            known = _Finders(
+                instances.generation,
+                HomeFinder(instances),
+                known.newest if known else None,
+                query.now,
+            )
+            self._finders[instances.upstream] = known
+        return known
+
+    def _is_settled(self, query: PlacementQuery, home: Home) -> bool:
+        """Tell whether a home can have its prompts already.
+
+        An instance that came back empty, or that became the home because another one
+        went or came, has yet to get them. Taken for held, they would be computed again
+        although the KV cache upstream has them.
+        """
+        if not home.n_pieces:
+            return True
+        if query.now < home.load.born_at + SETTLING_S:
+            return False
+        finders = self._finders_of(query)
+        if finders.before is None or query.now >= finders.changed_at + SETTLING_S:
+            return True
+        name = home.load.incarnation.instance
+        return any(
+            earlier.n_pieces and earlier.load.incarnation.instance == name
+            for earlier in self._find(query, finders.before)
+        )
 
     def _press(self, query: PlacementQuery, options: Sequence[Home]) -> None:
         """Have the prompt's hot prefix widened when all its homes are busy."""
@@ -190,17 +236,22 @@
 
     def _weigh(self, query: PlacementQuery, home: Home) -> _Weighed:
         facts, load, cost = query.facts, home.load, query.cost
-        hits = self._expected_hits(query, home)
-        n_missing = len(facts.prefix_keys) - hits
+        hits = likely = self._expected_hits(query, home, HOME_PRIOR)
+        if not self._is_settled(query, home):
+            likely = self._expected_hits(query, home, 0.0)
+        n_pieces = len(facts.prefix_keys)
+        n_missing = n_pieces - likely
         wait_s = load.wait_s(query.now)
         n_imports, gain_s = self._import(query, n_missing)
         work_s = cost.work_s(n_missing) - gain_s
-        score = wait_s + work_s * RECOMPUTE_WEIGHT[facts.service_class]
+        # A home stays one while it fills: else its prompts would be scattered.
+        weighed_s = min(work_s, cost.work_s(n_pieces - hits))
+        score = wait_s + weighed_s * RECOMPUTE_WEIGHT[facts.service_class]
         if load.zone != self.zone:
             score += self.cfg.zone_penalty_s
         candidate = Candidate(
             incarnation=load.incarnation,
-            expected_hits=round(hits),
+            expected_hits=round(likely),
             import_pieces=n_imports,
             estimated_ttft_s=wait_s + work_s,
             reason=_reason(home),
@@ -215,12 +266,14 @@
         gain_s = saved_s(n_imports, query.cost, odds.chance(query.now))
         return (n_imports, gain_s) if gain_s > 0 else (0, 0.0)
 
-    def _expected_hits(self, query: PlacementQuery, home: Home) -> float:
+    def _expected_hits(
+        self, query: PlacementQuery, home: Home, home_prior: float
+    ) -> float:
         """Return the number of leading pieces that are probably held."""
         life = home.load.incarnation
         chance, hits = 1.0, 0.0
         for depth, key in enumerate(query.facts.prefix_keys):
-            prior = HOME_PRIOR if depth < home.n_pieces else 0.0
+            prior = home_prior if depth < home.n_pieces else 0.0
             said_at = self._hints.holders(key).get(life)
             if said_at is not None:
                 trust = self._hints.trust(life, said_at, query.now)
--- a/packages/corianderlb-core/src/corianderlb_core/instance_load.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_load.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -34,6 +35,7 @@
         "_backlog_s",
         "_in_flight",
         "_waiting",
+        "born_at",
         "incarnation",
         "report",
         "reported_at",
@@ -41,11 +43,16 @@
         "zone",
     )
 
-    def __init__(self, incarnation: Incarnation, zone: str = "") -> None:
+    def __init__(
+        self, incarnation: Incarnation, zone: str = "", born_at: float = -math.inf
+    ) -> None:
         self.incarnation = incarnation
         self.zone = zone
         self.seed = rendezvous.seed(incarnation.instance)
         """Stands for the instance in rendezvous hashing."""
+        self.born_at = born_at
+        """When this life took an older one's place, with an empty cache; long ago
+        when it is the first that was heard of."""
         self.report: LoadReport | None = None
         """The newest report of this life."""
         self.reported_at = 0.0
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -65,6 +66,7 @@
         self._known: dict[InstanceId, _Known] = {}
         self._leaving: OrderedDict[Incarnation, None] = OrderedDict()
         self._sets: dict[str, InstanceSet] = {}
+        self._outdated: set[str] = set()
         self._generation = 0
 
     @property
@@ -113,12 +115,16 @@
     def usable(self, upstream: str) -> InstanceSet:
         """Return the instances that may get new work, as placement takes them."""
         found = self._sets.get(upstream)
-        if found is None:
-            loads = [
-                known.load
-                for known in self._known.values()
-                if known.record.upstream == upstream and self._is_usable(known)
-            ]
+        if found is not None and upstream not in self._outdated:
+            return found
+        self._outdated.discard(upstream)
+        loads = tuple(
+            known.load
+            for known in self._known.values()
+            if known.record.upstream == upstream and self._is_usable(known)
+        )
+        if found is None or found.instances != loads:
+            self._generation += 1
             found = InstanceSet.of(upstream, self._generation, loads)
             self._sets[upstream] = found
         return found
@@ -136,7 +142,10 @@
         if known is None or epoch <= known.load.incarnation.epoch:
             return
         ended = known.load.incarnation
-        known.load = InstanceLoad(Incarnation(instance, epoch), known.record.zone)
+        born_at = self._clock() if ended.epoch else -math.inf
+        known.load = InstanceLoad(
+            Incarnation(instance, epoch), known.record.zone, born_at
+        )
         known.retired = False
         if known.record.presence is Presence.LEAVING:
             self._remember_leaving(known.load.incarnation)
@@ -212,8 +221,8 @@
         return known.load.incarnation not in self._leaving
 
     def _changed(self) -> None:
-        self._generation += 1
-        self._sets.clear()
+        """Have the sets made anew where the next look finds that they differ."""
+        self._outdated.update(self._sets)
 
     def _view(self, known: _Known) -> UpstreamInstance:
         return UpstreamInstance(
--- a/packages/corianderlb-router/tests/test_kv_importer.py
+++ b/packages/corianderlb-router/tests/test_kv_importer.py
@@ -107,7 +107,7 @@
         keys = tuple(b"key%d" % i for i in range(20))
         facts = RequestFacts(**{**vars(FACTS), "prefix_keys": keys})
         # Nothing is expected of a home that was seen to have evicted the prompt.
-        policy._expected_hits = lambda query, home: 0.0
+        policy._expected_hits = lambda query, home, prior: 0.0
         return policy.choose(PlacementQuery(facts, instances, cost, now))[0]
 
     def test_only_when_cheaper(self):
@@ -126,3 +126,28 @@
         cost = ModelCost(0.1, 0.02)
         self.assertEqual(self.choose(policy, cost, 0.5).import_pieces, 0)
         self.assertEqual(self.choose(policy, cost, 120.0).import_pieces, 20)
+
+    def test_new_home_imports(self):
+        """An engine crashes; another, or its own next life, gets its prompts.
+
+        The KV cache upstream has the pieces, yet they would be computed again.
+        """
+        policy = DefaultPolicy(PlacementSettings(), random.Random(1))
+        cost = ModelCost(0.1, 0.02)
+        lives = [Incarnation(f"e{i}", 1) for i in range(4)]
+        before = InstanceSet.of("m", 0, [InstanceLoad(life) for life in lives])
+        first = policy.choose(PlacementQuery(FACTS, before, cost, 0.0))[0]
+        self.assertEqual(first.import_pieces, 0)
+        lost = first.incarnation
+        rest = [load for load in before.instances if load.incarnation != lost]
+        moved = policy.choose(
+            PlacementQuery(FACTS, InstanceSet.of("m", 1, rest), cost, 1.0)
+        )[0]
+        self.assertEqual(moved.import_pieces, 2)
+        reborn = InstanceLoad(Incarnation(lost.instance, 2), born_at=5.0)
+        again = InstanceSet.of("m", 2, [*rest, reborn])
+        back = policy.choose(PlacementQuery(FACTS, again, cost, 6.0))[0]
+        self.assertEqual(back.incarnation, reborn.incarnation)
+        self.assertEqual(back.import_pieces, 2)
+        later = policy.choose(PlacementQuery(FACTS, again, cost, 90.0))[0]
+        self.assertEqual(later.import_pieces, 0)
