--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -30,9 +30,13 @@
     """Say where callers and peers reach this instance; port 0 lets the kernel pick."""
 
     host: str = "127.0.0.1"
+    """Address for callers and operators."""
     port: Port = 8080
+    """Port for callers and operators."""
     peer_host: str = "127.0.0.1"
+    """Address for other routers."""
     peer_port: Port = 8081
+    """Port for other routers."""
 
 
 @dataclass(frozen=True)
@@ -40,7 +44,9 @@
     """Say where the platform's object service is."""
 
     url: str
+    """Where the platform's object service answers."""
     timeout_s: Seconds = 2.0
+    """Longest wait for one answer of the store."""
 
 
 @dataclass(frozen=True)
@@ -52,6 +58,7 @@
     n_peers: Annotated[int, Meta(ge=1, le=64)] = 6
     """Links to other routers that an instance has about; all when there are few."""
     heartbeat_s: Seconds = 1.0
+    """Time between two heartbeats over a link."""
     silent_after_s: Seconds = 5.0
     """Silence after which a link counts as dead; several heartbeats long."""
     suspect_after_s: Seconds = 5.0
@@ -66,6 +73,7 @@
     """Say who may read status and decisions and start a drain."""
 
     key_file: str
+    """File with the operators' key for the administration paths."""
 
 
 @dataclass(frozen=True)
@@ -147,12 +155,15 @@
     """Tune how requests are taken in, relayed and finished."""
 
     max_body_bytes: Positive = 8 << 20
+    """Longest body of a request."""
     max_header_bytes: Positive = 32 << 10
+    """Longest headers of a request, names and values together."""
     max_answer_bytes: Positive = 8 << 20
     """Longest answer of a plain service; a longer one is an upstream failure."""
     default_deadline_s: Seconds = 600.0
     """For a request that names no deadline of its own."""
     connect_timeout_s: Seconds = 1.0
+    """Longest time for a connection to an upstream instance."""
     first_event_timeout_s: Seconds = 10.0
     """Silence allowed before the first event, while the prompt is computed."""
     resume_timeout_s: Seconds = 2.0
@@ -180,8 +191,11 @@
     """Hold all settings of one router."""
 
     instance: Name
+    """The platform's name of this instance."""
     zone: Name
+    """Its availability zone."""
     region: Name
+    """Its region."""
     store: StoreSettings
     peer: PeerSettings
     operator: OperatorSettings
--- a/packages/corianderlb-ctl/src/corianderlb_ctl/_main.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/_main.py
@@ -36,6 +36,7 @@
 from .history import History
 from .output import OUTPUTS, render
 from .router_client import RouterClient, RouterRefusedError, RouterUnreachableError
+from .settings import Settings
 from .status import Status
 
 STORE_VARIABLE: Final = "CORIANDERCTL_STORE"
@@ -60,6 +61,7 @@
     Explain(),
     Drain(),
     Codes(),
+    Settings(),
 )
 """All subcommands, in the order of the help."""
 
@@ -171,7 +173,7 @@
 
 def _store_url(arguments: argparse.Namespace) -> str:
     """Return the store's URL; commands that do not ask the store need none."""
-    offline = isinstance(arguments.command, Check | Codes)
+    offline = isinstance(arguments.command, Check | Codes | Settings)
     if arguments.store or offline or arguments.router:
         return arguments.store or UNUSED_STORE
     raise CommandError(
