Relay an event with fewer task switches, timeouts and parser calls

Cause of the cost, by sampling a router that relays 60 streams: 38% in the server's write, 29% in the upstream read, 6% in moving a cancel scope's deadline twice an event. Change: a socket stream that waits first and reads once; no parser call that can only say that more data is needed; one task that looks for stalled exchanges in place of deadlines. Also mended: an exchange was cancelled by its own last byte, while the server closed the connection in the same task, which left the socket of a caller that asked to close open for ever.

--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -39,6 +39,7 @@
 from .interface import Placer, Quarantine, UpstreamDirectory, UpstreamInstance
 from .kv_importer import KvImporter
 from .metric import Metrics
+from .stall_watch import StallWatch
 from .upstream_client import RefusedError, UpstreamClient, WrongAnswerError
 
 NO_INSTANCE_WAIT_S: Final = 0.5
@@ -88,6 +89,7 @@
     client: UpstreamClient
     decisions: DecisionLog
     budgets: RetryBudgets
+    stalls: StallWatch
     rng: random.Random = field(default_factory=random.Random)
     metrics: Metrics = field(default_factory=Metrics)
 
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -69,11 +69,7 @@
             CallerSink(caller) if req.wants_stream else AnswerSink(cfg.max_answer_bytes)
         )
         self._relay = StreamRelay(
-            self._assembler,
-            self._sink,
-            cfg.stall_timeout_s,
-            cfg.caller_stall_timeout_s,
-            self._on_first,
+            self._assembler, self._sink, parts.stalls, cfg, self._on_first
         )
         self._leg: Leg | None = None
         self._epoch = 0
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import select
+import socket
 from abc import ABC, abstractmethod
 from typing import Final
 
@@ -19,6 +20,9 @@
 RECEIVE_BYTES: Final = 65536
 """Most bytes taken from a socket at once, which bounds the memory of a slow caller."""
 
+_NOTHING_LEFT: Final = (b"", b"\r\n")
+"""What the parser holds when the chunk it gave out was the last that arrived."""
+
 MAX_HEAD_BYTES: Final = 65536
 """Longest head of an answer."""
 
@@ -62,12 +66,77 @@
 
 
 class TcpConnector(Connector):
-    """Open TCP connections to ``host:port``."""
+    """Open TCP connections to ``address:port``, where the address is an IP number."""
 
     async def connect(self, address: str) -> trio.abc.Stream:
         """Return a connected socket that sends small writes at once."""
         host, _, port = address.rpartition(":")
-        return await trio.open_tcp_stream(host, int(port))
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        raw = socket.socket(family, socket.SOCK_STREAM)
+        stream = SocketStream(raw)
+        try:
+            await stream.connect(host.strip("[]"), int(port))
+        except BaseException:
+            raw.close()
+            raise
+        return stream
+
+
+class SocketStream(trio.abc.Stream):
+    """Read a socket with one task switch a chunk.
+
+    The events of a stream come one by one, so a read finds nothing and has to wait.
+    Trio's own stream tries to read before and yields once more after the wait, which
+    together cost as much as the read.
+    """
+
+    def __init__(self, raw: socket.socket) -> None:
+        raw.setblocking(False)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._raw = raw
+        self._socket = trio.socket.from_stdlib_socket(raw)
+        self._stream: trio.SocketStream | None = None
+
+    async def connect(self, host: str, port: int) -> None:
+        """Connect to an IP number and port."""
+        await self._socket.connect((host, port))
+        self._stream = trio.SocketStream(self._socket)
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return the bytes that are there, at least one; empty at the end."""
+        try:
+            while True:
+                await trio.lowlevel.wait_readable(self._raw)
+                try:
+                    return self._raw.recv(max_bytes or RECEIVE_BYTES)
+                except BlockingIOError:
+                    continue
+        except trio.ClosedResourceError:
+            raise
+        except OSError as exc:
+            raise trio.BrokenResourceError(str(exc)) from exc
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all bytes."""
+        assert self._stream is not None
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until some bytes can be sent."""
+        assert self._stream is not None
+        await self._stream.wait_send_all_might_not_block()
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+        await trio.lowlevel.checkpoint()
+
+    @property
+    def is_readable(self) -> bool:
+        """Whether there is something to read now: bytes, or the end."""
+        poll = select.poll()
+        poll.register(self._raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
 
 class Connection:
@@ -121,10 +190,13 @@
         event = await self._next_event()
         if type(event) is not h11.Data:
             return b""
-        chunk = event.data
-        while type(event := self._parse()) is h11.Data:
+        chunk = bytes(event.data)
+        while self._h11.trailing_data[0] not in _NOTHING_LEFT:
+            event = self._parse()
+            if type(event) is not h11.Data:
+                break
             chunk += event.data
-        return bytes(chunk)
+        return chunk
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -164,11 +236,7 @@
     @property
     def is_dropped(self) -> bool:
         """Whether the upstream closed, or sent something unasked, while idle."""
-        if not isinstance(self._stream, trio.SocketStream):
-            return False
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return isinstance(self._stream, SocketStream) and self._stream.is_readable
 
     async def close(self) -> None:
         """Close the socket at once, without waiting for the other side."""
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -205,4 +205,7 @@
 
 async def _cancel_when_gone(caller: CallerExchange, scope: trio.CancelScope) -> None:
     await caller.wait_gone()
-    scope.cancel()
+    # The server says "gone" after the last byte too, while it still closes the
+    # connection in our task: cancelled there, it would leave the socket open for ever.
+    if not caller.finished:
+        scope.cancel()
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -47,6 +47,7 @@
 from .operator_desk import OperatorDesk
 from .peer_network import OverlayNetwork
 from .placer import PolicyPlacer
+from .stall_watch import StallWatch
 from .upstream_client import UpstreamClient
 from .upstream_directory import PlatformDirectory
 from .upstream_reader import UpstreamReader
@@ -124,6 +125,7 @@
             client=self._client,
             decisions=DecisionLog(cfg.instance, cfg.data_path.n_decisions),
             budgets=RetryBudgets(),
+            stalls=StallWatch(),
             rng=self._rng,
         )
         own = InstanceId(cfg.instance)
@@ -170,6 +172,7 @@
             self._journal.run,
             self._limiter.run,
             health.run,
+            self._parts.stalls.run,
         ]
 
     async def run(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/relay.py
@@ -1,7 +1,7 @@
 """Relay one attempt's events from the upstream to whoever wants them.
 
-The loop is what the router spends most of its time in: one read, one check, one write
-for all events that arrived together, and one cancel scope whose deadline moves along.
+The loop is what the router spends most of its time in: one read, one check and one
+write for all events that arrived together.
 """
 
 from __future__ import annotations
@@ -15,10 +15,12 @@
 
 from corianderlb_core.error import CorianderError
 from corianderlb_core.result import ResultCode
+from corianderlb_core.settings import DataPathSettings
 from corianderlb_core.stream import StreamAssembler
 
 from .caller import CallerExchange, Headers
 from .connection import BrokenError, SilentError
+from .stall_watch import Progress, StallWatch
 from .transport import EXCHANGE
 from .upstream_client import WrongAnswerError
 
@@ -93,17 +95,18 @@
         self,
         assembler: StreamAssembler,
         sink: EventSink,
-        stall_s: float,
-        caller_stall_s: float,
+        stalls: StallWatch,
+        cfg: DataPathSettings,
         on_first: Callable[[], None],
     ) -> None:
         self._assembler = assembler
         self._sink = sink
+        self._stalls = stalls
+        self._stall_s = cfg.stall_timeout_s
+        self._caller_stall_s = cfg.caller_stall_timeout_s
         self._on_first = on_first
         self.first_at = 0.0
         """When the first event came, on the router's clock; 0 before it."""
-        self._stall_s = stall_s
-        self._caller_stall_s = caller_stall_s
         self._writing = False
 
     async def run(self, response: httpx.Response, first_s: float) -> None:
@@ -114,19 +117,19 @@
         take half an answer for a whole one.
         """
         receive_chunk = response.extensions[EXCHANGE].receive_chunk
-        with trio.CancelScope(deadline=trio.current_time() + first_s) as scope:
-            await self._move(receive_chunk, scope)
-        if not scope.cancelled_caught:
+        with self._stalls.watch(first_s) as progress:
+            await self._move(receive_chunk, progress)
+        if not progress.stalled:
             return
         if self._writing:
             raise CallerStalledError("the caller left its answer unread")
         raise SilentError("the stream stalled", sent=True)
 
     async def _move(
-        self, receive_chunk: Callable[[], Awaitable[bytes]], scope: trio.CancelScope
+        self, receive_chunk: Callable[[], Awaitable[bytes]], progress: Progress
     ) -> None:
         assembler = self._assembler
-        now = trio.current_time
+        write = self._sink.write
         while not assembler.finished:
             chunk = await receive_chunk()
             if not chunk:
@@ -134,12 +137,14 @@
             events = assembler.feed(chunk)
             if events:
                 if not self.first_at:
-                    self.first_at = now()
+                    self.first_at = trio.current_time()
                     self._on_first()
-                scope.deadline = now() + self._caller_stall_s
+                progress.limit_s = self._caller_stall_s
+                progress.n_steps += 1
                 self._writing = True
-                await self._sink.write(events)
+                await write(events)
                 self._writing = False
             if assembler.fault is not None and not assembler.finished:
                 raise WrongAnswerError(assembler.fault.value, sent=True)
-            scope.deadline = now() + self._stall_s
+            progress.limit_s = self._stall_s
+            progress.n_steps += 1
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -54,6 +54,7 @@
 from corianderlb_router.kv_importer import KvImporter
 from corianderlb_router.open_admission import OpenAdmission
 from corianderlb_router.placer import PolicyPlacer
+from corianderlb_router.stall_watch import StallWatch
 from corianderlb_router.store import InstanceList
 from corianderlb_router.upstream_client import UpstreamClient
 from corianderlb_router.upstream_directory import PlatformDirectory
@@ -430,6 +431,7 @@
             client=self.client,
             decisions=DecisionLog(name, 100),
             budgets=RetryBudgets(),
+            stalls=StallWatch(),
             rng=rng,
         )
         self.dispatcher = Dispatcher(
@@ -440,6 +442,11 @@
             self.board,
         )
 
+    def start(self, nursery: trio.Nursery) -> None:
+        """Start the tasks of the data path."""
+        nursery.start_soon(self.health.run)
+        nursery.start_soon(self.parts.stalls.run)
+
     def _list(self, network: FakeNetwork) -> None:
         records = tuple(
             InstanceRecord(
@@ -491,6 +498,6 @@
     """Run a test with one router over the given instances."""
     async with trio.open_nursery() as nursery:
         router = FakeRouter(FakeNetwork(nursery, *instances))
-        nursery.start_soon(router.health.run)
+        router.start(nursery)
         await test(router)
         nursery.cancel_scope.cancel()
--- a/packages/corianderlb-router/tests/test_quarantine_path.py
+++ b/packages/corianderlb-router/tests/test_quarantine_path.py
@@ -39,6 +39,8 @@
         routers = [
             FakeRouter(network, f"r{n}", peers, placer=FirstByName) for n in range(2)
         ]
+        for router in routers:
+            nursery.start_soon(router.parts.stalls.run)
         await test(routers, engines)
         nursery.cancel_scope.cancel()
 
