Read streams without chunks, past the parser

Cause: 13% of the router's time an event went into the parser of chunked bodies. A stream shows its own end by its terminal event, so it needs no framing: it is asked for as HTTP/1.0, on a connection of its own, and its bytes go from the socket to the assembler. A server that sends chunks all the same is read as before. An answer of a plain service without a length is no longer taken, since a cut looks like its end.

--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -218,7 +218,8 @@
             headers=tuple(headers),
             body=self._req.body,
             weights_version=self._req.model.weights_version,
-            fresh=resume,
+            fresh=True,
+            is_stream=True,
         )
 
     async def _prepare_retry(
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -9,6 +9,7 @@
 import select
 import socket
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from typing import Final
 
 import h11
@@ -23,6 +24,15 @@
 _NOTHING_LEFT: Final = (b"", b"\r\n")
 """What the parser holds when the chunk it gave out was the last that arrived."""
 
+_VERSION_1_1: Final = b" HTTP/1.1\r\n"
+_VERSION_1_0: Final = b" HTTP/1.0\r\n"
+
+_FRAMING: Final = frozenset({b"transfer-encoding", b"content-length"})
+"""Headers that tell where a body ends."""
+
+_WITHOUT_BODY: Final = (204, 304)
+"""Statuses whose answers have no body."""
+
 MAX_HEAD_BYTES: Final = 65536
 """Longest head of an answer."""
 
@@ -139,10 +149,33 @@
         return bool(poll.poll(0))
 
 
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """Hold a request as it goes over a connection."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    until_close: bool = False
+    """Ask for a body that ends by the close, as HTTP/1.0 does: one without chunks
+    costs less to read. Only for bodies that show by themselves whether they are
+    whole, since a cut looks the same as the end."""
+
+
 class Connection:
     """Carry one exchange at a time; the pool hands it out and takes it back."""
 
-    __slots__ = ("_h11", "_stream", "address", "generation", "idle_since")
+    __slots__ = (
+        "_h11",
+        "_is_head",
+        "_raw_rest",
+        "_stream",
+        "address",
+        "ends_by_close",
+        "generation",
+        "idle_since",
+    )
 
     def __init__(self, stream: trio.abc.Stream, address: str, generation: int) -> None:
         self._stream = stream
@@ -151,19 +184,23 @@
         self.generation = generation
         """The pool's generation at the opening; an older one is not taken back."""
         self.idle_since = 0.0
+        self.ends_by_close = False
+        """True when only the end of the connection ends the answer's body."""
+        self._raw_rest = b""
+        self._is_head = False
 
-    async def send_request(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
-    ) -> None:
+    async def send_request(self, request: OutgoingRequest) -> None:
         """Send a request as one write."""
-        event = h11.Request(method=method, target=target, headers=headers)
-        parts = [self._h11.send(event) or b""]
-        if body:
-            parts.append(self._h11.send(h11.Data(data=body)) or b"")
+        self._is_head = request.method == b"HEAD"
+        event = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+        head = self._h11.send(event) or b""
+        if request.until_close:
+            head = head.replace(_VERSION_1_1, _VERSION_1_0, 1)
+        parts = [head]
+        if request.body:
+            parts.append(self._h11.send(h11.Data(data=request.body)) or b"")
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         try:
             await self._stream.send_all(b"".join(parts))
@@ -175,12 +212,31 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._note_framing(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(
                     f"{self.address}: closed before its answer", sent=True
                 )
 
+    def _note_framing(self, head: h11.Response) -> None:
+        names = {name for name, _ in head.headers}
+        has_body = not self._is_head and head.status_code not in _WITHOUT_BODY
+        self.ends_by_close = has_body and not names & _FRAMING
+        if self.ends_by_close:
+            self._raw_rest = self._h11.trailing_data[0]
+
+    async def receive_raw(self) -> bytes:
+        """Return body bytes as they come, empty at the end of the connection.
+
+        It is for answers that end by the close, past the parser, which would add
+        nothing but its time.
+        """
+        if self._raw_rest:
+            rest, self._raw_rest = self._raw_rest, b""
+            return rest
+        return await self._receive_some()
+
     async def receive_chunk(self) -> bytes:
         """Return the body bytes that are there, at least one; empty at its end.
 
@@ -217,11 +273,13 @@
             raise BrokenError(f"{self.address}: {exc}", sent=True) from exc
 
     async def _receive(self) -> None:
+        self._h11.receive_data(await self._receive_some())
+
+    async def _receive_some(self) -> bytes:
         try:
-            data = await self._stream.receive_some(RECEIVE_BYTES)
+            return await self._stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise BrokenError(f"{self.address}: connection reset", sent=True) from exc
-        self._h11.receive_data(data)
 
     @property
     def is_reusable(self) -> bool:
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -16,9 +16,11 @@
 import trio
 
 from .connection import (
+    BrokenError,
     ConnectFailedError,
     Connection,
     Connector,
+    OutgoingRequest,
     SilentError,
 )
 
@@ -27,6 +29,9 @@
 FRESH: Final = "fresh"
 """Request extension: open a connection for this request alone."""
 
+UNTIL_CLOSE: Final = "until_close"
+"""Request extension: ask for a body that ends by the close; see the connection."""
+
 SEND_BEFORE: Final = "send_before"
 """Request extension: the router's clock after which no byte may be sent."""
 
@@ -106,9 +111,15 @@
     @property
     def receive_chunk(self) -> Callable[[], Awaitable[bytes]]:
         """The connection's own method: whoever calls it watches for stalls itself."""
+        if self._conn.ends_by_close:
+            return self._conn.receive_raw
         return self._conn.receive_chunk
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
+        if self._conn.ends_by_close:
+            # A cut would look like the end, and half an answer like the whole.
+            message = f"{self._conn.address}: an answer without its length"
+            raise BrokenError(message, sent=True)
         while chunk := await _within(
             self._read_s, self._conn, self._conn.receive_chunk
         ):
@@ -169,10 +180,14 @@
 
 
 async def _send(conn: Connection, request: httpx.Request) -> None:
-    url = request.url
-    await conn.send_request(
-        request.method.encode(), url.raw_path, request.headers.raw, request.content
+    outgoing = OutgoingRequest(
+        method=request.method.encode(),
+        target=request.url.raw_path,
+        headers=request.headers.raw,
+        body=request.content,
+        until_close=bool(request.extensions.get(UNTIL_CLOSE)),
     )
+    await conn.send_request(outgoing)
 
 
 async def _within(
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -16,7 +16,7 @@
 from corianderlb_core.result import ResultCode
 
 from .connection import Connector, UpstreamError
-from .transport import FRESH, SEND_BEFORE, UpstreamTransport
+from .transport import FRESH, SEND_BEFORE, UNTIL_CLOSE, UpstreamTransport
 
 WRITE_TIMEOUT_S: Final = 10.0
 """Longest wait for an upstream to take the bytes of a request."""
@@ -63,6 +63,8 @@
     fresh: bool = False
     """Whether to open a connection for it: one out of the pool may be dead, and what
     may not be sent twice cannot be tried again on another."""
+    is_stream: bool = False
+    """Whether its answer is a stream of events, whose end shows by itself."""
     send_before: float = math.inf
     """Router's clock after which no byte of it may be sent."""
 
@@ -143,6 +145,7 @@
             timeout=_timeout(patience),
         )
         request.extensions[FRESH] = outbound.fresh
+        request.extensions[UNTIL_CLOSE] = outbound.is_stream
         request.extensions[SEND_BEFORE] = outbound.send_before
         return request
 
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -77,7 +77,8 @@
     after: int = N_EVENTS + 1
     """Events that are sent before it happens, the terminal one included."""
     how: str = ""
-    """``close``, ``end`` (clean), ``hang`` or ``crash``."""
+    """``close``, ``end`` (clean), ``hang``, ``crash`` or ``unsized`` (a clean close
+    after an answer that names no length)."""
     answer_id: str = ""
     """Echoed in place of the attempt's id."""
     event_id: str = ""
@@ -138,6 +139,8 @@
             while True:
                 req = await self._read(conn, stream)
                 await self._answer(req, conn, stream)
+                if conn.our_state is h11.MUST_CLOSE:
+                    return
                 conn.start_next_cycle()
         except (trio.BrokenResourceError, trio.ClosedResourceError, EOFError):
             pass
@@ -190,6 +193,10 @@
             await self._send_whole(conn, stream, 409, headers, b"{}")
         elif req.path.startswith("/v1/"):
             await self._stream(req, fault, headers, conn, stream)
+        elif fault.how == "unsized":
+            head = [*headers, ("connection", "close")]
+            await self._head(conn, stream, 200, head, None)
+            raise EOFError
         elif fault.how:
             await self._break(fault, stream)
         else:
@@ -225,10 +232,8 @@
         await stream.send_all(conn.send(h11.EndOfMessage()))
 
     async def _head(self, conn, stream, status, headers, length=None) -> None:
-        framing = ("transfer-encoding", "chunked")
-        if length is not None:
-            framing = ("content-length", str(length))
-        head = [*headers, framing, (header.INCARNATION, str(self.epoch))]
+        framing = [] if length is None else [("content-length", str(length))]
+        head = [*headers, *framing, (header.INCARNATION, str(self.epoch))]
         await stream.send_all(conn.send(h11.Response(status_code=status, headers=head)))
 
 
--- a/packages/corianderlb-router/tests/test_service_run.py
+++ b/packages/corianderlb-router/tests/test_service_run.py
@@ -114,6 +114,17 @@
 
         await with_router(check, *services, FakeInstance("s2"))
 
+    async def test_an_answer_that_does_not_show_its_end_is_not_passed_on(self) -> None:
+        """A service sends its answer without a length and closes. A cut on the way
+        would look the same, and half a status page like the whole."""
+        services = [FakeInstance(f"s{n}", faults=[Fault(how="unsized")]) for n in "01"]
+
+        async def check(router: FakeRouter) -> None:
+            caller = await router.ask(FakeCaller(STATUS, b"{}"))
+            self.assertEqual(caller.answer, b'{"ok":1}')
+
+        await with_router(check, *services, FakeInstance("s2"))
+
     async def test_a_call_without_a_key_does_not_start(self) -> None:
         service = FakeInstance("s0")
 
