Give engines their orders, one holder at a time per upstream

Orders follow from the catalogue against the engines' own reports. The home router of an upstream takes a lease in the store, writes each order's intent (which proves the lease), and sends it over a fresh connection whose bytes may not leave after the lease's end less the send time. The next holder counts the lapse by its own clock from when it saw the record last change, waits out the longest flight where engines check no fencing token, and reads the engines themselves before its first order. Two slots in one object bound the weight loads over the fleet. With nothing to do the store is not called.

Ruled out: comparing routers' clocks; trusting an earlier check of the lease, since the router can be paused at any line. A router with an older catalogue than the lease's last order gives none: seen bringing old weights back without that. Seen failing without: the send limit, the settling, the slots, the token's growth, the read-back of lost answers. The engine stand-in now echoes the attempt id of an order, as its protocol says.

--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -125,6 +125,20 @@
     """How long a home may be silent before a router takes its even share."""
 
 
+@dataclass(frozen=True)
+class OrderSettings:
+    """Tune the leases on orders to engines; alike on all routers of a fleet."""
+
+    lease_s: Seconds = 10.0
+    """How long a holder may act without hearing from the store."""
+    margin_s: Seconds = 1.0
+    """How much longer the others wait, for clocks that run unlike."""
+    send_s: Seconds = 2.0
+    """Longest time to send an order and get its answer; below ``lease_s``."""
+    flight_s: Seconds = 5.0
+    """Longest time until an order shows in the engine's report, its lag included."""
+
+
 @dataclass(frozen=True)
 class PlacementSettings:
     """Tune how requests are spread over the instances of an upstream."""
@@ -205,3 +219,4 @@
     catalogue: CatalogueSettings = field(default_factory=CatalogueSettings)
     data_path: DataPathSettings = field(default_factory=DataPathSettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
@@ -0,0 +1,222 @@
+"""Hold the lease on the orders to one upstream, in the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import eliot
+import trio
+
+from corianderlb_core.chart import LifeCycle
+from corianderlb_core.codec import DecodeError, from_cbor, to_cbor
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.lease import (
+    NOBODY,
+    LeaseLostError,
+    LeaseRecord,
+    LeaseWatch,
+)
+from corianderlb_core.order import Order, OrderOutcome
+from corianderlb_core.settings import OrderSettings
+from corianderlb_core.status import LeaseStatus
+
+from .store import (
+    ObjectStore,
+    StoreConflictError,
+    StoredObject,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+
+LEASE_PREFIX: Final = "leases/orders/"
+"""Where the leases live in the store."""
+
+
+class LeaseHolder:
+    """Take, renew and give back one lease; know at any moment whether it is held.
+
+    A router can be paused at any line. So nothing here answers "held" from memory of
+    an earlier check: ``send_before`` is compared with the clock where the bytes leave.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        upstream: str,
+        router: InstanceId,
+        epoch: int,
+        terms: OrderSettings | None = None,
+    ) -> None:
+        self.terms = terms or OrderSettings()
+        self.upstream = upstream
+        self._store = store
+        self._key = LEASE_PREFIX + upstream
+        self._router = router
+        self._epoch = epoch
+        self._cycle = LifeCycle("lease")
+        self._watch = LeaseWatch()
+        self._record = LeaseRecord(0)
+        self._version: str | None = None
+        self._valid_until = float("-inf")
+        self._settled_at = 0.0
+
+    @property
+    def state(self) -> str:
+        """The state of the lease at this router."""
+        return self._cycle.state
+
+    @property
+    def record(self) -> LeaseRecord:
+        """The record as this router last read or wrote it."""
+        return self._record
+
+    @property
+    def send_before(self) -> float:
+        """The router's clock after which no byte of an order may be sent.
+
+        An order sent later could reach the engine after the next holder's first one.
+        """
+        return self._valid_until - self.terms.send_s
+
+    def may_act(self) -> bool:
+        """Return whether an order could be sent now."""
+        return self.state == "held" and trio.current_time() < self.send_before
+
+    def status(self) -> LeaseStatus:
+        """Return what operators see."""
+        mine = self._record.is_of(self._router, self._epoch)
+        remaining_s = self._valid_until - trio.current_time() if mine else 0.0
+        return LeaseStatus(
+            name=f"orders/{self.upstream}",
+            holder=self._record.holder,
+            fencing_token=self._record.token,
+            remaining_s=max(0.0, remaining_s),
+        )
+
+    async def acquire(self, must_settle: bool, least_token: int = 1) -> bool:
+        """Look at the lease once, take it if it is free, and return ``may_act``.
+
+        After a holder that stopped without giving it back, ``must_settle`` makes this
+        one wait until the last order of the old one must have arrived: an engine that
+        ignores fencing tokens would take it even after a newer order.
+        """
+        now = trio.current_time()
+        if self.state == "settling" and now >= self._settled_at:
+            self._move("settled")
+        if self.state in ("held", "settling") and now < self._valid_until:
+            await self.keep()
+            return self.may_act()
+        self._move("lose")
+        stored = await self._read()
+        if stored is not None and not self._is_free(stored, now):
+            self._move("see_other")
+            return False
+        lapsed = stored is not None and self._record.holder != NOBODY
+        await self._take(stored, least_token)
+        self._move("see_other")
+        self._move("take_lapsed" if lapsed and must_settle else "take_free")
+        self._settled_at = trio.current_time() + self.terms.flight_s
+        return self.may_act()
+
+    async def keep(self) -> None:
+        """Renew when a third of the time is used up."""
+        left_s = self._valid_until - trio.current_time()
+        if left_s < self.terms.lease_s * 2 / 3:
+            await self._write(LeaseRecord.renewed)
+
+    async def intend(self, order: Order) -> None:
+        """Write down an order before it is sent; that proves the lease as well."""
+        await self._write(lambda record: record.intending(order))
+
+    async def conclude(self, outcome: OrderOutcome) -> None:
+        """Write down how an order ended."""
+        await self._write(lambda record: record.with_outcome(outcome))
+
+    async def release(self) -> None:
+        """Give the lease back, so that the next holder need not wait."""
+        if self.state in ("held", "settling"):
+            await self._write(LeaseRecord.released)
+            self._valid_until = float("-inf")
+        self._move("release")
+
+    def lose(self) -> None:
+        """Stop acting: another holder is newer."""
+        self._valid_until = float("-inf")
+        self._move("lose")
+
+    def _is_free(self, stored: StoredObject, now: float) -> bool:
+        if self._record.holder == NOBODY:
+            return True
+        if self._record.is_of(self._router, self._epoch):
+            return True
+        self._watch.see(stored.version, now)
+        return self._watch.has_lapsed(self.terms, now)
+
+    async def _take(self, stored: StoredObject | None, least_token: int) -> None:
+        record = self._record.taken_by(self._router, self._epoch, least_token)
+        data = to_cbor(record)
+        started_at = trio.current_time()
+        try:
+            if stored is None:
+                version = await self._store.create(self._key, data)
+            else:
+                version = await self._store.update(self._key, data, stored.version)
+        except StoreConflictError as exc:
+            raise LeaseLostError(f"{self._key}: another router was first") from exc
+        self._adopt(record, version, started_at)
+
+    async def _write(self, change: Callable[[LeaseRecord], LeaseRecord]) -> None:
+        """Replace the record; the lease lasts from before the write on."""
+        record = change(self._record)
+        started_at = trio.current_time()
+        assert self._version is not None
+        try:
+            version = await self._store.update(
+                self._key, to_cbor(record), self._version
+            )
+        except (StoreConflictError, StoreUnknownError):
+            version = await self._settle_write(record)
+        self._adopt(record, version, started_at)
+
+    async def _settle_write(self, wanted: LeaseRecord) -> str:
+        """Read back after a write whose effect is not known.
+
+        A conflict can come from this router's own earlier write that arrived late.
+        """
+        stored = await self._read()
+        if stored is not None and self._record == wanted:
+            return stored.version
+        mine = self._record.is_of(self._router, self._epoch)
+        if stored is None or not mine or self._record.token != wanted.token:
+            self.lose()
+            raise LeaseLostError(f"{self._key}: another router holds it now")
+        return await self._store.update(self._key, to_cbor(wanted), stored.version)
+
+    async def _read(self) -> StoredObject | None:
+        stored = await self._store.get(self._key)
+        if stored is None:
+            self._record = LeaseRecord(0)
+            return None
+        try:
+            self._record = from_cbor(LeaseRecord, stored.value)
+        except DecodeError as exc:
+            raise StoreUnavailableError(
+                f"{self._key} cannot be read ({exc}); no orders are given until an "
+                "operator repairs it, since its fencing token must not be lost"
+            ) from exc
+        return stored
+
+    def _adopt(self, record: LeaseRecord, version: str, started_at: float) -> None:
+        self._record = record
+        self._version = version
+        self._valid_until = started_at + self.terms.lease_s
+
+    def _move(self, event: str) -> None:
+        if self._cycle.send(event):
+            eliot.log_message(
+                message_type="lease:state",
+                upstream=self.upstream,
+                state=self.state,
+                token=self._record.token,
+            )
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -33,6 +33,7 @@
 from .connection import TcpConnector
 from .decision_log import DecisionLog
 from .dispatcher import Dispatcher
+from .engine_control import HttpEngineControl
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .flight import FlightBoard
@@ -45,6 +46,7 @@
 from .load_gossip import LoadGossip
 from .node_metric import NodeCounters
 from .operator_desk import OperatorDesk
+from .order_keeper import OrderKeeper
 from .peer_network import OverlayNetwork
 from .placer import PolicyPlacer
 from .stall_watch import StallWatch
@@ -151,6 +153,17 @@
         self._limiter = Limiter(
             own, self._catalogue, directory, self._peers, cfg.admission
         )
+        self._orders = OrderKeeper(
+            self._store,
+            own,
+            self._epoch,
+            self._catalogue,
+            directory,
+            self._peers,
+            HttpEngineControl(self._client),
+            self._rng,
+            cfg.orders,
+        )
         self._peers.version = self._version
         self._counters = NodeCounters(
             store=self._store,
@@ -171,6 +184,7 @@
             gossip.run,
             self._journal.run,
             self._limiter.run,
+            self._orders.run,
             health.run,
             self._parts.stalls.run,
         ]
@@ -207,6 +221,7 @@
             parts=self._parts,
             quarantine=self._quarantine,
             limiter=self._limiter,
+            orders=self._orders,
             peers=self._peers,
             board=self._board,
             counters=self._counters,
--- a/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
+++ b/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
@@ -25,6 +25,7 @@
 from .interface import CatalogueSource, PeerNetwork, UpstreamInstance
 from .limiter import Limiter
 from .node_metric import NodeCounters
+from .order_keeper import OrderKeeper
 
 READY_STATES = frozenset({"serving"})
 """States of the router's chart in which the balancer may send requests."""
@@ -41,6 +42,7 @@
     parts: Parts
     quarantine: FleetQuarantine
     limiter: Limiter
+    orders: OrderKeeper
     peers: PeerNetwork
     board: ExchangeBoard
     counters: NodeCounters
@@ -98,6 +100,7 @@
             upstreams=tuple(self._upstreams(now)),
             quarantine=self.quarantine.status(),
             accounts=tuple(self.limiter.accounts()),
+            leases=self.orders.leases(),
             counters=self.counters.status(),
         )
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/engine.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/engine.py
@@ -96,7 +96,7 @@
         elif call.path == "/control/events":
             await self._show_events(call)
         elif call.path == "/control/orders":
-            await self._orders.take(call, self._base())
+            await self._orders.take(call, self._base(call))
         elif call.path == "/control/import":
             await self._import(call)
         elif call.path == "/control/cancel":
