Measure the placement policies beside each other, and the cost of relaying

Ruled out: cells one after the other, which takes four times as long and lets what else the machine does fall on one policy alone. Change: workload from a seed, one fleet and process a cell, table, JSON and plot; processor time of a router per event and request.

--- a/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -9,15 +9,21 @@
 
 import trio
 
+from corianderlb_core.codec import from_json, to_json
+
 from ._asgi import serve_app
 from .batch import BatchCost
+from .bench import POLICIES, BenchPlan, run_bench
+from .bench_cell import Cell, CellPlan
 from .demo import run_demo
 from .engine import Engine
 from .engine_settings import EngineSettings
 from .fault_proxy import FaultProxy
 from .kv_cache import KvCache
+from .relay_cost import run_relay_cost
 from .service import Service
 from .store import Store
+from .workload import Scenario
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -42,6 +48,21 @@
     demo = commands.add_parser("demo", help="the whole path on separate processes")
     demo.add_argument("--prompt-file", type=Path, help="a prompt of your own")
     demo.set_defaults(run=_run_demo)
+    bench = commands.add_parser("bench", help="the policies beside each other")
+    bench.add_argument("--out", type=Path, default=Path("out"))
+    bench.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
+    bench.add_argument("--seconds", type=float, default=32.0)
+    bench.add_argument("--rate", type=float, default=32.0)
+    bench.add_argument(
+        "--scenarios", nargs="+", default=[item.value for item in Scenario]
+    )
+    bench.add_argument("--policies", nargs="+", default=list(POLICIES))
+    bench.set_defaults(run=_run_bench)
+    cell = commands.add_parser("bench-cell", help="one cell of the bench, as JSON")
+    cell.add_argument("plan")
+    cell.set_defaults(run=_run_bench_cell)
+    cost = commands.add_parser("relay-cost", help="processor time of a router")
+    cost.set_defaults(run=lambda args: trio.run(run_relay_cost))
     return parser
 
 
@@ -98,6 +119,23 @@
     return trio.run(run_demo, args.prompt_file)
 
 
+def _run_bench(args: argparse.Namespace) -> int:
+    plan = BenchPlan(
+        out=args.out,
+        seeds=tuple(args.seeds),
+        seconds=args.seconds,
+        rate=args.rate,
+        scenarios=tuple(args.scenarios),
+        policies=tuple(args.policies),
+    )
+    return trio.run(run_bench, plan)
+
+
+def _run_bench_cell(args: argparse.Namespace) -> None:
+    cell = Cell(from_json(CellPlan, args.plan.encode()))
+    sys.stdout.write(to_json(trio.run(cell.run)).decode())
+
+
 def _run_engine(args: argparse.Namespace) -> None:
     cfg = EngineSettings(
         instance=args.instance,
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/bench_plot.py
@@ -0,0 +1,43 @@
+"""Draw the rows of a bench."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from .bench import Row
+
+BAR_WIDTH: Final = 0.2
+
+
+def write_plot(rows: Sequence[Row], path: Path) -> None:
+    """Write hit rate, recomputed pieces and urgent p99 as bars, a group a scenario."""
+    # Imported late: it takes long, and no other command draws.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+    _bars(axes[0], rows, "prefix hit rate", lambda row: row.hit_rate)
+    _bars(axes[1], rows, "recomputed pieces", lambda row: row.pieces_recomputed)
+    _bars(axes[2], rows, "urgent p99 TTFT, ms", lambda row: row.ttft_ms["urgent"][-1])
+    axes[0].legend(fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+
+
+def _bars(
+    axis: Any, rows: Sequence[Row], title: str, value: Callable[[Row], float]
+) -> None:
+    scenarios = list(dict.fromkeys(row.scenario for row in rows))
+    policies = list(dict.fromkeys(row.policy for row in rows))
+    for offset, policy in enumerate(policies):
+        found = [row for row in rows if row.policy == policy]
+        places = [scenarios.index(row.scenario) + offset * BAR_WIDTH for row in found]
+        axis.bar(places, [value(row) for row in found], BAR_WIDTH, label=policy)
+    axis.set_xticks([i + BAR_WIDTH * 1.5 for i in range(len(scenarios))], scenarios)
+    axis.set_title(title)
--- a/packages/corianderlb-standins/src/corianderlb_standins/fleet_plan.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fleet_plan.py
@@ -10,7 +10,6 @@
     Account,
     Entry,
     Limits,
-    Model,
     Route,
     ServiceClass,
     Upstream,
@@ -72,9 +71,10 @@
 
 def default_entries(**model_fields: Any) -> tuple[Entry, ...]:
     """Return a catalogue with a model, two routes and eight accounts."""
+    fields = {"prefill_s_per_piece": 0.02, **model_fields}
     return (
         *_upstreams(),
-        a_model(MODEL, prefill_s_per_piece=0.02, **model_fields),
+        a_model(MODEL, **fields),
         *_routes(),
         *_accounts(),
     )
@@ -96,10 +96,7 @@
 
 
 def _accounts() -> tuple[Account, ...]:
-    limits = Limits(requests_per_s=500.0, concurrent=200)
+    limits = Limits(requests_per_s=1000.0, concurrent=500)
     large = (an_account(name, weight=4.0, limits=limits) for name in LARGE_ACCOUNTS)
     small = (an_account(name, limits=limits) for name in SMALL_ACCOUNTS)
     return (*large, *small)
-
-
-__all__ = ["FleetPlan", "Model", "account_key", "default_entries"]
--- a/packages/corianderlb-standins/src/corianderlb_standins/load_client.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/load_client.py
@@ -60,6 +60,10 @@
         return self
 
     async def __aexit__(self, *args: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
         await self._http.aclose()
 
     async def stream(
