Get the list of instances from the peers while the platform's service is down

Cause: a router that starts in an outage got the catalogue from its peers and was ready, but knew no upstream, since only the store gives the list of instances: it refused every request. Ruled out: delaying readiness alone, since then it would not serve at all in an outage; sending the list with heartbeats, which costs bytes all the time. Change: a router without a list, or whose store fails, asks its links; a peer answers only with a newer revision, and an older one is never taken. Readiness waits for a list as well as for the catalogue.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -14,7 +14,7 @@
 import cbor2
 
 from .codec import DecodeError, from_plain, plain_from_cbor, to_plain
-from .identity import InstanceId, Presence
+from .identity import InstanceId, InstanceRecord, Presence
 
 PROTOCOL_VERSION: Final = 1
 """Grows with a change that older routers cannot ignore."""
@@ -117,6 +117,25 @@
     snapshot: bytes | None = None
 
 
+@dataclass(frozen=True)
+class InstancesRequest:
+    """Ask a peer for the platform's list of instances, if it has a newer one."""
+
+    after_revision: int
+
+
+@dataclass(frozen=True)
+class InstancesListed:
+    """Carry the platform's list of instances as the sender last read it.
+
+    A router that starts while the platform's service is down knows its upstreams by
+    this alone. At 1,340 instances it is about 300 KB, sent only when asked for.
+    """
+
+    revision: int
+    instances: tuple[InstanceRecord, ...]
+
+
 @dataclass(frozen=True)
 class LoadVector:
     """Spread the load of a region's upstream instances, as ``load_vector`` packs it.
@@ -212,6 +231,8 @@
     | Heartbeat
     | CatalogueRequest
     | CatalogueChanges
+    | InstancesRequest
+    | InstancesListed
     | LoadVector
     | HotPrefixes
     | UpstreamLife
@@ -231,6 +252,8 @@
         Heartbeat,
         CatalogueRequest,
         CatalogueChanges,
+        InstancesRequest,
+        InstancesListed,
         LoadVector,
         HotPrefixes,
         UpstreamLife,
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -55,7 +55,7 @@
 from .upstream_reader import UpstreamReader
 
 READY_POLL_S: Final = 0.02
-"""How often a starting router looks whether its catalogue has arrived."""
+"""How often a starting router looks whether catalogue and instances have arrived."""
 
 JOURNAL_DRAIN_S: Final = 5.0
 """Longest wait at the end for answers that are not recorded yet."""
@@ -175,11 +175,13 @@
         )
         self._counters.watch(self._parts.metrics)
         takers = [directory.apply_list, self._peers.take_list]
-        instances = InstanceListReader(self._store, takers, self._rng)
+        self._instances = InstanceListReader(
+            self._store, takers, self._peers, self._rng
+        )
         self._tasks: list[Callable[[], Awaitable[None]]] = [
             reader.run,
             IsolationWatch(self._catalogue, self._send).run,
-            instances.run,
+            self._instances.run,
             loads.run,
             gossip.run,
             self._journal.run,
@@ -254,7 +256,7 @@
         sys.stdout.flush()
 
     async def _become_ready(self) -> None:
-        while self._catalogue.current() is None:
+        while self._catalogue.current() is None or not self._instances.has_list:
             await trio.sleep(READY_POLL_S)
         self._send("catalogue_ready")
 
