Begin watches anew when connections to the store went silent

Cause: with all open connections to the store silent for good, a watch waited out its 8 s and grace, then slept 1 to 3 s before the next look: up to 13 s, at the users' bound. Change: a pool that is given up ends the watches on it; a failed watch or poll is followed by a poll at once; a watch lasts 6 s and its grace 1.5 s. python -m corianderlb_standins in-force times changes until in force on four routers. Seen to fail: test_watch_on_a_silent_pool_is_begun_anew without ending the watches.

--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
@@ -38,7 +38,7 @@
 POLL_ALONE_S: Final = (1.0, 3.0)
 """The same for a router that is linked to nobody now."""
 
-WATCH_S: Final = 8.0
+WATCH_S: Final = 6.0
 """Seconds of one watch; its end confirms that there is nothing newer."""
 
 N_FIRST_READERS: Final = 2
@@ -142,13 +142,14 @@
     async def _stay_in_step(self) -> None:
         while True:
             if self._watches():
-                if await self._try(self._watch):
-                    continue
-                await trio.sleep(self._rng.uniform(*POLL_ALONE_S))
+                done = await self._try(self._watch)
             else:
                 bounds = POLL_S if self._peers.linked() else POLL_ALONE_S
                 await trio.sleep(self._rng.uniform(*bounds))
-            await self._try(self._poll)
+                done = await self._try(self._poll)
+            # The connection may have gone silent; a new one tells at once.
+            if not done and not await self._try(self._poll):
+                await trio.sleep(self._rng.uniform(*POLL_ALONE_S))
 
     def _watches(self) -> bool:
         """Tell whether this router watches for its availability zone."""
--- a/packages/corianderlb-router/src/corianderlb_router/http_store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_store.py
@@ -32,7 +32,7 @@
 CONNECT_SHARE: Final = 0.5
 """Part of the time of a call that may pass until it has a connection."""
 
-WATCH_GRACE_S: Final = 2.0
+WATCH_GRACE_S: Final = 1.5
 """Seconds past its timeout after which an unanswered watch counts as dead."""
 
 MAX_CONNECTIONS: Final = 32
@@ -73,6 +73,8 @@
         )
         self.n_in_use = 0
         self.retired = False
+        self.watches: set[trio.CancelScope] = set()
+        """Scopes of the watches that wait on these connections."""
 
 
 class HttpObjectStore(ObjectStore):
@@ -182,7 +184,9 @@
         self.n_calls[kind] += 1
         try:
             # Timeouts of httpx count each read alone; the sum must be bounded too.
-            with trio.fail_after(limit_s):
+            with trio.fail_after(limit_s) as scope:
+                if kind is StoreCall.WATCH:
+                    pool.watches.add(scope)
                 resp = await pool.client.request(
                     method, path, timeout=timeout, **fields
                 )
@@ -192,6 +196,7 @@
             self._retire_if_silent(pool, exc)
             raise self._lost(kind, exc) from exc
         finally:
+            pool.watches.discard(scope)
             await self._leave(pool)
         self._refuse_failure(kind, resp)
         return resp
@@ -206,13 +211,16 @@
         """Give up the connections that share the fate of a silent one.
 
         An idle connection can go silent for good while new ones work: each call on it
-        would wait its whole timeout. After one such wait no old connection is used.
+        would wait its whole timeout. After one such wait no old connection is used,
+        and the watches on them, which are silent by nature, are begun anew.
         """
         silent = isinstance(exc, httpx.ReadTimeout | httpx.WriteTimeout)
         if pool is self._pool and (silent or isinstance(exc, trio.TooSlowError)):
             pool.retired = True
             self._pool = _Pool(self._url, self._transport)
             self.n_pools_retired += 1
+            for scope in pool.watches:
+                scope.cancel()
 
     def _refuse_failure(self, kind: StoreCall, resp: httpx.Response) -> None:
         """Raise for the answers that mean the same for every kind of call."""
--- a/packages/corianderlb-router/tests/test_http_store.py
+++ b/packages/corianderlb-router/tests/test_http_store.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import httpx
+import trio
 
 from corianderlb_router.http_store import HttpObjectStore, StoreCall
 from corianderlb_router.store import (
@@ -99,3 +100,31 @@
         with self.assertRaises(StoreUnavailableError):
             await store.get("k")
         self.assertEqual(store.n_pools_retired, 1)
+
+    async def test_watch_on_a_silent_pool_is_begun_anew(self) -> None:
+        """All kept connections went silent; a watch on one waits for nothing.
+
+        Another call finds it out first. Until the watch has run out, the router would
+        not hear of a new catalogue.
+        """
+
+        async def answer(req: httpx.Request) -> httpx.Response:
+            if req.url.path == "/watch":
+                await trio.sleep_forever()
+            raise httpx.ReadTimeout("silent")
+
+        store = HttpObjectStore("http://store", transport=httpx.MockTransport(answer))
+        ended: list[float] = []
+
+        async def watch() -> None:
+            with self.assertRaises(StoreUnavailableError):
+                await store.watch("changes/", 0, 60.0)
+            ended.append(trio.current_time())
+
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await trio.sleep(1)
+            with self.assertRaises(StoreUnavailableError):
+                await store.get("k")
+        self.assertLess(ended[0] - start, 2.0)
--- a/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -19,6 +19,7 @@
 from .engine import Engine
 from .engine_settings import EngineSettings
 from .fault_proxy import FaultProxy
+from .in_force_probe import run_in_force
 from .kv_cache import KvCache
 from .relay_cost import run_relay_cost
 from .service import Service
@@ -63,6 +64,9 @@
     cell.set_defaults(run=_run_bench_cell)
     cost = commands.add_parser("relay-cost", help="processor time of a router")
     cost.set_defaults(run=lambda args: trio.run(run_relay_cost))
+    in_force = commands.add_parser("in-force", help="time changes until in force")
+    in_force.add_argument("--seed", type=int, default=1)
+    in_force.set_defaults(run=_run_in_force)
     return parser
 
 
@@ -136,6 +140,10 @@
     sys.stdout.write(to_json(trio.run(cell.run)).decode())
 
 
+def _run_in_force(args: argparse.Namespace) -> int:
+    return trio.run(run_in_force, args.seed)
+
+
 def _run_engine(args: argparse.Namespace) -> None:
     cfg = EngineSettings(
         instance=args.instance,
--- a/tests/test_fleet_catalogue.py
+++ b/tests/test_fleet_catalogue.py
@@ -100,6 +100,22 @@
             history = json.loads(await fleet.ctl("history", "--output", "json"))
             self.assertEqual(len(history), 2)
 
+    async def test_connections_to_the_store_go_silent(self) -> None:
+        """All open connections to the store go silent for good while new ones work.
+
+        Every watch and every kept connection waits for nothing. The routers must give
+        them up and hear of the next change within the 13 s that users were promised.
+        """
+        plan = FleetPlan(
+            n_engines=0, n_services=0, n_routers=3, proxied=frozenset({"store"})
+        )
+        async with running_fleet(plan) as fleet:
+            await trio.sleep(1)
+            await fleet.proxy_fault("store", freeze_now=True)
+            await edit_often(fleet, 1)
+            with trio.fail_after(13):
+                await until_in_force(fleet, 2)
+
     async def test_operators_race(self) -> None:
         """Three operators edit the version that they looked at, at the same moment."""
         async with running_fleet(a_plan(n_routers=2)) as fleet:
