Tell a crash from a cut on an engine that nobody had heard of

Cause: the multi-process test of the poison request found three and four engines crashed. The first attempt went to engines whose epoch no report had brought yet; a break there was taken for a cut, since a resume needs the epoch, and did not count. Now the instance is asked whether it lives, as for service calls. Two reports of one crash, with and without the epoch, count once.

--- a/packages/corianderlb-core/src/corianderlb_core/quarantine.py
+++ b/packages/corianderlb-core/src/corianderlb_core/quarantine.py
@@ -117,6 +117,8 @@
         if suspect is None:
             self._make_room()
             suspect = self._suspects.setdefault(digest, _Suspect())
+        if any(_may_be_same(crash_id, known) for known in suspect.crashes):
+            return False
         suspect.crashes.append(crash_id)
         suspect.last_at = now
         if len(suspect.crashes) >= CRASH_LIMIT:
@@ -128,3 +130,14 @@
             return
         oldest = min(self._suspects, key=lambda known: self._suspects[known].last_at)
         del self._suspects[oldest]
+
+
+def _may_be_same(crash_id: str, other: str) -> bool:
+    """Return whether two reports can be about one crash.
+
+    A router that had not heard from an instance yet reports its crash with epoch 0,
+    while another names the epoch. Counted as two, they would convict the innocent.
+    """
+    instance, _, epoch = crash_id.rpartition("@")
+    other_instance, _, other_epoch = other.rpartition("@")
+    return instance == other_instance and "0" in (epoch, other_epoch)
--- a/packages/corianderlb-core/tests/test_quarantine.py
+++ b/packages/corianderlb-core/tests/test_quarantine.py
@@ -15,6 +15,14 @@
         table.record_crash("e1@1", [b"a"], 0.0)
         self.assertEqual(table.refused_for(b"a", 0.0), HOLD_S)
 
+    def test_a_router_that_knew_no_epoch_does_not_make_two_crashes_of_one(self) -> None:
+        """Two routers report the same crash, and one had not heard from the instance
+        before. Its innocent requests would be refused as if they had crashed two."""
+        table = SuspectTable()
+        table.record_crash("e0@0", [b"a"], 0.0)
+        table.record_crash("e0@17", [b"a"], 0.0)
+        self.assertEqual(table.refused_for(b"a", 0.0), 0.0)
+
     def test_success_clears_a_suspect_but_not_a_convict(self) -> None:
         table = SuspectTable()
         table.record_crash("e0@1", [b"a", b"b"], 0.0)
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -35,12 +35,18 @@
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
 from .decision_log import DecisionLog
 from .flight import Flight, FlightBoard
-from .health_board import HealthBoard
+from .health_board import HEALTH_PATH, HealthBoard
 from .interface import Placer, Quarantine, UpstreamDirectory, UpstreamInstance
 from .kv_importer import KvImporter
 from .metric import Metrics
 from .stall_watch import StallWatch
-from .upstream_client import RefusedError, UpstreamClient, WrongAnswerError
+from .upstream_client import (
+    Patience,
+    RefusedError,
+    UpstreamClient,
+    WrongAnswerError,
+    epoch_of,
+)
 
 NO_INSTANCE_WAIT_S: Final = 0.5
 """Wait of a request that had attempts, while no instance of its upstream is usable;
@@ -54,6 +60,9 @@
 """Wait between two suspects for whom there is only one instance. Suspects of different
 routers do not see each other's attempts; the time keeps them apart."""
 
+LIFE_PATIENCE: Final = Patience(connect_s=0.5, first_s=0.5)
+"""How long it may take to find out whether an instance still lives."""
+
 RESERVED_POLL_S: Final = 0.05
 """How often a suspect looks whether its instance is free of other suspects."""
 
@@ -211,6 +220,24 @@
         incarnation = leg.candidate.incarnation
         self._ended(leg, AttemptOutcome(incarnation, code, at=trio.current_time()))
 
+    async def is_dead(self, leg: Leg) -> bool:
+        """Find out whether an instance that broke off has died.
+
+        A cut on the way looks the same to the attempt, but then the next connection
+        finds the same life of the instance still there.
+        """
+        address = leg.upstream_instance.address
+        try:
+            response = await self._parts.client.get(address, HEALTH_PATH, LIFE_PATIENCE)
+        except ConnectFailedError as exc:
+            return exc.refused
+        except BrokenError:
+            return True
+        except UpstreamError:
+            return False
+        known = leg.candidate.incarnation.epoch
+        return known != 0 and epoch_of(response) != known
+
     def crashed(self, leg: Leg, epoch: int) -> None:
         """Report that the instance died under its attempts."""
         instance = leg.candidate.incarnation.instance
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -125,6 +125,10 @@
         but when the next one is refused or breaks before any answer, or a new life
         answers, then nobody is left to go on.
         """
+        if not self._epoch and failure.kind is FailureKind.BROKEN:
+            # Nobody has heard which life this was, so there is none to resume on.
+            if await self._series.is_dead(leg):
+                return AttemptFailure(FailureKind.CRASHED, failure.detail)
         while failure.kind in _RESUMABLE and self._epoch:
             if failure.kind is FailureKind.SILENT:
                 await self._parts.client.retire(leg.upstream_instance.address)
--- a/packages/corianderlb-router/src/corianderlb_router/service_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/service_run.py
@@ -26,7 +26,7 @@
 
 from .attempt import AttemptSeries, Leg, Parts, failure_of
 from .caller import CallerExchange, RequestRefusedError
-from .connection import BrokenError, ConnectFailedError, UpstreamError
+from .connection import BrokenError, UpstreamError
 from .inbound import ServiceRequest
 from .interface import BegunCall, CallAnswer, CallJournal, EarlierAnswer
 from .upstream_client import Outbound, Patience, epoch_of, plain_headers
@@ -49,9 +49,6 @@
 ABANDON_S: Final = 1.0
 """Longest time for recording that a call was cut."""
 
-PROBE: Final = Patience(connect_s=0.5, first_s=0.5)
-"""How long it may take to find out whether an instance still lives."""
-
 
 class ServiceRun:
     """Hold the state of one service call over its attempts."""
@@ -142,7 +139,7 @@
         failure = failure_of(exc)
         if failure.kind is FailureKind.SILENT:
             await self._parts.client.retire(leg.upstream_instance.address)
-        if failure.kind is FailureKind.BROKEN and await self._is_dead(leg):
+        if failure.kind is FailureKind.BROKEN and await self._series.is_dead(leg):
             self._series.crashed(leg, leg.candidate.incarnation.epoch)
             return AttemptFailure(FailureKind.CRASHED, str(exc))
         return failure
@@ -186,25 +183,6 @@
             return outbound
         return dataclasses.replace(outbound, fresh=True, send_before=begun.send_before)
 
-    async def _is_dead(self, leg: Leg) -> bool:
-        """Find out whether an instance that broke off has died.
-
-        A cut on the way looks the same to the call, but then the next connection
-        finds the same life of the instance still there.
-        """
-        try:
-            response = await self._parts.client.get(
-                leg.upstream_instance.address, "/health", PROBE
-            )
-        except ConnectFailedError as exc:
-            return exc.refused
-        except BrokenError:
-            return True
-        except (UpstreamError, httpx.HTTPError):
-            return False
-        known = leg.candidate.incarnation.epoch
-        return known != 0 and epoch_of(response) != known
-
     async def _prepare_retry(self, failure: AttemptFailure) -> None:
         """Wait before the next attempt, or end the request."""
         action = self._series.retries.after(failure, trio.current_time())
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -411,9 +411,12 @@
         journal: FakeJournal | None = None,
         cfg: DataPathSettings | None = None,
         placer: type[PolicyPlacer] = PolicyPlacer,
+        heard: bool = True,
     ) -> None:
         self.directory = PlatformDirectory()
         self._list(network)
+        if heard:
+            self._hear(network)
         rng = random.Random(7)
         self.client = UpstreamClient(network)
         self.health = HealthBoard(self.directory, self.client, rng)
@@ -466,6 +469,8 @@
             for found in network.instances.values()
         )
         self.directory.apply_list(InstanceList(1, records))
+
+    def _hear(self, network: FakeNetwork) -> None:
         for found in network.instances.values():
             report = LoadReport(found.epoch)
             self.directory.take_report(
--- a/packages/corianderlb-router/tests/test_quarantine_path.py
+++ b/packages/corianderlb-router/tests/test_quarantine_path.py
@@ -29,6 +29,7 @@
 async def with_fleet(
     test: Callable[[list[FakeRouter], list[FakeInstance]], Awaitable[None]],
     n_engines: int = 5,
+    heard: bool = True,
 ) -> None:
     """Run a test with two routers over engines that one request crashes."""
     engines = [FakeInstance(f"e{n}", poison=b"boom") for n in range(n_engines)]
@@ -37,7 +38,8 @@
         peers: list[FakePeers] = []
         # Placement sends all to one engine, so only suspicion keeps requests apart.
         routers = [
-            FakeRouter(network, f"r{n}", peers, placer=FirstByName) for n in range(2)
+            FakeRouter(network, f"r{n}", peers, placer=FirstByName, heard=heard)
+            for n in range(2)
         ]
         for router in routers:
             nursery.start_soon(router.parts.stalls.run)
@@ -64,6 +66,19 @@
 
         await with_fleet(check)
 
+    async def test_a_crash_counts_on_an_engine_that_nobody_heard_of_before(
+        self,
+    ) -> None:
+        """The poison is the first request that an engine gets, before any report of
+        it arrived. A crash that is taken for a cut would be one engine too many."""
+
+        async def check(routers: list[FakeRouter], engines: list[FakeInstance]) -> None:
+            for _ in range(4):
+                await routers[0].ask(FakeCaller(body=POISON))
+            self.assertEqual(sum(found.n_crashes for found in engines), 2)
+
+        await with_fleet(check, heard=False)
+
     async def test_copies_at_both_routers_are_counted_together(self) -> None:
         """The caller gave up waiting and sent the request to a second router, where
         it crashes an engine too."""
