End kept connections while draining, and test the data path behind its server

Cause: a drain waited for a moment without any exchange before it stopped listening; a client on a kept connection can go on for ever, past the balancer. Answers now ask for the close from the start of the drain, and listening stops after the balancer's lag.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -82,6 +82,8 @@
         """How the exchange ended."""
         self.service_class = ServiceClass.STANDARD
         """Set once the request is parsed."""
+        self.closing = False
+        """True when the answer asks the caller to close its connection."""
         self.replayed = False
         """True when the answer is the one of an earlier run of the same call."""
 
@@ -159,6 +161,8 @@
         headers = common_headers(
             self.request_id, self.decision_id, self.catalogue_version, self.result
         )
+        if self.closing:
+            headers.append((b"connection", b"close"))
         if self.replayed:
             headers.append((header.REPLAYED.encode(), b"true"))
         return headers
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_board.py
@@ -27,11 +27,16 @@
     def __init__(self) -> None:
         self._open: set[OpenExchange] = set()
         self._emptied = trio.Event()
+        self.closing = False
+        """True from the start of a drain on: each answer then asks its caller to
+        close, since a kept connection would go on bringing requests here, past the
+        balancer, and the router would never be empty."""
 
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
         """Keep an exchange on the board; ``cut`` cancels what runs inside."""
         entry = OpenExchange(caller)
+        caller.closing = self.closing
         self._open.add(entry)
         try:
             with entry.scope:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -288,8 +288,8 @@
         Readiness has turned already. A router that closed its port at once would
         refuse the requests that the balancer sends until it has noticed.
         """
+        self._board.closing = True
         await trio.sleep(self._settings.data_path.balancer_lag_s)
-        await self._board.wait_empty()
         self._stop_listening.set()
         await self._board.wait_empty()
         with trio.move_on_after(JOURNAL_DRAIN_S):
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -119,7 +119,7 @@
     n_connections: int = 0
     n_crashes: int = 0
     pause_s: float = 0.0
-    """Between two events."""
+    """Between two events, and before a whole answer."""
     streams: set[trio.abc.Stream] = field(default_factory=set)
 
     async def crash(self) -> None:
@@ -200,6 +200,7 @@
         elif fault.how:
             await self._break(fault, stream)
         else:
+            await trio.sleep(self.pause_s)
             await self._send_whole(conn, stream, fault.status, headers, b'{"ok":1}')
 
     async def _stream(self, req, fault, headers, conn, stream) -> None:
