Keep the table of links apart, and notice a clock that went back

Change: _link_table.LinkTable decides which of two links to a peer stays; Membership.newer_self tells of a newer life of this router, and the log says so once (peer:newer_self). OverlayNetwork.presence, which nobody read, goes.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -69,6 +69,12 @@
         self._list_revision = -1
         self._looked_at: float | None = None
         self._news: dict[InstanceId, int] = {}
+        self.newer_self: int | None = None
+        """Epoch of a newer life of this router that others know of, if there is one.
+
+        The others then ignore what this one says. It happens when the clock of the
+        instance went back between two starts; a start with the right clock mends it.
+        """
 
     @property
     def own(self) -> MemberState:
@@ -320,6 +326,8 @@
 
     def _hear_of_self(self, state: MemberState) -> Learned:
         """Outdo an old word about this router that still goes round."""
+        if state.epoch > self._own.epoch:
+            self.newer_self = state.epoch
         if _age(state) <= _age(self._own) or state.epoch != self._own.epoch:
             return Learned.NOTHING
         self._own = dataclasses.replace(self._own, heartbeat=state.heartbeat + 1)
--- a/packages/corianderlb-core/tests/test_membership.py
+++ b/packages/corianderlb-core/tests/test_membership.py
@@ -112,6 +112,15 @@
         states, _ = self.membership.news(random.Random(1))
         self.assertEqual((states[0].instance, states[0].heartbeat), ("r1", 41))
 
+    def test_life_with_a_clock_that_went_back_notices(self) -> None:
+        """A router restarts with a clock behind the one of its last life.
+
+        The others hold its word for old and ignore it, without a sign of their own.
+        """
+        self.assertIsNone(self.membership.newer_self)
+        self.membership.hear(a_member("r1", epoch=9), 0.0)
+        self.assertEqual(self.membership.newer_self, 9)
+
     def test_sleeper_accuses_nobody(self) -> None:
         """A router is stopped for a minute, and finds all its links silent on waking.
 
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -35,6 +35,7 @@
 from corianderlb_core.settings import PeerSettings
 
 from ._handshake import PeerIdentity, SealedLink, accept, introduce
+from ._link_table import LinkTable
 from ._peer_connection import PeerConnection, PeerCounters
 from .interface import Handler, PeerNetwork
 from .peer_link import FrameRefusedError, LinkClosedError, PeerLink, PeerTransport
@@ -97,13 +98,14 @@
         self._transport = transport
         self._cfg = cfg
         self._rng = rng
-        self._connections: dict[InstanceId, PeerConnection] = {}
+        self._links = LinkTable(own.instance)
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
         self._kept: deque[tuple[float, bytes]] = deque(maxlen=N_KEPT)
         self._n_beats = 0
         self._n_unproved = 0
         self._stranger_logged_at = -math.inf
+        self._told_newer_self = False
         self._beat_wanted = trio.Event()
         self._links_wanted = trio.Event()
         self._listed = trio.Event()
@@ -118,7 +120,7 @@
 
     def send(self, peer: InstanceId, message: Message) -> bool:
         """Queue a message to a linked peer; False when there is no link to it now."""
-        conn = self._connections.get(peer)
+        conn = self._links.get(peer)
         return conn is not None and conn.post(encode(message))
 
     def broadcast(self, message: Message) -> int:
@@ -126,7 +128,7 @@
         frame = encode(message)
         if isinstance(message, KEPT):
             self._kept.append((trio.current_time(), frame))
-        return sum(conn.post(frame) for conn in self._connections.values())
+        return sum(conn.post(frame) for conn in self._links)
 
     def members(self) -> Sequence[MemberState]:
         """Return the routers thought to run, this one included.
@@ -137,7 +139,7 @@
 
     def linked(self) -> Sequence[InstanceId]:
         """Return the routers that a link works to now."""
-        return tuple(self._connections)
+        return self._links.names()
 
     def candidates(self) -> Sequence[MemberState]:
         """Return the other routers that a link may be kept to, heard of or listed."""
@@ -201,7 +203,7 @@
                 own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
             )
         )
-        for conn in self._connections.values():
+        for conn in self._links:
             conn.post(frame)
 
     async def _keep_links(self, nursery: trio.Nursery) -> None:
@@ -225,12 +227,12 @@
         candidates = self._membership.candidates()
         by_name = {state.instance: state for state in candidates}
         chosen = choose_links(self._membership.own, candidates, self._cfg.n_peers)
-        missing = [by_name[name] for name in chosen if name not in self._connections]
+        missing = [by_name[name] for name in chosen if name not in self._links]
         return [state for state in missing if state.peer_address]
 
     def _seeds(self) -> list[MemberState]:
         """Return whom to try when nobody is linked, by address alone."""
-        if self._connections:
+        if self._links:
             return []
         own = self._membership.own
         return [
@@ -242,7 +244,7 @@
         ]
 
     def _close_silent(self, now: float, on_time: bool) -> None:
-        for conn in list(self._connections.values()):
+        for conn in self._links:
             if not on_time:
                 # This process slept: the silence was here, not there.
                 conn.last_heard = now
@@ -252,9 +254,10 @@
                 conn.close()
 
     def _dial_soon(self, nursery: trio.Nursery, state: MemberState) -> None:
-        if state.instance not in self._dialling | self._connections.keys():
-            self._dialling.add(state.instance)
-            nursery.start_soon(self._dial, state)
+        if state.instance in self._dialling or state.instance in self._links:
+            return
+        self._dialling.add(state.instance)
+        nursery.start_soon(self._dial, state)
 
     async def _dial(self, state: MemberState) -> None:
         """Try once to reach a router, and run the link for as long as it lasts."""
@@ -267,7 +270,7 @@
                     await self._run_link(sealed, dialled=True)
         except LinkClosedError:
             pass
-        if not proved and state.instance not in self._connections:
+        if not proved and state.instance not in self._links:
             self.counters.n_dials_failed += 1
             self._membership.out_of_reach(state.instance, trio.current_time())
             await trio.sleep(self._wait_s(DIAL_AGAIN_S))
@@ -315,7 +318,7 @@
         now = trio.current_time()
         conn = PeerConnection(link, dialled, self.counters, now)
         name = conn.peer.instance
-        if not self._take_place(conn):
+        if not self._links.add(conn):
             await link.aclose()
             return
         self.counters.n_links_opened += 1
@@ -325,35 +328,12 @@
         try:
             await conn.run(self._handle)
         finally:
-            if self._connections.get(name) is conn:
-                del self._connections[name]
+            if self._links.remove(conn):
                 self._membership.out_of_reach(name, trio.current_time())
                 eliot.log_message(message_type="peer:unlinked", peer=name)
             with trio.move_on_after(HANDSHAKE_S, shield=True):
                 await link.aclose()
 
-    def _take_place(self, conn: PeerConnection) -> bool:
-        """Put a new link in the place of an older one to the same router, or refuse.
-
-        When both routers dial at once there are two links, and each side must give up
-        the same one: the link of the router with the lower name stays. A link of a
-        newer life, or a second one from the same side, means that the first is dead.
-        """
-        name = conn.peer.instance
-        held = self._connections.get(name)
-        if held is not None:
-            if conn.peer.epoch < held.peer.epoch:
-                return False
-            crossed = conn.peer.epoch == held.peer.epoch and (
-                conn.dialled is not held.dialled
-            )
-            mine_stays = self._identity.instance < name
-            if crossed and conn.dialled is not mine_stays:
-                return False
-            held.close()
-        self._connections[name] = conn
-        return True
-
     def _greet(self, conn: PeerConnection) -> None:
         """Tell a new peer all there is to know, and what was broadcast of late."""
         own = self._membership.beat(*self.version())
@@ -386,11 +366,9 @@
         )
         if Learned.NEWS in learned:
             self.beat_now()
+        if member.newer_self is not None and not self._told_newer_self:
+            self._told_newer_self = True
+            eliot.log_message(message_type="peer:newer_self", epoch=member.newer_self)
 
     def _wait_s(self, mean_s: float) -> float:
         return mean_s * self._rng.uniform(0.5, 1.5)
-
-    @property
-    def presence(self) -> Presence:
-        """Whether this router stays or leaves."""
-        return self._membership.own.presence
