Measure calls, and mend what the probes showed

Probe: 10,040 admissions took 64 s. Cause: an account with a token limit and requests that use no tokens (plain services) was short for ever and asked its home each time; it was refused in the end. Also a home with enough was left alone for 50 ms after each answer, and a grant looked at every router's lease: 1,068 us with 410 asking routers. Now: calls without tokens need none; only a home that had too little is left alone; sums are kept up.

Conflicts pause 50 ms at most, since each means that another router went on.

--- a/packages/corianderlb-core/src/corianderlb_core/allowance.py
+++ b/packages/corianderlb-core/src/corianderlb_core/allowance.py
@@ -74,6 +74,8 @@
     """When a request of the entry came or went last."""
     has_fallen_back: bool = False
     """Whether it spends the even share, since the home does not answer."""
+    is_scarce: bool = False
+    """Whether the home had less than it was asked for."""
     number: int = 0
     """Of the newest request to the home."""
     answered: int = 0
@@ -85,13 +87,14 @@
     _share: _Share | None = None
     _hold_s: float = FIRST_HOLD_S
     _home_wait_s: float = 0.0
+    _asked_places: int = 0
     _n_live: int = 1
 
     def reserve(self, tokens: float, now: float) -> ResultCode | None:
         """Take a place and the estimated tokens; return a code when short of them."""
         self.used_at = now
         self._expire(now)
-        code = self._shortage(now)
+        code = self._shortage(tokens, now)
         if code is not None:
             self._demand.n_short += 1
             self._demand.short_tokens += tokens
@@ -141,6 +144,7 @@
         self._unanswered[self.number] = now
         self._unanswered.pop(self.number - MAX_UNANSWERED, None)
         wanted = self._wanted()
+        self._asked_places = 0 if self.limits.concurrent is None else wanted
         # Given back before the home hears of it, so that no place counts twice.
         self.leased = min(self.leased, wanted)
         demand, self._demand = self._demand, _Demand()
@@ -174,6 +178,7 @@
         self.requests += grant.requests
         self.tokens += grant.tokens
         self._home_wait_s = grant.wait_s
+        self.is_scarce = grant.wait_s > 0 or grant.concurrent < self._asked_places
         if grant.number == self.number:
             self.answered = grant.number
             self.leased = grant.concurrent
@@ -205,15 +210,23 @@
         most_spare = self.limits.concurrent // (4 * self._n_live)
         return n_needed + min(most_spare, max(1, n_needed // 4))
 
-    def _shortage(self, now: float) -> ResultCode | None:
+    def _shortage(self, tokens: float, now: float) -> ResultCode | None:
         if self.limits.concurrent is not None and self.n_running >= self._places(now):
             return ResultCode.TOO_MANY_CONCURRENT
         if self.limits.requests_per_s is not None and self.requests < 1.0:
             return ResultCode.RATE_LIMITED
-        if self.limits.tokens_per_s is not None and self.tokens <= 0.0:
+        if self.limits.tokens_per_s is not None and self._lacks_tokens(tokens):
             return ResultCode.RATE_LIMITED
         return None
 
+    def _lacks_tokens(self, tokens: float) -> bool:
+        """Return whether there are none left, or some are owed.
+
+        One request may use more than there are, as its estimate can be above all that
+        an entry ever saves up; the rest is owed. Calls of plain services use none.
+        """
+        return self.tokens < 0.0 or (tokens > 0 and self.tokens == 0.0)
+
     def _places(self, now: float) -> int:
         leased = self.leased if now < self._valid_until else 0
         if self.has_fallen_back and self._share is not None:
--- a/packages/corianderlb-core/src/corianderlb_core/grant.py
+++ b/packages/corianderlb-core/src/corianderlb_core/grant.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -92,6 +93,11 @@
     def __init__(self, limits: Limits, terms: GrantTerms, now: float) -> None:
         self._terms = terms
         self._leases: dict[InstanceId, _Lease] = {}
+        self._ends: list[tuple[float, InstanceId]] = []
+        """Ends of the answers, soonest first."""
+        self._n_leased = 0
+        self._n_short = 0
+        """Routers that want more places than they have."""
         self.asked_at = now
         """When a router asked last; an idle ledger may be dropped."""
         self.set_limits(limits, now)
@@ -140,27 +146,48 @@
         return bucket.take(min(asked, max(share, 1.0)), now)
 
     def _lease(self, req: GrantRequest, now: float) -> int:
-        others = [held for who, held in self._leases.items() if who != req.requester]
-        n = self._n_concurrent(req, others)
         lease = self._leases.setdefault(req.requester, _Lease())
+        self._uncount(lease)
+        n = self._n_concurrent(req)
         lease.wanted = req.concurrent
         lease.used = req.used_concurrent
-        lease.add(n, now + self._terms.valid_s)
+        expires_at = now + self._terms.valid_s
+        lease.add(n, expires_at)
+        self._count(lease)
+        heapq.heappush(self._ends, (expires_at, req.requester))
         return n
 
-    def _n_concurrent(self, req: GrantRequest, others: list[_Lease]) -> int:
+    def _n_concurrent(self, req: GrantRequest) -> int:
+        """Return the places for a router whose own lease is not counted."""
         limit = self.limits.concurrent
         if limit is None:
             return 0
-        free = limit - sum(lease.n for lease in others)
-        if any(lease.wanted > lease.n for lease in others):
-            free = min(free, max(1, limit // (len(others) + 1)))
+        free = limit - self._n_leased
+        if self._n_short:
+            free = min(free, max(1, limit // len(self._leases)))
         return max(0, min(req.concurrent, free))
 
     def _expire(self, now: float) -> None:
-        for lease in self._leases.values():
+        while self._ends and self._ends[0][0] <= now:
+            who = heapq.heappop(self._ends)[1]
+            lease = self._leases.get(who)
+            if lease is None:
+                continue
+            self._uncount(lease)
             lease.expire(now)
-        self._leases = {who: held for who, held in self._leases.items() if held.answers}
+            if lease.answers:
+                self._count(lease)
+            else:
+                del self._leases[who]
+
+    def _count(self, lease: _Lease) -> None:
+        """Keep the sums up, so that a grant does not look at every router."""
+        self._n_leased += lease.n
+        self._n_short += lease.wanted > lease.n
+
+    def _uncount(self, lease: _Lease) -> None:
+        self._n_leased -= lease.n
+        self._n_short -= lease.wanted > lease.n
 
 
 def _wait_s(bucket: Bucket | None, needed: float) -> float:
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -80,7 +80,7 @@
 class JournalSettings:
     """Tune the journal of non-repeatable calls; alike on all routers of a fleet."""
 
-    n_shards: Annotated[int, Meta(ge=1, le=999)] = 8
+    n_shards: Annotated[int, Meta(ge=1, le=999)] = 4
     """Objects that calls are spread over; change it only while no call runs."""
     retention_s: Annotated[float, Meta(ge=60.0)] = 86400.0
     """How long a repeat of a call gets the first answer."""
--- a/packages/corianderlb-router/src/corianderlb_router/_journal_shard.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_journal_shard.py
@@ -53,8 +53,11 @@
 CONFLICT_PAUSE_S: Final = 0.01
 """Longest first pause after another router's update; doubles with each conflict."""
 
+MAX_CONFLICT_PAUSE_S: Final = 0.05
+"""Longest pause after conflicts; each of them means that another router went on."""
+
 MAX_PAUSE_S: Final = 0.5
-"""Longest pause before the store is asked again."""
+"""Longest pause before a store that fails is asked again."""
 
 LOST_ROUTER_S: Final = 3600.0
 """Age from which a begun call's router counts as lost when the head is sealed."""
@@ -165,7 +168,7 @@
         except StoreConflictError:
             self._fresh = False
             self.counts.n_conflicts += 1
-            await self._pause(CONFLICT_PAUSE_S)
+            await self._pause(CONFLICT_PAUSE_S, MAX_CONFLICT_PAUSE_S)
         except StoreError:
             # The write may have taken effect, now or later. Reading the head again
             # and applying again settles it, since each operation looks for its own
@@ -173,7 +176,7 @@
             self._fresh = False
             self.counts.n_failures += 1
             self._note_outage()
-            await self._pause(CONFLICT_PAUSE_S * 4)
+            await self._pause(CONFLICT_PAUSE_S * 4, MAX_PAUSE_S)
 
     async def _load(self) -> None:
         stored = await self._store.get(f"{self.folder}/head")
@@ -368,9 +371,9 @@
     def _is_full(self) -> bool:
         return self._head_bytes > self._cfg.seal_bytes and not self._may_seal()
 
-    async def _pause(self, first_s: float) -> None:
+    async def _pause(self, first_s: float, most_s: float) -> None:
         self._n_failed += 1
-        longest = min(MAX_PAUSE_S, first_s * 2 ** min(self._n_failed, 10))
+        longest = min(most_s, first_s * 2 ** min(self._n_failed, 10))
         await trio.sleep(self._rng.uniform(0, longest))
 
     def _note_outage(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
@@ -32,7 +32,7 @@
 """How often allowances are looked at and homes are asked for more."""
 
 MIN_ASK_S: Final = 0.05
-"""Shortest time between two requests to a home for one entry."""
+"""Shortest time between two requests to a home that had too little."""
 
 IDLE_S: Final = 60.0
 """After so long without a request, an entry's allowance or ledger is forgotten."""
@@ -66,9 +66,14 @@
     asked_at: float = float("-inf")
 
     def may_ask_at(self) -> float:
-        """Return when the home may be asked again: one question at a time."""
-        is_answered = self.allowance.answered == self.allowance.number
-        return self.asked_at + (MIN_ASK_S if is_answered else TICK_S)
+        """Return when the home may be asked again.
+
+        One question is under way at a time. A home that had less than it was asked
+        for is left alone for a moment, or callers over their limit would flood it.
+        """
+        if self.allowance.answered != self.allowance.number:
+            return self.asked_at + TICK_S
+        return self.asked_at + (MIN_ASK_S if self.allowance.is_scarce else 0.0)
 
 
 class LimitHolder(Actor):
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -172,6 +172,8 @@
             catalogue=self._catalogue,
             reader=reader,
             quarantine=self._quarantine,
+            journal=self._journal,
+            limiter=self._limiter,
         )
         self._counters.watch(self._parts.metrics)
         takers = [directory.apply_list, self._peers.take_list]
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from corianderlb_core.admission import GateCounts
 from corianderlb_core.status import CounterStatus
 
+from ._journal_shard import ShardCounts
+from .call_journal import StoreCallJournal
 from .catalogue_follower import CatalogueFollower
 from .catalogue_reader import CatalogueReader
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .http_store import HttpObjectStore
+from .limiter import Limiter
 from .metric import Gauge, Metrics, Tally
 from .peer_network import OverlayNetwork
 
@@ -26,6 +32,8 @@
     catalogue: CatalogueFollower
     reader: CatalogueReader
     quarantine: FleetQuarantine
+    journal: StoreCallJournal
+    limiter: Limiter
 
     def watch(self, metrics: Metrics) -> None:
         """Have the counters and gauges read at each scrape."""
@@ -44,6 +52,8 @@
             "store_failures": self.store_failures(),
             "peers": self.peer_counts(),
             "catalogue": self.catalogue_counts(),
+            "journal": self.journal_counts(),
+            "admission": self.admission_counts(),
         }
         return tuple(
             CounterStatus(f"{group}.{kind}", value)
@@ -70,6 +80,22 @@
         counted |= dataclasses.asdict(self.reader.counters)
         return {name.removeprefix("n_"): float(n) for name, n in counted.items()}
 
+    def journal_counts(self) -> dict[str, float]:
+        """Return what the journal of non-repeatable calls did, over its shards."""
+        return _summed([shard.counts for shard in self.journal.shards])
+
+    def admission_counts(self) -> dict[str, float]:
+        """Return how requests fared at the gates of all upstreams."""
+        return _summed([gate.counts for gate in self.limiter.gates.values()])
+
     def _version(self) -> float:
         in_force = self.catalogue.current()
         return float(in_force.catalogue.version) if in_force else 0.0
+
+
+def _summed(counts: Sequence[ShardCounts | GateCounts]) -> dict[str, float]:
+    """Return the sums of counters of one class, by name."""
+    total: Counter[str] = Counter()
+    for one in counts:
+        total.update(dataclasses.asdict(one))
+    return {name.removeprefix("n_"): float(n) for name, n in total.items()}
--- a/packages/corianderlb-router/tests/test_fleet_limits.py
+++ b/packages/corianderlb-router/tests/test_fleet_limits.py
@@ -215,6 +215,29 @@
             await trio.sleep(refusal.retry_after_s + 4.0)
             self.assertIsInstance(await self.admit("r1", prompt_tokens=100), Slot)
 
+    async def test_calls_without_tokens_beside_a_token_limit(self) -> None:
+        """An account with a limit of tokens calls a plain service, which uses none.
+
+        Refused for having no tokens, it could never sign a batch off.
+        """
+        async with self.running(Limits(tokens_per_s=1000.0)):
+            for _ in range(20):
+                slot = await self.admit("r1", prompt_tokens=0)
+                assert isinstance(slot, Slot)
+                slot.release(0)
+
+    async def test_home_is_left_alone_by_callers_over_their_limit(self) -> None:
+        async with self.running(Limits(requests_per_s=1.0)):
+            away = next(name for name in ROUTERS if name != self.home())
+            await self.admit(away)
+            before = self.hub.n_messages
+            async with trio.open_nursery() as nursery:
+                for _ in range(200):
+                    nursery.start_soon(self.admit, away)
+                    await trio.sleep(0.005)
+            # A question and an answer every 50 ms, and not for every caller.
+            self.assertLess(self.hub.n_messages - before, 50)
+
     async def test_two_places_for_two_routers(self) -> None:
         async with self.running(Limits(concurrent=2)):
             first = await self.admit("r1")
--- a/packages/corianderlb-standins/src/corianderlb_standins/slopes.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/slopes.py
@@ -7,6 +7,7 @@
 
 from corianderlb_core.codec import to_json
 
+from .call_probe import CALL_PROBES
 from .capacity_page import render_slopes, render_table
 from .core_probe import CORE_PROBES
 from .fleet_probe import herd_slope, idle_slopes
@@ -22,7 +23,7 @@
 async def run_slopes(folder: Path, with_fleets: bool) -> int:
     """Measure, write the points and the tables, print them; return the exit code."""
     folder.mkdir(parents=True, exist_ok=True)
-    slopes: list[Slope] = [await probe.run() for probe in CORE_PROBES]
+    slopes: list[Slope] = [await probe.run() for probe in (*CORE_PROBES, *CALL_PROBES)]
     if with_fleets:
         slopes += await idle_slopes()
         slopes.append(await herd_slope())
