Let queued work wait, and bound every write to a caller

Cause, found by reading: work that waited in a busy engine's queue for longer than the allowed silence was taken for a silent connection, sent elsewhere, and three of them retired the engine. A resume that the instance answers shows that it lives and holds the request, so the router goes on waiting. Errors and whole answers to a caller that reads nothing were written without a bound and kept a drain from its end. Whether an instance lives is asked on a fresh connection, since a pooled one that broke says nothing. The new tests fail without the changes.

--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -228,7 +228,9 @@
         """
         address = leg.upstream_instance.address
         try:
-            response = await self._parts.client.get(address, HEALTH_PATH, LIFE_PATIENCE)
+            response = await self._parts.client.get(
+                address, HEALTH_PATH, LIFE_PATIENCE, fresh=True
+            )
         except ConnectFailedError as exc:
             return exc.refused
         except BrokenError:
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -56,6 +56,14 @@
     """Signal that the caller hung up before its request was read."""
 
 
+class CallerStalledError(CorianderError):
+    """Signal a caller that left its answer unread for too long.
+
+    Without a bound such callers would pile up, hold connections and engine slots,
+    and keep a draining router from its end.
+    """
+
+
 class CallerExchange:
     """Hold one request of a caller and the state of its answer."""
 
@@ -82,6 +90,8 @@
         """How the exchange ended."""
         self.service_class = ServiceClass.STANDARD
         """Set once the request is parsed."""
+        self.stall_s = math.inf
+        """How long the caller may leave an answer unread."""
         self.closing = False
         """True when the answer asks the caller to close its connection."""
         self.replayed = False
@@ -140,16 +150,20 @@
         await self._send({"type": "http.response.body", "body": data})
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
-        await self.finish(body)
+        """Send a whole answer; raise ``CallerStalledError`` when it is not read."""
+        with trio.move_on_after(self.stall_s) as scope:
+            await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
+            await self.finish(body)
+        if scope.cancelled_caught:
+            raise CallerStalledError("the caller left its answer unread")
 
     async def fail(self, refusal: Refusal) -> None:
         """End with an error: a whole answer, or an event in a stream that began."""
         self.result = refusal.code
         body = error_body(refusal)
         if self.started:
-            await self.finish(b"event: error\ndata: " + body + b"\n\n")
+            with trio.move_on_after(self.stall_s):
+                await self.finish(b"event: error\ndata: " + body + b"\n\n")
             return
         headers = [JSON_TYPE]
         if refusal.retry_after_s > 0:
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -73,6 +73,8 @@
         )
         self._leg: Leg | None = None
         self._epoch = 0
+        self._answered = False
+        """Whether the instance answered the latest attempt at all."""
 
     async def run(self) -> int:
         """Answer the caller; return the tokens used.
@@ -134,14 +136,26 @@
                 await self._parts.client.retire(leg.upstream_instance.address)
             n_before = self._assembler.n_relayed
             self._assembler.begin_attempt(leg.attempt_id, n_before)
+            self._answered = False
             again = await self._attempt(leg, resume=True)
             if again is None:
                 return None
-            if self._assembler.n_relayed == n_before:
+            if self._assembler.n_relayed == n_before and not self._is_queued(again):
                 return _combine(failure, again)
             failure = again
         return failure
 
+    def _is_queued(self, failure: AttemptFailure) -> bool:
+        """Return whether the instance lives and has the request still in its queue.
+
+        Least urgent work may wait there for longer than silence is allowed. Sent
+        elsewhere it would wait again, behind more work, and a busy instance would be
+        retired as a dead one. Its word on a connection of this moment is enough to go
+        on waiting, until the deadline.
+        """
+        silent = failure.kind is FailureKind.SILENT
+        return silent and self._answered and not self._assembler.n_relayed
+
     async def _attempt(self, leg: Leg, resume: bool) -> AttemptFailure | None:
         """Send the request, or the resume, and relay what comes."""
         cfg = self._parts.cfg
@@ -163,6 +177,7 @@
         response = await self._parts.client.open(outbound, patience)
         try:
             self._observe(leg, epoch_of(response))
+            self._answered = True
             if not response.is_success:
                 message = f"{outbound.address}: status {response.status_code}"
                 raise UpstreamStatusError(message, sent=True)
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -15,7 +15,13 @@
 from corianderlb_core.settings import DataPathSettings
 
 from .attempt import Parts
-from .caller import CallerExchange, CallerGoneError, RequestRefusedError, refuse
+from .caller import (
+    CallerExchange,
+    CallerGoneError,
+    CallerStalledError,
+    RequestRefusedError,
+    refuse,
+)
 from .completion_run import CompletionRun
 from .exchange_board import ExchangeBoard
 from .inbound import (
@@ -63,10 +69,12 @@
 
     async def handle(self, caller: CallerExchange) -> None:
         """Answer one request, whatever happens."""
+        caller.stall_s = self._cfg.caller_stall_timeout_s
         with self._board.exchange(caller) as entry:
             try:
                 await self._handle(caller)
-            except CallerGoneError:
+            except (CallerGoneError, CallerStalledError):
+                # Nobody reads; returning lets the server close the connection.
                 return
             except RequestRefusedError as exc:
                 await caller.fail(exc.refusal)
--- a/packages/corianderlb-router/src/corianderlb_router/relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/relay.py
@@ -18,7 +18,7 @@
 from corianderlb_core.settings import DataPathSettings
 from corianderlb_core.stream import StreamAssembler
 
-from .caller import CallerExchange, Headers
+from .caller import CallerExchange, CallerStalledError, Headers
 from .connection import BrokenError, SilentError
 from .stall_watch import Progress, StallWatch
 from .transport import EXCHANGE
@@ -31,15 +31,6 @@
 """Headers of a streamed answer."""
 
 
-class CallerStalledError(CorianderError):
-    """Signal a caller that left its answer unread for too long.
-
-    Without a bound such callers would pile up and hold connections and engine slots.
-    """
-
-    code = ResultCode.CUT_BY_SHUTDOWN
-
-
 class AnswerTooLongError(CorianderError):
     """Signal an answer that is longer than the router may hold for a caller."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -100,10 +100,18 @@
             raise
         return response
 
-    async def get(self, address: str, path: str, patience: Patience) -> httpx.Response:
-        """Return a whole answer to a question about the instance itself."""
-        timeout = _timeout(patience)
-        return await self._http.get(f"http://{address}{path}", timeout=timeout)
+    async def get(
+        self, address: str, path: str, patience: Patience, fresh: bool = False
+    ) -> httpx.Response:
+        """Return a whole answer to a question about the instance itself.
+
+        ``fresh`` asks on a connection of this moment, whose failure is news.
+        """
+        return await self._http.get(
+            f"http://{address}{path}",
+            timeout=_timeout(patience),
+            extensions={FRESH: fresh},
+        )
 
     async def post(
         self, address: str, path: str, body: bytes, patience: Patience
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -120,6 +120,8 @@
     n_crashes: int = 0
     pause_s: float = 0.0
     """Between two events, and before a whole answer."""
+    ready_at: float = 0.0
+    """When its queue lets the first event out."""
     streams: set[trio.abc.Stream] = field(default_factory=set)
 
     async def crash(self) -> None:
@@ -206,6 +208,7 @@
     async def _stream(self, req, fault, headers, conn, stream) -> None:
         attempt_id = fault.event_id or req.headers[header.ATTEMPT_ID]
         await self._head(conn, stream, 200, headers)
+        await trio.sleep_until(max(self.ready_at, trio.current_time()))
         for index in range(req.first_index, N_EVENTS + 1):
             if index == fault.after:
                 await self._break(fault, stream, conn)
--- a/packages/corianderlb-router/tests/test_completion_run.py
+++ b/packages/corianderlb-router/tests/test_completion_run.py
@@ -139,6 +139,24 @@
 
         await with_router(check, engine)
 
+    async def test_a_long_queue_is_not_taken_for_silence(self) -> None:
+        """A weekly review waits in a busy engine for a minute. Taken for a dead
+        connection, it would be sent on from engine to engine, and each of them
+        retired while it works."""
+        engines = [FakeInstance(f"e{n}", ready_at=60.0) for n in range(2)]
+
+        async def check(router: FakeRouter) -> None:
+            caller = await router.ask()
+            self.assertEqual(caller.answer, caller.whole)
+            received = [*engines[0].received, *engines[1].received]
+            ids = {req.headers[header.ATTEMPT_ID] for req in received}
+            self.assertEqual(len(ids), 1)
+            self.assertEqual(
+                {router.health.state(e.name) for e in engines}, {"healthy"}
+            )
+
+        await with_router(check, *engines)
+
     async def test_an_answer_to_another_attempt_is_never_relayed(self) -> None:
         """Two answers cross inside an upstream. One customer would read the answer to
         the other's prompt."""
@@ -238,15 +256,23 @@
             caller = FakeCaller()
             caller.reading = trio.Event()
             with trio.fail_after(router.parts.cfg.caller_stall_timeout_s + 5):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(router.ask, caller)
-                    await trio.sleep(router.parts.cfg.caller_stall_timeout_s + 1)
-                    caller.reading.set()
-            self.assertNotIn(b"w1", caller.answer)
+                await router.ask(caller)
+            self.assertEqual(caller.answer, b"")
             self.assertEqual(len(engine.cancelled), 1)
+            self.assertEqual(len(router.board), 0)
 
         await with_router(check, engine)
 
+    async def test_a_whole_answer_that_is_not_read_is_given_up(self) -> None:
+        async def check(router: FakeRouter) -> None:
+            caller = FakeCaller(body=b'{"model":"ember-llm","prompt":"hi"}')
+            caller.reading = trio.Event()
+            with trio.fail_after(router.parts.cfg.caller_stall_timeout_s + 5):
+                await router.ask(caller)
+            self.assertEqual(len(router.board), 0)
+
+        await with_router(check, FakeInstance("e0"))
+
     async def test_the_deadline_ends_a_request_and_its_upstream_work(self) -> None:
         engine = FakeInstance("e0", pause_s=3.0)
 
