--- a/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -23,6 +23,7 @@
 from .kv_cache import KvCache
 from .relay_cost import run_relay_cost
 from .service import Service
+from .slopes import run_slopes
 from .store import Store
 from .workload import Scenario
 
@@ -67,6 +68,9 @@
     in_force = commands.add_parser("in-force", help="time changes until in force")
     in_force.add_argument("--seed", type=int, default=1)
     in_force.set_defaults(run=_run_in_force)
+    slopes = commands.add_parser("slopes", help="how costs grow, for the capacity page")
+    slopes.add_argument("--out", type=Path, default=Path("out"))
+    slopes.set_defaults(run=lambda args: trio.run(run_slopes, args.out))
     return parser
 
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/core_probe.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/core_probe.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import ClassVar, Final
 
+from corianderlb_core import load_vector
 from corianderlb_core.catalogue import Catalogue, ServiceClass, key_of
 from corianderlb_core.change import apply_change
 from corianderlb_core.codec import to_cbor
@@ -26,12 +27,32 @@
 from corianderlb_core.instance_load import InstanceLoad, InstanceSet
 from corianderlb_core.journal import CallRecord, CallState, ShardHead, StoredAnswer
 from corianderlb_core.load import LoadReport
-from corianderlb_core.message import Heartbeat, MemberState, decode, encode
-from corianderlb_core.placement import ModelCost, PlacementPolicy, PlacementQuery
+from corianderlb_core.load_vector import LoadSample
+from corianderlb_core.message import (
+    Grant,
+    GrantRequest,
+    Heartbeat,
+    LoadVector,
+    MemberState,
+    decode,
+    encode,
+)
+from corianderlb_core.placement import (
+    N_CANDIDATES,
+    ModelCost,
+    PlacementPolicy,
+    PlacementQuery,
+)
 from corianderlb_core.placement_registry import make_policy
 from corianderlb_core.prefix import PrefixScope, prefix_keys
 from corianderlb_core.request import RequestFacts
 from corianderlb_core.settings import PlacementSettings
+from corianderlb_core.status import (
+    AttemptReport,
+    CandidateReport,
+    DecisionReport,
+    EntryReference,
+)
 
 from .builder import a_change, an_account
 from .slope import Probe
@@ -170,6 +191,90 @@
         return float(len(to_cbor(ShardHead(tuple(map(_record, range(size)))))))
 
 
+class VectorBytesProbe(Probe):
+    """Weigh a load vector by the upstream instances of the region."""
+
+    name: ClassVar[str] = "load vector frame"
+    x_unit: ClassVar[str] = "upstream instances"
+    y_unit: ClassVar[str] = "bytes"
+    sizes: ClassVar[tuple[int, ...]] = (120, 465, 930)
+
+    async def measure(self, size: int) -> float:
+        """Return the bytes of the frame."""
+        return float(len(encode(_vector(size))))
+
+
+class VectorTimeProbe(Probe):
+    """Time packing, writing, reading and unpacking a load vector."""
+
+    name: ClassVar[str] = "load vector, written and read"
+    x_unit: ClassVar[str] = "upstream instances"
+    y_unit: ClassVar[str] = "us"
+    sizes: ClassVar[tuple[int, ...]] = (120, 465, 930)
+
+    async def measure(self, size: int) -> float:
+        """Return the processor time of all four in microseconds."""
+
+        def work() -> None:
+            message = decode(encode(_vector(size)))
+            assert isinstance(message, LoadVector)
+            load_vector.unpack(message.packed, size)
+
+        return least_us(work, 20)
+
+
+class GrantBytesProbe(Probe):
+    """Weigh the exchange of a grant, question and answer, by limited entries."""
+
+    name: ClassVar[str] = "grants asked and answered"
+    x_unit: ClassVar[str] = "entries"
+    y_unit: ClassVar[str] = "bytes"
+    sizes: ClassVar[tuple[int, ...]] = (1, 10, 100)
+
+    async def measure(self, size: int) -> float:
+        """Return the bytes of all frames."""
+        return float(sum(_grant_bytes(n) for n in range(size)))
+
+
+class MemberMemoryProbe(Probe):
+    """Weigh the table of routers in memory."""
+
+    name: ClassVar[str] = "members in memory"
+    x_unit: ClassVar[str] = "routers"
+    y_unit: ClassVar[str] = "bytes"
+    sizes: ClassVar[tuple[int, ...]] = (10, 100, 410)
+
+    async def measure(self, size: int) -> float:
+        """Return the bytes that the members' states keep allocated."""
+        return allocated_bytes(lambda: [_member(n) for n in range(size)])
+
+
+class InstanceMemoryProbe(Probe):
+    """Weigh what a router keeps of upstream instances."""
+
+    name: ClassVar[str] = "upstream instances in memory"
+    x_unit: ClassVar[str] = "upstream instances"
+    y_unit: ClassVar[str] = "bytes"
+    sizes: ClassVar[tuple[int, ...]] = (10, 100, 930)
+
+    async def measure(self, size: int) -> float:
+        """Return the bytes that the instances' loads keep allocated."""
+        return allocated_bytes(lambda: _instances(size))
+
+
+class DecisionMemoryProbe(Probe):
+    """Weigh the decisions that a router keeps for explanations."""
+
+    name: ClassVar[str] = "decisions in memory"
+    x_unit: ClassVar[str] = "decisions"
+    y_unit: ClassVar[str] = "bytes"
+    sizes: ClassVar[tuple[int, ...]] = (100, 500, 2000)
+
+    async def measure(self, size: int) -> float:
+        """Return the bytes that the reports keep allocated."""
+        return allocated_bytes(lambda: [_report(n) for n in range(size)])
+
+
 CORE_PROBES: Final[tuple[Probe, ...]] = (
     PlacementProbe(),
     PrefixProbe(),
@@ -178,6 +283,12 @@
     HeartbeatBytesProbe(),
     HeartbeatTimeProbe(),
     JournalBytesProbe(),
+    VectorBytesProbe(),
+    VectorTimeProbe(),
+    GrantBytesProbe(),
+    MemberMemoryProbe(),
+    InstanceMemoryProbe(),
+    DecisionMemoryProbe(),
 )
 """All probes that need no other process."""
 
@@ -222,22 +333,55 @@
 
 
 def _heartbeat(n_members: int) -> Heartbeat:
-    members = [
-        MemberState(
-            instance=InstanceId(f"router-{n}"),
-            epoch=1_790_000_000_000 + n,
-            heartbeat=n,
-            presence=Presence.LIVE,
-            zone="pnw-a",
-            region="pnw",
-            address=f"10.0.0.{n}:8080",
-            peer_address=f"10.0.0.{n}:8081",
-            catalogue_version=1600,
-            in_force_since="2026-01-01T00:00:00Z",
-        )
-        for n in range(n_members)
-    ]
-    return Heartbeat(1, 1600, tuple(members))
+    return Heartbeat(1, 1600, tuple(_member(n) for n in range(n_members)))
+
+
+def _member(n: int) -> MemberState:
+    return MemberState(
+        instance=InstanceId(f"router-{n}"),
+        epoch=1_790_000_000_000 + n,
+        heartbeat=n,
+        presence=Presence.LIVE,
+        zone="pnw-a",
+        region="pnw",
+        address=f"10.0.0.{n}:8080",
+        peer_address=f"10.0.0.{n}:8081",
+        catalogue_version=1600,
+        in_force_since="2026-01-01T00:00:00Z",
+    )
+
+
+def _vector(n_instances: int) -> LoadVector:
+    samples = [LoadSample(n, n % 7 / 10, n % 9, n % 5 / 2) for n in range(n_instances)]
+    return LoadVector(1 << 60, load_vector.pack(samples))
+
+
+def _grant_bytes(n: int) -> int:
+    entry = f"account/northwest-charcoal-{n}"
+    question = GrantRequest(entry, InstanceId("router-1"), 2.5, 900.0, 3, 2, n, 0.0)
+    answer = Grant(entry, 2.5, 900.0, 3, 3.0, n, 0.0)
+    return len(encode(question)) + len(encode(answer))
+
+
+def _report(n: int) -> DecisionReport:
+    candidates = tuple(
+        CandidateReport(f"ember-llm-{m}", 1, m, 0, 0.1, "home of the first 9 pieces")
+        for m in range(N_CANDIDATES)
+    )
+    names = ("account/a", "model/ember-llm", "upstream/ember-llm")
+    return DecisionReport(
+        decision_id=f"router-1-{n:032x}",
+        request_id=f"{n:032x}",
+        account="northwest-charcoal",
+        target="ember-llm",
+        service_class="urgent",
+        catalogue_version=n,
+        policy="default",
+        at=f"2026-01-01T00:00:00.{n:06d}+00:00",
+        candidates=candidates,
+        attempts=(AttemptReport(f"{n:032x}.1", "ember-llm-1", 1, 0, 0.001, 1.0),),
+        rested_on=tuple(EntryReference(name, "team", 1) for name in names),
+    )
 
 
 def _record(n: int) -> CallRecord:
--- a/packages/corianderlb-standins/src/corianderlb_standins/fleet_probe.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fleet_probe.py
@@ -16,6 +16,7 @@
 
 from .fleet import Fleet, running_fleet
 from .fleet_plan import FleetPlan
+from .relay_cost import cpu_seconds
 from .slope import Point, Slope, fit
 
 SETTLE_S: Final = 6.0
@@ -27,8 +28,8 @@
 START_LIMIT_S: Final = 120.0
 """Longest time for one fleet."""
 
-ROUTER_SIZES: Final = (2, 4, 8, 16)
-"""Routers of the fleets with two engines."""
+ROUTER_SIZES: Final = (8, 16, 32)
+"""Routers of the fleets with two engines: enough that links are as many as ever."""
 
 UPSTREAM_SIZES: Final = (2, 8, 24)
 """Engines of the fleets with two routers."""
@@ -49,10 +50,8 @@
     @classmethod
     def of(cls, pid: int) -> Usage:
         """Read the usage of a running process from the kernel's tables."""
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-        return cls(ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE"))
+        return cls(cpu_seconds(pid), float(pages * os.sysconf("SC_PAGE_SIZE")))
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-standins/src/corianderlb_standins/slopes.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/slopes.py
@@ -1,4 +1,4 @@
-"""``make slopes``: measure all slopes and work the capacity table out of them."""
+"""``make slopes``: measure all slopes and work the capacity tables out of them."""
 
 from __future__ import annotations
 
@@ -8,10 +8,16 @@
 from corianderlb_core.codec import to_json
 
 from .call_probe import CALL_PROBES
-from .capacity_page import render_slopes, render_table
+from .capacity_page import (
+    render_costs,
+    render_data_path,
+    render_slopes,
+    render_store,
+)
 from .core_probe import CORE_PROBES
 from .fleet_probe import herd_slope, idle_slopes
 from .slope import Slope
+from .traffic_probe import call_slope, traffic_slopes
 
 SLOPES_FILE: Final = "slopes.json"
 """Where the measured points go, in the output folder."""
@@ -20,17 +26,28 @@
 """Where the tables for ``docs/CAPACITY.md`` go."""
 
 
-async def run_slopes(folder: Path, with_fleets: bool) -> int:
+async def run_slopes(folder: Path) -> int:
     """Measure, write the points and the tables, print them; return the exit code."""
     folder.mkdir(parents=True, exist_ok=True)
     slopes: list[Slope] = [await probe.run() for probe in (*CORE_PROBES, *CALL_PROBES)]
-    if with_fleets:
-        slopes += await idle_slopes()
-        slopes.append(await herd_slope())
+    slopes += await traffic_slopes()
+    slopes.append(await call_slope())
+    slopes += await idle_slopes()
+    slopes.append(await herd_slope())
     (folder / SLOPES_FILE).write_bytes(to_json(slopes))
-    text = render_slopes(slopes)
-    if with_fleets:
-        text += "\n" + render_table({slope.name: slope for slope in slopes})
+    text = render_tables(slopes)
     (folder / PAGE_FILE).write_text(text)
     print(text)
     return 0
+
+
+def render_tables(slopes: list[Slope]) -> str:
+    """Return the tables of the capacity page."""
+    by_name = {slope.name: slope for slope in slopes}
+    parts = [
+        render_slopes(slopes),
+        render_costs(by_name),
+        render_data_path(by_name),
+        render_store(by_name),
+    ]
+    return "\n".join(parts)
