--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -0,0 +1,211 @@
+"""Make the parts of one router and connect them, in the order they need each other."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import eliot
+
+from corianderlb_core.chart import LifeCycle
+from corianderlb_core.identity import InstanceId, Presence
+from corianderlb_core.message import MemberState, UpstreamLeaving
+from corianderlb_core.placement_registry import make_policy
+from corianderlb_core.retry import RetryBudgets
+from corianderlb_core.settings import RouterSettings
+from corianderlb_core.settings_file import read_secret
+
+from ._websocket_transport import WebSocketTransport
+from .attempt import Parts
+from .call_journal import StoreCallJournal
+from .catalogue_follower import CatalogueFollower
+from .catalogue_reader import CatalogueReader
+from .connection import TcpConnector
+from .decision_log import DecisionLog
+from .dispatcher import Dispatcher
+from .engine_control import HttpEngineControl
+from .exchange_board import ExchangeBoard
+from .fleet_quarantine import FleetQuarantine
+from .flight import FlightBoard
+from .health_board import HealthBoard
+from .http_store import HttpObjectStore
+from .instance_list import InstanceListReader
+from .isolation_watch import IsolationWatch
+from .kv_importer import KvImporter
+from .limiter import Limiter
+from .load_gossip import LoadGossip
+from .node_metric import NodeCounters
+from .operator_desk import OperatorDesk
+from .order_keeper import OrderKeeper
+from .peer_network import OverlayNetwork
+from .placer import PolicyPlacer
+from .stall_watch import StallWatch
+from .upstream_client import UpstreamClient
+from .upstream_directory import PlatformDirectory
+from .upstream_reader import UpstreamReader
+
+
+class Composition:
+    """Hold the parts of one router; ``tasks`` are what has to run for them."""
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self.settings = settings
+        self.own = InstanceId(settings.instance)
+        self.epoch = time.time_ns() // 1_000_000
+        self.cycle = LifeCycle("router")
+        self.rng = random.Random()
+        self.store = HttpObjectStore(settings.store.url, settings.store.timeout_s)
+        self.board = ExchangeBoard()
+        self.client = UpstreamClient(TcpConnector())
+        self.peers = self._make_peers()
+        self.tasks: list[Callable[[], Awaitable[None]]] = []
+        self._make_upstreams()
+        self._make_catalogue()
+        self._make_data_path()
+        self._make_calls()
+        self._make_counters()
+
+    def make_dispatcher(self) -> Dispatcher:
+        """Return what answers callers."""
+        return Dispatcher(
+            self.parts, self.catalogue, self.limiter, self.journal, self.board
+        )
+
+    def make_desk(self, start_drain: Callable[[], None]) -> OperatorDesk:
+        """Return what answers operators."""
+        return OperatorDesk(
+            settings=self.settings,
+            epoch=self.epoch,
+            cycle=self.cycle,
+            catalogue_source=self.catalogue,
+            parts=self.parts,
+            quarantine=self.quarantine,
+            limiter=self.limiter,
+            orders=self.orders,
+            peers=self.peers,
+            board=self.board,
+            counters=self.counters,
+            start_drain=start_drain,
+        )
+
+    def send(self, event: str) -> None:
+        """Take the life cycle on by an event, and log a change."""
+        if self.cycle.send(event):
+            eliot.log_message(message_type="router:state", state=self.cycle.state)
+
+    async def close(self) -> None:
+        """Close the connections that are still open."""
+        await self.client.close()
+        await self.store.aclose()
+
+    def _make_peers(self) -> OverlayNetwork:
+        cfg = self.settings
+        own = MemberState(
+            instance=self.own,
+            epoch=self.epoch,
+            heartbeat=0,
+            presence=Presence.LIVE,
+            zone=cfg.zone,
+            region=cfg.region,
+            address="",
+            peer_address="",
+            catalogue_version=0,
+        )
+        transport = WebSocketTransport(cfg.listen.peer_host, cfg.listen.peer_port)
+        key = read_secret(cfg.peer.key_file)
+        return OverlayNetwork(own, key, transport, cfg.peer, self.rng)
+
+    def _make_upstreams(self) -> None:
+        """Make what knows the upstream instances and chooses among them."""
+        cfg = self.settings
+        self.directory = PlatformDirectory(announce=self.peers.broadcast)
+        self.peers.subscribe(UpstreamLeaving, self.directory.on_upstream_leaving)
+        policy = make_policy(cfg.placement, self.rng, cfg.zone)
+        self.placer = PolicyPlacer(policy, self.directory, self.rng)
+        self.directory.on_life_ended = self.placer.forget
+        takers = [self.directory.apply_list, self.peers.take_list]
+        self.instances = InstanceListReader(self.store, takers, self.peers, self.rng)
+        reader = UpstreamReader(
+            self.own,
+            cfg.region,
+            self.directory,
+            self.peers,
+            self.client,
+            cfg.placement,
+            self.rng,
+        )
+        gossip = LoadGossip(
+            cfg.region, self.directory, self.peers, policy, cfg.placement, self.rng
+        )
+        self.tasks += [self.instances.run, reader.run, gossip.run]
+
+    def _make_catalogue(self) -> None:
+        cfg = self.settings
+        self.catalogue = CatalogueFollower(self.peers, cfg.catalogue.stale_after_s)
+        self.peers.version = self._version
+        self.reader = CatalogueReader(
+            self.store, self.catalogue, self.peers, self.own, cfg.zone, self.rng
+        )
+        self.tasks += [self.reader.run, IsolationWatch(self.catalogue, self.send).run]
+
+    def _version(self) -> tuple[int, str]:
+        in_force = self.catalogue.current()
+        return (in_force.catalogue.version, in_force.since) if in_force else (0, "")
+
+    def _make_data_path(self) -> None:
+        cfg = self.settings
+        importer = KvImporter(self.client, self.placer, cfg.placement.import_wait_s)
+        self.quarantine = FleetQuarantine(self.peers)
+        health = HealthBoard(self.directory, self.client, self.rng)
+        stalls = StallWatch()
+        self.parts = Parts(
+            cfg=cfg.data_path,
+            directory=self.directory,
+            placer=self.placer,
+            importer=importer,
+            quarantine=self.quarantine,
+            health=health,
+            flights=FlightBoard(),
+            client=self.client,
+            decisions=DecisionLog(cfg.instance, cfg.data_path.n_decisions),
+            budgets=RetryBudgets(),
+            stalls=stalls,
+            rng=self.rng,
+        )
+        self.tasks += [health.run, stalls.run]
+
+    def _make_calls(self) -> None:
+        """Make what bounds requests, keeps calls at most once and orders engines."""
+        cfg = self.settings
+        self.journal = StoreCallJournal(
+            self.store, self.own, self.epoch, cfg.journal, self.peers
+        )
+        self.limiter = Limiter(
+            self.own, self.catalogue, self.directory, self.peers, cfg.admission
+        )
+        self.orders = OrderKeeper(
+            self.store,
+            self.own,
+            self.epoch,
+            self.catalogue,
+            self.directory,
+            self.peers,
+            HttpEngineControl(self.client),
+            self.rng,
+            cfg.orders,
+        )
+        self.tasks += [self.journal.run, self.limiter.run, self.orders.run]
+
+    def _make_counters(self) -> None:
+        self.counters = NodeCounters(
+            store=self.store,
+            peers=self.peers,
+            board=self.board,
+            catalogue=self.catalogue,
+            reader=self.reader,
+            quarantine=self.quarantine,
+            journal=self.journal,
+            limiter=self.limiter,
+        )
+        self.counters.watch(self.parts.metrics)
