Leave an engine that answers but never begins

A request that an instance answers for was waited on until its deadline. An engine whose accelerator hangs still answers, so the wait is bounded by data_path.queue_timeout_s, 120 s, and the request goes elsewhere after it.

--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -180,6 +180,8 @@
     """Longest time for a connection to an upstream instance."""
     first_event_timeout_s: Seconds = 10.0
     """Silence allowed before the first event, while the prompt is computed."""
+    queue_timeout_s: Seconds = 120.0
+    """Longest wait before the first event on an instance that still answers."""
     resume_timeout_s: Seconds = 2.0
     """Silence allowed before the head of the answer to a resume."""
     stall_timeout_s: Seconds = 5.0
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -140,21 +140,25 @@
             again = await self._attempt(leg, resume=True)
             if again is None:
                 return None
-            if self._assembler.n_relayed == n_before and not self._is_queued(again):
+            if self._assembler.n_relayed == n_before and not self._is_queued(
+                leg, again
+            ):
                 return _combine(failure, again)
             failure = again
         return failure
 
-    def _is_queued(self, failure: AttemptFailure) -> bool:
+    def _is_queued(self, leg: Leg, failure: AttemptFailure) -> bool:
         """Return whether the instance lives and has the request still in its queue.
 
         Least urgent work may wait there for longer than silence is allowed. Sent
         elsewhere it would wait again, behind more work, and a busy instance would be
         retired as a dead one. Its word on a connection of this moment is enough to go
-        on waiting, until the deadline.
+        on waiting, up to a bound, since an engine can also hang and still answer.
         """
-        silent = failure.kind is FailureKind.SILENT
-        return silent and self._answered and not self._assembler.n_relayed
+        if failure.kind is not FailureKind.SILENT or self._assembler.n_relayed:
+            return False
+        waited_s = trio.current_time() - leg.started_at
+        return self._answered and waited_s < self._parts.cfg.queue_timeout_s
 
     async def _attempt(self, leg: Leg, resume: bool) -> AttemptFailure | None:
         """Send the request, or the resume, and relay what comes."""
--- a/packages/corianderlb-router/tests/test_completion_run.py
+++ b/packages/corianderlb-router/tests/test_completion_run.py
@@ -157,6 +157,23 @@
 
         await with_router(check, *engines)
 
+    async def test_an_engine_that_answers_but_never_begins_is_left(self) -> None:
+        """An engine's accelerator hangs while its HTTP side goes on answering. Its
+        callers would wait for nothing until their deadlines."""
+        engines = [FakeInstance("e0", ready_at=1e6), FakeInstance("e1", ready_at=1e6)]
+
+        async def check(router: FakeRouter) -> None:
+            caller = FakeCaller()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.ask, caller)
+                await trio.sleep(1.0)
+                for engine in engines:
+                    engine.ready_at = 1e6 if engine.received else 0.0
+            self.assertEqual(caller.answer, caller.whole)
+            self.assertLess(trio.current_time(), 140)
+
+        await with_router(check, *engines)
+
     async def test_an_answer_to_another_attempt_is_never_relayed(self) -> None:
         """Two answers cross inside an upstream. One customer would read the answer to
         the other's prompt."""
