Expect the adapter's version of an engine's answer, as its weights are

Cause: a request named the weights version that must answer it, but not the adapter's. An engine with an older adapter and the right weights answered, and its text was passed on as the answer of the adapter in force. Change: the adapter travels as name@version, engines refuse another before running, and an answer that names another is not used. The test failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -228,6 +228,7 @@
             (header.CACHE_SALT, self._req.scope.salt),
             (header.PRIORITY, PRIORITIES[facts.service_class]),
             (header.EXPECT_WEIGHTS, self._req.model.weights_version),
+            (header.EXPECT_ADAPTER, self._req.scope.adapter),
             (header.DEADLINE_MS, str(left_ms)),
         ]
         if resume:
@@ -241,6 +242,7 @@
             headers=tuple(headers),
             body=self._req.body,
             weights_version=self._req.model.weights_version,
+            adapter=self._req.scope.adapter,
             fresh=True,
             is_stream=True,
         )
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -60,6 +60,8 @@
     body: bytes = b""
     weights_version: str = ""
     """Weights that the answer must come from; empty where that means nothing."""
+    adapter: str = ""
+    """Adapter and version that the answer must come from; empty for none."""
     fresh: bool = False
     """Whether to open a connection for it: one out of the pool may be dead, and what
     may not be sent twice cannot be tried again on another."""
@@ -203,6 +205,11 @@
         raise WrongAnswerError(
             f"{outbound.address}: weights {weights!r} answered", sent=True
         )
+    adapter = response.headers.get(header.ADAPTER, "")
+    if outbound.adapter and adapter != outbound.adapter:
+        raise WrongAnswerError(
+            f"{outbound.address}: adapter {adapter!r} answered", sent=True
+        )
 
 
 def _retry_after(response: httpx.Response) -> float:
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -63,6 +63,7 @@
     a_model,
     a_route,
     an_account,
+    an_adapter,
     an_upstream,
 )
 
@@ -83,6 +84,7 @@
     """Echoed in place of the attempt's id."""
     event_id: str = ""
     weights: str = "w1"
+    adapter: str = ""
     not_run: bool = False
     status: int = 200
     swap: int = -1
@@ -188,6 +190,7 @@
         headers = [
             (header.ATTEMPT_ID, fault.answer_id or attempt_id),
             (header.WEIGHTS_VERSION, fault.weights),
+            (header.ADAPTER, fault.adapter),
         ]
         expected = int(req.headers.get(header.EXPECT_INCARNATION, self.epoch))
         if fault.not_run or expected != self.epoch:
@@ -498,6 +501,7 @@
     """Return a catalogue with one model, one account and two routes."""
     return a_catalogue(
         a_model(),
+        an_adapter(),
         an_account(),
         an_upstream(),
         an_upstream("yard-app", upstream_kind=UpstreamKind.SERVICE),
--- a/packages/corianderlb-router/tests/test_completion_run.py
+++ b/packages/corianderlb-router/tests/test_completion_run.py
@@ -210,6 +210,23 @@
 
         await with_router(check, *engines)
 
+    async def test_an_answer_from_an_older_adapter_is_not_used(self) -> None:
+        """An adapter has a new version and one engine still has the old one. Its
+        weights are right, so nothing but the adapter's name shows the old answer."""
+        old = FakeInstance("e0", faults=[Fault(adapter="moisture@a1")])
+        new = FakeInstance("e1", faults=[Fault(adapter="moisture@a2")] * 2)
+
+        async def check(router: FakeRouter) -> None:
+            for _ in "12":
+                body = b'{"model":"moisture","prompt":"hi","stream":true}'
+                caller = await router.ask(FakeCaller(body=body))
+                self.assertEqual(caller.answer, caller.whole)
+            self.assertEqual(len(old.received), 1)
+            sent = new.received[0].headers
+            self.assertEqual(sent[header.EXPECT_ADAPTER], "moisture@a2")
+
+        await with_router(check, old, new)
+
     async def test_a_stream_that_cannot_go_on_ends_with_an_error(self) -> None:
         """Every engine breaks off. A connection that merely closed could be taken for
         the end of the answer; an explicit event cannot."""
--- a/packages/corianderlb-standins/src/corianderlb_standins/builder.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/builder.py
@@ -7,6 +7,7 @@
 
 from corianderlb_core.catalogue import (
     Account,
+    Adapter,
     Catalogue,
     Entry,
     Model,
@@ -26,6 +27,12 @@
     return Model(name=name, **{**defaults, **fields})
 
 
+def an_adapter(name: str = "moisture", **fields: Any) -> Adapter:
+    """Build an adapter of the model ``ember-llm``."""
+    defaults = {"owner": "model-team", "model": "ember-llm", "version": "a2"}
+    return Adapter(name=name, **{**defaults, **fields})
+
+
 def an_account(name: str = "northwest-charcoal", **fields: Any) -> Account:
     """Build a client account whose key is ``key-<name>``."""
     digest = hashlib.sha256(f"key-{name}".encode()).hexdigest()
--- a/packages/corianderlb-standins/src/corianderlb_standins/engine.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/engine.py
@@ -42,6 +42,7 @@
     job: Job
     shape: AnswerShape
     weights: str
+    adapter: str
 
 
 class Engine(StandIn):
@@ -153,6 +154,10 @@
         if expected != weights and not self.faults.ignore_weights:
             await self._refuse(call, 412, f"weights {weights} are loaded")
             return
+        expected = call.headers.get(header.EXPECT_ADAPTER, adapter)
+        if expected != adapter and not self.faults.ignore_weights:
+            await self._refuse(call, 412, f"adapter {adapter!r} is loaded")
+            return
         stream = self._make_stream(call, plain, weights, adapter)
         self._batch.submit(stream.job)
         if plain.get("stream"):
@@ -176,7 +181,7 @@
             priority=int(call.headers.get(header.PRIORITY, "1")),
         )
         shape = AnswerShape(attempt_id, plain["model"], prompt, job.n_tokens, chat)
-        stream = _Stream(job, shape, weights)
+        stream = _Stream(job, shape, weights, adapter)
         self._attempts[attempt_id] += 1
         self._streams[attempt_id] = stream
         if len(self._streams) > STREAMS_KEPT:
@@ -194,7 +199,11 @@
         return taken
 
     def _answer_headers(self, call: Call, stream: _Stream, crossed: bool) -> Any:
-        headers = {**self._base(call), header.WEIGHTS_VERSION: stream.weights}
+        headers = {
+            **self._base(call),
+            header.WEIGHTS_VERSION: stream.weights,
+            header.ADAPTER: stream.adapter,
+        }
         if crossed:
             headers[header.ATTEMPT_ID] = f"other-{stream.shape.attempt_id}"
         return headers
