Let a stream go on elsewhere although engines stamp their events

Cause: events that a second engine repeats are compared with what was relayed, the time of making included, which engines that speak the usual protocol write into each event. So every answer that met a crash ended as broken. Ruled out: comparing the text alone, which needs a parse of each event. Change: the stamp is left out of the digest. The test failed before.

--- a/packages/corianderlb-core/src/corianderlb_core/stream.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from typing import Final
 
@@ -27,6 +28,9 @@
 
 _USAGE: Final = b',"usage"'
 
+_CREATED: Final = re.compile(rb'"created":\s*\d+,?')
+"""When an engine made an event; it says nothing about the answer."""
+
 
 class StreamFault(Enum):
     """Name what is wrong with the events of an attempt."""
@@ -134,7 +138,7 @@
         if index < self.n_relayed:
             self._compare(index, rest)
             return b""
-        self._digest.update(rest.partition(_USAGE)[0])
+        self._digest.update(_comparable(rest))
         self.n_relayed = index + 1
         self.last_event = event
         return head + self._public + rest
@@ -172,13 +176,23 @@
         then, and nothing of the second answer is handed on.
         """
         assert self._replay is not None
-        self._replay.update(rest.partition(_USAGE)[0])
+        self._replay.update(_comparable(rest))
         if index + 1 < self.n_relayed:
             return
         if self._replay.intdigest() != self._digest.intdigest():
             self.fault = StreamFault.DIVERGED
 
 
+def _comparable(rest: bytes) -> bytes:
+    """Return the part of an event that two engines must agree on.
+
+    Usage and the time of making differ between two runs of the same prompt. Were they
+    compared, no answer could go on elsewhere after a crash.
+    """
+    text = rest.partition(_USAGE)[0]
+    return _CREATED.sub(b"", text) if b'"created"' in text else text
+
+
 def _explain(event: bytes) -> StreamFault:
     """Tell an event with another index from bytes that are no event."""
     if event.startswith(b"id: ") and b"\ndata: " in event:
--- a/packages/corianderlb-core/tests/test_stream.py
+++ b/packages/corianderlb-core/tests/test_stream.py
@@ -92,6 +92,21 @@
         self.assertEqual(assembler.feed(other), b"")
         self.assertIs(assembler.fault, StreamFault.DIVERGED)
 
+    def test_engines_that_stamp_their_events_can_go_on_elsewhere(self) -> None:
+        """Engines write the time into each event. An answer that went on elsewhere
+        after a crash ended as broken, since the first events seemed to differ."""
+
+        def stamped(event: bytes, at: int) -> bytes:
+            return event.replace(b'"choices"', b'"created":%d,"choices"' % at)
+
+        assembler = an_assembler()
+        assembler.feed(stamped(an_event(0) + an_event(1), 100))
+        assembler.begin_attempt("r.2", 0)
+        out = assembler.feed(stamped(a_stream(3, "r.2"), 107))
+        self.assertIsNone(assembler.fault)
+        self.assertTrue(assembler.finished)
+        self.assertTrue(out.startswith(b"id: 2\n"))
+
     def test_an_endless_event_is_a_fault(self) -> None:
         assembler = an_assembler()
         assembler.feed(b"id: 0\ndata: " + b"x" * (1 << 21))
