Let the own zone break ties, and count reads, gossip and imports

Found on reading: the zone penalty of 2 ms is below the 4 ms within which scores count as equal, so among equals it had no effect. Of two equally busy ones the better score is taken now; the test was seen to fail without. Counters of load reads, vectors and imports join the status; the policy's name is checked with the settings.

--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -305,7 +305,8 @@
         """Put the less busy of two random near-equals first.
 
         Routers with the same reports would otherwise all send to the same instance
-        until the next report; one would notice queues that swing.
+        until the next report; one would notice queues that swing. Of two that are
+        equally busy the better score wins, which is the one in this zone.
         """
         if len(weighed) < N_CHOICES:
             return
@@ -314,7 +315,9 @@
         if n_equal < N_CHOICES:
             return
         places = self.rng.sample(range(n_equal), N_CHOICES)
-        best = min(places, key=lambda i: weighed[i].load.n_outstanding())
+        best = min(
+            places, key=lambda i: (weighed[i].load.n_outstanding(), weighed[i].score)
+        )
         weighed.insert(0, weighed.pop(best))
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Annotated, TypeAlias
+from typing import Annotated, Literal, TypeAlias
 
 from msgspec import Meta
 
@@ -143,8 +143,8 @@
 class PlacementSettings:
     """Tune how requests are spread over the instances of an upstream."""
 
-    policy: str = "default"
-    """``default``, or a baseline: ``round_robin``, ``least_loaded``, ``hash_only``."""
+    policy: Literal["default", "round_robin", "least_loaded", "hash_only"] = "default"
+    """The default, or a baseline to measure it beside."""
     hash_pieces: Annotated[int, Meta(ge=1)] = 1
     """Pieces of the prompt that ``hash_only`` hashes."""
     zone_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
--- a/packages/corianderlb-core/tests/test_default_placement.py
+++ b/packages/corianderlb-core/tests/test_default_placement.py
@@ -157,6 +157,19 @@
         self.assertLess(len(homes_of(warm, instances, HOLD_S + 2)), len(found))
 
 
+class TestTies(unittest.TestCase):
+    """Among equals the less busy is taken, and of those one of this zone."""
+
+    def test_own_zone_breaks_a_tie(self):
+        policy = DefaultPolicy(PlacementSettings(), random.Random(1), zone="z1")
+        loads = [InstanceLoad(Incarnation(f"e{i}", 1), f"z{i}") for i in range(2)]
+        query = a_query(InstanceSet.of(UPSTREAM, 0, loads), ())
+        for _ in range(20):
+            self.assertEqual(policy.choose(query)[0].incarnation.instance, "e1")
+        loads[1].dispatched("r9", 0.0, 0.0)
+        self.assertEqual(policy.choose(query)[0].incarnation.instance, "e0")
+
+
 class TestHints(unittest.TestCase):
     """What an engine said belongs to one life, one account and one set of weights."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -126,7 +126,7 @@
         self.directory.on_life_ended = self.placer.forget
         takers = [self.directory.apply_list, self.peers.take_list]
         self.instances = InstanceListReader(self.store, takers, self.peers, self.rng)
-        reader = UpstreamReader(
+        self.loads = UpstreamReader(
             self.own,
             cfg.region,
             self.directory,
@@ -135,10 +135,10 @@
             cfg.placement,
             self.rng,
         )
-        gossip = LoadGossip(
+        self.gossip = LoadGossip(
             cfg.region, self.directory, self.peers, policy, cfg.placement, self.rng
         )
-        self.tasks += [self.instances.run, reader.run, gossip.run]
+        self.tasks += [self.instances.run, self.loads.run, self.gossip.run]
 
     def _make_catalogue(self) -> None:
         cfg = self.settings
@@ -207,5 +207,8 @@
             quarantine=self.quarantine,
             journal=self.journal,
             limiter=self.limiter,
+            loads=self.loads,
+            gossip=self.gossip,
+            importer=self.parts.importer,
         )
         self.counters.watch(self.parts.metrics)
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -17,9 +17,12 @@
 from .exchange_board import ExchangeBoard
 from .fleet_quarantine import FleetQuarantine
 from .http_store import HttpObjectStore
+from .kv_importer import KvImporter
 from .limiter import Limiter
+from .load_gossip import LoadGossip
 from .metric import Gauge, Metrics, Tally
 from .peer_network import OverlayNetwork
+from .upstream_reader import UpstreamReader
 
 
 @dataclass(frozen=True)
@@ -34,6 +37,9 @@
     quarantine: FleetQuarantine
     journal: StoreCallJournal
     limiter: Limiter
+    loads: UpstreamReader
+    gossip: LoadGossip
+    importer: KvImporter
 
     def watch(self, metrics: Metrics) -> None:
         """Have the counters and gauges read at each scrape."""
@@ -54,6 +60,7 @@
             "catalogue": self.catalogue_counts(),
             "journal": self.journal_counts(),
             "admission": self.admission_counts(),
+            "placement": self.placement_counts(),
         }
         return tuple(
             CounterStatus(f"{group}.{kind}", value)
@@ -84,6 +91,19 @@
         """Return what the journal of non-repeatable calls did, over its shards."""
         return _summed([shard.counts for shard in self.journal.shards])
 
+    def placement_counts(self) -> dict[str, float]:
+        """Return what knowing the upstream instances took, and the imports."""
+        return {
+            "load_reads": float(self.loads.n_reads),
+            "load_read_failures": float(self.loads.n_failures),
+            "load_read_bytes": float(self.loads.n_bytes),
+            "gossip_bytes": float(self.gossip.n_bytes),
+            "vectors_of_another_list": float(self.gossip.n_unfit),
+            "import_orders": float(self.importer.n_orders),
+            "imported_pieces": float(self.importer.n_imported),
+            "import_orders_late": float(self.importer.n_late),
+        }
+
     def admission_counts(self) -> dict[str, float]:
         """Return how requests fared at the gates of all upstreams."""
         return _summed([gate.counts for gate in self.limiter.gates.values()])
