--- a/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/__main__.py
@@ -5,7 +5,9 @@
 import argparse
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import trio
 
@@ -74,7 +76,10 @@
     return parser
 
 
-def _add(commands, name, run, text):  # type: ignore[no-untyped-def]
+def _add(
+    commands: Any, name: str, run: Callable[[argparse.Namespace], Any], text: str
+) -> argparse.ArgumentParser:
+    """Add a stand-in with the arguments that all of them have."""
     parser = commands.add_parser(name, help=text)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
@@ -83,7 +88,7 @@
     return parser
 
 
-def _add_engine(commands) -> None:  # type: ignore[no-untyped-def]
+def _add_engine(commands: Any) -> None:
     parser = _add(commands, "engine", _run_engine, "a model engine")
     parser.add_argument("--instance", default="engine")
     parser.add_argument("--model", action="append", default=[], metavar="NAME=VERSION")
--- a/packages/corianderlb-standins/src/corianderlb_standins/engine.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/engine.py
@@ -198,7 +198,9 @@
             self.faults = dataclasses.replace(taken, n_affected=left - 1)
         return taken
 
-    def _answer_headers(self, call: Call, stream: _Stream, crossed: bool) -> Any:
+    def _answer_headers(
+        self, call: Call, stream: _Stream, crossed: bool
+    ) -> dict[str, str]:
         headers = {
             **self._base(call),
             header.WEIGHTS_VERSION: stream.weights,
--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import errno
 from collections import Counter
 from dataclasses import dataclass
@@ -82,8 +83,7 @@
         await call.answer(200, {})
 
     def _clear_momentary(self) -> None:
-        fields = {**vars(self.faults), "cut_now": False, "freeze_now": False}
-        self.faults = ProxyFaults(**fields)
+        self.faults = dataclasses.replace(self.faults, cut_now=False, freeze_now=False)
 
     def _cut_all(self) -> None:
         for link in self._links:
@@ -170,8 +170,7 @@
         if left == 0:
             return False
         if left > 0:
-            fields = {**vars(self.faults), "drop_replies": left - 1}
-            self.faults = ProxyFaults(**fields)
+            self.faults = dataclasses.replace(self.faults, drop_replies=left - 1)
         self._calls["dropped"] += 1
         return True
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/fleet.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fleet.py
@@ -161,7 +161,11 @@
         return process
 
     async def restart(self, name: str) -> None:
-        """Start a process that has ended again, under the address that it had."""
+        """Start a process that has ended again, under the address that it had.
+
+        Nothing is kept over its end: an engine comes back with an empty cache and a
+        higher epoch, and the store without its objects.
+        """
         process = self.processes[name]
         if name.startswith("router-"):
             ports = [int(a.rsplit(":", 1)[1]) for a in self._router_addresses(process)]
--- a/packages/corianderlb-standins/src/corianderlb_standins/process.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/process.py
@@ -30,8 +30,8 @@
 class Process:
     """Hold one child process and where it listens.
 
-    ``started`` may be awaited again after a kill: the process then comes back with the
-    same arguments, which keep its port when ``keep_port`` was called in between.
+    ``start`` may be awaited again after a kill: the process then comes back with the
+    same arguments, and on the same port when ``keep_port`` was called before.
     """
 
     def __init__(self, name: str, arguments: list[str], log: Path) -> None:
--- a/packages/corianderlb-standins/src/corianderlb_standins/store.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any, Final
@@ -193,7 +194,7 @@
     async def _lose_answer(self, call: Call) -> None:
         left = self.faults.lose_answers - 1
         how = self.faults.lose_how
-        self.faults = StoreFaults(**{**vars(self.faults), "lose_answers": left})
+        self.faults = dataclasses.replace(self.faults, lose_answers=left)
         self._calls["lost"] += 1
         if how == "hang":
             await call.disconnected()
--- a/tests/test_processes_streams.py
+++ b/tests/test_processes_streams.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from corianderlb_core.result import ResultCode
+from corianderlb_standins.builder import a_model
 from corianderlb_standins.fleet import Fleet, running_fleet, until
+from corianderlb_standins.fleet_plan import MODEL
 from corianderlb_standins.load_client import LoadClient, StreamAnswer
 from fleet_case import PROMPT, FleetTestCase, small_plan
 
@@ -15,7 +19,9 @@
 
 
 class ProcessesStreamsTest(FleetTestCase):
-    async def stream_during(self, fleet: Fleet, act) -> tuple[StreamAnswer, str]:
+    async def stream_during(
+        self, fleet: Fleet, act: Callable[[str], Awaitable[None]]
+    ) -> tuple[StreamAnswer, str]:
         """Stream once undisturbed, then again while ``act`` harms the busy engine."""
         async with LoadClient(fleet.routers[0].address) as client:
             expected = await client.stream(PROMPT, N_TOKENS)
@@ -149,8 +155,8 @@
         ):
             for engine in fleet.engines:
                 await fleet.fault(engine.name, ignore_weights=True)
-            entries = _with_weights("w2")
-            await fleet.apply(*entries, reason="new weights")
+            model = a_model(MODEL, weights_version="w2")
+            await fleet.apply(model, reason="new weights")
             answer = await client.stream(
                 PROMPT, headers={"corianderlb-deadline-ms": "500"}
             )
@@ -162,13 +168,3 @@
 def _no_fault() -> dict[str, object]:
     indices = dict.fromkeys(("skip_at", "repeat_at", "close_at", "cut_at"), -1)
     return {**indices, "crossed": False}
-
-
-def _with_weights(version: str):
-    from corianderlb_standins.fleet_plan import default_entries
-
-    return [
-        entry
-        for entry in default_entries(weights_version=version)
-        if entry.kind.value == "model"
-    ]
