Refuse on arrival what the engines' queues have no time for

The limiter took an estimate and the node gave it none, so only a full gate refused. The estimate is the least wait that the directory knows of; urgent requests go before an engine's queue, and none is estimated for them. The new test fails without the estimate.

--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -16,6 +16,7 @@
 import eliot
 import trio
 
+from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.identity import (
     Incarnation,
     InstanceId,
@@ -26,6 +27,7 @@
 from corianderlb_core.instance_load import InstanceLoad, InstanceSet
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import UpstreamLeaving, UpstreamLife
+from corianderlb_core.request import RequestFacts
 
 from .interface import UpstreamDirectory, UpstreamInstance
 from .store import InstanceList
@@ -129,6 +131,17 @@
             self._sets[upstream] = found
         return found
 
+    def shortest_wait_s(self, facts: RequestFacts) -> float:
+        """Return the least estimated wait at the instances that could take a request.
+
+        It is 0 for urgent requests: engines serve them before what waits there.
+        """
+        if facts.service_class is ServiceClass.URGENT:
+            return 0.0
+        now = self._clock()
+        loads = self.usable(facts.upstream).instances
+        return min((load.wait_s(now) for load in loads), default=0.0)
+
     def load_of(self, incarnation: Incarnation) -> InstanceLoad | None:
         """Return the load of one life, or None when a newer one took its place."""
         known = self._known.get(incarnation.instance)
--- a/packages/corianderlb-router/tests/test_fleet_limits.py
+++ b/packages/corianderlb-router/tests/test_fleet_limits.py
@@ -13,6 +13,7 @@
 
 from corianderlb_core.catalogue import Catalogue, Limits, ServiceClass
 from corianderlb_core.identity import AccountId, InstanceId, InstanceRecord, Role
+from corianderlb_core.load import LoadReport
 from corianderlb_core.rendezvous import home
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
@@ -300,6 +301,32 @@
             slot.release(0)
             self.assertEqual(gate.n_running, 0)
 
+    async def test_engines_have_too_much_queued_for_a_deadline(self) -> None:
+        """Every engine reports more queued prefill than a request has time for.
+
+        Sent there, it would use an engine for an answer that nobody waits for any
+        more; an urgent one goes before the queue and is let through.
+        """
+        directory = a_directory(2)
+        for engine in directory.instances("yard-app"):
+            report = LoadReport(epoch=1, queued_prefill_s=20.0)
+            directory.take_report(engine.instance, report, trio.current_time())
+        async with trio.open_nursery() as nursery:
+            limiter = Limiter(
+                InstanceId("r1"),
+                FixedCatalogue(a_catalogue(an_account())),
+                directory,
+                FakeHub(nursery).join("r1"),
+                estimate_s=directory.shortest_wait_s,
+            )
+            deadline = trio.current_time() + 5.0
+            refusal = await limiter.admit(some_facts(deadline=deadline))
+            assert isinstance(refusal, Refusal)
+            self.assertEqual(refusal.code, ResultCode.DEADLINE_UNREACHABLE)
+            self.assertAlmostEqual(refusal.retry_after_s, 15.0)
+            urgent = some_facts(deadline=deadline, service_class=ServiceClass.URGENT)
+            self.assertIsInstance(await limiter.admit(urgent), Slot)
+
     async def test_small_account_gets_its_turn(self) -> None:
         """A large account floods one upstream while a foreman asks for a kiln's state.
 
