Take a peer's word only for the time up to which it can speak

Ruled out: the clock, which does count a stop, and the follower's own age check, which comes before each decision. Change: a heartbeat echoes the last one that its sender has of the receiver, so the receiver knows the time after which it was made; answers of the store and of peers count from when they were asked.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -96,6 +96,9 @@
     catalogue_version: int
     members: tuple[MemberState, ...] = ()
     suspected: tuple[Suspicion, ...] = ()
+    echo: int = 0
+    """The last heartbeat that the sender has of the receiver, on this link. It shows
+    that this one was made after that one, however long it was under way."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -57,6 +57,8 @@
         """Whether this router opened the link."""
         self.last_heard = now
         """Router's clock at the last frame from the peer."""
+        self.heard_beat = 0
+        """Number of the last heartbeat that came over this link."""
         self._link = link
         self._counters = counters
         self._send, self._queue = trio.open_memory_channel[bytes](MAX_QUEUED)
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
@@ -93,24 +93,28 @@
         """Return at the next version."""
         await self._changed.wait()
 
-    def take_stored(self, changes: Sequence[bytes]) -> int:
+    def take_stored(self, changes: Sequence[bytes], asked_at: float) -> int:
         """Take changes that the store gave; return how many were new."""
         n_taken = self._chain.take(changes)
         self.counters.n_from_store += n_taken
-        self._put_in_force()
+        self._put_in_force(asked_at)
         return n_taken
 
-    def take_stored_snapshot(self, data: bytes) -> None:
+    def take_stored_snapshot(self, data: bytes, asked_at: float) -> None:
         """Take a snapshot that the store gave, unless it is older."""
         if self._chain.take_snapshot(data):
-            self._put_in_force()
+            self._put_in_force(asked_at)
 
-    def confirm(self) -> None:
-        """Note that the store or a peer has nothing newer than what is in force."""
+    def confirm(self, asked_at: float) -> None:
+        """Note that the store or a peer had nothing newer at a time.
+
+        That is the time at which it was asked. An answer can lie in a socket's buffer
+        while this process is stopped, and says nothing about the time since.
+        """
         held = self._in_force
         if held is not None:
-            now = trio.current_time()
-            self._in_force = InForce(held.catalogue, held.since, now)
+            confirmed_at = max(held.confirmed_at, asked_at)
+            self._in_force = InForce(held.catalogue, held.since, confirmed_at)
 
     def snapshot_at(self, version: int) -> bytes | None:
         """Return the bytes of a snapshot for the store, or None if it is too old."""
@@ -124,7 +128,9 @@
         if beat.catalogue_version > self.version:
             self._ask(sender)
         elif beat.catalogue_version == self.version:
-            self.confirm()
+            made_after = self._peers.beaten_at(beat.echo)
+            if made_after is not None:
+                self.confirm(made_after)
 
     async def on_catalogue_request(
         self, sender: InstanceId, asked: CatalogueRequest
@@ -157,9 +163,9 @@
             eliot.log_message(
                 message_type="catalogue:bad_offer", peer=sender, reason=str(exc)
             )
-        self._asked_at = -ASK_AGAIN_S
         self.counters.n_from_peers += self.version - before
-        self._put_in_force()
+        self._put_in_force(self._asked_at)
+        self._asked_at = -ASK_AGAIN_S
         if before < self.version < offered.version:
             self._ask(sender)
 
@@ -172,12 +178,13 @@
             self._asked_at = now
             self.counters.n_asked += 1
 
-    def _put_in_force(self) -> None:
+    def _put_in_force(self, asked_at: float) -> None:
         held = self._in_force
         if self.version == (held.catalogue.version if held else 0):
             return
         since = datetime.now(UTC).isoformat(timespec="milliseconds")
-        self._in_force = InForce(self._chain.catalogue, since, trio.current_time())
+        confirmed_at = max(asked_at, held.confirmed_at if held else asked_at)
+        self._in_force = InForce(self._chain.catalogue, since, confirmed_at)
         eliot.log_message(message_type="catalogue:in_force", version=self.version)
         self._changed.set()
         self._changed = trio.Event()
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
@@ -166,37 +166,41 @@
     async def _read_all(self) -> None:
         """Read the newest snapshot and the changes after it."""
         self.counters.n_full_reads += 1
+        asked_at = trio.current_time()
         snapshot = await self._log.newest_snapshot()
         if snapshot is not None:
-            self._follower.take_stored_snapshot(snapshot.data)
+            self._follower.take_stored_snapshot(snapshot.data, asked_at)
         while found := await self._log.changes_after(self._follower.version):
-            self._follower.take_stored([stored.data for stored in found])
+            self._follower.take_stored([stored.data for stored in found], asked_at)
             self._revision = found[-1].revision
-        self._follower.confirm()
+            asked_at = trio.current_time()
+        self._follower.confirm(asked_at)
 
     async def _poll(self) -> None:
         """Look for the next change; one call when there is none."""
         self.counters.n_polls += 1
         while True:
             version = self._follower.version
+            asked_at = trio.current_time()
             stored = await self._log.change(version + 1)
             if stored is None:
                 break
-            self._follower.take_stored([stored.data])
+            self._follower.take_stored([stored.data], asked_at)
             self._revision = stored.revision
         if self._follower.version == version:
-            self._follower.confirm()
+            self._follower.confirm(asked_at)
 
     async def _watch(self) -> None:
         """Wait for a change, then read it."""
         if self._revision == 0:
             await self._find_revision()
         self.counters.n_watches += 1
+        asked_at = trio.current_time()
         seen = await self._store.watch(CHANGE_PREFIX, self._revision, WATCH_S)
         if seen.keys:
             await self._poll()
         else:
-            self._follower.confirm()
+            self._follower.confirm(asked_at)
         # Only now: a failed read must find the same change again at the next watch.
         self._revision = max(self._revision, seen.revision)
 
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -68,6 +68,9 @@
 MIN_BEAT_GAP_S: Final = 0.05
 """Least time between two heartbeats, however much news there is."""
 
+N_BEATS_KEPT: Final = 256
+"""Own heartbeats whose times are remembered; more are far older than any use."""
+
 RANDOM_MEMBER_EVERY: Final = 10
 """Heartbeats to one that carries the state of a random member on top."""
 
@@ -108,6 +111,7 @@
         self._told_newer_self = False
         self._beat_wanted = trio.Event()
         self._links_wanted = trio.Event()
+        self._beat_times: dict[int, float] = {}
         self._listed = trio.Event()
 
     def subscribe(self, cls: type, handler: Handler) -> None:
@@ -198,13 +202,25 @@
         own = self._membership.beat(*self.version())
         n_random = 0 if self._n_beats % RANDOM_MEMBER_EVERY else 1
         states, suspected = self._membership.news(self._rng, n_random)
-        frame = encode(
-            Heartbeat(
-                own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
-            )
-        )
+        self._remember_beat(own.heartbeat)
         for conn in self._links:
-            conn.post(frame)
+            beat = Heartbeat(
+                own.heartbeat,
+                own.catalogue_version,
+                tuple(states),
+                tuple(suspected),
+                conn.heard_beat,
+            )
+            conn.post(encode(beat))
+
+    def _remember_beat(self, number: int) -> None:
+        self._beat_times[number] = trio.current_time()
+        if len(self._beat_times) > N_BEATS_KEPT:
+            del self._beat_times[min(self._beat_times)]
+
+    def beaten_at(self, number: int) -> float | None:
+        """Return when this router made a heartbeat, or None for none of the latest."""
+        return self._beat_times.get(number)
 
     async def _keep_links(self, nursery: trio.Nursery) -> None:
         lost_at = trio.current_time() + self._wait_s(LOST_AGAIN_S)
@@ -359,6 +375,7 @@
         learned = [member.hear(state, now) for state in beat.members]
         learned += [member.hear_suspicion(word, now) for word in beat.suspected]
         peer = conn.peer
+        conn.heard_beat = beat.heartbeat
         learned.append(
             member.hear_heartbeat(
                 peer.instance, peer.epoch, beat.heartbeat, beat.catalogue_version, now
--- a/packages/corianderlb-router/tests/test_catalogue_follower.py
+++ b/packages/corianderlb-router/tests/test_catalogue_follower.py
@@ -11,7 +11,7 @@
 
 from corianderlb_core.edit import Edit
 from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
-from corianderlb_core.message import MemberState
+from corianderlb_core.message import Heartbeat, MemberState
 from corianderlb_core.settings import PeerSettings
 from corianderlb_router.catalogue_editor import CatalogueEditor
 from corianderlb_router.catalogue_follower import CatalogueFollower
@@ -272,6 +272,24 @@
             await fleet.seconds_until(2)
             self.assertFalse(cut.is_stale())
 
+    async def test_word_from_before_a_pause_confirms_nothing(self) -> None:
+        """A router is stopped while others edit. Heartbeats from before the edit lie
+        in its sockets, and when it wakes it took their old version for the newest and
+        answered a removed account."""
+        async with Fleet(2).running() as fleet:
+            await fleet.edit(1)
+            fleet.start()
+            await fleet.seconds_until(1)
+            await trio.sleep(5)
+            woken = fleet.routers["r01"].follower
+            fleet.cut_off("r01")
+            await trio.sleep(IN_FORCE_S)
+            self.assertTrue(woken.is_stale())
+            beat = Heartbeat(1000, catalogue_version=1, echo=3)
+            await woken.on_heartbeat(InstanceId("r00"), beat)
+            self.assertTrue(woken.is_stale())
+            self.assertIsNotNone(woken.current())
+
     async def test_store_outage_stops_nobody(self) -> None:
         """The store is down for an hour; routers that hear each other go on."""
         async with Fleet(3).running() as fleet:
