Name attempts, tables and views by the field's words

Leg, board, desk and flight were words of our own. An attempt keeps its id over its resumes, so Attempt says what a leg was; the rest are a table, a registry, a tracker and a view. Behaviour is as it was.

--- a/packages/corianderlb-router/src/corianderlb_router/operator_desk.py
+++ b/packages/corianderlb-router/src/corianderlb_router/admin_view.py
@@ -20,7 +20,7 @@
 )
 
 from .attempt import Parts
-from .exchange_board import ExchangeBoard
+from .exchange_registry import ExchangeRegistry
 from .fleet_quarantine import FleetQuarantine
 from .interface import CatalogueSource, PeerNetwork, UpstreamInstance
 from .limiter import Limiter
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True)
-class OperatorDesk:
+class AdminView:
     """Hold what the administration paths read."""
 
     settings: RouterSettings
@@ -44,7 +44,7 @@
     limiter: Limiter
     orders: OrderKeeper
     peers: PeerNetwork
-    board: ExchangeBoard
+    exchanges: ExchangeRegistry
     counters: NodeCounters
     start_drain: Callable[[], None]
     """Begins the shutdown as the first SIGTERM does."""
@@ -95,7 +95,7 @@
             catalogue_version=self.catalogue_version,
             in_force_since=in_force.since if in_force else "",
             confirmed_age_s=now - in_force.confirmed_at if in_force else 0.0,
-            n_in_flight=len(self.board),
+            n_in_flight=len(self.exchanges),
             members=tuple(_member(known) for known in self.peers.members()),
             upstreams=tuple(self._upstreams(now)),
             quarantine=self.quarantine.status(),
--- a/packages/corianderlb-router/src/corianderlb_router/app.py
+++ b/packages/corianderlb-router/src/corianderlb_router/app.py
@@ -21,6 +21,7 @@
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import RESULT_INFO, ResultCode
 
+from .admin_view import AdminView
 from .caller import (
     CallerExchange,
     Receive,
@@ -33,7 +34,6 @@
 from .dispatcher import Dispatcher
 from .inbound import BEARER, authenticate
 from .metric import CONTENT_TYPE
-from .operator_desk import OperatorDesk
 
 JSON: Final = "application/json"
 """Media type of most answers."""
@@ -56,14 +56,12 @@
         await self._asgi_app(scope, receive, send)
 
 
-def make_app(
-    dispatcher: Dispatcher, desk: OperatorDesk, operator_key: bytes
-) -> QuartTrio:
+def make_app(dispatcher: Dispatcher, view: AdminView, operator_key: bytes) -> QuartTrio:
     """Return the application of one router."""
     app = QuartTrio("corianderlb")
     app.asgi_app = DataPathMiddleware(app.asgi_app, dispatcher)
-    _add_caller_routes(app, desk)
-    _add_operator_routes(app, desk, operator_key)
+    _add_caller_routes(app, view)
+    _add_operator_routes(app, view, operator_key)
     _add_error_handlers(app)
 
     @app.after_request
@@ -71,7 +69,7 @@
         request_id = RequestId(uuid.uuid4().hex)
         result = getattr(quart.g, "result", ResultCode.OK)
         headers = common_headers(
-            request_id, DecisionId(""), desk.catalogue_version, result
+            request_id, DecisionId(""), view.catalogue_version, result
         )
         for name, value in headers:
             response.headers[name.decode()] = value.decode()
@@ -80,21 +78,21 @@
     return app
 
 
-def _add_caller_routes(app: QuartTrio, desk: OperatorDesk) -> None:
+def _add_caller_routes(app: QuartTrio, view: AdminView) -> None:
     @app.get("/health")
     async def health() -> quart.Response:
         return quart.Response(b"{}", mimetype=JSON)
 
     @app.get("/ready")
     async def ready() -> quart.Response:
-        if not desk.is_ready:
-            code = ResultCode.DRAINING if desk.is_draining else ResultCode.NOT_READY
-            raise refuse(code, f"This instance is {desk.state}.", 1.0)
+        if not view.is_ready:
+            code = ResultCode.DRAINING if view.is_draining else ResultCode.NOT_READY
+            raise refuse(code, f"This instance is {view.state}.", 1.0)
         return quart.Response(b"{}", mimetype=JSON)
 
     @app.get("/v1/models")
     async def models() -> quart.Response:
-        catalogue = desk.catalogue
+        catalogue = view.catalogue
         if catalogue is None:
             raise refuse(ResultCode.NOT_READY, "There is no catalogue yet.", 1.0)
         account = authenticate(quart.request.headers.get("authorization"), catalogue)
@@ -111,7 +109,7 @@
         return quart.Response(body, mimetype=JSON)
 
 
-def _add_operator_routes(app: QuartTrio, desk: OperatorDesk, key: bytes) -> None:
+def _add_operator_routes(app: QuartTrio, view: AdminView, key: bytes) -> None:
     def check_operator() -> None:
         sent = quart.request.headers.get("authorization", "").removeprefix(BEARER)
         if not hmac.compare_digest(sent.encode(), key):
@@ -122,12 +120,12 @@
     @app.get("/admin/status")
     async def status() -> quart.Response:
         check_operator()
-        return quart.Response(to_json(desk.status()), mimetype=JSON)
+        return quart.Response(to_json(view.status()), mimetype=JSON)
 
     @app.get("/admin/decisions/<decision_id>")
     async def decision(decision_id: str) -> quart.Response:
         check_operator()
-        report = desk.decision(DecisionId(decision_id))
+        report = view.decision(DecisionId(decision_id))
         if report is None:
             detail = f"No decision {decision_id!r} is kept here; ask other instances."
             raise refuse(ResultCode.NOT_FOUND, detail)
@@ -136,13 +134,13 @@
     @app.post("/admin/drain")
     async def drain() -> quart.Response:
         check_operator()
-        desk.start_drain()
-        return quart.Response(to_json(desk.status()), mimetype=JSON)
+        view.start_drain()
+        return quart.Response(to_json(view.status()), mimetype=JSON)
 
     @app.get("/metrics")
     async def metrics() -> quart.Response:
         check_operator()
-        exposition = desk.parts.metrics.exposition()
+        exposition = view.parts.metrics.exposition()
         return quart.Response(exposition, content_type=CONTENT_TYPE)
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -34,8 +34,8 @@
 from .caller import CallerExchange, RequestRefusedError
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
 from .decision_log import DecisionLog
-from .flight import Flight, FlightBoard
-from .health_board import HEALTH_PATH, HealthBoard
+from .health_tracker import HEALTH_PATH, HealthTracker
+from .in_flight import InFlightAttempt, InFlightTable
 from .interface import Placer, Quarantine, UpstreamDirectory, UpstreamInstance
 from .kv_importer import KvImporter
 from .metric import Metrics
@@ -93,8 +93,8 @@
     placer: Placer
     importer: KvImporter
     quarantine: Quarantine
-    health: HealthBoard
-    flights: FlightBoard
+    health: HealthTracker
+    in_flight: InFlightTable
     client: UpstreamClient
     decisions: DecisionLog
     budgets: RetryBudgets
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True)
-class Leg:
+class Attempt:
     """Hold one attempt's id and the instance it goes to."""
 
     attempt_id: AttemptId
@@ -144,7 +144,7 @@
         self._catalogue = catalogue
         self._caller = caller
         self._avoid: set[InstanceId] = set()
-        self._n_legs = 0
+        self._n_attempts = 0
         self._rank: int | None = None
         names = (f"upstream/{facts.upstream}", f"account/{facts.account}")
         parts.budgets.record_first_attempt(names, trio.current_time())
@@ -166,7 +166,7 @@
         self._rank = self._parts.quarantine.rank(self._facts)
         await trio.sleep(WAVE_S * (self._rank // max(1, n_usable)))
 
-    async def next_leg(self) -> Leg | AttemptFailure:
+    async def next_attempt(self) -> Attempt | AttemptFailure:
         """Return the next attempt, or the failure to find an instance for it.
 
         Raise ``RequestRefusedError`` when not even the first attempt finds one. After
@@ -184,49 +184,52 @@
         found = self._find(candidate)
         if found is None:
             return AttemptFailure(FailureKind.NOT_SENT, "the instance has just left")
-        self._n_legs += 1
-        attempt_id = AttemptId(f"{self._facts.request_id}.{self._n_legs}")
-        return Leg(attempt_id, candidate, found, trio.current_time())
+        self._n_attempts += 1
+        attempt_id = AttemptId(f"{self._facts.request_id}.{self._n_attempts}")
+        return Attempt(attempt_id, candidate, found, trio.current_time())
 
     @contextmanager
-    def flight(self, leg: Leg) -> Iterator[None]:
-        """Keep an attempt on the board while it runs and until its end is known."""
+    def in_flight(self, attempt: Attempt) -> Iterator[None]:
+        """Keep an attempt in the table while it runs and until its end is known."""
         apart = self._parts.quarantine.must_run_apart(self._facts)
-        flight = Flight(
-            leg.attempt_id, leg.candidate.incarnation, self._facts.body_digest, apart
+        flight = InFlightAttempt(
+            attempt.attempt_id,
+            attempt.candidate.incarnation,
+            self._facts.body_digest,
+            apart,
         )
-        self._parts.flights.begin(flight)
-        self._parts.placer.attempt_started(self._facts, leg.candidate)
+        self._parts.in_flight.begin(flight)
+        self._parts.placer.attempt_started(self._facts, attempt.candidate)
         try:
             yield
         finally:
-            self._parts.flights.end(leg.attempt_id)
+            self._parts.in_flight.end(attempt.attempt_id)
 
-    def succeeded(self, leg: Leg, outcome: AttemptOutcome) -> None:
+    def succeeded(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Account for an attempt that ended well."""
         self._parts.health.succeeded(outcome.incarnation)
         self._parts.quarantine.report_success(
             self._facts.request_id, self._facts.body_digest
         )
-        self._ended(leg, outcome)
+        self._ended(attempt, outcome)
 
-    def failed(self, leg: Leg, failure: AttemptFailure) -> None:
+    def failed(self, attempt: Attempt, failure: AttemptFailure) -> None:
         """Account for an attempt that failed."""
-        self._avoid.add(leg.candidate.incarnation.instance)
+        self._avoid.add(attempt.candidate.incarnation.instance)
         code = FAILURE_CODES.get(failure.kind, ResultCode.UPSTREAM_FAILED)
         verdict = VERDICTS.get(failure.kind)
         if verdict is not None:
-            self._parts.health.failed(leg.upstream_instance, verdict)
-        incarnation = leg.candidate.incarnation
-        self._ended(leg, AttemptOutcome(incarnation, code, at=trio.current_time()))
+            self._parts.health.failed(attempt.upstream_instance, verdict)
+        incarnation = attempt.candidate.incarnation
+        self._ended(attempt, AttemptOutcome(incarnation, code, at=trio.current_time()))
 
-    async def is_dead(self, leg: Leg) -> bool:
+    async def is_dead(self, attempt: Attempt) -> bool:
         """Find out whether an instance that broke off has died.
 
         A cut on the way looks the same to the attempt, but then the next connection
         finds the same life of the instance still there.
         """
-        address = leg.upstream_instance.address
+        address = attempt.upstream_instance.address
         try:
             response = await self._parts.client.get(
                 address, HEALTH_PATH, LIFE_PATIENCE, fresh=True
@@ -237,23 +240,23 @@
             return True
         except UpstreamError:
             return False
-        known = leg.candidate.incarnation.epoch
+        known = attempt.candidate.incarnation.epoch
         return known != 0 and epoch_of(response) != known
 
-    def crashed(self, leg: Leg, epoch: int) -> None:
+    def crashed(self, attempt: Attempt, epoch: int) -> None:
         """Report that the instance died under its attempts."""
-        instance = leg.candidate.incarnation.instance
-        suspects = self._parts.flights.suspects(instance)
+        instance = attempt.candidate.incarnation.instance
+        suspects = self._parts.in_flight.suspects(instance)
         self._parts.quarantine.report_crash(instance, epoch, suspects)
 
-    def dropped(self, leg: Leg) -> None:
+    def dropped(self, attempt: Attempt) -> None:
         """Account for an attempt that was given up without its upstream's doing."""
         outcome = AttemptOutcome(
-            leg.candidate.incarnation,
+            attempt.candidate.incarnation,
             ResultCode.CUT_BY_SHUTDOWN,
             at=trio.current_time(),
         )
-        self._ended(leg, outcome)
+        self._ended(attempt, outcome)
 
     def _place(self) -> Decision | Refusal:
         parts = self._parts
@@ -265,7 +268,7 @@
         return found
 
     def _without_instance(self, refusal: Refusal) -> AttemptFailure:
-        if not self._n_legs:
+        if not self._n_attempts:
             raise RequestRefusedError(refusal)
         return AttemptFailure(FailureKind.NOT_SENT, refusal.detail, NO_INSTANCE_WAIT_S)
 
@@ -278,8 +281,8 @@
             return self._pick_apart(decision)
         for candidate in decision.candidates:
             instance = candidate.incarnation.instance
-            n_in_flight = self._parts.flights.n_on(instance)
-            if self._parts.flights.is_reserved(instance):
+            n_in_flight = self._parts.in_flight.n_on(instance)
+            if self._parts.in_flight.is_reserved(instance):
                 continue
             if self._parts.health.has_room(instance, n_in_flight):
                 return candidate
@@ -293,7 +296,7 @@
         if self._rank is None:
             self._rank = self._parts.quarantine.rank(self._facts)
         candidate = ordered[self._rank % len(ordered)]
-        if self._parts.flights.is_reserved(candidate.incarnation.instance):
+        if self._parts.in_flight.is_reserved(candidate.incarnation.instance):
             return None
         return candidate
 
@@ -304,17 +307,17 @@
                 return known
         return None
 
-    def _ended(self, leg: Leg, outcome: AttemptOutcome) -> None:
+    def _ended(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         self._parts.placer.attempt_ended(self._facts, outcome)
-        self._parts.metrics.attempt_ended(outcome.code, is_retry=self._n_legs > 1)
+        self._parts.metrics.attempt_ended(outcome.code, is_retry=self._n_attempts > 1)
         computed = outcome.prompt_tokens - outcome.cached_tokens
         self._parts.metrics.prompt_served(outcome.cached_tokens, max(0, computed))
         report = AttemptReport(
-            attempt_id=leg.attempt_id,
+            attempt_id=attempt.attempt_id,
             instance=outcome.incarnation.instance,
             epoch=outcome.incarnation.epoch,
             code=int(outcome.code),
-            started_after_s=leg.started_at - self._facts.arrived_at,
-            lasted_s=trio.current_time() - leg.started_at,
+            started_after_s=attempt.started_at - self._facts.arrived_at,
+            lasted_s=trio.current_time() - attempt.started_at,
         )
         self._parts.decisions.add_attempt(self._caller.decision_id, report)
--- a/packages/corianderlb-router/src/corianderlb_router/completion_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/completion_run.py
@@ -26,7 +26,7 @@
 )
 from corianderlb_core.stream import StreamAssembler
 
-from .attempt import AttemptSeries, Leg, Parts, failure_of
+from .attempt import Attempt, AttemptSeries, Parts, failure_of
 from .caller import JSON_TYPE, CallerExchange, RequestRefusedError
 from .connection import ConnectFailedError, UpstreamError
 from .inbound import CompletionRequest
@@ -71,7 +71,7 @@
         self._relay = StreamRelay(
             self._assembler, self._sink, parts.stalls, cfg, self._on_first
         )
-        self._leg: Leg | None = None
+        self._leg: Attempt | None = None
         self._epoch = 0
         self._answered = False
         """Whether the instance answered the latest attempt at all."""
@@ -82,9 +82,13 @@
         Raise ``RequestRefusedError`` when the request ends without its whole answer.
         """
         while True:
-            leg = await self._series.next_leg()
+            attempt = await self._series.next_attempt()
             n_before = self._assembler.n_relayed
-            failure = leg if isinstance(leg, AttemptFailure) else await self._run(leg)
+            failure = (
+                attempt
+                if isinstance(attempt, AttemptFailure)
+                else await self._run(attempt)
+            )
             if failure is None:
                 break
             made_progress = self._assembler.n_relayed > n_before
@@ -92,34 +96,36 @@
         await self._finish()
         return self._tokens()
 
-    async def _run(self, leg: Leg) -> AttemptFailure | None:
+    async def _run(self, attempt: Attempt) -> AttemptFailure | None:
         """Run one attempt and its resumes; return how it failed, or None."""
-        self._leg = leg
-        self._epoch = leg.candidate.incarnation.epoch
-        self._assembler.begin_attempt(leg.attempt_id, 0)
+        self._leg = attempt
+        self._epoch = attempt.candidate.incarnation.epoch
+        self._assembler.begin_attempt(attempt.attempt_id, 0)
         failure: AttemptFailure | None = None
         ended = False
-        with self._series.flight(leg):
+        with self._series.in_flight(attempt):
             try:
                 await self._parts.importer.prepare(
-                    leg, self._req.facts, self._req.scope
+                    attempt, self._req.facts, self._req.scope
                 )
-                failure = await self._attempt(leg, resume=False)
+                failure = await self._send(attempt, resume=False)
                 if failure is not None and failure.kind in _RESUMABLE:
-                    failure = await self._resume(leg, failure)
+                    failure = await self._resume(attempt, failure)
                 if failure is not None and failure.kind is FailureKind.CRASHED:
-                    self._series.crashed(leg, self._epoch)
+                    self._series.crashed(attempt, self._epoch)
                 ended = True
             finally:
                 if not ended:
-                    await self._abandon(leg)
+                    await self._abandon(attempt)
         if failure is None:
-            self._series.succeeded(leg, self._outcome(leg))
+            self._series.succeeded(attempt, self._outcome(attempt))
         else:
-            self._series.failed(leg, failure)
+            self._series.failed(attempt, failure)
         return failure
 
-    async def _resume(self, leg: Leg, failure: AttemptFailure) -> AttemptFailure | None:
+    async def _resume(
+        self, attempt: Attempt, failure: AttemptFailure
+    ) -> AttemptFailure | None:
         """Go on with a broken attempt on the same life of its instance.
 
         It is tried as long as each try makes progress. Whether the instance crashed
@@ -129,25 +135,25 @@
         """
         if not self._epoch and failure.kind is FailureKind.BROKEN:
             # Nobody has heard which life this was, so there is none to resume on.
-            if await self._series.is_dead(leg):
+            if await self._series.is_dead(attempt):
                 return AttemptFailure(FailureKind.CRASHED, failure.detail)
         while failure.kind in _RESUMABLE and self._epoch:
             if failure.kind is FailureKind.SILENT:
-                await self._parts.client.retire(leg.upstream_instance.address)
+                await self._parts.client.retire(attempt.upstream_instance.address)
             n_before = self._assembler.n_relayed
-            self._assembler.begin_attempt(leg.attempt_id, n_before)
+            self._assembler.begin_attempt(attempt.attempt_id, n_before)
             self._answered = False
-            again = await self._attempt(leg, resume=True)
+            again = await self._send(attempt, resume=True)
             if again is None:
                 return None
             if self._assembler.n_relayed == n_before and not self._is_queued(
-                leg, again
+                attempt, again
             ):
                 return _combine(failure, again)
             failure = again
         return failure
 
-    def _is_queued(self, leg: Leg, failure: AttemptFailure) -> bool:
+    def _is_queued(self, attempt: Attempt, failure: AttemptFailure) -> bool:
         """Return whether the instance lives and has the request still in its queue.
 
         Least urgent work may wait there for longer than silence is allowed. Sent
@@ -157,19 +163,19 @@
         """
         if failure.kind is not FailureKind.SILENT or self._assembler.n_relayed:
             return False
-        waited_s = trio.current_time() - leg.started_at
+        waited_s = trio.current_time() - attempt.started_at
         return self._answered and waited_s < self._parts.cfg.queue_timeout_s
 
-    async def _attempt(self, leg: Leg, resume: bool) -> AttemptFailure | None:
+    async def _send(self, attempt: Attempt, resume: bool) -> AttemptFailure | None:
         """Send the request, or the resume, and relay what comes."""
         cfg = self._parts.cfg
         # A life that still has the stream answers a resume at once.
         first_s = cfg.resume_timeout_s if resume else cfg.first_event_timeout_s
         patience = Patience(cfg.connect_timeout_s, first_s)
         try:
-            await self._exchange(self._outbound(leg, resume), leg, patience)
+            await self._exchange(self._outbound(attempt, resume), attempt, patience)
         except RefusedError as exc:
-            return self._refused(leg, exc, resume)
+            return self._refused(attempt, exc, resume)
         except ConnectFailedError as exc:
             kind = FailureKind.CRASHED if resume and exc.refused else None
             return AttemptFailure(kind or FailureKind.NOT_SENT, str(exc))
@@ -177,10 +183,12 @@
             return failure_of(exc)
         return None
 
-    async def _exchange(self, outbound: Outbound, leg: Leg, patience: Patience) -> None:
+    async def _exchange(
+        self, outbound: Outbound, attempt: Attempt, patience: Patience
+    ) -> None:
         response = await self._parts.client.open(outbound, patience)
         try:
-            self._observe(leg, epoch_of(response))
+            self._observe(attempt, epoch_of(response))
             self._answered = True
             if not response.is_success:
                 message = f"{outbound.address}: status {response.status_code}"
@@ -196,13 +204,15 @@
         relayed = self._assembler.n_relayed > 0
         return cfg.stall_timeout_s if relayed else cfg.first_event_timeout_s
 
-    def _refused(self, leg: Leg, exc: RefusedError, resume: bool) -> AttemptFailure:
+    def _refused(
+        self, attempt: Attempt, exc: RefusedError, resume: bool
+    ) -> AttemptFailure:
         """Tell a refusal from a resume that found another life in place."""
         new_life = resume and exc.epoch != 0 and exc.epoch != self._epoch
         if not new_life:
             return failure_of(exc)
         crashed = AttemptFailure(FailureKind.CRASHED, str(exc))
-        instance = leg.candidate.incarnation.instance
+        instance = attempt.candidate.incarnation.instance
         self._parts.directory.observe_epoch(instance, exc.epoch)
         return crashed
 
@@ -214,13 +224,13 @@
         ttft_s = trio.current_time() - facts.arrived_at
         self._parts.metrics.first_token(ttft_s, facts.service_class)
 
-    def _observe(self, leg: Leg, epoch: int) -> None:
+    def _observe(self, attempt: Attempt, epoch: int) -> None:
         if epoch and epoch != self._epoch:
             self._epoch = epoch
-            instance = leg.candidate.incarnation.instance
+            instance = attempt.candidate.incarnation.instance
             self._parts.directory.observe_epoch(instance, epoch)
 
-    def _outbound(self, leg: Leg, resume: bool) -> Outbound:
+    def _outbound(self, attempt: Attempt, resume: bool) -> Outbound:
         facts = self._req.facts
         left_ms = max(1, math.ceil((facts.deadline - trio.current_time()) * 1000))
         headers = [
@@ -235,10 +245,10 @@
             headers.append((header.RESUME_FROM, str(self._assembler.n_relayed)))
             headers.append((header.EXPECT_INCARNATION, str(self._epoch)))
         return Outbound(
-            address=leg.upstream_instance.address,
+            address=attempt.upstream_instance.address,
             method="POST",
             path=self._req.path,
-            attempt_id=leg.attempt_id,
+            attempt_id=attempt.attempt_id,
             headers=tuple(headers),
             body=self._req.body,
             weights_version=self._req.model.weights_version,
@@ -279,12 +289,12 @@
     def _broken_code(self, code: ResultCode) -> ResultCode:
         return ResultCode.STREAM_BROKEN if self._caller.started else code
 
-    async def _abandon(self, leg: Leg) -> None:
+    async def _abandon(self, attempt: Attempt) -> None:
         """Stop the upstream's work for a caller that left."""
-        self._series.dropped(leg)
+        self._series.dropped(attempt)
         with trio.CancelScope(shield=True):
-            address = leg.upstream_instance.address
-            await self._parts.client.cancel(address, leg.attempt_id)
+            address = attempt.upstream_instance.address
+            await self._parts.client.cancel(address, attempt.attempt_id)
 
     async def _finish(self) -> None:
         self._parts.metrics.events_relayed(self._assembler.n_relayed)
@@ -301,13 +311,15 @@
         usage = self._usage()
         return _number(usage, "prompt_tokens") + _number(usage, "completion_tokens")
 
-    def _outcome(self, leg: Leg) -> AttemptOutcome:
+    def _outcome(self, attempt: Attempt) -> AttemptOutcome:
         usage = self._usage()
         details = usage.get("prompt_tokens_details")
         return AttemptOutcome(
-            incarnation=Incarnation(leg.candidate.incarnation.instance, self._epoch),
+            incarnation=Incarnation(
+                attempt.candidate.incarnation.instance, self._epoch
+            ),
             code=ResultCode.OK,
-            ttft_s=max(0.0, self._relay.first_at - leg.started_at),
+            ttft_s=max(0.0, self._relay.first_at - attempt.started_at),
             cached_tokens=_number(details, "cached_tokens"),
             prompt_tokens=_number(usage, "prompt_tokens"),
             at=trio.current_time(),
--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -17,6 +17,7 @@
 from corianderlb_core.settings_file import read_secret
 
 from ._websocket_transport import WebSocketTransport
+from .admin_view import AdminView
 from .attempt import Parts
 from .call_journal import StoreCallJournal
 from .catalogue_follower import CatalogueFollower
@@ -25,18 +26,17 @@
 from .decision_log import DecisionLog
 from .dispatcher import Dispatcher
 from .engine_control import HttpEngineControl
-from .exchange_board import ExchangeBoard
+from .exchange_registry import ExchangeRegistry
 from .fleet_quarantine import FleetQuarantine
-from .flight import FlightBoard
-from .health_board import HealthBoard
+from .health_tracker import HealthTracker
 from .http_store import HttpObjectStore
+from .in_flight import InFlightTable
 from .instance_list import InstanceListReader
 from .isolation_watch import IsolationWatch
 from .kv_importer import KvImporter
 from .limiter import Limiter
 from .load_gossip import LoadGossip
 from .node_metric import NodeCounters
-from .operator_desk import OperatorDesk
 from .order_keeper import OrderKeeper
 from .peer_network import OverlayNetwork
 from .placer import PolicyPlacer
@@ -56,7 +56,7 @@
         self.cycle = LifeCycle("router")
         self.rng = random.Random()
         self.store = HttpObjectStore(settings.store.url, settings.store.timeout_s)
-        self.board = ExchangeBoard()
+        self.exchanges = ExchangeRegistry()
         self.client = UpstreamClient(TcpConnector())
         self.peers = self._make_peers()
         self.tasks: list[Callable[[], Awaitable[None]]] = []
@@ -69,12 +69,12 @@
     def make_dispatcher(self) -> Dispatcher:
         """Return what answers callers."""
         return Dispatcher(
-            self.parts, self.catalogue, self.limiter, self.journal, self.board
+            self.parts, self.catalogue, self.limiter, self.journal, self.exchanges
         )
 
-    def make_desk(self, start_drain: Callable[[], None]) -> OperatorDesk:
+    def make_desk(self, start_drain: Callable[[], None]) -> AdminView:
         """Return what answers operators."""
-        return OperatorDesk(
+        return AdminView(
             settings=self.settings,
             epoch=self.epoch,
             cycle=self.cycle,
@@ -84,7 +84,7 @@
             limiter=self.limiter,
             orders=self.orders,
             peers=self.peers,
-            board=self.board,
+            exchanges=self.exchanges,
             counters=self.counters,
             start_drain=start_drain,
         )
@@ -157,7 +157,7 @@
         cfg = self.settings
         importer = KvImporter(self.client, self.placer, cfg.placement.import_wait_s)
         self.quarantine = FleetQuarantine(self.peers)
-        health = HealthBoard(self.directory, self.client, self.rng)
+        health = HealthTracker(self.directory, self.client, self.rng)
         stalls = StallWatch()
         self.parts = Parts(
             cfg=cfg.data_path,
@@ -166,7 +166,7 @@
             importer=importer,
             quarantine=self.quarantine,
             health=health,
-            flights=FlightBoard(),
+            in_flight=InFlightTable(),
             client=self.client,
             decisions=DecisionLog(cfg.instance, cfg.data_path.n_decisions),
             budgets=RetryBudgets(),
@@ -201,7 +201,7 @@
         self.counters = NodeCounters(
             store=self.store,
             peers=self.peers,
-            board=self.board,
+            exchanges=self.exchanges,
             catalogue=self.catalogue,
             reader=self.reader,
             quarantine=self.quarantine,
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -23,7 +23,7 @@
     refuse,
 )
 from .completion_run import CompletionRun
-from .exchange_board import ExchangeBoard
+from .exchange_registry import ExchangeRegistry
 from .inbound import (
     SERVICE_PREFIX,
     ServiceRequest,
@@ -50,13 +50,13 @@
         catalogue: CatalogueSource,
         admission: Admission,
         journal: CallJournal,
-        board: ExchangeBoard,
+        exchanges: ExchangeRegistry,
     ) -> None:
         self._parts = parts
         self._catalogue = catalogue
         self._admission = admission
         self._journal = journal
-        self._board = board
+        self._exchanges = exchanges
 
     @property
     def _cfg(self) -> DataPathSettings:
@@ -70,7 +70,7 @@
     async def handle(self, caller: CallerExchange) -> None:
         """Answer one request, whatever happens."""
         caller.stall_s = self._cfg.caller_stall_timeout_s
-        with self._board.exchange(caller) as entry:
+        with self._exchanges.exchange(caller) as entry:
             try:
                 await self._handle(caller)
             except (CallerGoneError, CallerStalledError):
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -21,7 +21,7 @@
     """True when the router ended it before it was over."""
 
 
-class ExchangeBoard:
+class ExchangeRegistry:
     """Hold the open exchanges."""
 
     def __init__(self) -> None:
@@ -34,7 +34,7 @@
 
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
-        """Keep an exchange on the board; ``cut`` cancels what runs inside."""
+        """Keep an exchange in the registry; ``cut`` cancels what runs inside."""
         entry = OpenExchange(caller)
         caller.closing = self.closing
         self._open.add(entry)
--- a/packages/corianderlb-router/src/corianderlb_router/health_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_tracker.py
@@ -26,7 +26,7 @@
 """Where an upstream instance says that it can serve."""
 
 
-class HealthBoard:
+class HealthTracker:
     """Judge instances by how attempts go, and tell the directory who is retired.
 
     What is known is kept for one life of an instance: a new life starts over.
--- a/packages/corianderlb-router/src/corianderlb_router/flight.py
+++ b/packages/corianderlb-router/src/corianderlb_router/in_flight.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True)
-class Flight:
+class InFlightAttempt:
     """Hold one attempt that an upstream instance works on."""
 
     attempt_id: AttemptId
@@ -18,31 +18,31 @@
     """True for a suspect: no other suspect goes to its instance meanwhile."""
 
 
-class FlightBoard:
-    """Hold the attempts in flight.
+class InFlightTable:
+    """Hold the attempts in attempt.
 
-    An attempt stays on the board until it is clear how it ended: when an instance
+    An attempt stays in the table until it is clear how it ended: when an instance
     crashes, its attempts fail one after the other, and each must still be found among
     the suspects by the first that reports the crash.
     """
 
     def __init__(self) -> None:
-        self._flights: dict[AttemptId, Flight] = {}
+        self._attempts: dict[AttemptId, InFlightAttempt] = {}
         self._n_on: dict[InstanceId, int] = {}
         self._reserved: dict[InstanceId, AttemptId] = {}
 
-    def begin(self, flight: Flight) -> None:
-        """Put an attempt on the board."""
-        instance = flight.incarnation.instance
-        self._flights[flight.attempt_id] = flight
+    def begin(self, attempt: InFlightAttempt) -> None:
+        """Put an attempt in the table."""
+        instance = attempt.incarnation.instance
+        self._attempts[attempt.attempt_id] = attempt
         self._n_on[instance] = self._n_on.get(instance, 0) + 1
-        if flight.apart:
-            self._reserved[instance] = flight.attempt_id
+        if attempt.apart:
+            self._reserved[instance] = attempt.attempt_id
 
     def end(self, attempt_id: AttemptId) -> None:
-        """Take an attempt off the board."""
-        flight = self._flights.pop(attempt_id)
-        instance = flight.incarnation.instance
+        """Take an attempt out of the table."""
+        attempt = self._attempts.pop(attempt_id)
+        instance = attempt.incarnation.instance
         self._n_on[instance] -= 1
         if not self._n_on[instance]:
             del self._n_on[instance]
@@ -60,10 +60,10 @@
     def suspects(self, instance: InstanceId) -> tuple[bytes, ...]:
         """Return the body digests of the attempts in flight on an instance."""
         return tuple(
-            flight.body_digest
-            for flight in self._flights.values()
-            if flight.incarnation.instance == instance
+            attempt.body_digest
+            for attempt in self._attempts.values()
+            if attempt.incarnation.instance == instance
         )
 
     def __len__(self) -> int:
-        return len(self._flights)
+        return len(self._attempts)
--- a/packages/corianderlb-router/src/corianderlb_router/kv_importer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/kv_importer.py
@@ -17,7 +17,7 @@
 from .upstream_client import Patience, UpstreamClient
 
 if TYPE_CHECKING:
-    from .attempt import Leg
+    from .attempt import Attempt
 
 IMPORT_PATH: Final = "/control/import"
 """Where an engine takes the order to import pieces."""
@@ -45,9 +45,11 @@
         self.n_late = 0
         """Orders that were not answered within the bound, or not well."""
 
-    async def prepare(self, leg: Leg, facts: RequestFacts, scope: PrefixScope) -> None:
+    async def prepare(
+        self, attempt: Attempt, facts: RequestFacts, scope: PrefixScope
+    ) -> None:
         """Order the import that the candidate calls for, and wait for it a while."""
-        n_asked = leg.candidate.import_pieces
+        n_asked = attempt.candidate.import_pieces
         if not n_asked:
             return
         left_s = facts.deadline - trio.current_time()
@@ -55,7 +57,7 @@
         self.n_orders += 1
         n_imported = None
         with trio.move_on_after(max(0.0, wait_s)):
-            n_imported = await self._order(leg, facts, scope, wait_s)
+            n_imported = await self._order(attempt, facts, scope, wait_s)
         if n_imported is None:
             self.n_late += 1
         else:
@@ -63,7 +65,7 @@
         self._placer.imported(facts, n_asked, n_imported or 0)
 
     async def _order(
-        self, leg: Leg, facts: RequestFacts, scope: PrefixScope, wait_s: float
+        self, attempt: Attempt, facts: RequestFacts, scope: PrefixScope, wait_s: float
     ) -> int | None:
         body = {
             "salt": scope.salt,
@@ -73,7 +75,7 @@
         }
         try:
             response = await self._client.post(
-                leg.upstream_instance.address,
+                attempt.upstream_instance.address,
                 IMPORT_PATH,
                 json.dumps(body).encode(),
                 Patience(connect_s=wait_s, first_s=wait_s),
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -119,7 +119,7 @@
             await self._race(self._drain, self._terminate.wait)
         if self._parts.cycle.state != "stopped":
             self._parts.send("drained")
-        elif len(self._parts.board):
+        elif len(self._parts.exchanges):
             await self._cut()
 
     async def _drain(self) -> None:
@@ -128,19 +128,19 @@
         Readiness has turned already. A router that closed its port at once would
         refuse the requests that the balancer sends until it has noticed.
         """
-        self._parts.board.closing = True
+        self._parts.exchanges.closing = True
         await trio.sleep(self._settings.data_path.balancer_lag_s)
         self._stop_listening.set()
-        await self._parts.board.wait_empty()
+        await self._parts.exchanges.wait_empty()
         with trio.move_on_after(JOURNAL_DRAIN_S):
             await self._parts.journal.drain()
 
     async def _cut(self) -> None:
         """End all exchanges now and say which."""
-        cut = self._parts.board.cut()
+        cut = self._parts.exchanges.cut()
         eliot.log_message(message_type="router:cut", request_ids=list(cut))
         with trio.move_on_after(CUT_GRACE_S):
-            await self._parts.board.wait_empty()
+            await self._parts.exchanges.wait_empty()
 
     @staticmethod
     async def _race(*steps: Callable[[], Awaitable[None]]) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -14,7 +14,7 @@
 from .call_journal import StoreCallJournal
 from .catalogue_follower import CatalogueFollower
 from .catalogue_reader import CatalogueReader
-from .exchange_board import ExchangeBoard
+from .exchange_registry import ExchangeRegistry
 from .fleet_quarantine import FleetQuarantine
 from .http_store import HttpObjectStore
 from .kv_importer import KvImporter
@@ -31,7 +31,7 @@
 
     store: HttpObjectStore
     peers: OverlayNetwork
-    board: ExchangeBoard
+    exchanges: ExchangeRegistry
     catalogue: CatalogueFollower
     reader: CatalogueReader
     quarantine: FleetQuarantine
@@ -47,7 +47,7 @@
         metrics.watch_tally(Tally.STORE_FAILURES, self.store_failures)
         metrics.watch_tally(Tally.PEERS, self.peer_counts)
         metrics.watch_gauge(Gauge.CATALOGUE_VERSION, self._version)
-        metrics.watch_gauge(Gauge.IN_FLIGHT, lambda: len(self.board))
+        metrics.watch_gauge(Gauge.IN_FLIGHT, lambda: len(self.exchanges))
         metrics.watch_gauge(Gauge.PEERS, lambda: len(self.peers.linked()))
         metrics.watch_gauge(Gauge.QUARANTINED, lambda: len(self.quarantine.status()))
 
--- a/packages/corianderlb-router/src/corianderlb_router/service_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/service_run.py
@@ -24,7 +24,7 @@
     RepeatableCallRetry,
 )
 
-from .attempt import AttemptSeries, Leg, Parts, failure_of
+from .attempt import Attempt, AttemptSeries, Parts, failure_of
 from .caller import CallerExchange, RequestRefusedError
 from .connection import BrokenError, UpstreamError
 from .inbound import ServiceRequest
@@ -101,55 +101,57 @@
 
     async def _send(self, begun: BegunCall | None) -> CallAnswer:
         while True:
-            leg = await self._series.next_leg()
-            if isinstance(leg, AttemptFailure):
-                await self._prepare_retry(leg)
+            attempt = await self._series.next_attempt()
+            if isinstance(attempt, AttemptFailure):
+                await self._prepare_retry(attempt)
                 continue
-            with self._series.flight(leg):
-                outcome = await self._attempt(leg, begun)
+            with self._series.in_flight(attempt):
+                outcome = await self._attempt(attempt, begun)
             if isinstance(outcome, CallAnswer):
                 return outcome
             self._sending = False
             await self._prepare_retry(outcome)
 
     async def _attempt(
-        self, leg: Leg, begun: BegunCall | None
+        self, attempt: Attempt, begun: BegunCall | None
     ) -> CallAnswer | AttemptFailure:
         """Send the call once; return its answer, or how the attempt failed."""
         self._sending = True
         try:
-            answer = await self._exchange(leg, begun)
+            answer = await self._exchange(attempt, begun)
         except UpstreamError as exc:
-            failure = await self._judge(leg, exc)
-            self._series.failed(leg, failure)
+            failure = await self._judge(attempt, exc)
+            self._series.failed(attempt, failure)
             return failure
         except BaseException:
-            self._series.dropped(leg)
+            self._series.dropped(attempt)
             raise
         if answer.status >= SERVER_ERROR:
             # The caller gets the service's own word; its health gets the blame.
             detail = f"status {answer.status}"
-            self._series.failed(leg, AttemptFailure(FailureKind.FAILED, detail))
+            self._series.failed(attempt, AttemptFailure(FailureKind.FAILED, detail))
         else:
-            self._series.succeeded(leg, _outcome(leg))
+            self._series.succeeded(attempt, _outcome(attempt))
         return answer
 
-    async def _judge(self, leg: Leg, exc: UpstreamError) -> AttemptFailure:
+    async def _judge(self, attempt: Attempt, exc: UpstreamError) -> AttemptFailure:
         """Return how an attempt failed, and act on what that says of its instance."""
         failure = failure_of(exc)
         if failure.kind is FailureKind.SILENT:
-            await self._parts.client.retire(leg.upstream_instance.address)
-        if failure.kind is FailureKind.BROKEN and await self._series.is_dead(leg):
-            self._series.crashed(leg, leg.candidate.incarnation.epoch)
+            await self._parts.client.retire(attempt.upstream_instance.address)
+        if failure.kind is FailureKind.BROKEN and await self._series.is_dead(attempt):
+            self._series.crashed(attempt, attempt.candidate.incarnation.epoch)
             return AttemptFailure(FailureKind.CRASHED, str(exc))
         return failure
 
-    async def _exchange(self, leg: Leg, begun: BegunCall | None) -> CallAnswer:
+    async def _exchange(self, attempt: Attempt, begun: BegunCall | None) -> CallAnswer:
         cfg = self._parts.cfg
         patience = Patience(cfg.connect_timeout_s, self._req.route.timeout_s)
-        response = await self._parts.client.open(self._outbound(leg, begun), patience)
+        response = await self._parts.client.open(
+            self._outbound(attempt, begun), patience
+        )
         try:
-            instance = leg.candidate.incarnation.instance
+            instance = attempt.candidate.incarnation.instance
             self._parts.directory.observe_epoch(instance, epoch_of(response))
             body = await self._read(response)
         finally:
@@ -170,12 +172,12 @@
             parts.append(chunk)
         return b"".join(parts)
 
-    def _outbound(self, leg: Leg, begun: BegunCall | None) -> Outbound:
+    def _outbound(self, attempt: Attempt, begun: BegunCall | None) -> Outbound:
         outbound = Outbound(
-            address=leg.upstream_instance.address,
+            address=attempt.upstream_instance.address,
             method=self._req.method,
             path=self._req.path,
-            attempt_id=leg.attempt_id,
+            attempt_id=attempt.attempt_id,
             headers=self._req.headers,
             body=self._req.body,
         )
@@ -202,7 +204,7 @@
             await self._series.settle()
 
 
-def _outcome(leg: Leg) -> AttemptOutcome:
+def _outcome(attempt: Attempt) -> AttemptOutcome:
     return AttemptOutcome(
-        leg.candidate.incarnation, ResultCode.OK, at=trio.current_time()
+        attempt.candidate.incarnation, ResultCode.OK, at=trio.current_time()
     )
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -37,10 +37,10 @@
 from corianderlb_router.connection import Connector
 from corianderlb_router.decision_log import DecisionLog
 from corianderlb_router.dispatcher import Dispatcher
-from corianderlb_router.exchange_board import ExchangeBoard
+from corianderlb_router.exchange_registry import ExchangeRegistry
 from corianderlb_router.fleet_quarantine import FleetQuarantine
-from corianderlb_router.flight import FlightBoard
-from corianderlb_router.health_board import HealthBoard
+from corianderlb_router.health_tracker import HealthTracker
+from corianderlb_router.in_flight import InFlightTable
 from corianderlb_router.interface import (
     BegunCall,
     CallAnswer,
@@ -426,13 +426,13 @@
             self._hear(network)
         rng = random.Random(7)
         self.client = UpstreamClient(network)
-        self.health = HealthBoard(self.directory, self.client, rng)
+        self.health = HealthTracker(self.directory, self.client, rng)
         self.quarantine = FleetQuarantine(
             FakePeers(name, [] if peers is None else peers)
         )
         self.journal = journal or FakeJournal()
-        self.board = ExchangeBoard()
-        self.flights = FlightBoard()
+        self.exchanges = ExchangeRegistry()
+        self.in_flight = InFlightTable()
         policy = make_policy(PlacementSettings(policy="round_robin"), rng)
         chosen = placer(policy, self.directory, rng)
         self.parts = Parts(
@@ -442,7 +442,7 @@
             importer=KvImporter(self.client, chosen, 1.0),
             quarantine=self.quarantine,
             health=self.health,
-            flights=self.flights,
+            in_flight=self.in_flight,
             client=self.client,
             decisions=DecisionLog(name, 100),
             budgets=RetryBudgets(),
@@ -454,7 +454,7 @@
             FixedCatalogue(the_catalogue()),
             OpenAdmission(),
             self.journal,
-            self.board,
+            self.exchanges,
         )
 
     def start(self, nursery: trio.Nursery) -> None:
--- a/packages/corianderlb-router/tests/test_caller_connection.py
+++ b/packages/corianderlb-router/tests/test_caller_connection.py
@@ -70,7 +70,7 @@
         have to cut somebody in the end."""
 
         async def check(router: FakeRouter, stream: trio.SocketStream) -> None:
-            router.board.closing = True
+            router.exchanges.closing = True
             await stream.send_all(a_request("/v1/completions", STREAM))
             answer = b"".join([part async for part in stream])
             self.assertIn(b"[DONE]", answer)
--- a/packages/corianderlb-router/tests/test_completion_run.py
+++ b/packages/corianderlb-router/tests/test_completion_run.py
@@ -277,7 +277,7 @@
             attempt_id = engine.received[0].headers[header.ATTEMPT_ID]
             self.assertEqual(engine.cancelled, [attempt_id])
             self.assertLess(trio.current_time(), 4)
-            self.assertEqual(len(router.flights), 0)
+            self.assertEqual(len(router.in_flight), 0)
 
         await with_router(check, engine)
 
@@ -293,7 +293,7 @@
                 await router.ask(caller)
             self.assertEqual(caller.answer, b"")
             self.assertEqual(len(engine.cancelled), 1)
-            self.assertEqual(len(router.board), 0)
+            self.assertEqual(len(router.exchanges), 0)
 
         await with_router(check, engine)
 
@@ -303,7 +303,7 @@
             caller.reading = trio.Event()
             with trio.fail_after(router.parts.cfg.caller_stall_timeout_s + 5):
                 await router.ask(caller)
-            self.assertEqual(len(router.board), 0)
+            self.assertEqual(len(router.exchanges), 0)
 
         await with_router(check, FakeInstance("e0"))
 
--- a/packages/corianderlb-router/tests/test_health_board.py
+++ b/packages/corianderlb-router/tests/test_health_tracker.py
@@ -19,7 +19,7 @@
             await trio.sleep(0.05)
 
 
-class HealthBoardTest(TrioTestCase):
+class HealthTrackerTest(TrioTestCase):
     async def test_a_dead_instance_gets_no_requests_until_it_is_proved(self) -> None:
         """An instance is gone while the platform's list still names it. Each request
         placed there would first have to fail."""
@@ -73,7 +73,7 @@
                 for _ in range(8):
                     nursery.start_soon(router.ask)
                 await trio.sleep(0.1)
-                self.assertEqual(router.flights.n_on(E0), 1)
+                self.assertEqual(router.in_flight.n_on(E0), 1)
 
         await with_router(check, engine, other)
 
--- a/packages/corianderlb-router/tests/test_kv_importer.py
+++ b/packages/corianderlb-router/tests/test_kv_importer.py
@@ -17,7 +17,7 @@
 from corianderlb_core.prefix import PrefixScope
 from corianderlb_core.request import Candidate, RequestFacts
 from corianderlb_core.settings import PlacementSettings
-from corianderlb_router.attempt import Leg
+from corianderlb_router.attempt import Attempt
 from corianderlb_router.interface import UpstreamInstance
 from corianderlb_router.kv_importer import KvImporter
 from corianderlb_standins.trio_case import TrioTestCase
@@ -29,10 +29,10 @@
 )  # fmt: skip
 
 
-def a_leg(import_pieces: int) -> Leg:
+def a_leg(import_pieces: int) -> Attempt:
     """Build an attempt at an engine that should import pieces first."""
     found = UpstreamInstance("e1", "m", "e1:80", "z1", 1, True, None, 0.0)
-    return Leg("r1.1", Candidate(LIFE, 0, import_pieces, 0.1, ""), found, 0.0)
+    return Attempt("r1.1", Candidate(LIFE, 0, import_pieces, 0.1, ""), found, 0.0)
 
 
 class FakeEngine:
