Refuse nobody for a home that answers late

Each late answer also ended the silence, so the even share never counted. Ruled out: the limit itself (500 places, some 100 in use) and lost messages, which have their tests. Change: one question at a time for as long as the home has for its answer; an answer to an older one does not end the silence; places are compared with what the newest asked for; a request whose patience ends without the home's word takes from the even share. The stated tolerance and its tests are unchanged.

--- a/packages/corianderlb-core/src/corianderlb_core/allowance.py
+++ b/packages/corianderlb-core/src/corianderlb_core/allowance.py
@@ -176,14 +176,19 @@
         if asked_at is None or asked_at + grant.valid_s <= now:
             return
         self._expire(now)
-        self._silent_since = None
-        self.has_fallen_back = False
         self.requests += grant.requests
         self.tokens += grant.tokens
         self._home_wait_s = grant.wait_s
-        self.is_scarce = grant.wait_s > 0 or grant.concurrent < self._asked_places
+        self.is_scarce = grant.wait_s > 0
         if grant.number == self.number:
+            # An answer to an older request does not end the silence: a home whose
+            # answers always come after the next request would never be given up on,
+            # and never be heard either.
+            self._silent_since = None
+            self.has_fallen_back = False
             self.answered = grant.number
+            # Only the newest request's places can be compared with what was asked.
+            self.is_scarce |= grant.concurrent < self._asked_places
             self.leased = grant.concurrent
             self._valid_until = asked_at + grant.valid_s
 
@@ -191,8 +196,12 @@
         """Fall back on the even share of the live routers when the home is silent."""
         self._n_live = max(1, len(routers))
         silent_since = self._silent_since
-        if silent_since is None or now - silent_since < self.terms.answer_s:
-            return
+        if silent_since is not None and now - silent_since >= self.terms.answer_s:
+            self.fall_back(routers, now)
+
+    def fall_back(self, routers: Sequence[InstanceId], now: float) -> None:
+        """Spend the even share of the live routers until the home answers again."""
+        self._n_live = max(1, len(routers))
         if self._share is None or self._share.n_live != self._n_live:
             self._share = _Share.of(self, routers, now)
         self.has_fallen_back = True
--- a/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
@@ -63,16 +63,19 @@
 
     allowance: Allowance
     answered: trio.Event
+    answer_s: float
+    """How long the home has for an answer."""
     asked_at: float = float("-inf")
 
     def may_ask_at(self) -> float:
         """Return when the home may be asked again.
 
-        One question is under way at a time. A home that had less than it was asked
+        One question is under way at a time, since the answer to an older one brings no
+        places. A home that had less than it was asked
         for is left alone for a moment, or callers over their limit would flood it.
         """
         if self.allowance.answered != self.allowance.number:
-            return self.asked_at + TICK_S
+            return self.asked_at + self.answer_s
         return self.asked_at + (MIN_ASK_S if self.allowance.is_scarce else 0.0)
 
 
@@ -203,6 +206,14 @@
             if allowance.is_scarce or allowance.has_fallen_back:
                 break
             await trio.lowlevel.checkpoint()
+        else:
+            # The home is too slow for this request, which is not over any limit for
+            # all that is known here.
+            now = trio.current_time()
+            allowance.fall_back(self.routers(), now)
+            code = allowance.reserve(tokens, now)
+            if code is None:
+                return None
         allowance.n_refused += 1
         return _over_limit(allowance, code)
 
@@ -261,7 +272,9 @@
         held = self._held.get(name)
         if held is None:
             allowance = Allowance(name, entry.limits, self._terms, self._router)
-            held = self._held[name] = _Held(allowance, trio.Event())
+            held = self._held[name] = _Held(
+                allowance, trio.Event(), self._terms.answer_s
+            )
         held.allowance.limits = entry.limits
         return held
 
--- a/packages/corianderlb-router/tests/test_fleet_limits.py
+++ b/packages/corianderlb-router/tests/test_fleet_limits.py
@@ -121,6 +121,34 @@
         assert found is not None
         return found
 
+    async def test_home_that_answers_late(self) -> None:
+        """The home's process is busy and each answer takes a third of a second, so
+        that it always came after the next question. Callers far below every limit were
+        told that too many of their requests run."""
+        for delay_s in (0.16, 0.3, 0.7):
+            with self.subTest(delay_s=delay_s):
+                self.assertEqual(await self.refused_with(delay_s), [])
+
+    async def refused_with(self, delay_s: float) -> list[tuple[str, ResultCode]]:
+        """Return the refusals far below the limit with messages under way so long."""
+        refused: list[tuple[str, ResultCode]] = []
+        async with self.running(Limits(concurrent=500, requests_per_s=500.0)):
+            self.hub.delay_s = delay_s
+
+            async def one(name: str) -> None:
+                slot = await self.admit(name)
+                if isinstance(slot, Refusal):
+                    refused.append((name, slot.code))
+                    return
+                await trio.sleep(1.0)
+                slot.release(0)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(200):
+                    nursery.start_soon(one, ROUTERS[number % 4])
+                    await trio.sleep(0.03)
+        return refused
+
     async def test_rate_over_all_routers(self) -> None:
         async with self.running(Limits(requests_per_s=20.0)):
             admitted = await self.flood(per_s=80.0, duration_s=15.0)
