--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -72,7 +72,7 @@
             self.parts, self.catalogue, self.limiter, self.journal, self.exchanges
         )
 
-    def make_desk(self, start_drain: Callable[[], None]) -> AdminView:
+    def make_admin_view(self, start_drain: Callable[[], None]) -> AdminView:
         """Return what answers operators."""
         return AdminView(
             settings=self.settings,
--- a/packages/corianderlb-router/src/corianderlb_router/in_flight.py
+++ b/packages/corianderlb-router/src/corianderlb_router/in_flight.py
@@ -19,7 +19,7 @@
 
 
 class InFlightTable:
-    """Hold the attempts in attempt.
+    """Hold the attempts in flight.
 
     An attempt stays in the table until it is clear how it ended: when an instance
     crashes, its attempts fail one after the other, and each must still be found among
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -50,7 +50,7 @@
         parts = self._parts
         app = make_app(
             parts.make_dispatcher(),
-            parts.make_desk(self._on_terminate),
+            parts.make_admin_view(self._on_terminate),
             read_secret(self._settings.operator.key_file),
         )
         async with trio.open_nursery() as nursery:
