--- a/packages/corianderlb-standins/src/corianderlb_standins/capacity_page.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/capacity_page.py
@@ -115,7 +115,7 @@
     core = slopes["idle core share by routers"].at(size.n_routers) / 100
     sent = slopes["idle peer bytes by routers"].at(size.n_routers)
     memory = slopes["members in memory"].at(size.n_routers) / MB
-    basis = "idle fleets of 8, 16 and 32 routers, carried on to 410"
+    basis = "idle fleets of 12, 24 and 48 routers, the line carried on to 410"
     return Cost("membership and links", core, memory, sent, basis, "sparse overlay")
 
 
