Count the engines' queues against deadlines on real routers

Cause: gave the limiter an estimate of the least wait at the engines, and its test passes one in; the composition of a router never did, so a request that could not make its deadline was let in all the same. Found by looking for functions that nothing calls. The test builds a whole router and failed before. Also taken out: a membership query without users.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -121,11 +121,6 @@
         known = self._known.get(instance)
         return known.state if known else None
 
-    def is_suspected(self, instance: InstanceId) -> bool:
-        """Tell whether a known router is thought to be gone."""
-        known = self._known.get(instance)
-        return known is not None and known.suspected_since is not None
-
     def candidates(self) -> tuple[MemberState, ...]:
         """Return the routers a link may be kept to: members, and listed ones unheard.
 
--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -182,7 +182,12 @@
             self.store, self.own, self.epoch, cfg.journal, self.peers
         )
         self.limiter = Limiter(
-            self.own, self.catalogue, self.directory, self.peers, cfg.admission
+            self.own,
+            self.catalogue,
+            self.directory,
+            self.peers,
+            cfg.admission,
+            self.directory.shortest_wait_s,
         )
         self.orders = OrderKeeper(
             self.store,
