--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -42,7 +42,6 @@
     QUARANTINED = 208
     UPSTREAM_REFUSED = 209
     STALE_CONFIGURATION = 210
-    WEIGHTS_NOT_READY = 211
     # 3xx: it may have run.
     OUTCOME_UNKNOWN = 300
     CALL_IN_PROGRESS = 301
@@ -58,13 +57,11 @@
     EDIT_CONFLICT = 401
     EDIT_OUTCOME_UNKNOWN = 402
     SETTINGS_INVALID = 403
-    CHANGE_NOT_IN_FORCE = 404
     # 5xx: between the processes of the system.
     PEER_REJECTED = 500
     PEER_MESSAGE_INVALID = 501
     STORE_CONFLICT = 502
     LEASE_LOST = 503
-    ORDER_REFUSED = 504
     # 9xx: a fault of ours.
     INTERNAL = 900
 
@@ -146,7 +143,6 @@
     ),
     ResultCode.UPSTREAM_REFUSED: _info(503, _NO, True, _WAIT),
     ResultCode.STALE_CONFIGURATION: _info(503, _NO, True, "Try another instance."),
-    ResultCode.WEIGHTS_NOT_READY: _info(503, _NO, True, _WAIT),
     ResultCode.OUTCOME_UNKNOWN: _info(
         502, _UNKNOWN, False, "Ask the service whether it ran; it is not sent again."
     ),
@@ -180,9 +176,6 @@
     ResultCode.SETTINGS_INVALID: _info(
         400, _NO, False, "Correct the named line of the settings file."
     ),
-    ResultCode.CHANGE_NOT_IN_FORCE: _info(
-        504, Ran.YES, True, "Wait, or look at the instances that lag in status."
-    ),
     ResultCode.PEER_REJECTED: _info(
         403, _NO, False, "Check that both instances have the same peer key."
     ),
@@ -193,9 +186,6 @@
         409, _NO, True, "Read the object again, then repeat the update."
     ),
     ResultCode.LEASE_LOST: _info(409, _NO, True, "The next holder takes over."),
-    ResultCode.ORDER_REFUSED: _info(
-        409, _NO, True, "Read the upstream's state; another holder is newer."
-    ),
     ResultCode.INTERNAL: _info(
         500, _UNKNOWN, False, "Report the request id to the operators."
     ),
--- a/packages/corianderlb-router/src/corianderlb_router/load_slot_store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/load_slot_store.py
@@ -33,7 +33,7 @@
 
     The weight store serves two loads well. With more at once each takes longer, and
     engines stay without weights for longer; one would notice it as requests refused
-    with ``WEIGHTS_NOT_READY`` all through a change.
+    with ``UPSTREAM_REFUSED`` all through a change.
     """
 
     def __init__(self, store: ObjectStore) -> None:
