--- a/packages/corianderlb-standins/src/corianderlb_standins/bench_plot.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/bench_plot.py
@@ -20,12 +20,12 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5), layout="constrained")
     _bars(axes[0], rows, "prefix hit rate", lambda row: row.hit_rate)
     _bars(axes[1], rows, "recomputed pieces", lambda row: row.pieces_recomputed)
     _bars(axes[2], rows, "urgent p99 TTFT, ms", lambda row: row.ttft_ms["urgent"][-1])
-    axes[0].legend(fontsize="small")
-    figure.tight_layout()
+    handles, labels = axes[0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="outside lower center", ncols=len(labels))
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
 
