Name a decision in every answer of the data path

Cause: a refusal before the account was known, such as a wrong key or a body that is not JSON, carried an empty decision id. Change: the id is given on arrival, and such refusals are kept in a small place of their own, so that requests without a key cannot push out the decisions on those of client accounts. The test failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -77,7 +77,9 @@
         self.raw_headers: Headers = scope["headers"]
         self.request_id = RequestId(uuid.uuid4().hex)
         self.decision_id = DecisionId("")
-        """Set once placement decided; on every answer from then on."""
+        """Set by the dispatcher; on every answer."""
+        self.is_understood = False
+        """True once the request was parsed and its sender is known."""
         self.catalogue_version = 0
         self.started = False
         """True once the head of the answer is out."""
--- a/packages/corianderlb-router/src/corianderlb_router/decision_log.py
+++ b/packages/corianderlb-router/src/corianderlb_router/decision_log.py
@@ -6,9 +6,10 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 from datetime import UTC, datetime
+from typing import Final
 
 from corianderlb_core.catalogue import Catalogue, EntryKey, EntryKind
-from corianderlb_core.identity import DecisionId
+from corianderlb_core.identity import DecisionId, RequestId
 from corianderlb_core.request import Candidate, Decision, RequestFacts
 from corianderlb_core.result import ResultCode
 from corianderlb_core.status import (
@@ -18,6 +19,9 @@
     EntryReference,
 )
 
+N_EARLY: Final = 200
+"""Refusals kept of requests that were not understood or had no valid key."""
+
 
 class DecisionLog:
     """Hold a bounded number of decisions; the oldest makes room for the newest."""
@@ -26,6 +30,34 @@
         self._instance = instance
         self._capacity = capacity
         self._reports: OrderedDict[DecisionId, DecisionReport] = OrderedDict()
+        self._early: OrderedDict[DecisionId, DecisionReport] = OrderedDict()
+
+    def id_for(self, request_id: RequestId) -> DecisionId:
+        """Return the id of the one decision on a request."""
+        return DecisionId(f"{self._instance}-{request_id}")
+
+    def refused_early(
+        self, request_id: RequestId, path: str, version: int, code: ResultCode
+    ) -> None:
+        """Keep a refusal that came before anything was known of the request.
+
+        They have a place of their own: anybody can send requests without a key, and
+        must not push out the decisions on those of client accounts.
+        """
+        decision_id = self.id_for(request_id)
+        self._early[decision_id] = DecisionReport(
+            decision_id=decision_id,
+            request_id=request_id,
+            account="",
+            target=path,
+            service_class="",
+            catalogue_version=version,
+            policy="",
+            at=datetime.now(UTC).isoformat(),
+            code=int(code),
+        )
+        if len(self._early) > N_EARLY:
+            self._early.popitem(last=False)
 
     def begin(self, facts: RequestFacts, catalogue: Catalogue) -> DecisionId:
         """Keep a request with the entries that whatever is decided rests on.
@@ -33,7 +65,7 @@
         Refusals and replayed answers are decisions too: an auditor asks for their
         grounds as much as for an instance that was chosen.
         """
-        decision_id = DecisionId(f"{self._instance}-{facts.request_id}")
+        decision_id = self.id_for(facts.request_id)
         self._reports[decision_id] = DecisionReport(
             decision_id=decision_id,
             request_id=facts.request_id,
@@ -74,7 +106,7 @@
 
     def get(self, decision_id: DecisionId) -> DecisionReport | None:
         """Return a decision that is still kept, or None."""
-        return self._reports.get(decision_id)
+        return self._reports.get(decision_id) or self._early.get(decision_id)
 
 
 def _candidate(found: Candidate) -> CandidateReport:
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -70,6 +70,7 @@
     async def handle(self, caller: CallerExchange) -> None:
         """Answer one request, whatever happens."""
         caller.stall_s = self._cfg.caller_stall_timeout_s
+        caller.decision_id = self._parts.decisions.id_for(caller.request_id)
         with self._exchanges.exchange(caller) as entry:
             try:
                 await self._handle(caller)
@@ -87,12 +88,21 @@
             finally:
                 if not caller.finished and not entry.was_cut:
                     caller.result = ResultCode.CALLER_GONE
-                self._parts.decisions.finish(caller.decision_id, caller.result)
+                self._note_end(caller)
                 metrics = self._parts.metrics
                 metrics.request_ended(caller.result, caller.service_class)
         if entry.was_cut and not caller.finished:
             await self._tell_cut(caller)
 
+    def _note_end(self, caller: CallerExchange) -> None:
+        decisions = self._parts.decisions
+        if caller.is_understood:
+            decisions.finish(caller.decision_id, caller.result)
+            return
+        decisions.refused_early(
+            caller.request_id, caller.path, caller.catalogue_version, caller.result
+        )
+
     async def _handle(self, caller: CallerExchange) -> None:
         check_headers(caller, self._cfg.max_header_bytes)
         in_force = self._in_force(caller)
@@ -150,7 +160,8 @@
     ) -> None:
         """Have a decision to name in the answer, also when it is a refusal."""
         caller.service_class = facts.service_class
-        caller.decision_id = self._parts.decisions.begin(facts, catalogue)
+        caller.is_understood = True
+        self._parts.decisions.begin(facts, catalogue)
 
     async def _run_call(
         self, caller: CallerExchange, req: ServiceRequest, in_force: InForce
--- a/packages/corianderlb-router/tests/test_decision_log.py
+++ b/packages/corianderlb-router/tests/test_decision_log.py
@@ -46,6 +46,22 @@
 
         await with_router(check)
 
+    async def test_a_refusal_before_the_account_is_known(self) -> None:
+        """A caller shows an answer that says its key is wrong. The answer named no
+        decision, so nobody could tell when and where it was given."""
+
+        async def check(router: FakeRouter) -> None:
+            served = report_of(router, await router.ask())
+            for _ in range(300):
+                caller = await router.ask(FakeCaller(authorization="Bearer wrong"))
+            report = report_of(router, caller)
+            self.assertEqual(report.code, ResultCode.BAD_CREDENTIALS)
+            self.assertEqual(report.target, "/v1/completions")
+            kept = router.parts.decisions.get(DecisionId(served.decision_id))
+            self.assertEqual(kept, served)
+
+        await with_router(check, FakeInstance("e0"))
+
     async def test_a_replayed_answer_is_a_decision_too(self) -> None:
         async def check(router: FakeRouter) -> None:
             for _ in range(2):
