--- a/packages/corianderlb-ctl/src/corianderlb_ctl/status.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/status.py
@@ -49,7 +49,16 @@
 
 
 def _overview(answers: list[RouterAnswer]) -> Table:
-    columns = ("instance", "zone", "state", "version", "since", "in flight", "note")
+    columns = (
+        "instance",
+        "zone",
+        "state",
+        "version",
+        "since",
+        "confirmed s ago",
+        "in flight",
+        "note",
+    )
     return Table(columns, tuple(map(_overview_row, answers)))
 
 
@@ -57,13 +66,15 @@
     status = answer.status
     record = answer.record
     if status is None:
-        return (record.instance, record.zone, "?", "?", "", "", answer.problem)
+        unknown = ("?", "?", "", "", "")
+        return (record.instance, record.zone, *unknown, answer.problem)
     return (
         record.instance,
         status.zone,
         status.state,
         str(status.catalogue_version),
         status.in_force_since,
+        f"{status.confirmed_age_s:.1f}",
         str(status.n_in_flight),
         record.presence.value if record.presence.value != "live" else "",
     )
--- a/packages/corianderlb-ctl/tests/test_ctl_commands.py
+++ b/packages/corianderlb-ctl/tests/test_ctl_commands.py
@@ -63,7 +63,9 @@
             return httpx.Response(200, content=to_json(a_decision()))
         if req.url.path != "/admin/status":
             return httpx.Response(404, json={"error": {"message": "not here"}})
-        version = self.version_in_force[req.url.host]
+        version = self.version_in_force.get(req.url.host)
+        if version is None:
+            return httpx.Response(404)
         status = RouterStatus(req.url.host, 1, "a", "r", "serving", version)
         return httpx.Response(200, content=to_json(status))
 
@@ -139,6 +141,17 @@
         report = await self.call(store, *words)
         self.assertEqual(report.value.trace[0].owner, "model-team")
 
+    async def test_status_shows_who_answers_and_who_does_not(self) -> None:
+        store = self.start()
+        del self.version_in_force["router-2"]
+        report = await self.call(store, "status")
+        table = report.tables[0]
+        for row in table.rows:
+            self.assertEqual(len(row), len(table.columns))
+        text = render(report, "table")
+        self.assertIn("serving", text)
+        self.assertIn("router-2: HTTP status 404", text)
+
     async def test_unknown_decision(self) -> None:
         store = self.start()
         code, message = await self.refused(store, "explain", "router-9-1")
