--- a/packages/corianderlb-router/src/corianderlb_router/metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/metric.py
@@ -33,6 +33,7 @@
     IN_FLIGHT = "corianderlb_requests_in_flight"
     QUARANTINED = "corianderlb_quarantined_requests"
     PEERS = "corianderlb_peers_connected"
+    WAITING = "corianderlb_requests_waiting"
 
 
 class Tally(Enum):
@@ -42,6 +43,10 @@
     STORE_FAILURES = "corianderlb_store_call_failures_total"
     PEERS = "corianderlb_peer_traffic_total"
     """Bytes, messages, refused frames and links, by kind."""
+    CATALOGUE = "corianderlb_catalogue_events_total"
+    JOURNAL = "corianderlb_journal_events_total"
+    ADMISSION = "corianderlb_admission_events_total"
+    PLACEMENT = "corianderlb_placement_events_total"
 
 
 class Metrics:
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from corianderlb_core.admission import GateCounts
@@ -43,9 +43,9 @@
 
     def watch(self, metrics: Metrics) -> None:
         """Have the counters and gauges read at each scrape."""
-        metrics.watch_tally(Tally.STORE_CALLS, self.store_calls)
-        metrics.watch_tally(Tally.STORE_FAILURES, self.store_failures)
-        metrics.watch_tally(Tally.PEERS, self.peer_counts)
+        for tally, read in self._tallies().items():
+            metrics.watch_tally(tally, read)
+        metrics.watch_gauge(Gauge.WAITING, self._n_waiting)
         metrics.watch_gauge(Gauge.CATALOGUE_VERSION, self._version)
         metrics.watch_gauge(Gauge.IN_FLIGHT, lambda: len(self.exchanges))
         metrics.watch_gauge(Gauge.PEERS, lambda: len(self.peers.linked()))
@@ -53,21 +53,24 @@
 
     def status(self) -> tuple[CounterStatus, ...]:
         """Return all counters, for ``corianderctl status`` and the slopes."""
-        groups = {
-            "store_calls": self.store_calls(),
-            "store_failures": self.store_failures(),
-            "peers": self.peer_counts(),
-            "catalogue": self.catalogue_counts(),
-            "journal": self.journal_counts(),
-            "admission": self.admission_counts(),
-            "placement": self.placement_counts(),
-        }
         return tuple(
-            CounterStatus(f"{group}.{kind}", value)
-            for group, counts in groups.items()
-            for kind, value in sorted(counts.items())
+            CounterStatus(f"{tally.name.lower()}.{kind}", value)
+            for tally, read in self._tallies().items()
+            for kind, value in sorted(read().items())
         )
 
+    def _tallies(self) -> dict[Tally, Callable[[], dict[str, float]]]:
+        """Return what reads each group of counters, for metrics and status alike."""
+        return {
+            Tally.STORE_CALLS: self.store_calls,
+            Tally.STORE_FAILURES: self.store_failures,
+            Tally.PEERS: self.peer_counts,
+            Tally.CATALOGUE: self.catalogue_counts,
+            Tally.JOURNAL: self.journal_counts,
+            Tally.ADMISSION: self.admission_counts,
+            Tally.PLACEMENT: self.placement_counts,
+        }
+
     def store_calls(self) -> dict[str, float]:
         """Return the calls to the store, by kind."""
         return {kind.value: float(n) for kind, n in self.store.n_calls.items()}
@@ -108,6 +111,9 @@
         """Return how requests fared at the gates of all upstreams."""
         return _summed([gate.counts for gate in self.limiter.gates.values()])
 
+    def _n_waiting(self) -> float:
+        return float(sum(account.n_waiting for account in self.limiter.accounts()))
+
     def _version(self) -> float:
         in_force = self.catalogue.current()
         return float(in_force.catalogue.version) if in_force else 0.0
--- a/packages/corianderlb-router/tests/test_composition.py
+++ b/packages/corianderlb-router/tests/test_composition.py
@@ -63,6 +63,15 @@
         router.catalogue.take_stored([change_to_json(change)], now)
         return router
 
+    async def test_metrics_and_status_show_the_same_counters(self) -> None:
+        router = self.a_router(0.0)
+        text = router.parts.metrics.exposition().decode()
+        self.assertIn("corianderlb_requests_waiting 0.0", text)
+        for counter in router.counters.status():
+            kind = counter.name.partition(".")[2]
+            self.assertIn(f'{{kind="{kind}"}} {counter.value}', text)
+        self.assertGreater(len(router.counters.status()), 20)
+
     async def test_queues_of_engines_count_against_deadlines(self) -> None:
         """All engines have a minute of work queued and a review may wait for five
         seconds. It was let in, held a place, and timed out in the engine's queue."""
