Keep the admission without limits beside the other fakes

It let the data path be wired before the limiter was there. Since then no router makes one, only the tests' fakes do, so it belongs to the stand-ins and not to what is shipped. Behaviour is as it was; lint and the packages' tests pass (320, 0 failed).

--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -52,7 +52,6 @@
     PeerNetwork,
 )
 from corianderlb_router.kv_importer import KvImporter
-from corianderlb_router.open_admission import OpenAdmission
 from corianderlb_router.placer import PolicyPlacer
 from corianderlb_router.stall_watch import StallWatch
 from corianderlb_router.store import InstanceList
@@ -66,6 +65,7 @@
     an_adapter,
     an_upstream,
 )
+from corianderlb_standins.open_admission import OpenAdmission
 
 N_EVENTS = 6
 """Events of a fake answer before the terminal one."""
--- a/packages/corianderlb-router/src/corianderlb_router/open_admission.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/open_admission.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from corianderlb_core.request import Refusal, RequestFacts
-
-from .interface import Admission, Slot
+from corianderlb_router.interface import Admission, Slot
 
 
 class OpenSlot(Slot):
