Load the oldest weights first, and free the place of an engine that is lost

Ruled out: lateness of the orders themselves (all were taken at once), a lost holder.

Change: oldest version first, then fewest requests; three reports without an answer free the place. The lean towards new weights begins 1.3 s after they were named.

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -27,6 +27,10 @@
 """Penalty for an engine whose weights were replaced: it loses to a new one unless
 that one is this much slower to the first token."""
 
+OLD_WEIGHTS_FREE_S: Final = 1.3
+"""Age of newer weights from which that penalty counts: a little less than the 1.5 s
+for which users take answers of the replaced ones for as good."""
+
 TIE_S: Final = 0.02
 """Differences that estimates cannot tell apart; hashing decides below it, so that
 routers that know nothing of each other send the same shared parts to one engine."""
@@ -60,6 +64,8 @@
     """Name of the account if it is isolated, else empty."""
     newest_version: int
     """Version of the weights that was named last."""
+    newest_age_s: float
+    """Seconds since it was named, as far as this router knows."""
     objective_left_s: float
     kv_capacity: int
     kv_cache_address: str = ""
@@ -153,7 +159,8 @@
     if known_elsewhere:
         cost += RECOMPUTE_WEIGHT * pace.read_s(n_again)
     if view.weights_version < query.newest_version:
-        cost += OLD_WEIGHTS_S
+        if query.newest_age_s + first_s > OLD_WEIGHTS_FREE_S:
+            cost += OLD_WEIGHTS_S
     left_s = query.objective_left_s
     in_time = first_s <= IN_TIME_SHARE * left_s or wait_s <= SHORT_WAIT_SHARE * left_s
     if not source and query.kv_cache_address and n_shared:
--- a/packages/corianderlb-core/src/corianderlb_core/weights_roll.py
+++ b/packages/corianderlb-core/src/corianderlb_core/weights_roll.py
@@ -38,8 +38,11 @@
 def next_loads(engines: Sequence[EngineWeights], newest: int) -> list[str]:
     """Return the engines to give an order now, most useful first.
 
-    An engine with few requests loads first: an order waits for the runs of its engine
-    to end, and refuses all new ones meanwhile.
+    The oldest weights go first: when versions are named faster than engines load, a
+    busy engine would else be passed over each time, and answer from weights of three
+    versions ago after ten seconds. Among equals an engine with few requests loads
+    first: an order waits for the runs of its engine to end, and refuses all new ones
+    meanwhile.
     """
     n_loading = sum(
         engine.is_loading and engine.loading_s < HUNG_S for engine in engines
@@ -52,6 +55,10 @@
         and engine.ordered_s >= AGAIN_S
         and engine.is_reachable
     ]
-    waiting.sort(key=lambda engine: (engine.n_requests, engine.instance))
+    waiting.sort(key=_usefulness)
     free = max(0, MAX_LOADS - n_loading)
     return [engine.instance for engine in waiting[:free]]
+
+
+def _usefulness(engine: EngineWeights) -> tuple[int, int, str]:
+    return (engine.version, engine.n_requests, engine.instance)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -245,14 +245,17 @@
             return None
         kv_cache = cfg.kv_cache()
         account = self.account
+        now = trio.current_time()
+        newest, named_at = self.parts.state.newest_weights(self.prompt.model)
         return EngineQuery(
             prompt=self.prompt,
             wall=account.name if account and account.is_isolated else "",
-            newest_version=self.parts.state.newest_weights(self.prompt.model)[0],
+            newest_version=newest,
+            newest_age_s=now - named_at,
             objective_left_s=objective_left_s,
             kv_capacity=upstream.engine.kv_capacity_tokens,
             kv_cache_address=kv_cache.kv_cache_address if kv_cache else "",
-            now=trio.current_time(),
+            now=now,
         )
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -38,6 +38,13 @@
 POLL_S: Final = 0.1
 """Pause between two questions to an engine that loads."""
 
+LOST_REPORTS: Final = 3
+"""Reports in a row without an answer after which a loading engine counts as lost."""
+
+UNREACHABLE_S: Final = 1.5
+"""How long an engine that does not answer gets no order: it lapses in three to four
+seconds, and each try takes the place of another engine's load for half a second."""
+
 GIVE_UP_S: Final = 10.0
 """How long an engine is asked after one order; then it may get another."""
 
@@ -234,7 +241,7 @@
         if ordered.n_orders is None:
             report = await self._orders.report(engine)
             if report is None:
-                ordered.unreachable_until = trio.current_time() + 1.0
+                ordered.unreachable_until = trio.current_time() + UNREACHABLE_S
                 return
             ordered.n_orders = report.n_orders
             self._learn(engine, report)
@@ -270,7 +277,9 @@
         elif answer is OrderAnswer.TAKEN:
             if ordered.n_orders is not None:
                 ordered.n_orders += 1
-            await self._follow(engine, model, version)
+            if not await self._follow(engine, model, version):
+                ordered.n_orders = None
+                ordered.unreachable_until = trio.current_time() + UNREACHABLE_S
         elif answer is OrderAnswer.UNKNOWN:
             ordered.n_orders = None
             await self._follow_unknown(engine, model, version)
@@ -282,16 +291,24 @@
         elif answer is OrderAnswer.GONE:
             self._state.mark_leaving(engine, "address_reused")
 
-    async def _follow(self, engine: ForwardInstance, model: str, version: int) -> None:
-        """Ask an engine until it has the version."""
-        while self._state.may_take_work(engine):
+    async def _follow(self, engine: ForwardInstance, model: str, version: int) -> bool:
+        """Ask an engine until it has the version; False when it answers no more.
+
+        One that crashed while it loaded would else keep its place among the loads
+        until its entry lapses, and the others would keep their old weights as long.
+        """
+        n_unanswered = 0
+        while n_unanswered < LOST_REPORTS and self._state.may_take_work(engine):
             await trio.sleep(POLL_S)
             report = await self._orders.report(engine)
             if report is None:
+                n_unanswered += 1
                 continue
+            n_unanswered = 0
             if report.versions.get(model, 0) >= version and not report.is_busy:
                 self._learn(engine, report)
-                return
+                return True
+        return False
 
     async def _follow_unknown(
         self, engine: ForwardInstance, model: str, version: int
