Halve the calls to the store: longer watches, probed connections, rarer looks

Ruled out: watching less and trusting the connection (a forgotten one looks like no news); asking the peers alone.

Change: the kernel probes the store's connections each second, watches wait three; a peer that knows of something newer for 0.4 s is asked although the store seems to answer; a standby looks at the lease of a holder that it sees only each four seconds.

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -31,6 +31,10 @@
 """Age of newer weights from which that penalty counts: a little less than the 1.5 s
 for which users take answers of the replaced ones for as good."""
 
+OTHER_ZONE_S: Final = 0.01
+"""What an engine in another availability zone costs more: the way there, and the bytes
+of a long prompt, which users pay for between zones."""
+
 TIE_S: Final = 0.02
 """Differences that estimates cannot tell apart; hashing decides below it, so that
 routers that know nothing of each other send the same shared parts to one engine."""
@@ -69,6 +73,8 @@
     objective_left_s: float
     kv_capacity: int
     kv_cache_address: str = ""
+    zone: str = ""
+    """The router's own availability zone."""
     now: float = 0.0
 
     def scope(self, version: int) -> str:
@@ -161,6 +167,8 @@
     if view.weights_version < query.newest_version:
         if query.newest_age_s + first_s > OLD_WEIGHTS_FREE_S:
             cost += OLD_WEIGHTS_S
+    if view.instance.zone != query.zone:
+        cost += OTHER_ZONE_S
     left_s = query.objective_left_s
     in_time = first_s <= IN_TIME_SHARE * left_s or wait_s <= SHORT_WAIT_SHARE * left_s
     if not source and query.kv_cache_address and n_shared:
--- a/packages/corianderlb-router/src/corianderlb_router/engine_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_board.py
@@ -28,9 +28,9 @@
 from .interface import PeerNetwork
 from .serving_state import ServingState
 
-NEWS_S: Final = 0.1
-"""Pause between two words to the peers on what is under way: below the time that a
-usual prompt takes to be read."""
+NEWS_S: Final = 0.2
+"""Pause between two words to the peers on what is under way: about the time that a
+usual prompt takes to be read. First reads of shared parts are told at once."""
 
 MIN_NEWS_S: Final = 0.02
 """Least pause between two words, however much news there is."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -28,11 +28,12 @@
 from .forward_run import ForwardRun
 from .forward_target import EngineTarget, ServiceTarget, Target, pick_upstream
 from .inbound import body_digest, check_headers
+from .state_follower import WATCH_S
 from .wanted import run_while_wanted
 
-UNCONFIRMED_S: Final = 2.0
+UNCONFIRMED_S: Final = WATCH_S + 1.5
 """Age of the configuration from which an unknown route or key may be a newer one's: a
-watch of a second and its answer fit twice."""
+watch, its answer and a second try."""
 
 NOT_READY_RETRY_S: Final = 0.5
 """When to come back to a router that has no newer configuration yet."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -305,9 +305,24 @@
             self._board,
             self._ports.orders,
             self._rng,
+            self._sees,
             must_settle=not cfg.engines_check_tokens,
         )
 
+    def _sees(self, node: str) -> bool:
+        """Return whether another router is seen to live.
+
+        A link ends with its router's process; beyond the linked routers, only the
+        membership tells, some seconds later.
+        """
+        linked = self._peers.linked()
+        if node in linked:
+            return True
+        members = self._peers.members()
+        knows_all = len(members) <= len(linked) + 1
+        live = {m.instance for m in members if m.presence is Presence.LIVE}
+        return not knows_all and node in live
+
     def _watch_gauges(self) -> None:
         metrics, state = self._parts.metrics, self._ports.state
         metrics.watch("in_flight", lambda: len(self._exchanges))
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -255,6 +255,7 @@
             objective_left_s=objective_left_s,
             kv_capacity=upstream.engine.kv_capacity_tokens,
             kv_cache_address=kv_cache.kv_cache_address if kv_cache else "",
+            zone=self.parts.cfg.zone,
             now=now,
         )
 
--- a/packages/corianderlb-router/src/corianderlb_router/router_roster.py
+++ b/packages/corianderlb-router/src/corianderlb_router/router_roster.py
@@ -20,7 +20,7 @@
 ENTER_AGAIN_S: Final = 0.5
 """Mean pause before the own entry is tried again."""
 
-LOOK_S: Final = 5.0
+LOOK_S: Final = 15.0
 """Mean pause between two looks at all entries. Peers tell of new routers sooner."""
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -16,22 +16,31 @@
 from .serving_state import ServingState
 from .store import StoreError
 
-WATCH_S: Final = 1.0
-"""How long a watch waits. A connection that went silent shows when its watch is
-overdue, so this bounds how late a change can be seen."""
+WATCH_S: Final = 3.0
+"""How long a watch waits. Each one is a call that is paid for: with one second, a
+router made 270 calls in a minute without any news. Dead connections show by probes of
+the kernel, and a store that holds the watch back shows by the peers' offers."""
 
 RETRY_S: Final = 0.15
 MAX_RETRY_S: Final = 0.6
 """First and longest mean pause after a failed call to the store."""
 
-OFFER_S: Final = 0.5
+OFFER_S: Final = 1.0
 """Pause between two offers to the peers."""
 
+GROUP_S: Final = 0.02
+"""Time in which further changes join one offer."""
+
 ALONE_S: Final = 0.4
 """Silence of the store after which a peer's newer state is asked for."""
 
-CONFIRMED_S: Final = 2 * WATCH_S
-"""Age of a router's own reading up to which its offers speak for the store."""
+CONFIRMED_S: Final = WATCH_S + 1.0
+"""Age of a router's own reading up to which its offers speak for the store: a watch
+and the time that its answer may take."""
+
+BEHIND_S: Final = 0.4
+"""How long a peer may know of something newer before it is asked for, although the
+store seems to answer: a watch tells within a tenth of it."""
 
 ASK_AGAIN_S: Final = 0.4
 """Least time between two requests for one kind."""
@@ -52,6 +61,7 @@
         self._peers = peers
         self._rng = rng
         self._asked_at: dict[str, float] = {}
+        self._behind_since: dict[str, float] = {}
         peers.subscribe(StateOffer, self.on_state_offer)
         peers.subscribe(StateRequest, self.on_state_request)
         peers.subscribe(StateObjects, self.on_state_objects)
@@ -121,7 +131,7 @@
             with trio.move_on_after(OFFER_S * self._rng.uniform(0.8, 1.2)):
                 await changed.wait()
                 # Changes come in groups; one offer tells of all of them.
-                await trio.sleep(0.02)
+                await trio.sleep(GROUP_S)
 
     async def on_state_offer(self, sender: InstanceId, offer: StateOffer) -> None:
         """Ask for a peer's newer state while the store is out of reach."""
@@ -129,12 +139,18 @@
         wanted = []
         for kind, revision in offer.revisions:
             table = self._state.tables.get(kind)
-            if table is None or now - table.read_at < ALONE_S:
+            if table is None:
                 continue
             if revision <= max(table.changed_at, table.revision):
+                self._behind_since.pop(kind, None)
                 if offer.is_confirmed:
                     self._state.confirm(kind)
-            elif now - self._asked_at.get(kind, float("-inf")) >= ASK_AGAIN_S:
+                continue
+            behind_since = self._behind_since.setdefault(kind, now)
+            is_read = now - table.read_at < ALONE_S or not self._state.is_store_lost
+            if is_read and now - behind_since < BEHIND_S:
+                continue
+            if now - self._asked_at.get(kind, float("-inf")) >= ASK_AGAIN_S:
                 self._asked_at[kind] = now
                 wanted.append(kind)
         if wanted:
--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from enum import Enum
 from typing import Any, Final
@@ -22,6 +23,16 @@
 WATCH_GRACE_S: Final = 1.5
 """Seconds past its timeout after which an unanswered watch counts as dead."""
 
+KEEP_ALIVE: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1),
+)
+"""Options of each socket. A watch is silent by nature, so a connection that something
+in between has forgotten looks like one without news. The kernel's probes, a second
+apart, show it within two seconds, and watches may wait longer than that."""
+
 MAX_CONNECTIONS: Final = 32
 """Connections to the store at most; further calls wait for one."""
 
@@ -55,8 +66,11 @@
         limits = httpx.Limits(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_CONNECTIONS
         )
+        transport = transport or httpx.AsyncHTTPTransport(
+            limits=limits, socket_options=KEEP_ALIVE, trust_env=False
+        )
         self.client = httpx.AsyncClient(
-            base_url=url, limits=limits, transport=transport, trust_env=False
+            base_url=url, transport=transport, trust_env=False
         )
         self.n_in_use = 0
         self.retired = False
--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -9,6 +9,7 @@
 import math
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -31,9 +32,13 @@
 IDLE_TICK_S: Final = 0.25
 """Longest pause between two looks otherwise; a newly named version ends it."""
 
-STANDBY_S: Final = 1.0
-"""Mean pause between two looks at another router's lease. A successor starts its own
-wait at its first look after the last renewal, so this adds to a takeover."""
+STANDBY_S: Final = 0.7
+"""Mean pause between two looks at the lease of a router that is out of sight. A
+successor starts its own wait at its first look after the last renewal, so this adds to
+a takeover."""
+
+SEEN_STANDBY_S: Final = 4.0
+"""The same while the holder is seen to live: each look is a call to the store."""
 
 POLL_S: Final = 0.1
 """Pause between two questions to an engine that loads."""
@@ -122,8 +127,10 @@
         board: EngineBoard,
         orders: EngineOrders,
         rng: random.Random,
+        sees: Callable[[str], bool],
         must_settle: bool = False,
     ) -> None:
+        self._sees = sees
         self._lease = lease
         self._must_settle = must_settle
         self._node = node
@@ -147,12 +154,21 @@
             while True:
                 pause_s = await self._turn(nursery)
                 changed = self._state.changed
+                if pause_s > IDLE_TICK_S:
+                    await self._stand_by(pause_s)
+                    continue
                 with trio.move_on_after(pause_s):
-                    if pause_s <= IDLE_TICK_S:
-                        await trio.sleep(TICK_S)
-                        await changed.wait()
-                    else:
-                        await trio.sleep_forever()
+                    await trio.sleep(TICK_S)
+                    await changed.wait()
+
+    async def _stand_by(self, pause_s: float) -> None:
+        """Wait for the next look, which is soon when the holder gets out of sight."""
+        until = trio.current_time() + pause_s
+        was_seen = self._sees(self._lease.record.holder)
+        while trio.current_time() < until:
+            await trio.sleep(IDLE_TICK_S)
+            if was_seen and not self._sees(self._lease.record.holder):
+                return
 
     async def release(self) -> None:
         """Give the lease back at a shutdown, a lease's time after the last order.
@@ -181,10 +197,15 @@
             if not held:
                 return STANDBY_S * self._rng.uniform(0.3, 0.6)
         if not held:
-            return STANDBY_S * self._rng.uniform(0.7, 1.3)
+            return self._standby_s()
         self._give_orders(nursery)
         return IDLE_TICK_S
 
+    def _standby_s(self) -> float:
+        holder = self._lease.record.holder
+        mean_s = SEEN_STANDBY_S if self._sees(holder) else STANDBY_S
+        return mean_s * self._rng.uniform(0.7, 1.3)
+
     def _models(self) -> list[tuple[str, str]]:
         """Return the upstreams of engines, each with its models."""
         cfg = self._state.configuration
