--- /dev/null
+++ b/packages/corianderlb-core/tests/test_engine_choice.py
@@ -0,0 +1,149 @@
+"""Which engine reads a prompt, under load, with cached parts and replaced weights."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from corianderlb_core.engine_choice import choose_engine
+from corianderlb_core.engine_pace import FIRST_TOKENS_PER_S, EnginePace
+from corianderlb_core.part_index import PartIndex
+from forward_data import a_prompt, a_query, a_view
+
+BIG = ("big", 5000)
+
+
+class EngineChoiceTest(unittest.TestCase):
+    def test_engine_that_holds_the_parts(self) -> None:
+        index = PartIndex()
+        views = [a_view(name) for name in "abc"]
+        query = a_query(a_prompt(BIG))
+        index.note(query.scope(1), ["big"], views[1].instance.life, True)
+        choice = choose_engine(query, views, index)
+        self.assertEqual(choice.view.instance.instance, "b")
+        self.assertEqual(choice.n_missing, 100)
+
+    def test_parts_are_fetched_when_their_engine_is_busy(self) -> None:
+        # All requests for one customer went to one engine. Its queue grows past what
+        # moving the parts costs, so another one fetches them instead of reading again.
+        index = PartIndex()
+        views = [a_view("a", unread=40_000), a_view("b")]
+        query = a_query(a_prompt(BIG))
+        index.note(query.scope(1), ["big"], views[0].instance.life, True)
+        choice = choose_engine(query, views, index)
+        self.assertEqual(choice.view.instance.instance, "b")
+        self.assertEqual((choice.fetch_from, choice.n_missing), ("a:80", 100))
+
+    def test_parts_of_other_weights_are_never_counted(self) -> None:
+        # The engine had read the parts before it got new weights. Counted as held, a
+        # request would be placed for what the engine has dropped.
+        index = PartIndex()
+        query = a_query(a_prompt(BIG), newest_version=2)
+        old, new = a_view("a", version=2), a_view("b", version=2)
+        index.note(query.scope(1), ["big"], old.instance.life, True)
+        choice = choose_engine(query, [old, new], index)
+        self.assertEqual((choice.fetch_from, choice.n_missing), ("", 5100))
+
+    def test_parts_of_an_isolated_account_are_never_counted(self) -> None:
+        index = PartIndex()
+        views = [a_view("a"), a_view("b")]
+        theirs = a_query(a_prompt(BIG), wall="walled")
+        ours = a_query(a_prompt(BIG))
+        index.note(theirs.scope(1), ["big"], views[0].instance.life, True)
+        choice = choose_engine(ours, views, index)
+        self.assertEqual(choice.n_missing, 5100)
+
+    def test_routers_that_know_nothing_agree(self) -> None:
+        # Routers that have just started send the same parts to the same engine, or
+        # each engine would read them.
+        query = a_query(a_prompt(BIG))
+        names = set()
+        for seed in range(5):
+            views = [a_view(name) for name in "abcde"]
+            random.Random(seed).shuffle(views)
+            choice = choose_engine(query, views, PartIndex())
+            names.add(choice.view.instance.instance)
+        self.assertEqual(len(names), 1)
+
+    def test_queue_beyond_the_objective_is_told(self) -> None:
+        views = [a_view("a", unread=60_000), a_view("b", unread=50_000)]
+        choice = choose_engine(a_query(a_prompt()), views, PartIndex())
+        self.assertFalse(choice.in_time)
+        self.assertAlmostEqual(choice.wait_s, 50_000 / FIRST_TOKENS_PER_S, places=2)
+
+    def test_large_prompt_is_not_refused_for_its_size(self) -> None:
+        # Reading it alone takes longer than the objective. Counted by that, the largest
+        # prompts would be refused always, and their callers never served.
+        choice = choose_engine(
+            a_query(a_prompt(own=50_000)), [a_view("a")], PartIndex()
+        )
+        self.assertTrue(choice.in_time)
+
+    def test_new_weights_are_preferred_once_old_ones_count_as_late(self) -> None:
+        views = [a_view("a", version=1), a_view("b", version=2, unread=8_000)]
+        for age_s, expected in ((0.2, "a"), (3.0, "b")):
+            query = a_query(a_prompt(), newest_version=2, newest_age_s=age_s)
+            choice = choose_engine(query, views, PartIndex())
+            self.assertEqual(choice.view.instance.instance, expected)
+
+    def test_store_of_kv_cache_is_the_last_source(self) -> None:
+        query = a_query(a_prompt(BIG), kv_cache_address="kv:80")
+        choice = choose_engine(query, [a_view("a")], PartIndex())
+        self.assertEqual((choice.fetch_from, choice.n_missing), ("kv:80", 5100))
+
+
+class PartIndexTest(unittest.TestCase):
+    def test_part_is_taken_for_evicted_after_much_else_was_read(self) -> None:
+        index, life = PartIndex(), ("a", 1)
+        index.note("s", ["big"], life, True)
+        self.assertEqual(index.coverage("s", [BIG], life, 100_000).n_held, 5000)
+        index.count_read(life, 90_000)
+        self.assertEqual(index.coverage("s", [BIG], life, 100_000).n_held, 0)
+
+    def test_new_life_holds_nothing(self) -> None:
+        index = PartIndex()
+        index.note("s", ["big"], ("a", 1), True)
+        self.assertEqual(index.coverage("s", [BIG], ("a", 2), 100_000).n_held, 0)
+
+    def test_later_part_counts_only_behind_the_earlier(self) -> None:
+        index, life = PartIndex(), ("a", 1)
+        index.note("s", ["site"], life, True)
+        parts = [("customer", 100), ("site", 200)]
+        self.assertEqual(index.coverage("s", parts, life, 100_000).n_held, 0)
+
+    def test_run_that_broke_off_holds_nothing(self) -> None:
+        index, life = PartIndex(), ("a", 1)
+        index.note("s", ["big"], life, False)
+        self.assertEqual(index.coverage("s", [BIG], life, 100_000).n_coming, 5000)
+        index.unread("s", ["big"], life)
+        self.assertEqual(index.coverage("s", [BIG], life, 100_000).n_coming, 0)
+
+
+class EnginePaceTest(unittest.TestCase):
+    def test_speed_is_learned_from_first_tokens(self) -> None:
+        # The engine reads 20,000 tokens a second, half of the first guess. After some
+        # requests the estimate is right within a tenth.
+        pace, now = EnginePace(64), 0.0
+        for n in range(40):
+            pace.sent(f"q{n}", 4_000, now)
+            now += 4_000 / 20_000 + 0.03
+            pace.first_token(f"q{n}", now)
+            pace.ended(f"q{n}", True)
+        self.assertAlmostEqual(pace.tokens_per_s, 20_000, delta=2_000)
+
+    def test_one_wild_wait_moves_the_speed_little(self) -> None:
+        pace = EnginePace(64)
+        pace.sent("q", 1_000, 0.0)
+        pace.first_token("q", 60.0)
+        self.assertGreater(pace.tokens_per_s, 0.9 * FIRST_TOKENS_PER_S)
+
+    def test_work_of_other_routers_counts(self) -> None:
+        pace = EnginePace(64)
+        pace.hear("r2", 40_000, 3, 0.0)
+        self.assertGreater(pace.wait_s(0.0), 0.9)
+        self.assertEqual(pace.wait_s(5.0), 0.0)
+
+    def test_full_engine(self) -> None:
+        pace = EnginePace(2)
+        pace.hear("r2", 0, 5, 0.0)
+        self.assertGreater(pace.wait_s(0.0), 0.1)
--- /dev/null
+++ b/packages/corianderlb-core/tests/test_forwarding.py
@@ -0,0 +1,119 @@
+"""Routes, accounts, repeats and plain services."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corianderlb_core.arrival_budget import ArrivalBudget, BudgetTerms
+from corianderlb_core.forwarding import (
+    ForwardAccount,
+    ForwardConfiguration,
+    ForwardRoute,
+    RepeatKind,
+    UpstreamShare,
+    key_digest,
+)
+from corianderlb_core.message import EngineNews, WeightsWord, decode, encode
+from corianderlb_core.service_choice import ServiceLoad, choose_service
+from forward_data import an_instance
+
+
+def a_route(host: str, prefix: str) -> ForwardRoute:
+    """Build a route named by its prefix."""
+    shares = (UpstreamShare("app"),)
+    return ForwardRoute(prefix, host, prefix, RepeatKind.IDEMPOTENT, 1.0, 0.1, shares)
+
+
+def a_configuration(*routes: ForwardRoute) -> ForwardConfiguration:
+    """Build a configuration with one account."""
+    account = ForwardAccount("acme", (key_digest("k1"), key_digest("k2")))
+    return ForwardConfiguration(1, 1, routes, (), (account,))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_longest_prefix_wins(self) -> None:
+        cfg = a_configuration(a_route("h", "/a/"), a_route("h", "/a/b/"))
+        self.assertEqual(cfg.match("h", "/a/b/c").name, "/a/b/")
+        self.assertEqual(cfg.match("H", "/a/bc").name, "/a/")
+        self.assertEqual(cfg.match("h", "/a/b").name, "/a/")
+        self.assertIsNone(cfg.match("h", "/a"))
+        self.assertIsNone(cfg.match("other", "/a/b"))
+
+    @given(
+        st.lists(st.sampled_from(["/", "/a/", "/a/b/", "/b/"]), unique=True),
+        st.text("/ab"),
+    )
+    def test_match_is_the_longest_of_all(self, prefixes: list[str], path: str) -> None:
+        cfg = a_configuration(*(a_route("h", prefix) for prefix in prefixes))
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = cfg.match("h", path)
+        expected = max(fitting, key=len) if fitting else None
+        self.assertEqual(found.name if found else None, expected)
+
+    def test_each_key_of_an_account_counts(self) -> None:
+        cfg = a_configuration()
+        self.assertEqual(cfg.account_of("k2").name, "acme")
+        self.assertIsNone(cfg.account_of("k3"))
+
+
+class ArrivalBudgetTest(unittest.TestCase):
+    def test_fleet_keeps_within_the_allowance(self) -> None:
+        # All requests fail on all routers at once. The sum of the repeats must stay
+        # within what the upstream allows, however the requests are spread.
+        terms = BudgetTerms(ratio=0.2, fixed=50.0, window_s=10.0)
+        n_routers, n_requests, n_repeats = 4, 0, 0
+        for router in range(n_routers):
+            budget = ArrivalBudget(terms)
+            for n in range(100 * router):
+                budget.record_request(n * 0.01)
+                n_requests += 1
+            n_repeats += sum(budget.take(5.0, n_routers) for _ in range(1000))
+        self.assertLessEqual(n_repeats, 0.2 * n_requests + 50)
+        self.assertGreater(n_repeats, 0.7 * (0.2 * n_requests + 50))
+
+    def test_window_moves_on(self) -> None:
+        budget = ArrivalBudget(BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0))
+        self.assertTrue(budget.take(0.0, 1))
+        self.assertFalse(budget.take(5.0, 1))
+        self.assertTrue(budget.take(10.1, 1))
+
+
+class ServiceChoiceTest(unittest.TestCase):
+    def test_load_that_an_instance_tells_counts(self) -> None:
+        # Other routers have filled an instance, which this one sees only by its word.
+        busy, idle = ServiceLoad(6), ServiceLoad(6)
+        busy.told(13, 0.0)
+        pairs = [(an_instance("a"), busy), (an_instance("b"), idle)]
+        chosen = choose_service(pairs, "z", 0.002, 0.1, random.Random(1))
+        self.assertEqual(chosen.instance, "b")
+
+    def test_slow_instance_gets_less(self) -> None:
+        slow, fast = ServiceLoad(6), ServiceLoad(6)
+        for _ in range(30):
+            slow.answered(0.2)
+            fast.answered(0.02)
+        pairs = [(an_instance("a"), slow), (an_instance("b"), fast)]
+        chosen = choose_service(pairs, "z", 0.002, 0.0, random.Random(1))
+        self.assertEqual(chosen.instance, "b")
+
+    def test_own_zone_breaks_ties(self) -> None:
+        pairs = [
+            (an_instance("a", zone="y"), ServiceLoad(6)),
+            (an_instance("b", zone="z"), ServiceLoad(6)),
+        ]
+        for seed in range(10):
+            chosen = choose_service(pairs, "z", 0.002, 0.0, random.Random(seed))
+            self.assertEqual(chosen.instance, "b")
+
+
+class PassedOnMessageTest(unittest.TestCase):
+    def test_decoded_message_can_be_passed_on(self) -> None:
+        # A router passes a peer's word on. Fields that were left out of the frame are
+        # missing in what it decoded; encoding that again ended the process.
+        for message in (WeightsWord("e1", 1, "m", 2, False, 7), EngineNews()):
+            frame = encode(message)
+            self.assertEqual(encode(decode(frame)), frame)
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -31,6 +31,9 @@
         """True from the start of a drain on: each answer then asks its caller to
         close, since a kept connection would go on bringing requests here, past the
         balancer, and the router would never be empty."""
+        self.takes_streams = True
+        """False once the rest of a drain may be too short for a stream: one that began
+        late would be cut by the end of the process."""
 
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -38,6 +38,9 @@
 NOT_READY_RETRY_S: Final = 0.5
 """When to come back to a router that has no newer configuration yet."""
 
+DRAINING_RETRY_S: Final = 0.05
+"""When to come back to a fleet of which this instance leaves: at once, to another."""
+
 CALLER_STALL_S: Final = 10.0
 """How long a caller may leave an answer unread."""
 
@@ -104,6 +107,9 @@
         check_headers(caller, cfg.limits.max_header_bytes)
         route, account = self._admit(req, cfg)
         line.route, line.account = route, account
+        if route.kind is RepeatKind.STREAM and not self._exchanges.takes_streams:
+            detail = "This instance leaves; a stream might not end in time."
+            raise refuse(ResultCode.DRAINING, detail, DRAINING_RETRY_S)
         body = await caller.read_body(cfg.limits.max_body_bytes)
         digest = body_digest(
             account.name if account else "",
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -57,7 +57,11 @@
 """How long a leaving router still takes new connections: the balancer asks once a
 second and needs two misses."""
 
-LAST_CALL_S: Final = 0.6
+STREAMS_LEFT_S: Final = 2.6
+"""How long a leaving router still takes streams. The balancer has let go of it by then,
+but for the way of its last question; a stream of five seconds still ends in time."""
+
+LAST_CALL_S: Final = 0.4
 """Time before the end of the grace at which whatever is left is cut and said."""
 
 NEVER_S: Final = 10.0**9
@@ -260,7 +264,9 @@
         started_at = trio.current_time()
         self._exchanges.closing = True
         with trio.move_on_at(started_at + self._cfg.grace_s - LAST_CALL_S) as scope:
-            await trio.sleep(LISTEN_LEFT_S)
+            await trio.sleep(STREAMS_LEFT_S)
+            self._exchanges.takes_streams = False
+            await trio.sleep(LISTEN_LEFT_S - STREAMS_LEFT_S)
             self._stop_listening.set()
             # Orders go on until here: a fleet whose routers restart in turn would else
             # stand without a holder most of the time, and engines keep old weights.
--- /dev/null
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -0,0 +1,381 @@
+"""Builders for tests of forwarding: a router in memory, scripted upstreams, callers."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+import trio.testing
+
+from corianderlb_core.arrival_budget import BudgetTerms
+from corianderlb_core.forwarding import (
+    EngineTraits,
+    ForwardAccount,
+    ForwardConfiguration,
+    ForwardInstance,
+    ForwardRoute,
+    ForwardUpstream,
+    Prompt,
+    PromptPart,
+    RepeatKind,
+    UpstreamShare,
+    key_digest,
+)
+from corianderlb_core.message import SharedObject
+from corianderlb_router.connection import Connector
+from corianderlb_router.engine_board import EngineBoard
+from corianderlb_router.exchange_registry import ExchangeRegistry
+from corianderlb_router.fleet_quarantine import FleetQuarantine
+from corianderlb_router.forward_caller import ForwardCaller
+from corianderlb_router.forward_dispatcher import ForwardDispatcher
+from corianderlb_router.forward_metric import ForwardMetrics
+from corianderlb_router.forward_parts import ForwardParts, ForwardSettings
+from corianderlb_router.forward_request import (
+    ForwardProtocol,
+    ForwardRequest,
+    Headers,
+    SendTerms,
+    UpstreamHead,
+)
+from corianderlb_router.health_board import HealthBoard
+from corianderlb_router.in_flight import InFlightTable
+from corianderlb_router.object_feed import FeedListing, NamedWeights, StateDecoder
+from corianderlb_router.serving_state import ServingState
+from corianderlb_router.transport import UpstreamTransport
+from data_path_fakes import FakeCaller, FakePeers
+
+CONFIGURATION, INSTANCES, WEIGHTS = "configuration", "instances", "weights"
+"""Kinds of objects in these tests."""
+
+MODEL = "m"
+SEALED = {"x-seal": "s"}
+"""What an upstream adds to an answer of its own."""
+
+
+def a_route(name: str, kind: RepeatKind, upstream: str, **fields: Any) -> ForwardRoute:
+    """Build a route for the paths below ``/<name>/`` of the host ``h``."""
+    defaults: dict[str, Any] = {
+        "host": "h",
+        "path_prefix": f"/{name}/",
+        "timeout_s": 5.0,
+        "objective_s": 1.0,
+        "max_attempts": 1,
+    }
+    shares = (UpstreamShare(upstream),)
+    return ForwardRoute(name=name, kind=kind, shares=shares, **{**defaults, **fields})
+
+
+ROUTES = (
+    a_route("read", RepeatKind.IDEMPOTENT, "app", max_attempts=2),
+    a_route("book", RepeatKind.AT_MOST_ONCE, "app"),
+    a_route("long", RepeatKind.STREAM, "llm", max_attempts=2, may_resume=True),
+    a_route("quick", RepeatKind.STREAM, "llm"),
+)
+
+
+def a_configuration(**fields: Any) -> ForwardConfiguration:
+    """Build a configuration with a plain service, engines and two accounts."""
+    defaults: dict[str, Any] = {
+        "version": 1,
+        "revision": 10,
+        "routes": ROUTES,
+        "upstreams": (
+            ForwardUpstream("app"),
+            ForwardUpstream("llm", EngineTraits(64, 200_000, (MODEL,))),
+        ),
+        "accounts": (
+            ForwardAccount("acme", (key_digest("key"),)),
+            ForwardAccount("walled", (key_digest("key-w"),), is_isolated=True),
+        ),
+    }
+    return ForwardConfiguration(**{**defaults, **fields})
+
+
+def an_instance(name: str, upstream: str, **fields: Any) -> ForwardInstance:
+    """Build an instance whose address starts with its name."""
+    defaults: dict[str, Any] = {
+        "address": f"{name}:80",
+        "zone": "zone-a",
+        "slots": 64 if upstream == "llm" else 6,
+        "born_ms": 1,
+        "weights": ((MODEL, 1),) if upstream == "llm" else (),
+    }
+    return ForwardInstance(name, upstream, **{**defaults, **fields})
+
+
+def an_object(name: str, revision: int = 20) -> SharedObject:
+    """Build an object of the store whose content a ``TableDecoder`` knows."""
+    return SharedObject(name, revision, b"")
+
+
+class TableDecoder(StateDecoder):
+    """Give the objects that a test has laid down by name and revision."""
+
+    def __init__(self) -> None:
+        self.table: dict[tuple[str, int], Any] = {}
+
+    def put(self, value: Any, name: str, revision: int = 20) -> SharedObject:
+        """Lay down what an object decodes to."""
+        self.table[name, revision] = value
+        return an_object(name, revision)
+
+    def configuration(self, stored: SharedObject) -> ForwardConfiguration | None:
+        return self.table.get((stored.name, stored.revision))
+
+    def instance(self, stored: SharedObject) -> ForwardInstance | None:
+        return self.table.get((stored.name, stored.revision))
+
+    def weights(self, stored: SharedObject) -> NamedWeights | None:
+        return self.table.get((stored.name, stored.revision))
+
+
+def a_state(decoder: TableDecoder) -> ServingState:
+    """Build an empty state."""
+    return ServingState(decoder, CONFIGURATION, INSTANCES, WEIGHTS)
+
+
+class PlainProtocol(ForwardProtocol):
+    """Speak short headers of its own."""
+
+    def read_request(self, scope: dict[str, Any]) -> ForwardRequest:
+        headers = {k.decode(): v.decode() for k, v in scope["headers"]}
+        prompt = None
+        if "x-prompt" in headers:
+            prompt = a_prompt(headers["x-prompt"])
+        left = headers.get("x-deadline-s")
+        return ForwardRequest(
+            request_id=headers["x-id"],
+            method=scope["method"],
+            host=headers.get("host", "h"),
+            path=scope["path"],
+            target=scope["path"].encode(),
+            headers=((b"host", b"h"), (b"x-id", headers["x-id"].encode())),
+            api_key=headers.get("x-key", ""),
+            deadline_s=float(left) if left else float("inf"),
+            prompt=prompt,
+        )
+
+    def upstream_headers(self, req: ForwardRequest, terms: SendTerms) -> Headers:
+        named = {
+            "x-instance": terms.instance,
+            "x-account": terms.account,
+            "x-scope": terms.cache_scope,
+            "x-left-s": f"{terms.deadline_s:.3f}",
+            "x-after": "" if req.resume_after is None else str(req.resume_after),
+            "x-fetch": terms.fetch_from,
+        }
+        sent = [(k.encode(), v.encode()) for k, v in named.items() if v]
+        return [*req.headers, *sent]
+
+    def read_head(
+        self, req: ForwardRequest, status: int, headers: Headers
+    ) -> UpstreamHead:
+        found = {k.decode().lower(): v.decode() for k, v in headers}
+        return UpstreamHead(
+            status=status,
+            headers=((b"x-seal", found.get("x-seal", "").encode()),),
+            is_ours=found.get("x-id", req.request_id) == req.request_id,
+            not_run="x-not-run" in found,
+            is_misdirected=status == 421,
+            is_sealed="x-seal" in found,
+            is_leaving=False,
+            is_encoded="content-encoding" in found,
+            instance=found.get("x-instance", ""),
+        )
+
+
+def a_prompt(text: str) -> Prompt:
+    """Build a prompt from its parts, as ``id:tokens`` with commas between."""
+    pairs = [item.split(":") for item in text.split(",")]
+    parts = tuple(PromptPart(part_id, int(n)) for part_id, n in pairs)
+    return Prompt(MODEL, parts, sum(part.n_tokens for part in parts), 20)
+
+
+def an_answer(
+    body: bytes = b"done", status: int = 200, length: int | None = None, **headers: str
+) -> bytes:
+    """Build the bytes of a whole answer; ``length`` may say another length."""
+    named = {**SEALED, **{k.replace("_", "-"): v for k, v in headers.items()}}
+    lines = [f"HTTP/1.1 {status} OK", f"content-length: {length or len(body)}"]
+    lines += [f"{name}: {value}" for name, value in named.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def an_event(number: int) -> bytes:
+    """Build one event of a stream."""
+    return b"id: %d\ndata: word\n\n" % number
+
+
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-seal: s\r\n\r\n"
+STREAM_END = b"0\r\n\r\n"
+NOT_RUN = an_answer(b"", 503, x_not_run="1")
+
+
+def chunk(data: bytes) -> bytes:
+    """Build one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def a_stream(first: int, last: int, ends: bool = True) -> bytes:
+    """Build a stream of events, whole or cut before its end."""
+    events = b"".join(chunk(an_event(n)) for n in range(first, last + 1))
+    return STREAM_HEAD + events + (STREAM_END if ends else b"")
+
+
+@dataclass
+class Upstream:
+    """Answer each request with the next of the scripted answers.
+
+    An answer is bytes, after which the connection stays open, or a coroutine function
+    that gets the connection. After the script the last answer repeats.
+    """
+
+    script: list[bytes | Callable[[trio.abc.Stream], Awaitable[None]]]
+    closes: bool = False
+    """Whether the connection ends after an answer."""
+    alive: bool = True
+    requests: list[dict[str, str]] = field(default_factory=list)
+    """Headers of what arrived; ``:target`` is the request line's target."""
+    bodies: list[bytes] = field(default_factory=list)
+    n_closed: int = 0
+    """Connections that the router closed."""
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        head, _, rest = await _read_until(stream, b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        length = int(headers.get("content-length", 0))
+        while len(rest) < length:
+            rest += await stream.receive_some(65536)
+        self.requests.append({":target": lines[0].split(" ")[1], **headers})
+        self.bodies.append(rest)
+        answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        try:
+            if isinstance(answer, bytes):
+                await stream.send_all(answer)
+            else:
+                await answer(stream)
+            if not self.closes:
+                while await stream.receive_some(65536):
+                    pass
+                self.n_closed += 1
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.n_closed += 1
+        await stream.aclose()
+
+
+async def _read_until(
+    stream: trio.abc.Stream, mark: bytes
+) -> tuple[bytes, bytes, bytes]:
+    data = b""
+    while mark not in data:
+        data += await stream.receive_some(65536)
+    return data.partition(mark)
+
+
+async def hang(stream: trio.abc.Stream) -> None:
+    """Take a request and say nothing."""
+    await trio.sleep_forever()
+
+
+class UpstreamNetwork(Connector):
+    """Connect to the scripted upstreams by name."""
+
+    def __init__(self, nursery: trio.Nursery, upstreams: dict[str, Upstream]) -> None:
+        self._nursery = nursery
+        self.upstreams = upstreams
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        await trio.lowlevel.checkpoint()
+        upstream = self.upstreams[address.partition(":")[0]]
+        if not upstream.alive:
+            raise ConnectionRefusedError("nobody listens")
+        ours, theirs = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(upstream.serve, theirs)
+        return ours
+
+
+class ForwardRouter:
+    """Hold the parts of one forwarding router over scripted upstreams."""
+
+    def __init__(self, network: UpstreamNetwork, budget: BudgetTerms) -> None:
+        self.decoder = TableDecoder()
+        self.state = a_state(self.decoder)
+        self.peers = FakePeers("r1", [])
+        rng = random.Random(1)
+        self.health = HealthBoard(rng)
+        self.board = EngineBoard(self.state, self.health, self.peers)
+        self.exchanges = ExchangeRegistry()
+        self.parts = ForwardParts(
+            cfg=ForwardSettings("r1", "zone-a", budget=budget),
+            state=self.state,
+            protocol=PlainProtocol(),
+            transport=UpstreamTransport(network),
+            engines=self.board,
+            health=self.health,
+            quarantine=FleetQuarantine(self.peers, hold_s=60.0),
+            in_flight=InFlightTable(),
+            peers=self.peers,
+            metrics=ForwardMetrics(),
+            rng=rng,
+        )
+        self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
+
+    def configure(self, cfg: ForwardConfiguration) -> None:
+        """Put a configuration in force."""
+        stored = self.decoder.put(cfg, "main", cfg.revision)
+        self.state.apply_listing(CONFIGURATION, FeedListing((stored,), cfg.revision))
+
+    def list_instances(self, *instances: ForwardInstance, revision: int = 20) -> None:
+        """Take a list of instances from the store."""
+        stored = tuple(
+            self.decoder.put(dataclasses.replace(item), item.instance, revision)
+            for item in instances
+        )
+        self.state.apply_listing(INSTANCES, FeedListing(stored, revision))
+
+    async def ask(self, path: str, body: bytes = b"", **headers: str) -> FakeCaller:
+        """Send a request as a caller and return the caller with its answer."""
+        caller = self.a_caller(path, body, **headers)
+        await self.serve(caller)
+        return caller
+
+    def a_caller(self, path: str, body: bytes = b"", **headers: str) -> FakeCaller:
+        """Build a caller that has not sent its request yet."""
+        named = {"x_id": "q1", "x_key": "key", **headers}
+        return FakeCaller(path, body or b"body", **named)
+
+    async def serve(self, caller: FakeCaller) -> None:
+        """Take a caller's request to its end."""
+        scope = {
+            "method": "POST",
+            "path": caller.path,
+            "headers": caller.headers,
+            "query_string": b"",
+        }
+        exchange = ForwardCaller(scope, caller.receive, caller.send)
+        await self.dispatcher.handle(exchange, scope)
+
+
+@asynccontextmanager
+async def a_router(
+    budget: BudgetTerms | None = None, **upstreams: Upstream
+) -> AsyncIterator[ForwardRouter]:
+    """Run a router over upstreams; those named ``e...`` are engines, others plain."""
+    async with trio.open_nursery() as nursery:
+        network = UpstreamNetwork(nursery, upstreams)
+        router = ForwardRouter(network, budget or BudgetTerms())
+        router.configure(a_configuration())
+        router.list_instances(
+            *(
+                an_instance(name, "llm" if name.startswith("e") else "app")
+                for name in upstreams
+            )
+        )
+        yield router
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_log_writer.py
@@ -0,0 +1,60 @@
+"""Logs must not stop a router, whoever reads them and however much is logged."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import trio
+
+from corianderlb_router.log_writer import MAX_LINES, REQUEST_LINES_PER_S, LogWriter
+from corianderlb_standins.trio_case import TrioTestCase
+
+
+class LogWriterTest(TrioTestCase):
+    def open(self) -> tuple[LogWriter, int]:
+        """Return a writer and the reading end of its pipe."""
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        return LogWriter(writing, trio.current_time, {"node": "r1"}), reading
+
+    async def test_line_is_json_with_its_labels(self) -> None:
+        writer, reading = self.open()
+        writer({"message_type": "store:lost", "task_uuid": "x"})
+        writer.flush()
+        line = json.loads(os.read(reading, 4096))
+        self.assertEqual(line, {"message_type": "store:lost", "node": "r1"})
+
+    async def test_reader_that_stops_reading(self) -> None:
+        # Whoever collects the logs hangs. The router goes on: lines beyond the buffer
+        # are left out and counted, and the count is told once somebody reads again.
+        writer, reading = self.open()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            for n in range(4 * MAX_LINES):
+                writer({"message_type": "state:changed", "text": "x" * 100, "n": n})
+                if n % 100 == 0:
+                    await trio.sleep(0.01)
+            self.assertGreater(writer.n_left_out, 0)
+            os.set_blocking(reading, False)
+            told = b""
+            for _ in range(100):
+                await trio.sleep(0.1)
+                try:
+                    told += os.read(reading, 1 << 20)
+                except BlockingIOError:
+                    break
+            self.assertIn(b"log:left_out", told)
+            nursery.cancel_scope.cancel()
+
+    async def test_requests_are_left_out_before_changes_of_state(self) -> None:
+        # A storm of requests comes just when an upstream falls. The lines that explain
+        # it must not drown in those of the requests.
+        writer, _ = self.open()
+        for n in range(2 * int(REQUEST_LINES_PER_S)):
+            writer({"message_type": "request:ended", "n": n})
+        n_left_out = writer.n_left_out
+        self.assertEqual(n_left_out, int(REQUEST_LINES_PER_S))
+        writer({"message_type": "upstream:removed"})
+        self.assertEqual(writer.n_left_out, n_left_out)
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -0,0 +1,217 @@
+"""How a router keeps up with a store that is away, silent or forgetful."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from corianderlb_core.message import SharedObject
+from corianderlb_router.object_feed import (
+    FeedChange,
+    FeedChanges,
+    FeedListing,
+    HistoryGoneError,
+    ObjectFeed,
+)
+from corianderlb_router.serving_state import ServingState
+from corianderlb_router.state_follower import StateFollower
+from corianderlb_router.store import StoreUnavailableError
+from corianderlb_standins.fake_network import FakeHub
+from corianderlb_standins.trio_case import TrioTestCase
+from forward_builders import (
+    CONFIGURATION,
+    INSTANCES,
+    TableDecoder,
+    a_configuration,
+    a_state,
+    an_instance,
+)
+
+
+class MemoryStore:
+    """Hold objects with revisions, shared by the feeds of several routers."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.tables: dict[str, dict[str, SharedObject]] = {}
+        self.history: list[tuple[str, FeedChange]] = []
+        self.changed = trio.Event()
+
+    def put(self, kind: str, name: str) -> SharedObject:
+        """Write an object."""
+        self.revision += 1
+        stored = SharedObject(name, self.revision, b"")
+        self.tables.setdefault(kind, {})[name] = stored
+        self._tell(kind, FeedChange(stored, False))
+        return stored
+
+    def remove(self, kind: str, name: str) -> None:
+        """Take an object away."""
+        self.revision += 1
+        del self.tables[kind][name]
+        gone = SharedObject(name, self.revision, b"")
+        self._tell(kind, FeedChange(gone, True))
+
+    def forget_history(self) -> None:
+        """Drop what happened so far."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    oldest = 0
+
+    def _tell(self, kind: str, change: FeedChange) -> None:
+        self.history.append((kind, change))
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class MemoryFeed(ObjectFeed):
+    """Read a ``MemoryStore`` as one router does."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.is_away = False
+        self.is_silent = False
+        """Whether calls get no answer, as from a store that holds them back."""
+        self.n_calls = 0
+
+    async def list(self, kind: str) -> FeedListing:
+        await self._reach()
+        objects = tuple(self._store.tables.get(kind, {}).values())
+        return FeedListing(objects, self._store.revision)
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> FeedChanges:
+        await self._reach()
+        if revision < self._store.oldest:
+            raise HistoryGoneError("gone")
+        with trio.move_on_after(wait_s):
+            while not (found := self._since(kind, revision)):
+                await self._store.changed.wait()
+            await self._reach()
+            return FeedChanges(found, self._store.revision)
+        return FeedChanges((), self._store.revision)
+
+    def _since(self, kind: str, revision: int) -> tuple[FeedChange, ...]:
+        return tuple(
+            change
+            for told_kind, change in self._store.history
+            if told_kind == kind and change.object.revision > revision
+        )
+
+    async def _reach(self) -> None:
+        self.n_calls += 1
+        await trio.sleep(0.004)
+        if self.is_silent:
+            await trio.sleep_forever()
+        if self.is_away:
+            raise StoreUnavailableError("away")
+
+
+class Router:
+    """Hold one router's state, feed and follower."""
+
+    def __init__(self, name: str, store: MemoryStore, hub: FakeHub, decoder) -> None:
+        self.feed = MemoryFeed(store)
+        self.state: ServingState = a_state(decoder)
+        rng = random.Random(1)
+        self.follower = StateFollower(self.feed, self.state, hub.join(name), rng)
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+        return self.state.configuration.version if self.state.configuration else 0
+
+
+class StateFollowerTest(TrioTestCase):
+    def publish(self, version: int) -> None:
+        """Write a configuration to the store."""
+        stored = self.store.put(CONFIGURATION, "main")
+        cfg = a_configuration(version=version, revision=stored.revision)
+        self.decoder.table["main", stored.revision] = cfg
+
+    def enter(self, name: str) -> None:
+        """Enter an instance in the store."""
+        stored = self.store.put(INSTANCES, name)
+        self.decoder.table[name, stored.revision] = an_instance(name, "app")
+
+    def start(self, nursery: trio.Nursery, n_routers: int) -> list[Router]:
+        """Start routers over one store that holds version 1 and an instance."""
+        self.store = MemoryStore()
+        self.decoder = TableDecoder()
+        self.publish(1)
+        self.enter("s1")
+        hub = FakeHub(nursery)
+        routers = [
+            Router(f"r{n}", self.store, hub, self.decoder) for n in range(n_routers)
+        ]
+        for router in routers:
+            nursery.start_soon(router.follower.run)
+        return routers
+
+    async def test_change_is_in_force_at_once(self) -> None:
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            await trio.sleep(1)
+            self.publish(2)
+            await trio.sleep(0.1)
+            self.assertEqual(router.version, 2)
+            nursery.cancel_scope.cancel()
+
+    async def test_router_turned_away_by_the_store_learns_from_a_peer(self) -> None:
+        # The store refuses one router and serves the others and the operator, who
+        # takes a key away. Callers of that router must not use the key on and on.
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            routers[0].feed.is_away = True
+            await trio.sleep(4)
+            self.publish(2)
+            await trio.sleep(1.5)
+            self.assertEqual([router.version for router in routers], [2, 2])
+            nursery.cancel_scope.cancel()
+
+    async def test_watch_that_the_store_holds_back(self) -> None:
+        # The store takes a router's calls and never answers, while others are served.
+        # The watch alone would show it only seconds later.
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            routers[0].feed.is_silent = True
+            self.publish(2)
+            await trio.sleep(2.5)
+            self.assertEqual([router.version for router in routers], [2, 2])
+            nursery.cancel_scope.cancel()
+
+    async def test_start_while_the_store_is_away(self) -> None:
+        # A router restarts while the store is down. It serves from what its peers know.
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            routers[1].feed.is_away = True
+            await trio.sleep(3)
+            self.assertTrue(routers[1].state.is_complete)
+            nursery.cancel_scope.cancel()
+
+    async def test_instance_that_leaves_in_a_gap_of_the_history(self) -> None:
+        # The store drops its history and cuts the watches while an instance leaves.
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.enter("s2")
+            await trio.sleep(1)
+            router.feed.is_away = True
+            await trio.sleep(3.1)
+            self.store.remove(INSTANCES, "s1")
+            self.store.forget_history()
+            router.feed.is_away = False
+            await trio.sleep(4)
+            names = [found.instance for found in router.state.instances("app")]
+            self.assertEqual(names, ["s2"])
+            nursery.cancel_scope.cancel()
+
+    async def test_calls_of_a_calm_minute(self) -> None:
+        # Each call is paid for. Before, watches of one second made 180 in a minute.
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            await trio.sleep(60)
+            self.assertLessEqual(router.feed.n_calls, 70)
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -0,0 +1,215 @@
+"""Orders to engines: one holder, two loads at once, answers that get lost."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.settings import OrderSettings
+from corianderlb_router.engine_board import EngineBoard
+from corianderlb_router.health_board import HealthBoard
+from corianderlb_router.lease_holder import LeaseHolder
+from corianderlb_router.object_feed import FeedListing, NamedWeights
+from corianderlb_router.weights_keeper import (
+    EngineOrders,
+    EngineReport,
+    OrderAnswer,
+    WeightsKeeper,
+    WeightsOrder,
+)
+from corianderlb_standins.fake_network import FakeHub
+from corianderlb_standins.fake_store import FakeStore
+from corianderlb_standins.trio_case import TrioTestCase
+from forward_builders import (
+    CONFIGURATION,
+    INSTANCES,
+    MODEL,
+    WEIGHTS,
+    TableDecoder,
+    a_configuration,
+    a_state,
+    an_instance,
+)
+
+TERMS = OrderSettings(lease_s=3.5, margin_s=0.5, send_s=0.5, flight_s=3.5)
+
+
+class Engines(EngineOrders):
+    """Load weights in 0.8 s; some orders get lost, late or never answered."""
+
+    def __init__(self, nursery: trio.Nursery, *names: str) -> None:
+        self._nursery = nursery
+        self.versions = dict.fromkeys(names, 1)
+        self.busy: set[str] = set()
+        self.dead: set[str] = set()
+        self.n_orders = dict.fromkeys(names, 0)
+        self.tokens: list[int] = []
+        self.holders: list[tuple[float, str]] = []
+        self.most_at_once = 0
+        self.lose_answers = 0
+
+    async def report(self, engine: ForwardInstance) -> EngineReport | None:
+        await trio.sleep(0.005)
+        name = engine.instance
+        if name in self.dead:
+            return None
+        version = {MODEL: self.versions[name]}
+        return EngineReport(version, name in self.busy, self.n_orders[name])
+
+    async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
+        await trio.sleep(0.005)
+        name = engine.instance
+        if self.tokens and order.token < max(self.tokens):
+            return OrderAnswer.OUTDATED
+        if name in self.busy or order.expected not in (None, self.n_orders[name]):
+            return OrderAnswer.BUSY
+        self.tokens.append(order.token)
+        self.holders.append((trio.current_time(), order.holder))
+        self.n_orders[name] += 1
+        self._nursery.start_soon(self._load, name, order.version)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            await trio.sleep(0.5)
+            return OrderAnswer.UNKNOWN
+        return OrderAnswer.TAKEN
+
+    async def _load(self, name: str, version: int) -> None:
+        self.busy.add(name)
+        self.most_at_once = max(self.most_at_once, len(self.busy - self.dead))
+        await trio.sleep(0.8)
+        self.busy.discard(name)
+        if name not in self.dead:
+            self.versions[name] = version
+
+
+class Keeper:
+    """Hold one router's keeper and its state."""
+
+    def __init__(self, name: str, store, hub: FakeHub, engines: Engines) -> None:
+        self.decoder = TableDecoder()
+        self.state = a_state(self.decoder)
+        peers = hub.join(name)
+        board = EngineBoard(self.state, HealthBoard(random.Random(1)), peers)
+        lease = LeaseHolder(store, "weights", InstanceId(name), 0, TERMS)
+        self.keeper = WeightsKeeper(
+            lease, name, self.state, board, engines, random.Random(1), hub_sees(hub)
+        )
+        cfg = self.decoder.put(a_configuration(), "main", 10)
+        self.state.apply_listing(CONFIGURATION, FeedListing((cfg,), 10))
+        listed = tuple(
+            self.decoder.put(an_instance(found, "llm"), found)
+            for found in engines.versions
+        )
+        self.state.apply_listing(INSTANCES, FeedListing(listed, 20))
+
+    def name_weights(self, version: int) -> None:
+        """Have the store name a version."""
+        stored = self.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
+        self.state.apply_listing(WEIGHTS, FeedListing((stored,), 20 + version))
+
+
+def hub_sees(hub: FakeHub):
+    """Return whether a router lives, as the hub knows it."""
+    return lambda node: node in hub.networks and node not in hub.dead
+
+
+class WeightsKeeperTest(TrioTestCase):
+    def start(
+        self, nursery: trio.Nursery, n_routers: int = 1, n_engines: int = 5
+    ) -> list[Keeper]:
+        """Start routers over one store and some engines."""
+        self.engines = Engines(nursery, *(f"e{n}" for n in range(n_engines)))
+        self.hub = FakeHub(nursery)
+        store = FakeStore()
+        keepers = [
+            Keeper(f"r{n}", store, self.hub, self.engines) for n in range(n_routers)
+        ]
+        self.scopes = []
+        for keeper in keepers:
+            scope = trio.CancelScope()
+            self.scopes.append(scope)
+            nursery.start_soon(run_in, scope, keeper.keeper.run)
+        return keepers
+
+    async def test_all_engines_get_the_version_two_at_a_time(self) -> None:
+        async with trio.open_nursery() as nursery:
+            (keeper,) = self.start(nursery)
+            await trio.sleep(1)
+            keeper.name_weights(2)
+            await trio.sleep(3.5)
+            self.assertEqual(set(self.engines.versions.values()), {2})
+            self.assertEqual(self.engines.most_at_once, 2)
+            self.assertEqual(len(self.engines.tokens), 5)
+            nursery.cancel_scope.cancel()
+
+    async def test_order_without_an_answer_is_not_given_twice(self) -> None:
+        # The engine takes an order and its answer is lost. Given again at once it
+        # would load twice, and lose its cache and its place for nothing.
+        async with trio.open_nursery() as nursery:
+            (keeper,) = self.start(nursery)
+            await trio.sleep(1)
+            self.engines.lose_answers = 3
+            keeper.name_weights(2)
+            await trio.sleep(6)
+            self.assertEqual(set(self.engines.versions.values()), {2})
+            self.assertEqual(len(self.engines.tokens), 5)
+            nursery.cancel_scope.cancel()
+
+    async def test_engine_that_dies_while_it_loads_frees_its_place(self) -> None:
+        # Two engines die in the middle of a load. The others must not wait for their
+        # entries to lapse.
+        async with trio.open_nursery() as nursery:
+            (keeper,) = self.start(nursery)
+            await trio.sleep(1)
+            keeper.name_weights(2)
+            await trio.sleep(0.3)
+            self.engines.dead |= set(self.engines.busy)
+            self.assertEqual(len(self.engines.dead), 2)
+            await trio.sleep(4)
+            alive = set(self.engines.versions) - self.engines.dead
+            self.assertEqual({self.engines.versions[name] for name in alive}, {2})
+            nursery.cancel_scope.cancel()
+
+    async def test_successor_waits_out_the_lease(self) -> None:
+        # The holder dies. Another router goes on, with a greater fencing token, and
+        # never within a lease's time of the holder's last order.
+        async with trio.open_nursery() as nursery:
+            keepers = self.start(nursery, n_routers=2)
+            await trio.sleep(6)
+            for keeper in keepers:
+                keeper.name_weights(2)
+            await trio.sleep(0.5)
+            first = self.engines.holders[0][1]
+            self.scopes[int(first[1])].cancel()
+            self.hub.dead.add(first)
+            await trio.sleep(9)
+            times = {holder: at for at, holder in reversed(self.engines.holders)}
+            last_of_first = max(at for at, who in self.engines.holders if who == first)
+            (second,) = set(times) - {first}
+            self.assertGreaterEqual(times[second] - last_of_first, 3.0)
+            self.assertEqual(set(self.engines.versions.values()), {2})
+            self.assertEqual(self.engines.tokens, sorted(self.engines.tokens))
+            nursery.cancel_scope.cancel()
+
+    async def test_leaving_holder_gives_the_lease_back(self) -> None:
+        # Routers restart one after the other. If each successor waited out a lease,
+        # nobody would give orders for most of that time.
+        async with trio.open_nursery() as nursery:
+            keepers = self.start(nursery, n_routers=2)
+            await trio.sleep(6)
+            holder = next(k for k in keepers if k.keeper.is_holder)
+            other = next(k for k in keepers if k is not holder)
+            await holder.keeper.release()
+            self.hub.dead.add("r0" if holder is keepers[0] else "r1")
+            await trio.sleep(2)
+            self.assertTrue(other.keeper.is_holder)
+            nursery.cancel_scope.cancel()
+
+
+async def run_in(scope: trio.CancelScope, step) -> None:
+    """Run a step until its scope is cancelled."""
+    with scope:
+        await step()
