--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -17,6 +17,7 @@
 import eliot
 import trio
 
+from corianderlb_core.error import CorianderError
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.lease import LeaseLostError
 from corianderlb_core.weights_roll import EngineWeights, next_loads
@@ -140,6 +141,7 @@
         self._rng = rng
         self._ordered: dict[tuple[str, int], _Ordered] = {}
         self._acted_at = -math.inf
+        self._interrupted = False
         self.stopping = False
         """True from the start of a shutdown on: no order is given any more."""
 
@@ -192,15 +194,23 @@
         try:
             held = await self._lease.acquire(must_settle=self._must_settle)
         except (StoreError, LeaseLostError) as exc:
-            eliot.log_message(message_type="lease:interrupted", reason=str(exc))
+            self._note_interruption(exc)
             held = self._lease.may_act()
             if not held:
-                return STANDBY_S * self._rng.uniform(0.3, 0.6)
+                return self._standby_s()
+        else:
+            self._interrupted = False
         if not held:
             return self._standby_s()
         self._give_orders(nursery)
         return IDLE_TICK_S
 
+    def _note_interruption(self, exc: CorianderError) -> None:
+        """Log that the lease cannot be looked at, once until it can be again."""
+        if not self._interrupted:
+            self._interrupted = True
+            eliot.log_message(message_type="lease:interrupted", reason=str(exc))
+
     def _standby_s(self) -> float:
         holder = self._lease.record.holder
         mean_s = SEEN_STANDBY_S if self._sees(holder) else STANDBY_S
