Go on with a broken stream whatever the queues are, and stop knocking at closed doors

Reading the code for it: a request that no instance takes connections for tried again without a pause until its deadline.

Ruled out: the budget of repeats, which had room.

Change: a started stream takes any engine; another attempt gets at least half of the objective; six unreachable instances end a request, truly not run. Notes of attempts and of refusals carry the estimates that decided. Tests for both; a scripted upstream that was only looked at no longer spins.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -32,6 +33,9 @@
 """Part of its objective for which a request waits here for an instance with room. A
 refusal after it still leaves the caller time to come back; a longer wait would not."""
 
+RETRY_SHARE: Final = 0.5
+"""Part of the objective that another attempt gets at least."""
+
 POLL_S: Final = 0.025
 """How often a waiting request looks again, besides at each change of the state."""
 
@@ -62,6 +66,10 @@
 MAX_NOT_RUN: Final = 8
 """Refusals by instances that one request collects at most; each costs a way there."""
 
+MAX_UNREACHED: Final = 6
+"""Instances that one request finds unreachable until it is refused. Each refused
+connection takes no time at all, and a request would else knock until its deadline."""
+
 LIFE_CHECK_S: Final = 0.3
 """How long it may take to find out whether an instance still lives."""
 
@@ -74,7 +82,15 @@
     outcome: str
     took_ms: int
     estimate_ms: int
+    """Expected time to the first byte, when it was sent."""
     detail: str = ""
+    wait_ms: int = 0
+    """Expected wait in the engine's queue."""
+    n_missing: int = 0
+    """Tokens that the engine was expected to read."""
+    weights: int = 0
+    """Version of the weights that it was asked to have."""
+    fetch_from: str = ""
 
 
 class NotRunError(UpstreamError):
@@ -118,6 +134,7 @@
         self._n_arrivals = 0
         self._n_runs = 0
         self._n_not_run = 0
+        self._n_unreached = 0
         self._last_failure: ServerFailureError | None = None
         self.may_have_run = False
         """Whether any upstream can have begun to run the request."""
@@ -169,13 +186,13 @@
         waits_until = trio.current_time() + HOLD_SHARE * self._route.objective_s
         while True:
             now = trio.current_time()
-            left_s = self._caller.arrived_at + self._route.objective_s - now
-            found = self._target.choose(self._avoid, max(left_s, 0.0))
+            found = self._target.choose(self._avoid, self._objective_left_s(now))
             if isinstance(found, Placement):
                 return found
             if found.reason != "queue" and self._avoid:
                 # Every instance failed once: one that did is better than none.
                 self._avoid.clear()
+                await trio.sleep(POLL_S)
                 continue
             if now >= waits_until:
                 raise self._no_place(found)
@@ -183,13 +200,27 @@
             with trio.move_on_after(POLL_S):
                 await changed.wait()
 
+    def _objective_left_s(self, now: float) -> float:
+        """Return the time within which the next first byte should come.
+
+        A stream that its caller has the beginning of goes on whatever the queues are:
+        given up, all that was made of it is lost. After another failed attempt an
+        answer that is a little late is still worth more to its caller than none.
+        """
+        objective_s = self._route.objective_s
+        if self._caller.started:
+            return math.inf
+        left_s = self._caller.arrived_at + objective_s - now
+        return max(left_s, RETRY_SHARE * objective_s if self.notes else 0.0)
+
     def _no_place(self, found: NoPlace) -> RequestRefusedError:
         if self.may_have_run:
             return refuse(ResultCode.UPSTREAM_FAILED, "No other instance has room.")
         code = (
             ResultCode.QUEUE_FULL if found.reason == "queue" else ResultCode.NO_UPSTREAM
         )
-        return refuse(code, found.reason, self._back_in(found.back_in_s))
+        detail = f"{found.reason}: {found.detail}" if found.detail else found.reason
+        return refuse(code, detail, self._back_in(found.back_in_s))
 
     def _back_in(self, wanted_s: float) -> float:
         """Return when the caller should come back, within the time it has left."""
@@ -394,6 +425,9 @@
             self._pay_or_refuse(exc)
             return False
         if isinstance(exc, ConnectFailedError):
+            self._n_unreached += 1
+            if self._n_unreached > MAX_UNREACHED:
+                self._refuse_unreached(exc)
             return False
         self._n_runs += 1
         if isinstance(exc, ServerFailureError):
@@ -408,6 +442,14 @@
             return False
         return await self._give_up(exc)
 
+    def _refuse_unreached(self, exc: UpstreamError) -> None:
+        """End a request whose upstream cannot be reached at all."""
+        if self._caller.started:
+            raise StreamCutError("no instance can be reached for the rest")
+        if self.may_have_run:
+            raise refuse(ResultCode.UPSTREAM_FAILED, str(exc))
+        raise refuse(ResultCode.NO_UPSTREAM, str(exc), self._back_in(0.5))
+
     def _pay_or_refuse(self, exc: UpstreamError) -> None:
         """Pay for going to another instance after one that did not run it."""
         if self._n_not_run <= MAX_NOT_RUN and self._take_budget():
@@ -486,5 +528,14 @@
             round(placement.estimate_s * 1000),
             detail,
         )
+        choice = placement.choice
+        if choice is not None:
+            note = dataclasses.replace(
+                note,
+                wait_ms=round(choice.wait_s * 1000),
+                n_missing=choice.n_missing,
+                weights=choice.view.weights_version,
+                fetch_from=choice.fetch_from,
+            )
         self.notes.append(note)
         self._parts.metrics.attempt_ended(outcome, len(self.notes) > 1)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -45,6 +45,8 @@
     reason: str
     back_in_s: float
     """Estimated time until one can."""
+    detail: str = ""
+    """The estimate that decided it, for the log."""
 
 
 class Target(ABC):
@@ -175,7 +177,11 @@
         if choice is None:
             return NoPlace("no_engine", NO_INSTANCE_S)
         if not choice.in_time:
-            return NoPlace("queue", choice.wait_s)
+            detail = (
+                f"{choice.view.instance.instance} would start in "
+                f"{choice.wait_s * 1000:.0f} ms, {objective_left_s * 1000:.0f} ms left"
+            )
+            return NoPlace("queue", choice.wait_s, detail)
         save_to = query.kv_cache_address if self._is_worth_saving(choice) else ""
         return Placement(
             choice.view.instance, choice.first_token_s, choice, save_to=save_to
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -246,7 +246,10 @@
     """Connections that the router closed."""
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        head, _, rest = await _read_until(stream, b"\r\n\r\n")
+        try:
+            head, _, rest = await _read_until(stream, b"\r\n\r\n")
+        except trio.BrokenResourceError:
+            return
         lines = head.decode().split("\r\n")
         headers = dict(line.lower().split(": ", 1) for line in lines[1:])
         length = int(headers.get("content-length", 0))
@@ -274,7 +277,10 @@
 ) -> tuple[bytes, bytes, bytes]:
     data = b""
     while mark not in data:
-        data += await stream.receive_some(65536)
+        received = await stream.receive_some(65536)
+        if not received:
+            raise trio.BrokenResourceError("closed without a request")
+        data += received
     return data.partition(mark)
 
 
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -173,6 +173,16 @@
             self.assertEqual(caller.status, 503)
             self.assertIn("retry-after", caller.answer_headers)
 
+    async def test_nobody_listens_at_any_instance(self) -> None:
+        # All instances have died and are still listed. The request is refused soon and
+        # truly as not run, instead of knocking at closed doors until its deadline.
+        dead = {name: Upstream([an_answer()], alive=False) for name in ("s1", "s2")}
+        async with a_router(**dead) as router:
+            start = trio.current_time()
+            caller = await router.ask("/book/7")
+            self.assertEqual(caller.status, 503)
+            self.assertLess(trio.current_time() - start, 1.0)
+
     async def test_leaving_instance_gets_no_new_work(self) -> None:
         leaving, staying = Upstream([an_answer()]), Upstream([an_answer()])
         async with a_router(s1=leaving, s2=staying) as router:
@@ -227,6 +237,22 @@
             self.assertEqual((caller.answer, caller.finished), (events, True))
             self.assertEqual(engine.requests[1]["x-after"], "3")
 
+    async def test_broken_stream_goes_on_although_queues_are_long(self) -> None:
+        # An engine dies in mid-stream during a rush. Its caller has half the answer; a
+        # refusal now would waste that half, and the caller would ask for all again.
+        async def break_off(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_stream(1, 3, ends=False))
+            for instance in router.state.instances("llm"):
+                pace = router.board.view(instance, "m").pace
+                pace.hear("r2", 80_000, 5, trio.current_time())
+            await stream.aclose()
+
+        engine = Upstream([break_off, a_stream(4, 6)])
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertTrue(caller.finished)
+            self.assertTrue(caller.answer.endswith(an_event(6)))
+
     async def test_broken_stream_that_may_not_resume_is_cut_visibly(self) -> None:
         # The engine dies in a stream that may run only once. An end mark would let
         # half an answer pass for the whole.
