Trace a request through the routers' logs

An on-call engineer has logs alone: corianderctl trace shows a request's outcome, its attempts with the estimates, and what its router came to believe shortly before.

--- a/packages/corianderlb-ctl/src/corianderlb_ctl/_main.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/_main.py
@@ -38,6 +38,7 @@
 from .router_client import RouterClient, RouterRefusedError, RouterUnreachableError
 from .settings import Settings
 from .status import Status
+from .trace import Trace
 
 STORE_VARIABLE: Final = "CORIANDERCTL_STORE"
 """Environment variable with the URL of the platform's service."""
@@ -59,6 +60,7 @@
     History(),
     Status(),
     Explain(),
+    Trace(),
     Drain(),
     Codes(),
     Settings(),
@@ -173,7 +175,7 @@
 
 def _store_url(arguments: argparse.Namespace) -> str:
     """Return the store's URL; commands that do not ask the store need none."""
-    offline = isinstance(arguments.command, Check | Codes | Settings)
+    offline = isinstance(arguments.command, Check | Codes | Settings | Trace)
     if arguments.store or offline or arguments.router:
         return arguments.store or UNUSED_STORE
     raise CommandError(
