--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
@@ -249,18 +249,28 @@
                 self._target.first_byte(key, placement, seconds)
 
         with self._in_flight(key, placement, first_at):
-            response = await self._open(placement)
             try:
-                head = self._read_head(placement, response)
-                exchange: Exchange = response.extensions[EXCHANGE]
-                await self._take(head, exchange, on_data)
-            finally:
-                with trio.CancelScope(shield=True):
-                    await response.aclose()
+                await self._exchange(placement, on_data)
+            except trio.Cancelled:
+                # The caller left or its time is over; the log shows who had it last.
+                self._note(placement, "abandoned", started_at)
+                raise
         parts.health.succeeded(instance.life)
         parts.quarantine.clear(self._digest)
         self._note(placement, "ok", started_at)
 
+    async def _exchange(
+        self, placement: Placement, on_data: Callable[[], None]
+    ) -> None:
+        response = await self._open(placement)
+        try:
+            head = self._read_head(placement, response)
+            exchange: Exchange = response.extensions[EXCHANGE]
+            await self._take(head, exchange, on_data)
+        finally:
+            with trio.CancelScope(shield=True):
+                await response.aclose()
+
     @contextmanager
     def _in_flight(
         self, key: str, placement: Placement, first_at: list[float]
@@ -339,8 +349,7 @@
             nursery.start_soon(send, nursery.cancel_scope)
             while trio.current_time() - sent_at < limit_s:
                 await trio.sleep(min(limit_s, SILENT_S))
-                quiet_since = trio.current_time() - SILENT_S
-                if self._is_lost(life, max(sent_at, quiet_since), placement):
+                if self._is_lost(life, sent_at, placement):
                     break
             nursery.cancel_scope.cancel()
         if result:
@@ -361,13 +370,15 @@
         )
         return min(left_s, hedge_s)
 
-    def _is_lost(self, life: Life, since: float, placement: Placement) -> bool:
+    def _is_lost(self, life: Life, sent_at: float, placement: Placement) -> bool:
         """Return whether an engine fell silent with a request that may go elsewhere."""
         if self._route.kind is not RepeatKind.STREAM or not self._route.may_resume:
             return False
-        if trio.current_time() - since < max(SILENT_S, 2 * placement.estimate_s):
+        now = trio.current_time()
+        patience_s = max(SILENT_S, 2 * placement.estimate_s)
+        if now - sent_at < patience_s:
             return False
-        return not self._parts.health.heard_since(life, since)
+        return not self._parts.health.heard_since(life, now - patience_s)
 
     def _read_head(
         self, placement: Placement, response: httpx.Response
@@ -392,7 +403,9 @@
             raise WrongAnswerError("the answer is not the upstream's own", sent=True)
         return head
 
-    async def _take(self, head: UpstreamHead, exchange: Exchange, on_data) -> None:
+    async def _take(
+        self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
+    ) -> None:
         """Relay a good answer; read an upstream's failure whole first."""
         if head.status < 300:
             await self._relay.take(head, exchange, on_data)
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -284,6 +284,17 @@
             self.assertTrue(caller.finished)
             self.assertLess(trio.current_time() - start, 1.5)
 
+    async def test_engine_that_falls_silent_with_a_large_prompt(self) -> None:
+        # An engine falls silent before the first token of a large prompt, which was
+        # expected to take over half a second. The caller must not wait for it until
+        # its deadline while another engine could read the prompt.
+        engine = Upstream([hang, a_stream(1, 2)])
+        async with a_router(e1=engine, e2=engine) as router:
+            start = trio.current_time()
+            caller = await router.ask("/long/7", x_prompt="own:30000")
+            self.assertTrue(caller.finished)
+            self.assertLess(trio.current_time() - start, 3.0)
+
     async def test_leaving_router_takes_no_stream_that_it_might_cut(self) -> None:
         # A router was told to end three seconds ago and a caller's kept connection
         # brings one more stream. It would be cut by the end of the process; refused at
