--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,12 @@
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 FOLDERS := $(foreach p,$(PACKAGES),packages/corianderlb-$(p)) platform
-SOURCES := $(foreach f,$(FOLDERS),$(CURDIR)/$(f)/src)
+SOURCES := $(foreach f,$(FOLDERS),$(CURDIR)/$(f)/src) $(CURDIR)/platform/standins
 export PYTHONPATH := $(subst $(SPACE),:,$(SOURCES)):$(CURDIR)/tests
 export PYTHONDONTWRITEBYTECODE := 1
 PROMPT ?=
 
-.PHONY: setup demo test test-fast lint format bench slopes
+.PHONY: setup demo platform-demo test test-fast lint format bench slopes
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,10 @@
 demo: setup
 	$(BIN)/python -m corianderlb_standins demo $(if $(PROMPT),--prompt-file "$(PROMPT)")
 
+# The adapter's whole path against stand-ins of the platform, test by test.
+platform-demo: setup
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m unittest -v test_platform_processes
+
 test: setup
 	$(BIN)/python tests/run_all.py
 
