Look at the lease more often while engines have replaced weights

Streams of another frozen router had held up two loads before.

Ruled out: the orders themselves (each was taken at once), the lease's length (its time is given by the platform).

Change: looks each 2.5 s, and each 0.7 s while an engine has weights that were replaced over 1.5 s ago. test_holder_that_froze_and_is_still_seen failed before (9.05 s against 9).

--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -38,8 +38,15 @@
 successor starts its own wait at its first look after the last renewal, so this adds to
 a takeover."""
 
-SEEN_STANDBY_S: Final = 4.0
-"""The same while the holder is seen to live: each look is a call to the store."""
+SEEN_STANDBY_S: Final = 2.5
+"""The same while the holder is seen to live and all engines have their weights: each
+look is a call to the store. A frozen holder is seen for seconds, so that looks go by
+what is left to do as well: with four seconds between them, engines kept weights that
+had been replaced for over ten seconds."""
+
+BEHIND_S: Final = 1.5
+"""Age of newly named weights from which standbys look at the lease more often: a
+holder that lives has given its first orders by then."""
 
 POLL_S: Final = 0.1
 """Pause between two questions to an engine that loads."""
@@ -167,10 +174,13 @@
         """Wait for the next look, which is soon when the holder gets out of sight."""
         until = trio.current_time() + pause_s
         was_seen = self._sees(self._lease.record.holder)
+        was_behind = self._is_behind()
         while trio.current_time() < until:
             await trio.sleep(IDLE_TICK_S)
             if was_seen and not self._sees(self._lease.record.holder):
                 return
+            if not was_behind and self._is_behind():
+                return
 
     async def release(self) -> None:
         """Give the lease back at a shutdown, a lease's time after the last order.
@@ -212,10 +222,22 @@
             eliot.log_message(message_type="lease:interrupted", reason=str(exc))
 
     def _standby_s(self) -> float:
-        holder = self._lease.record.holder
-        mean_s = SEEN_STANDBY_S if self._sees(holder) else STANDBY_S
+        is_calm = self._sees(self._lease.record.holder) and not self._is_behind()
+        mean_s = SEEN_STANDBY_S if is_calm else STANDBY_S
         return mean_s * self._rng.uniform(0.7, 1.3)
 
+    def _is_behind(self) -> bool:
+        """Return whether an engine has weights that were replaced a while ago."""
+        now = trio.current_time()
+        for upstream, model in self._models():
+            newest, named_at = self._state.newest_weights(model)
+            if now - named_at < BEHIND_S:
+                continue
+            for engine in self._state.instances(upstream):
+                if self._board.view(engine, model).weights_version < newest:
+                    return True
+        return False
+
     def _models(self) -> list[tuple[str, str]]:
         """Return the upstreams of engines, each with its models."""
         cfg = self._state.configuration
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -194,6 +194,25 @@
             self.assertEqual(self.engines.tokens, sorted(self.engines.tokens))
             nursery.cancel_scope.cancel()
 
+    async def test_holder_that_froze_and_is_still_seen(self) -> None:
+        # The holder's machine is suspended as weights are named; its connections stay
+        # open, so the others still see it. Engines must not answer from the replaced
+        # weights for longer than the lease and a few looks at it take.
+        for seed in range(6):
+            async with trio.open_nursery() as nursery:
+                keepers = self.start(nursery, n_routers=3)
+                await trio.sleep(20 + 0.7 * seed)
+                holder = next(k for k in keepers if k.keeper.is_holder)
+                self.scopes[keepers.index(holder)].cancel()
+                for keeper in keepers:
+                    keeper.name_weights(2)
+                start = trio.current_time()
+                while set(self.engines.versions.values()) != {2}:
+                    await trio.sleep(0.05)
+                # Three rounds of loads take 2.7 s of these.
+                self.assertLess(trio.current_time() - start, 9.0)
+                nursery.cancel_scope.cancel()
+
     async def test_leaving_holder_gives_the_lease_back(self) -> None:
         # Routers restart one after the other. If each successor waited out a lease,
         # nobody would give orders for most of that time.
