Give orders to the very end of a drain

Ruled out: the lease's length; giving it back sooner (orders of two holders would take turns within its time).

Change: orders go on until the last exchange has ended; the lease is given back then. test_leaving_router_gives_orders_to_its_end failed before (engines kept version 1).

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -64,6 +64,9 @@
 LAST_CALL_S: Final = 0.4
 """Time before the end of the grace at which whatever is left is cut and said."""
 
+RELEASE_S: Final = 0.2
+"""Longest wait for giving the lease back; it also lapses by itself."""
+
 NEVER_S: Final = 10.0**9
 """A server time limit that never strikes: the node itself waits for the exchanges."""
 
@@ -268,14 +271,15 @@
             self._exchanges.takes_streams = False
             await trio.sleep(LISTEN_LEFT_S - STREAMS_LEFT_S)
             self._stop_listening.set()
-            # Orders go on until here: a fleet whose routers restart in turn would else
-            # stand without a holder most of the time, and engines keep old weights.
-            await self._keeper.release()
             await self._exchanges.wait_empty()
         if scope.cancelled_caught:
             cut = self._exchanges.cut()
             eliot.log_message(message_type="router:cut", requests=list(cut))
             await trio.sleep(0.1)
+        # Orders go on until here: a fleet whose routers restart in turn would else
+        # stand without a holder most of the time, and engines keep old weights.
+        with trio.move_on_after(RELEASE_S):
+            await self._keeper.release()
 
     # Making the parts.
 
