Read failed answers and end untaken requests in one place each

A failure of an upstream was read by a loop of its own, without the bound that other whole answers have; it now goes through read_whole. Two endings of requests that no instance took said the same three things. EngineBoard.has_room, PartIndex.forget_saved and a field of UpstreamHead were called by nobody.

--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -72,11 +72,6 @@
         for part_id in part_ids:
             self._part(scope, part_id).is_saved = True
 
-    def forget_saved(self) -> None:
-        """Take note that the store of KV cache came back empty."""
-        for part in self._parts.values():
-            part.is_saved = False
-
     def count_read(self, life: Life, n_tokens: float) -> None:
         """Count tokens that an engine has read, which push older parts out."""
         self._read[life] = self._read.get(life, 0.0) + n_tokens
--- a/packages/corianderlb-router/src/corianderlb_router/engine_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_board.py
@@ -113,14 +113,6 @@
         """Return whether an engine is thought to load weights now."""
         return self._engine(instance).loading_until > trio.current_time()
 
-    def has_room(self, upstream: str) -> bool:
-        """Return whether fewer than half of the known places are taken."""
-        n_taken = n_slots = 0
-        for instance in self._state.instances(upstream):
-            n_taken += self._engine(instance).pace.n_requests
-            n_slots += instance.slots
-        return n_taken * 2 < n_slots
-
     # Attempts.
 
     def sent(self, key: str, choice: EngineChoice, part_ids: Sequence[str]) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -88,7 +88,6 @@
     instance: str = ""
     load: InstanceLoadWord | None = None
     weights_version: int = 0
-    content_length: int | None = None
 
 
 class ForwardProtocol(ABC):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -23,9 +23,9 @@
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
 from .forward_caller import ForwardCaller, StreamCutError
 from .forward_parts import ForwardParts
-from .forward_relay import Relay, WholeRelay, WrongAnswerError
+from .forward_relay import Relay, WholeRelay, WrongAnswerError, read_whole
 from .forward_request import ForwardRequest, UpstreamHead
-from .forward_target import NoPlace, Placement, Target
+from .forward_target import NO_INSTANCE_S, NoPlace, Placement, Target
 from .in_flight import InFlightAttempt
 from .transport import EXCHANGE, FRESH, TARGET, Exchange
 
@@ -414,11 +414,7 @@
         if head.status < SERVER_ERROR:
             await relay.take(head, exchange, on_data)
             return
-        chunks: list[bytes] = []
-        while chunk := await exchange.receive_chunk():
-            on_data()
-            chunks.append(chunk)
-        raise ServerFailureError(head, b"".join(chunks))
+        raise ServerFailureError(head, await read_whole(exchange, on_data))
 
     # After a failure.
 
@@ -440,7 +436,7 @@
         if isinstance(exc, ConnectFailedError):
             self._n_unreached += 1
             if self._n_unreached > MAX_UNREACHED:
-                self._refuse_unreached(exc)
+                self._refuse_not_taken(ResultCode.NO_UPSTREAM, exc)
             return False
         self._n_runs += 1
         if isinstance(exc, ServerFailureError):
@@ -455,23 +451,18 @@
             return False
         return await self._give_up(exc)
 
-    def _refuse_unreached(self, exc: UpstreamError) -> None:
-        """End a request whose upstream cannot be reached at all."""
-        if self._caller.started:
-            raise StreamCutError("no instance can be reached for the rest")
-        if self.may_have_run:
-            raise refuse(ResultCode.UPSTREAM_FAILED, str(exc))
-        raise refuse(ResultCode.NO_UPSTREAM, str(exc), self._back_in(0.5))
-
     def _pay_or_refuse(self, exc: UpstreamError) -> None:
         """Pay for going to another instance after one that did not run it."""
-        if self._n_not_run <= MAX_NOT_RUN and self._take_budget():
-            return
+        if self._n_not_run > MAX_NOT_RUN or not self._take_budget():
+            self._refuse_not_taken(ResultCode.UPSTREAM_REFUSED, exc)
+
+    def _refuse_not_taken(self, code: ResultCode, exc: UpstreamError) -> None:
+        """End a request that no instance took; ``code`` says that it has not run."""
         if self._caller.started:
-            raise StreamCutError("no instance took the rest of the stream")
+            raise StreamCutError(f"no instance took the rest of the stream: {exc}")
         if self.may_have_run:
             raise refuse(ResultCode.UPSTREAM_FAILED, str(exc))
-        raise refuse(ResultCode.UPSTREAM_REFUSED, str(exc), self._back_in(0.5))
+        raise refuse(code, str(exc), self._back_in(NO_INSTANCE_S))
 
     def _take_budget(self) -> bool:
         budget = self._parts.budget(self._target.upstream)
