Look at some engines for each request, tell of silent ones, learn speed together

Each router lost 0.25 s of a request up to three times at each silent engine, and had one first token from an engine in six seconds to learn that all of them read slowly.

Change: beside holders and the home of its parts a request looks at five engines; two routers' word that an engine took no connection turns the others away from it for a second; engines of one upstream share a learned speed; one in four engines loads at once, not two in five.

The common speed and the fewer loads are measured next.

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -39,6 +40,12 @@
 """Differences that estimates cannot tell apart; hashing decides below it, so that
 routers that know nothing of each other send the same shared parts to one engine."""
 
+N_SAMPLED: Final = 5
+"""Engines that one request looks at, beside the home of its parts and up to as many
+that hold them. Word of others' work is a third of a second old in a large fleet. When
+all looked at all engines, fifty requests a second and a router met at each one that
+came back from a load; with this each engine is seen by one request in ten of 50."""
+
 IN_TIME_SHARE: Final = 0.8
 """Part of the objective that the estimate may take; half of the estimates are exceeded.
 With two of five engines gone and half as much again to read as the rest could, 0.75
@@ -103,14 +110,22 @@
 
 
 def choose_engine(
-    query: EngineQuery, views: Sequence[EngineView], index: PartIndex
+    query: EngineQuery,
+    views: Sequence[EngineView],
+    index: PartIndex,
+    rng: random.Random | None = None,
 ) -> EngineChoice | None:
-    """Return the best engine for a prompt, or None when there is none."""
+    """Return the best engine for a prompt, or None when there is none.
+
+    With a source of randomness only some of many engines are looked at.
+    """
     if not views:
         return None
     parts = [(part.part_id, part.n_tokens) for part in query.prompt.shared_parts]
     part_ids = [part_id for part_id, _ in parts]
     holdings = _holdings(query, views, index, parts)
+    if rng is not None and len(views) > N_SAMPLED:
+        views = _shortlist(query, views, holdings, part_ids, rng)
     rated = [_rate(query, view, holdings, index, part_ids) for view in views]
     best_cost = min(cost for cost, _ in rated)
     close = {
@@ -120,8 +135,7 @@
     }
     if len(close) == 1 or not part_ids:
         return min(rated, key=lambda pair: pair[0])[1]
-    key = f"{query.wall}.{part_ids[-1]}".encode()
-    return close[rank(key, close)[0]]
+    return close[rank(_home_key(query, part_ids), close)[0]]
 
 
 @dataclass(frozen=True)
@@ -153,6 +167,27 @@
     return found
 
 
+def _shortlist(
+    query: EngineQuery,
+    views: Sequence[EngineView],
+    holdings: dict[Life, _Holding],
+    part_ids: Sequence[str],
+    rng: random.Random,
+) -> list[EngineView]:
+    """Return the engines to look at: some that hold parts, their home, some others."""
+    holding = [view for view in views if view.instance.life in holdings]
+    chosen = rng.sample(holding, min(N_SAMPLED, len(holding)))
+    chosen += rng.sample(list(views), N_SAMPLED)
+    if part_ids:
+        names = {view.instance.instance: view for view in views}
+        chosen.append(names[rank(_home_key(query, part_ids), names)[0]])
+    return list({view.instance.life: view for view in chosen}.values())
+
+
+def _home_key(query: EngineQuery, part_ids: Sequence[str]) -> bytes:
+    return f"{query.wall}.{part_ids[-1]}".encode()
+
+
 def _rate(
     query: EngineQuery,
     view: EngineView,
--- a/packages/corianderlb-core/src/corianderlb_core/engine_pace.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_pace.py
@@ -23,6 +23,10 @@
 """How far one observation moves the speed. Of ten observations about two thirds
 count, which follows an engine that turns slow within a second of its traffic."""
 
+COMMON_RATE: Final = 0.05
+"""How far one observation moves the common speed: of twenty, from whichever engines,
+two thirds count."""
+
 MIN_LEARN_TOKENS: Final = 500
 """Shorter reads tell more about the overhead than about the speed."""
 
@@ -49,18 +53,36 @@
     started_at: float
 
 
+@dataclass
+class CommonSpeed:
+    """Hold the speed that the engines of one upstream have in common.
+
+    In a large fleet a router gets one first token from an engine in several seconds,
+    and many from all of them together. When prompts are so many that reading slows
+    down everywhere, it shows here within a second.
+    """
+
+    log_tokens_per_s: float = math.log(FIRST_TOKENS_PER_S)
+
+
 class EnginePace:
     """Follow the unread tokens and the reading speed of one life of an engine."""
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, common: CommonSpeed | None = None) -> None:
         self._slots = max(1, slots)
+        self._common = common or CommonSpeed()
+        self._log_own = 0.0
+        """Logarithm of the speed of this engine against the common one."""
         self._readings: dict[str, _Reading] = {}
         self._n_running = 0
-        self.tokens_per_s = FIRST_TOKENS_PER_S
-        """Learned speed of reading."""
         self.peer_tokens: dict[str, tuple[float, int, float]] = {}
         """By router: unread tokens, requests, and when it said so."""
 
+    @property
+    def tokens_per_s(self) -> float:
+        """Learned speed of reading."""
+        return math.exp(self._common.log_tokens_per_s + self._log_own)
+
     @property
     def unread_tokens(self) -> int:
         """Tokens that this router sent there and that are not read yet."""
@@ -97,7 +119,8 @@
         # One wild value, such as a request that waited for a load of weights, moves
         # the speed no further than one that is off by a factor of two.
         step = max(-math.log(2), min(math.log(2), ratio))
-        self.tokens_per_s *= math.exp(LEARN_RATE * step)
+        self._log_own += LEARN_RATE * step
+        self._common.log_tokens_per_s += COMMON_RATE * step
 
     def ended(self, key: str, was_read: bool) -> None:
         """Take note that a request left the engine."""
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -293,6 +293,8 @@
 
     work: tuple[EngineWork, ...] = ()
     parts: tuple[PartsWord, ...] = ()
+    unreached: tuple[tuple[str, int], ...] = ()
+    """Lives of engines that took no connection since the last word."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/weights_roll.py
+++ b/packages/corianderlb-core/src/corianderlb_core/weights_roll.py
@@ -9,11 +9,11 @@
 MIN_LOADS: Final = 2
 """Engines that load at once in a small fleet."""
 
-LOADS_SHARE: Final = 0.4
-"""Part of the engines that load at once. The weight store grows with its fleet: it
-slows all loads down beyond 2 of 5, 18 of 45 or 22 of 56, and each loading engine is
-missing from the others' work. With two at once, 45 engines take 18 s for one version,
-and answer from weights that were replaced longer ago than users accept."""
+LOADS_SHARE: Final = 0.25
+"""Part of the engines that load at once. With two at once, 45 engines take 18 s for one
+version, and answer from weights that were replaced longer ago than users accept. The
+weight store bears 2 of 5, 18 of 45 or 22 of 56, but each loading engine is missing from
+the others' work, which in a rush that has a quarter silent leaves too few."""
 
 AGAIN_S: Final = 1.5
 """Time until an order without any effect is given again: twice a load of 0.8 s."""
--- a/packages/corianderlb-core/tests/test_engine_choice.py
+++ b/packages/corianderlb-core/tests/test_engine_choice.py
@@ -6,7 +6,7 @@
 import unittest
 
 from corianderlb_core.engine_choice import choose_engine
-from corianderlb_core.engine_pace import FIRST_TOKENS_PER_S, EnginePace
+from corianderlb_core.engine_pace import FIRST_TOKENS_PER_S, CommonSpeed, EnginePace
 from corianderlb_core.part_index import PartIndex
 from forward_data import a_prompt, a_query, a_view
 
@@ -91,6 +91,44 @@
         choice = choose_engine(query, [a_view("a")], PartIndex())
         self.assertEqual((choice.fetch_from, choice.n_missing), ("kv:80", 5100))
 
+    def test_routers_do_not_all_meet_at_the_engine_that_is_free(self) -> None:
+        # One of fifty engines has just loaded its weights and is free, the others have
+        # half a second to read. Word of work takes a third of a second, in which fifty
+        # requests arrive. If each took the free engine, the last ones would wait for
+        # longer than at any other.
+        views = [a_view(f"e{n}", unread=20_000) for n in range(49)] + [a_view("free")]
+        rng, index = random.Random(1), PartIndex()
+        chosen = [
+            choose_engine(a_query(a_prompt()), views, index, rng).view.instance.instance
+            for _ in range(500)
+        ]
+        self.assertLess(chosen.count("free") / 500, 0.2)
+        self.assertGreater(len(set(chosen)), 40)
+
+    def test_parts_are_found_among_many_engines(self) -> None:
+        # One of fifty engines holds a long shared part. The requests that ask for it
+        # must not read it again because they look at some engines only.
+        views = [a_view(f"e{n}") for n in range(50)]
+        rng, index = random.Random(1), PartIndex()
+        query = a_query(a_prompt(BIG))
+        index.note(query.scope(1), ["big"], views[7].instance.life, True)
+        for _ in range(50):
+            # Its holder reads nothing again, and any other engine fetches it.
+            choice = choose_engine(query, views, index, rng)
+            self.assertEqual(choice.n_missing, 100)
+
+    def test_first_readers_of_a_part_meet_among_many_engines(self) -> None:
+        # Routers that know nothing of each other get requests for the same part.
+        views = [a_view(f"e{n}") for n in range(50)]
+        query = a_query(a_prompt(BIG))
+        names = {
+            choose_engine(
+                query, views, PartIndex(), random.Random(seed)
+            ).view.instance.instance
+            for seed in range(20)
+        }
+        self.assertEqual(len(names), 1)
+
 
 class PartIndexTest(unittest.TestCase):
     def test_part_is_taken_for_evicted_after_much_else_was_read(self) -> None:
@@ -131,6 +169,19 @@
             pace.ended(f"q{n}", True)
         self.assertAlmostEqual(pace.tokens_per_s, 20_000, delta=2_000)
 
+    def test_rush_slows_the_engines_down_for_all(self) -> None:
+        # Prompts are so many that every engine reads half as fast. A router of a large
+        # fleet has one first token from each of thirty engines. If each were learned
+        # apart, callers would be sent to queues that take twice the time they have.
+        common = CommonSpeed()
+        paces = [EnginePace(64, common) for _ in range(31)]
+        now = 0.0
+        for pace in paces[:30]:
+            pace.sent("q", 4_000, now)
+            now += 4_000 / (FIRST_TOKENS_PER_S / 2) + 0.03
+            pace.first_token("q", now)
+        self.assertLess(paces[30].tokens_per_s, 0.7 * FIRST_TOKENS_PER_S)
+
     def test_one_wild_wait_moves_the_speed_little(self) -> None:
         pace = EnginePace(64)
         pace.sent("q", 1_000, 0.0)
--- a/packages/corianderlb-router/src/corianderlb_router/engine_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -17,7 +18,7 @@
     best_effort,
     choose_engine,
 )
-from corianderlb_core.engine_pace import EnginePace
+from corianderlb_core.engine_pace import CommonSpeed, EnginePace
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import (
@@ -55,6 +56,15 @@
 REFUSED_S: Final = 0.25
 """How long an engine that refused as full or loading is left alone, beside others."""
 
+UNREACHED_S: Final = 1.0
+"""How long an engine that took no connection is left alone, beside others."""
+
+MIN_WITNESSES: Final = 2
+"""Peers that must have found an engine out of reach until their word counts. A router
+that is cut off from engines would else turn the whole fleet away from them. Without
+their word each of 31 routers lost 0.25 s of a request three times at each of 11 silent
+engines."""
+
 WORDS_A_TOKEN: Final = 1 << 24
 """Words of one holder of the orders at most: with its fencing token as the high part
 of their number, all words of a later holder go before those of an earlier one."""
@@ -71,21 +81,31 @@
     n_read_untold: int = 0
     """Tokens given to it since the last word to the peers."""
     refused_until: float = -math.inf
+    witnesses: dict[str, float] = field(default_factory=dict)
+    """Peers that found it out of reach, and when they said so."""
 
 
 class EngineBoard:
     """Choose engines, and learn from each attempt and from the peers."""
 
     def __init__(
-        self, state: ServingState, health: HealthBoard, peers: PeerNetwork
+        self,
+        state: ServingState,
+        health: HealthBoard,
+        peers: PeerNetwork,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._state = state
         self._peers = peers
         self._health = health
         self.index = PartIndex()
         """Who holds which prompt parts."""
         self._engines: dict[Life, _Engine] = {}
+        self._common_speeds: dict[str, CommonSpeed] = {}
         self._words: list[PartsWord] = []
+        self._unreached: dict[Life, None] = {}
+        """Lives that took no connection, which the peers have not been told yet."""
         self._said_work: tuple[EngineWork, ...] = ()
         self._word_number = 0
         self._heard_words: dict[Life, int] = {}
@@ -116,10 +136,18 @@
         views = best_effort(
             views, lambda view: self._health.may_send(view.instance.life)
         )
-        views = best_effort(
-            views, lambda view: self._engine(view.instance).refused_until <= now
-        )
-        return choose_engine(query, views, self.index)
+        views = best_effort(views, lambda view: not self._is_shunned(view, now))
+        return choose_engine(query, views, self.index, self._rng)
+
+    def _is_shunned(self, view: EngineView, now: float) -> bool:
+        """Return whether an engine refused or was out of reach a moment ago."""
+        engine = self._engine(view.instance)
+        if engine.refused_until > now:
+            return True
+        recent = [at for at in engine.witnesses.values() if now - at < UNREACHED_S]
+        if len(recent) < MIN_WITNESSES:
+            return False
+        return not self._health.heard_since(view.instance.life, max(recent))
 
     def view(self, instance: ForwardInstance, model: str) -> EngineView:
         """Return one engine as it is known here."""
@@ -174,6 +202,12 @@
         """Leave an engine alone for a moment that refused as full or loading."""
         self._engine(instance).refused_until = trio.current_time() + REFUSED_S
 
+    def unreached(self, instance: ForwardInstance) -> None:
+        """Leave an engine alone that took no connection, and tell the peers."""
+        self._engine(instance).refused_until = trio.current_time() + UNREACHED_S
+        self._unreached[instance.life] = None
+        self._news_wanted.set()
+
     # Weights.
 
     def learn_weights(
@@ -250,6 +284,10 @@
                 pace = self._engine(instance).pace
                 pace.hear(sender, work.n_unread_tokens, work.n_requests, now)
                 self.index.count_read(instance.life, work.n_read_tokens)
+        for life in news.unreached:
+            instance = self._state.instance(life[0])
+            if instance is not None and instance.life == tuple(life):
+                self._engine(instance).witnesses[sender] = now
         for word in news.parts:
             life = (word.instance, word.born_ms)
             self.index.note(word.scope, word.part_ids, life, word.is_ready)
@@ -278,9 +316,11 @@
             )
             words = tuple(self._words[:MAX_PARTS_WORDS])
             del self._words[:MAX_PARTS_WORDS]
-            if work or words or self._said_work:
+            unreached = tuple(self._unreached)
+            self._unreached.clear()
+            if work or words or unreached or self._said_work:
                 gone = self._ended_work(work)
-                self._peers.broadcast(EngineNews(work + gone, words))
+                self._peers.broadcast(EngineNews(work + gone, words, unreached))
                 self._said_work = work
 
     def _ended_work(self, work: tuple[EngineWork, ...]) -> tuple[EngineWork, ...]:
@@ -308,7 +348,9 @@
     def _engine(self, instance: ForwardInstance) -> _Engine:
         engine = self._engines.get(instance.life)
         if engine is None:
-            engine = self._engines[instance.life] = _Engine(EnginePace(instance.slots))
+            common = self._common_speeds.setdefault(instance.upstream, CommonSpeed())
+            pace = EnginePace(instance.slots, common)
+            engine = self._engines[instance.life] = _Engine(pace)
         return engine
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -129,7 +129,7 @@
         self._front = self._server(cfg.listen.front)
         self._peers = self._make_peers()
         health = HealthBoard(self._rng)
-        self._board = EngineBoard(ports.state, health, self._peers)
+        self._board = EngineBoard(ports.state, health, self._peers, self._rng)
         self._follower = StateFollower(ports.feed, ports.state, self._peers, self._rng)
         self._keeper = self._make_keeper()
         self._parts = ForwardParts(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -503,6 +503,7 @@
         elif isinstance(exc, ConnectFailedError):
             verdict = Verdict.CONDEMNED if exc.refused else Verdict.FAILURE
             health.failed(life, verdict)
+            self._target.unreached(placement)
         else:
             health.failed(life)
         self._note(placement, outcome, None, str(exc))
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -82,6 +82,9 @@
     def head(self, placement: Placement, head: UpstreamHead) -> None:
         """Take note of the head of an answer."""
 
+    def unreached(self, placement: Placement) -> None:
+        """Take note that the instance took no connection in time."""
+
     def ended(self, key: str, placement: Placement, was_read: bool) -> None:
         """Take note that an attempt is over."""
 
@@ -244,6 +247,10 @@
         assert placement.choice is not None
         self.parts.engines.ended(key, placement.choice, self._part_ids, was_read)
 
+    def unreached(self, placement: Placement) -> None:
+        """Leave the engine alone for a moment, and let the peers know."""
+        self.parts.engines.unreached(placement.instance)
+
     def _query(self, objective_left_s: float) -> EngineQuery | None:
         cfg = self.parts.state.configuration
         upstream = cfg.upstream(self.upstream) if cfg else None
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import logging
 import os
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Final
 
+import eliot
 import msgspec
 import trio
 
@@ -111,3 +113,22 @@
         if n_new and len(self._lines) < MAX_LINES:
             self._n_told = self.n_left_out
             self({"message_type": "log:left_out", "n_lines": n_new})
+
+
+class LibraryLogHandler(logging.Handler):
+    """Bring what libraries log into the router's own lines, one for each record.
+
+    On standard error their tracebacks stand apart from the lines around them, and
+    nobody sees which link or request they belong to.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record; a traceback is shortened to the exception itself."""
+        exc = record.exc_info[1] if record.exc_info else None
+        eliot.log_message(
+            message_type="library:log",
+            library=record.name,
+            level=record.levelname,
+            text=record.getMessage(),
+            exception=repr(exc) if exc else "",
+        )
--- a/packages/corianderlb-router/tests/test_log_writer.py
+++ b/packages/corianderlb-router/tests/test_log_writer.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 
+import eliot
 import trio
 
-from corianderlb_router.log_writer import MAX_LINES, REQUEST_LINES_PER_S, LogWriter
+from corianderlb_router.log_writer import (
+    MAX_LINES,
+    REQUEST_LINES_PER_S,
+    LibraryLogHandler,
+    LogWriter,
+)
 from corianderlb_standins.trio_case import TrioTestCase
 
 
@@ -58,3 +65,20 @@
         self.assertEqual(n_left_out, int(REQUEST_LINES_PER_S))
         writer({"message_type": "upstream:removed"})
         self.assertEqual(writer.n_left_out, n_left_out)
+
+    def test_what_a_library_logs_is_a_line_too(self) -> None:
+        # A link's library fails on a frame that comes after its end, and prints a
+        # traceback between the lines that an engineer reads.
+        lines: list[dict] = []
+        eliot.add_destinations(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        logger = logging.Logger("websockets")
+        logger.addHandler(LibraryLogHandler())
+        try:
+            raise EOFError("stream of frames ended")
+        except EOFError:
+            logger.exception("unexpected internal error")
+        line = lines[-1]
+        self.assertEqual(line["message_type"], "library:log")
+        self.assertEqual(line["text"], "unexpected internal error")
+        self.assertEqual(line["exception"], "EOFError('stream of frames ended')")
