Send one attempt in a module of its own

forward_run.py had 560 lines and two jobs: one attempt at one instance, and what follows from it. The attempt is forward_attempt.py now, and the job's parts are one frozen class in place of nine arguments.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -21,6 +21,7 @@
 
 from .caller import CallerGoneError, CallerStalledError, RequestRefusedError, refuse
 from .exchange_registry import ExchangeRegistry
+from .forward_attempt import ForwardJob
 from .forward_caller import ForwardCaller, StreamCutError
 from .forward_parts import ForwardParts
 from .forward_relay import EventRelay, Relay, WholeRelay
@@ -123,17 +124,11 @@
         target = self._target(req, route, account, upstream)
         left_s = min(route.timeout_s, req.deadline_s)
         deadline = caller.arrived_at + left_s - DEADLINE_GRACE_S
-        run = ForwardRun(
-            self._parts,
-            req,
-            route,
-            target,
-            self._relay(req, route, caller),
-            caller,
-            deadline,
-            body,
-            digest,
+        relay = self._relay(req, route, caller)
+        job = ForwardJob(
+            self._parts, req, route, target, relay, caller, deadline, body, digest
         )
+        run = ForwardRun(job)
         line.run = run
         await self._within(caller, run, deadline)
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -4,15 +4,14 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
-import httpx
 import trio
 
-from corianderlb_core.forwarding import ForwardRoute, RepeatKind
+from corianderlb_core.forwarding import RepeatKind
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
 from corianderlb_core.part_index import Life
@@ -21,13 +20,16 @@
 
 from .caller import RequestRefusedError, refuse
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
-from .forward_caller import ForwardCaller, StreamCutError
-from .forward_parts import ForwardParts
-from .forward_relay import Relay, WholeRelay, WrongAnswerError, read_whole
-from .forward_request import ForwardRequest, UpstreamHead
-from .forward_target import NO_INSTANCE_S, NoPlace, Placement, Target
+from .forward_attempt import (
+    ForwardAttempt,
+    ForwardJob,
+    NotRunError,
+    ServerFailureError,
+)
+from .forward_caller import StreamCutError
+from .forward_relay import WrongAnswerError
+from .forward_target import NO_INSTANCE_S, NoPlace, Placement
 from .in_flight import InFlightAttempt
-from .transport import EXCHANGE, FRESH, TARGET, Exchange
 
 HOLD_SHARE: Final = 0.12
 """Part of its objective for which a request waits here for an instance with room. A
@@ -45,24 +47,6 @@
 RETRY_AFTER_SHARE: Final = 1 / 3
 """Largest part of the time that a caller has left which it is told to stay away."""
 
-HEDGE_SHARE: Final = 0.6
-"""Part of the objective after which a repeatable call without an answer is taken for
-lost and sent to another instance: the second run takes about half of one itself."""
-
-HEDGE_LATENCIES: Final = 4.0
-"""Least wait before that, in times that a call usually takes: one in a hundred calls
-takes five times as long."""
-
-SILENT_S: Final = 1.0
-"""Silence of an engine on all its streams after which it counts as unreachable. A
-busy one sends some event every few dozen milliseconds, a step of reading included."""
-
-WRITE_S: Final = 5.0
-"""Longest wait for an upstream to take a request."""
-
-SERVER_ERROR: Final = 500
-"""Statuses from here on tell of a failure of the upstream."""
-
 MAX_NOT_RUN: Final = 8
 """Refusals by instances that one request collects at most; each costs a way there."""
 
@@ -93,51 +77,27 @@
     fetch_from: str = ""
 
 
-class NotRunError(UpstreamError):
-    """Signal an instance that states that it did not run the request."""
-
-
-class ServerFailureError(UpstreamError):
-    """Signal an error that the upstream itself answered with."""
-
-    def __init__(self, head: UpstreamHead, body: bytes) -> None:
-        super().__init__(f"status {head.status}", sent=True)
-        self.head = head
-        self.body = body
-
-
 class ForwardRun:
     """Hold the state of one request over its attempts."""
 
-    def __init__(
-        self,
-        parts: ForwardParts,
-        req: ForwardRequest,
-        route: ForwardRoute,
-        target: Target,
-        relay: Relay,
-        caller: ForwardCaller,
-        deadline: float,
-        body: bytes,
-        digest: bytes,
-    ) -> None:
-        self._parts = parts
-        self._req = req
-        self._route = route
-        self._target = target
-        self._relay = relay
-        self._caller = caller
-        self._deadline = deadline
-        self._body = body
-        self._digest = digest
+    def __init__(self, job: ForwardJob) -> None:
+        self._job = job
+        self._parts = job.parts
+        self._route = job.route
+        self._target = job.target
+        self._relay = job.relay
+        self._caller = job.caller
+        self._deadline = job.deadline
+        self._digest = job.digest
         self._avoid: set[Life] = set()
         self._n_arrivals = 0
         self._n_runs = 0
         self._n_not_run = 0
         self._n_unreached = 0
         self._last_failure: ServerFailureError | None = None
-        self.may_have_run = False
-        """Whether any upstream can have begun to run the request."""
+        self._ran_before = False
+        """Whether an attempt that is over can have begun to run the request."""
+        self._attempt_now: ForwardAttempt | None = None
         self.notes: list[AttemptNote] = []
         """One for each attempt, for the log."""
 
@@ -148,6 +108,12 @@
             return self._route.may_resume
         return self._route.is_repeatable
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any upstream can have begun to run the request."""
+        now = self._attempt_now
+        return self._ran_before or (now is not None and now.may_have_run)
+
     def may_abandon(self) -> bool:
         """Return whether nothing is lost when the caller leaves now.
 
@@ -237,7 +203,7 @@
         if not parts.state.may_take_work(instance):
             raise NotRunError("it has just left", sent=False)
         self._n_arrivals += 1
-        key = f"{self._req.request_id}.{self._n_arrivals}"
+        key = f"{self._job.req.request_id}.{self._n_arrivals}"
         started_at = trio.current_time()
         first_at: list[float] = []
 
@@ -248,10 +214,12 @@
                 seconds = first_at[0] - started_at
                 self._target.first_byte(key, placement, seconds)
 
+        attempt = ForwardAttempt(self._job, placement, not self._has_attempt_left(1))
+        self._attempt_now = attempt
         has_ended = False
         with self._in_flight(key, placement, first_at):
             try:
-                await self._exchange(placement, on_data)
+                await attempt.run(on_data)
                 has_ended = True
             except UpstreamError:
                 has_ended = True
@@ -265,18 +233,6 @@
         parts.quarantine.clear(self._digest)
         self._note(placement, "ok", started_at)
 
-    async def _exchange(
-        self, placement: Placement, on_data: Callable[[], None]
-    ) -> None:
-        response = await self._open(placement)
-        try:
-            head = self._read_head(placement, response)
-            exchange: Exchange = response.extensions[EXCHANGE]
-            await self._take(head, exchange, on_data)
-        finally:
-            with trio.CancelScope(shield=True):
-                await response.aclose()
-
     @contextmanager
     def _in_flight(
         self, key: str, placement: Placement, first_at: list[float]
@@ -296,132 +252,6 @@
             parts.health.ended(instance.life)
             self._target.ended(key, placement, was_read=bool(first_at))
 
-    async def _open(self, placement: Placement) -> httpx.Response:
-        """Send the request and return the answer's head."""
-        parts = self._parts
-        left_s = self._deadline - trio.current_time()
-        terms = self._target.terms(placement, left_s)
-        headers = parts.protocol.upstream_headers(self._with_resume(), terms)
-        address = placement.instance.address
-        request = httpx.Request(
-            self._req.method,
-            f"http://{address}/",
-            headers=headers,
-            content=self._body or None,
-            extensions={
-                "timeout": {
-                    "connect": parts.cfg.connect_timeout_s,
-                    "write": min(WRITE_S, max(0.01, left_s)),
-                    "read": math.inf,
-                    "pool": None,
-                },
-                FRESH: True,
-                TARGET: self._req.target,
-            },
-        )
-        could_run_before = self.may_have_run
-        self.may_have_run = True
-        try:
-            return await self._wait_head(placement, request)
-        except UpstreamError as exc:
-            if not exc.sent:
-                self.may_have_run = could_run_before
-            raise
-
-    def _with_resume(self) -> ForwardRequest:
-        after = self._relay.resume_after
-        if after == self._req.resume_after:
-            return self._req
-        return self._req.resumed(after)
-
-    async def _wait_head(
-        self, placement: Placement, request: httpx.Request
-    ) -> httpx.Response:
-        """Return the head of the answer; give up on an instance that is lost."""
-        life = placement.instance.life
-        sent_at = trio.current_time()
-        limit_s = self._patience_s(placement)
-        result: list[httpx.Response] = []
-        errors: list[UpstreamError] = []
-
-        async def send(scope: trio.CancelScope) -> None:
-            try:
-                result.append(await self._parts.transport.handle_async_request(request))
-            except UpstreamError as exc:
-                errors.append(exc)
-            scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send, nursery.cancel_scope)
-            while trio.current_time() - sent_at < limit_s:
-                await trio.sleep(min(limit_s, SILENT_S))
-                if self._is_lost(life, sent_at, placement):
-                    break
-            nursery.cancel_scope.cancel()
-        if result:
-            return result[0]
-        if errors:
-            raise errors[0]
-        raise SilentError("no answer in time", sent=True)
-
-    def _patience_s(self, placement: Placement) -> float:
-        """Return how long to wait for the head of an answer."""
-        left_s = max(0.01, self._deadline - trio.current_time())
-        may_repeat = self._route.is_repeatable and self._has_attempt_left(1)
-        if not may_repeat:
-            return left_s
-        hedge_s = max(
-            HEDGE_SHARE * self._route.objective_s,
-            HEDGE_LATENCIES * placement.estimate_s,
-        )
-        return min(left_s, hedge_s)
-
-    def _is_lost(self, life: Life, sent_at: float, placement: Placement) -> bool:
-        """Return whether an engine fell silent with a request that may go elsewhere."""
-        if self._route.kind is not RepeatKind.STREAM or not self._route.may_resume:
-            return False
-        now = trio.current_time()
-        patience_s = max(SILENT_S, 2 * placement.estimate_s)
-        if now - sent_at < patience_s:
-            return False
-        return not self._parts.health.heard_since(life, now - patience_s)
-
-    def _read_head(
-        self, placement: Placement, response: httpx.Response
-    ) -> UpstreamHead:
-        """Return the checked head of an answer."""
-        parts = self._parts
-        head = parts.protocol.read_head(
-            self._req, response.status_code, response.headers.raw
-        )
-        parts.health.heard(placement.instance.life)
-        if not head.is_ours:
-            raise WrongAnswerError("it answers another request", sent=True)
-        other = head.instance not in ("", placement.instance.instance)
-        if head.is_misdirected and other:
-            # Its address belongs to somebody else now; it has not run anything.
-            parts.state.mark_leaving(placement.instance, "address_reused")
-            raise NotRunError("another instance has the address", sent=False)
-        self._target.head(placement, head)
-        if head.not_run or head.is_misdirected:
-            raise NotRunError(f"refused with status {head.status}", sent=False)
-        if head.is_encoded or (head.status < 300 and not head.is_sealed):
-            raise WrongAnswerError("the answer is not the upstream's own", sent=True)
-        return head
-
-    async def _take(
-        self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
-    ) -> None:
-        """Relay a good answer; read an upstream's failure whole first."""
-        if head.status < 300:
-            await self._relay.take(head, exchange, on_data)
-            return
-        relay = WholeRelay(self._caller)
-        if head.status < SERVER_ERROR:
-            await relay.take(head, exchange, on_data)
-            return
-        raise ServerFailureError(head, await read_whole(exchange, on_data))
-
     # After a failure.
 
     def _has_attempt_left(self, n_more: int = 0) -> bool:
@@ -434,8 +264,10 @@
         """
         self._avoid.add(placement.instance.life)
         self._judge(placement, exc)
+        has_not_run = isinstance(exc, NotRunError)
+        self._ran_before = self._n_runs > 0 if has_not_run else self.may_have_run
+        self._attempt_now = None
         if isinstance(exc, NotRunError):
-            self.may_have_run = self._n_runs > 0
             self._n_not_run += 1
             self._pay_or_refuse(exc)
             return False
