--- a/packages/corianderlb-router/src/corianderlb_router/engine_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_board.py
@@ -72,6 +72,9 @@
 """Words of one holder of the orders at most: with its fencing token as the high part
 of their number, all words of a later holder go before those of an earlier one."""
 
+MAX_HEARD_WORDS: Final = 4096
+"""Lives whose newest word on weights is remembered; the oldest have long ended."""
+
 MAX_PARTS_WORDS: Final = 200
 """Words on cached parts in one message; more wait for the next."""
 
@@ -259,6 +262,8 @@
         if word.number <= self._heard_words.get(life, 0):
             return False
         self._heard_words[life] = word.number
+        if len(self._heard_words) > MAX_HEARD_WORDS:
+            del self._heard_words[next(iter(self._heard_words))]
         self._word_number = max(self._word_number, word.number)
         instance = self._state.instance(word.instance)
         if instance is not None and instance.life == life:
