Take back sending shared parts to their home while not all routers are heard

Not looked at yet: runs that are given up after a second of silence and read elsewhere, and parts that the KV cache store pushed out.

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -83,8 +83,6 @@
     zone: str = ""
     """The router's own availability zone."""
     now: float = 0.0
-    unheard: float = 0.0
-    """Part of the other routers whose word on parts does not arrive here."""
 
     def scope(self, version: int) -> str:
         """Return the scope under which an engine of a version shares parts."""
@@ -126,10 +124,9 @@
     parts = [(part.part_id, part.n_tokens) for part in query.prompt.shared_parts]
     part_ids = [part_id for part_id, _ in parts]
     holdings = _holdings(query, views, index, parts)
-    home = _home(query, views, part_ids)
     if rng is not None and len(views) > N_SAMPLED:
-        views = _shortlist(views, holdings, home, rng)
-    rated = [_rate(query, view, holdings, index, part_ids, home) for view in views]
+        views = _shortlist(query, views, holdings, part_ids, rng)
+    rated = [_rate(query, view, holdings, index, part_ids) for view in views]
     best_cost = min(cost for cost, _ in rated)
     close = {
         choice.view.instance.instance: choice
@@ -171,30 +168,22 @@
 
 
 def _shortlist(
+    query: EngineQuery,
     views: Sequence[EngineView],
     holdings: dict[Life, _Holding],
-    home: EngineView | None,
+    part_ids: Sequence[str],
     rng: random.Random,
 ) -> list[EngineView]:
     """Return the engines to look at: some that hold parts, their home, some others."""
     holding = [view for view in views if view.instance.life in holdings]
     chosen = rng.sample(holding, min(N_SAMPLED, len(holding)))
     chosen += rng.sample(list(views), N_SAMPLED)
-    if home is not None:
-        chosen.append(home)
+    if part_ids:
+        names = {view.instance.instance: view for view in views}
+        chosen.append(names[rank(_home_key(query, part_ids), names)[0]])
     return list({view.instance.life: view for view in chosen}.values())
 
 
-def _home(
-    query: EngineQuery, views: Sequence[EngineView], part_ids: Sequence[str]
-) -> EngineView | None:
-    """Return the engine to which routers that know nothing send the shared parts."""
-    if not part_ids:
-        return None
-    names = {view.instance.instance: view for view in views}
-    return names[rank(_home_key(query, part_ids), names)[0]]
-
-
 def _home_key(query: EngineQuery, part_ids: Sequence[str]) -> bytes:
     return f"{query.wall}.{part_ids[-1]}".encode()
 
@@ -205,7 +194,6 @@
     holdings: dict[Life, _Holding],
     index: PartIndex,
     part_ids: Sequence[str],
-    home: EngineView | None,
 ) -> tuple[float, EngineChoice]:
     """Return the cost of an engine, in seconds, and the choice it would be."""
     pace = view.pace
@@ -233,9 +221,6 @@
     cost = first_s
     if known_elsewhere:
         cost += RECOMPUTE_WEIGHT * pace.read_s(n_again)
-    elif view is not home:
-        # A router whose word does not arrive here may have had them read at their home.
-        cost += query.unheard * RECOMPUTE_WEIGHT * pace.read_s(n_again)
     if view.weights_version < query.newest_version:
         if query.newest_age_s + first_s > OLD_WEIGHTS_FREE_S:
             cost += OLD_WEIGHTS_S
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -270,7 +270,6 @@
             kv_cache_address=kv_cache.kv_cache_address if kv_cache else "",
             zone=self.parts.cfg.zone,
             now=now,
-            unheard=1.0 - self.parts.peers.reach(),
         )
 
 
