Log how old an attempt's weights were when it was sent, and when it began

What the logs could not tell: whether a request that began on replaced weights was sent by a router that thought them young, or sent in time and begun late. Each attempt in the line of a request now has weights_age_ms, the age as known here when it was sent, and began_ms, from sending to the head of the answer.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -93,6 +93,16 @@
         self._is_last = is_last
         self.may_have_run = False
         """Whether the instance can have begun to run the request."""
+        self.sent_at: float | None = None
+        """Router's clock when it was sent."""
+        self._began_at: float | None = None
+
+    @property
+    def began_ms(self) -> int | None:
+        """Milliseconds from sending to the head of the answer, if one came."""
+        if self.sent_at is None or self._began_at is None:
+            return None
+        return round((self._began_at - self.sent_at) * 1000)
 
     async def run(self, on_data: Callable[[], None]) -> None:
         """Relay the answer, or raise what kept it from being relayed."""
@@ -144,7 +154,7 @@
     async def _wait_head(self, request: httpx.Request) -> httpx.Response:
         """Return the head of the answer; give up on an instance that is lost."""
         life = self._placement.instance.life
-        sent_at = trio.current_time()
+        self.sent_at = sent_at = trio.current_time()
         limit_s = self._patience_s()
         result: list[httpx.Response] = []
         errors: list[UpstreamError] = []
@@ -164,6 +174,7 @@
                     break
             nursery.cancel_scope.cancel()
         if result:
+            self._began_at = trio.current_time()
             return result[0]
         if errors:
             raise errors[0]
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -75,6 +75,10 @@
     """Tokens that the engine was expected to read."""
     weights: int = 0
     """Version of the weights that it was asked to have."""
+    weights_age_ms: int | None = None
+    """How long ago, as known when it was sent, a newer version was named."""
+    began_ms: int | None = None
+    """Time until the head of its answer; None when none came."""
     fetch_from: str = ""
 
 
@@ -275,10 +279,10 @@
 
     def _after_move(self, placement: Placement, exc: RunMovedError) -> None:
         """Go on with a run that was taken off its engine."""
-        self._attempt_now = None
         self._ran_before = True
         self._next_place = exc.placement
         self._note(placement, "moved" if exc.placement else "restarted", None)
+        self._attempt_now = None
         if exc.placement is None:
             self._avoid.add(placement.instance.life)
             self._n_runs += 1
@@ -415,5 +419,13 @@
                 weights=choice.view.weights_version,
                 fetch_from=choice.fetch_from,
             )
+        attempt = self._attempt_now
+        if attempt is not None and attempt.sent_at is not None:
+            age_s = attempt.sent_at - (choice.view.replaced_at if choice else math.inf)
+            note = dataclasses.replace(
+                note,
+                weights_age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
+                began_ms=attempt.began_ms,
+            )
         self.notes.append(note)
         self._parts.metrics.attempt_ended(outcome, len(self.notes) > 1)
