Withdraw requests that have not begun when their weights get too old

What callers saw: two answers begun on version 3 of the weights 10.063 s after version 4 was acknowledged (the incident). Both had reached their engine 8.52 s after it and waited there for 1.54 s.

The router that sent them had not heard from its frozen peers what the engine had to do. Nothing ended the wait.

Ruled out: a still wider margin (no wait is known to be the longest); a shorter deadline for the engine (it would cut the run as well, not only the wait).

Change: a request on replaced weights is withdrawn half a second before the bound if its answer has not begun. What may be resumed goes on at another engine; what may run once is answered 504, since the engine may have begun it just then. The engine is not judged by it. Both tests failed before: still at the engine after 12.48 s, bound 10 s.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -37,6 +37,10 @@
 WRITE_S: Final = 5.0
 """Longest wait for an upstream to take a request."""
 
+WITHDRAW_S: Final = 0.5
+"""Time before the age from which nothing may begin on replaced weights at which a
+request is withdrawn: a busy router notices late, and the close has a way to go."""
+
 SERVER_ERROR: Final = 500
 """Statuses from here on tell of a failure of the upstream."""
 
@@ -45,6 +49,13 @@
     """Signal an instance that states that it did not run the request."""
 
 
+class WithdrawnError(SilentError):
+    """Signal a request that had not begun when its weights were getting too old.
+
+    The engine may have begun it just then.
+    """
+
+
 class ServerFailureError(UpstreamError):
     """Signal an error that the upstream itself answered with."""
 
@@ -169,7 +180,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send, nursery.cancel_scope)
             while trio.current_time() - sent_at < limit_s:
-                await trio.sleep(min(limit_s, SILENT_S))
+                left_s = self._withdraws_at() - trio.current_time()
+                if left_s <= 0:
+                    errors.append(WithdrawnError("not begun in time", sent=True))
+                    break
+                await trio.sleep(min(limit_s, SILENT_S, left_s))
                 if self._is_lost(life, sent_at):
                     break
             nursery.cancel_scope.cancel()
@@ -180,6 +195,14 @@
             raise errors[0]
         raise SilentError("no answer in time", sent=True)
 
+    def _withdraws_at(self) -> float:
+        """Return when to withdraw the request if the engine has not begun it.
+
+        That is looked up again each time: a newer version may have been named since
+        the request was sent.
+        """
+        return self._target.begin_before(self._placement) - WITHDRAW_S
+
     def _patience_s(self) -> float:
         """Return how long to wait for the head of an answer."""
         left_s = max(0.01, self._deadline - trio.current_time())
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -25,6 +25,7 @@
     ForwardJob,
     NotRunError,
     ServerFailureError,
+    WithdrawnError,
 )
 from .forward_caller import StreamCutError
 from .forward_relay import WrongAnswerError
@@ -367,7 +368,7 @@
         health = self._parts.health
         life = placement.instance.life
         outcome = type(exc).__name__.removesuffix("Error").lower()
-        if isinstance(exc, NotRunError):
+        if isinstance(exc, NotRunError | WithdrawnError):
             pass
         elif isinstance(exc, ServerFailureError):
             health.answered_badly(life)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Collection
@@ -90,6 +91,14 @@
         """Return whether an instance may still get new work."""
         return self.parts.state.may_take_work(placement.instance)
 
+    def begin_before(self, placement: Placement) -> float:
+        """Return until when an instance may begin the request, by the router's clock.
+
+        An estimate bounds it where the request is sent, but only the instance decides
+        when it begins.
+        """
+        return math.inf
+
     def terms(self, placement: Placement, left_s: float) -> SendTerms:
         """Return what is said to the instance with one attempt."""
         account = self.account.name if self.account else ""
@@ -232,6 +241,15 @@
         moved = replace(choice, view=view, n_missing=0, fetch_from="", wait_s=0.0)
         return Placement(view.instance, OVERHEAD_S, moved)
 
+    def begin_before(self, placement: Placement) -> float:
+        """Return when the weights that the engine is asked for are too old."""
+        choice, limit_s = placement.choice, self.parts.cfg.weights_limit_s
+        assert choice is not None
+        if math.isinf(limit_s):
+            return math.inf
+        version = choice.view.weights_version
+        return self.parts.state.replaced_at(self.prompt.model, version) + limit_s
+
     @property
     def _can_copy_runs(self) -> bool:
         cfg = self.parts.state.configuration
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -10,7 +10,7 @@
 from corianderlb_core.arrival_budget import BudgetTerms
 from corianderlb_core.engine_pace import PeerWork
 from corianderlb_core.forwarding import ForwardInstance
-from corianderlb_router.object_feed import FeedListing, NamedWeights
+from corianderlb_router.object_feed import FeedChange, FeedChanges, NamedWeights
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
@@ -410,9 +410,10 @@
     """Requests that an engine takes in time and begins late."""
 
     def name_weights(self, router: ForwardRouter, version: int) -> None:
-        """Have the store name a version."""
+        """Have a watch of the store tell of a version."""
         stored = router.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
-        router.state.apply_listing(WEIGHTS, FeedListing((stored,), 20 + version))
+        told = FeedChanges((FeedChange(stored, False),), 20 + version)
+        router.state.apply_changes(WEIGHTS, told)
 
     async def replace_weights(self, router: ForwardRouter) -> float:
         """Name versions 1 and 2 and return when the second one was."""
