Count what was read after a wait from when it was true, not from its reading

A key or a route could be denied in the same way by a configuration that an old answer had confirmed.

Cause: an answer of a watch, a peer's offer and a peer's age had waited in a socket while the router was frozen (or under way on a slow link), and counted from the moment at which they were read.

Change: a reading of the store counts as of the moment up to which it tells all: the start of a list, the end of a watch's own time; of a call during which the process stood still, its start (PauseWatch). Ages of weights are no longer told with offers but asked for, and count from the question. A peer's confirmation that is read just after a pause counts for nothing.

Four new tests fail without this change: ages 1.5 to 2 s too young, and a configuration confirmed by a message that was 6 s old.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -250,9 +250,20 @@
     """By kind: the store's revision of the newest change that it knows of."""
     is_confirmed: bool = False
     """Whether the sender itself has lately read all kinds from the store."""
-    named: tuple[NamedAge, ...] = ()
-    """Weights that were named of late. The store does not date them, so that a router
-    which has just started learns it here."""
+    ask: int = 0
+    """Number under which the sender asks how long ago weights were named; 0 if not."""
+
+
+@dataclass(frozen=True)
+class NamedAges:
+    """Answer how long ago weights were named, as seen after the question came.
+
+    The store does not date them. An age that is told without a question would count
+    from its arrival, and it may have been under way for long.
+    """
+
+    ask: int
+    named: tuple[NamedAge, ...]
 
 
 @dataclass(frozen=True)
@@ -399,6 +410,7 @@
     | CrashReport
     | SuspectCleared
     | StateOffer
+    | NamedAges
     | StateRequest
     | StateObjects
     | EngineNews
@@ -429,6 +441,7 @@
         CrashReport,
         SuspectCleared,
         StateOffer,
+        NamedAges,
         StateRequest,
         StateObjects,
         EngineNews,
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -46,13 +46,14 @@
     changed_at: int = 0
     """The store's revision of the newest change."""
     read_at: float = float("-inf")
-    """Router's clock when the store last answered about this kind."""
+    """Router's clock up to which the store has told all of this kind."""
     confirmed_at: float = float("-inf")
     """The same, or when a peer that reads the store knew of nothing newer."""
 
-    def confirm(self) -> None:
-        """Take note that the store has just spoken of this kind."""
-        self.read_at = self.confirmed_at = trio.current_time()
+    def confirm(self, as_of: float) -> None:
+        """Take note that the store has told all of this kind up to a moment."""
+        self.read_at = max(self.read_at, as_of)
+        self.confirmed_at = max(self.confirmed_at, as_of)
 
 
 class ServingState:
@@ -174,11 +175,16 @@
 
     # What is told.
 
-    def apply_listing(self, kind: str, listing: FeedListing) -> None:
-        """Take a whole list that this router read from the store."""
+    def apply_listing(
+        self, kind: str, listing: FeedListing, as_of: float | None = None
+    ) -> None:
+        """Take a whole list that this router read from the store.
+
+        ``as_of`` is the moment up to which it tells all, now by default.
+        """
         table = self.tables[kind]
         self._unchanged_at = table.read_at
-        table.confirm()
+        table.confirm(trio.current_time() if as_of is None else as_of)
         if listing.revision < table.revision:
             return
         listed = {stored.name: stored for stored in listing.objects}
@@ -192,11 +198,20 @@
             missing = [name for name in missing if self._is_leaving(name)]
         self._apply(table, changed, missing, listing.revision)
 
-    def apply_changes(self, kind: str, told: FeedChanges, in_time: bool = True) -> None:
-        """Take what a watch of this router saw, in time or held back."""
+    def apply_changes(
+        self,
+        kind: str,
+        told: FeedChanges,
+        as_of: float | None = None,
+        in_time: bool = True,
+    ) -> None:
+        """Take what a watch of this router saw, in time or held back.
+
+        ``as_of`` is the moment up to which it tells all, now by default.
+        """
         table = self.tables[kind]
         self._unchanged_at = None if in_time else table.read_at
-        table.confirm()
+        table.confirm(trio.current_time() if as_of is None else as_of)
         changed: dict[str, SharedObject] = {}
         removed: dict[str, None] = {}
         for change in told.changes:
@@ -362,11 +377,10 @@
             naming = Naming(version, at, newest, is_exact=False)
             self._note_naming(model, naming, "engine")
 
-    def hear_named(self, told: Iterable[NamedAge]) -> None:
-        """Take a peer's word on how long ago versions were named."""
-        now = trio.current_time()
+    def hear_named(self, told: Iterable[NamedAge], asked_at: float) -> None:
+        """Take a peer's answer on how long ago versions were named."""
         for word in told:
-            naming = Naming(word.version, now - word.age_ms / 1000, word.after)
+            naming = Naming(word.version, asked_at - word.age_ms / 1000, word.after)
             self._note_naming(word.model, naming, "peer")
 
     def named_ages(self) -> tuple[NamedAge, ...]:
@@ -400,20 +414,19 @@
             )
 
     @property
-    def seeks_ages(self) -> bool:
-        """Whether peers may know better since when older weights are replaced."""
-        if trio.current_time() - self._named_news_at >= SEEK_S:
-            return False
-        return not all(named.is_newest_exact for named in self._named.values())
+    def seeks_ages_for_s(self) -> float | None:
+        """For how long peers may have known better how old replaced weights are.
+
+        None when they cannot, or would have forgotten.
+        """
+        for_s = trio.current_time() - self._named_news_at
+        is_exact = all(named.is_newest_exact for named in self._named.values())
+        return None if is_exact or for_s >= TOLD_FOR_S else for_s
 
 
 TOLD_FOR_S: Final = 60.0
 """How long peers are told when a version was named: several times the longest bound on
 answers from replaced weights."""
 
-SEEK_S: Final = 3.0
-"""How long a router that has not seen a naming asks for its age: some times what it
-takes to be linked to its peers after a start."""
-
 MAX_LEAVING: Final = 4096
 """Lives remembered as leaving; the oldest are long gone."""
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -9,10 +9,11 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import StateObjects, StateOffer, StateRequest
+from corianderlb_core.message import NamedAges, StateObjects, StateOffer, StateRequest
 
 from .interface import PeerNetwork
 from .object_feed import FeedListing, HistoryGoneError, ObjectFeed
+from .pause_watch import PauseWatch
 from .serving_state import ServingState
 from .store import StoreError
 
@@ -32,8 +33,17 @@
 """The same in a large fleet, where some peer's offer comes several times a second."""
 
 SEEK_OFFER_S: Final = 0.15
-"""The same of a router that has to learn since when weights are replaced: until then it
-takes none of them."""
+"""The same of a router that has just come to lack the age of replaced weights: until it
+learns it, it takes none of them."""
+
+SEEK_S: Final = 3.0
+"""How long it asks that often: some times what it takes to be linked after a start."""
+
+MAX_ASKS: Final = 16
+"""Questions for ages that may still be answered."""
+
+STALE_S: Final = 0.5
+"""Time after a pause of this process in which messages may be read that waited."""
 
 GROUP_S: Final = 0.02
 """Time in which further changes join one offer."""
@@ -89,13 +99,19 @@
         self._rng = rng
         self._asked_at: dict[str, float] = {}
         self._behind_since: dict[str, float] = {}
+        self._pauses = PauseWatch()
+        self._asks: dict[int, float] = {}
+        """By number: when the ages of weights were asked for."""
+        self._n_asks = 0
         peers.subscribe(StateOffer, self.on_state_offer)
+        peers.subscribe(NamedAges, self.on_named_ages)
         peers.subscribe(StateRequest, self.on_state_request)
         peers.subscribe(StateObjects, self.on_state_objects)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pauses.run)
             for kind in self._state.kinds:
                 nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._keep_offering)
@@ -128,9 +144,10 @@
                 await trio.sleep(self._pause(n_failed))
 
     async def _list(self, kind: str) -> None:
+        started_at = trio.current_time()
         listing: FeedListing = await self._feed.list(kind)
         self._state.store_answered()
-        self._state.apply_listing(kind, listing)
+        self._state.apply_listing(kind, listing, started_at)
 
     async def _watch(self, kind: str) -> bool:
         """Wait for changes of a kind; return whether there were any."""
@@ -139,11 +156,17 @@
         left_s = self._state.settles_at - trio.current_time()
         if left_s > 0:
             wait_s = max(0.1, min(wait_s, left_s))
-        read_at = table.read_at
+        started_at = trio.current_time()
         told = await self._feed.watch(kind, table.revision, wait_s)
+        now = trio.current_time()
+        was_paused = self._pauses.paused_since(started_at)
+        in_time = not was_paused and now - table.read_at <= wait_s + HELD_BACK_S
+        if told.changes:
+            as_of = now if in_time else started_at
+        else:
+            as_of = started_at if was_paused else min(now, started_at + wait_s)
         self._state.store_answered()
-        in_time = trio.current_time() - read_at <= wait_s + HELD_BACK_S
-        self._state.apply_changes(kind, told, in_time)
+        self._state.apply_changes(kind, told, as_of, in_time)
         return bool(told.changes)
 
     def _watch_s(self) -> float:
@@ -176,24 +199,31 @@
         revisions = tuple((kind, table.changed_at) for kind, table in tables.items())
         read_at = tables[self._state.configuration_kind].read_at
         is_confirmed = trio.current_time() - read_at < CONFIRMED_S
-        return StateOffer(revisions, is_confirmed, self._state.named_ages())
+        return StateOffer(revisions, is_confirmed, self._next_ask())
+
+    def _next_ask(self) -> int:
+        """Return the number of a new question for ages of weights, or 0 for none."""
+        if self._state.seeks_ages_for_s is None:
+            return 0
+        self._n_asks += 1
+        self._asks[self._n_asks] = trio.current_time()
+        self._asks.pop(self._n_asks - MAX_ASKS, None)
+        return self._n_asks
 
     def _offer_s(self) -> float:
-        if self._state.seeks_ages:
+        seeks_for_s = self._state.seeks_ages_for_s
+        if seeks_for_s is not None and seeks_for_s < SEEK_S:
             return SEEK_OFFER_S
         return LONG_OFFER_S if self._is_large_fleet else OFFER_S
 
     async def on_state_offer(self, sender: InstanceId, offer: StateOffer) -> None:
-        """Ask for a peer's newer state while the store is out of reach.
-
-        A peer that lacks the age of weights which this router has is told at once.
-        """
-        self._state.hear_named(offer.named)
-        told = {(word.model, word.version) for word in offer.named}
-        known = self._state.named_ages()
-        if any((word.model, word.version) not in told for word in known):
-            self._peers.send(sender, StateOffer((), named=known))
+        """Ask for a peer's newer state while the store is out of reach."""
         now = trio.current_time()
+        if offer.ask and (named := self._state.named_ages()):
+            self._peers.send(sender, NamedAges(offer.ask, named))
+        is_confirmed = offer.is_confirmed and not self._pauses.paused_since(
+            now - STALE_S
+        )
         wanted = []
         for kind, revision in offer.revisions:
             table = self._state.tables.get(kind)
@@ -201,7 +231,7 @@
                 continue
             if revision <= max(table.changed_at, table.revision):
                 self._behind_since.pop(kind, None)
-                if offer.is_confirmed:
+                if is_confirmed:
                     self._state.confirm(kind)
                 continue
             behind_since = self._behind_since.setdefault(kind, now)
@@ -214,6 +244,12 @@
         if wanted:
             self._peers.send(sender, StateRequest(tuple(wanted)))
 
+    async def on_named_ages(self, sender: InstanceId, told: NamedAges) -> None:
+        """Take a peer's answer on the ages of weights, counted from the question."""
+        asked_at = self._asks.get(told.ask)
+        if asked_at is not None and not self._pauses.paused_since(asked_at):
+            self._state.hear_named(told.named, asked_at)
+
     async def on_state_request(self, sender: InstanceId, req: StateRequest) -> None:
         """Answer with the objects of the kinds asked for."""
         for kind in req.kinds:
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from corianderlb_core.message import SharedObject
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.message import SharedObject, StateOffer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -79,6 +80,8 @@
         self.is_silent = False
         """Whether calls get no answer, as from a store that holds them back."""
         self.n_calls = 0
+        self.held: trio.Event | None = None
+        """Set when answers that were under way may arrive; None to hold none back."""
 
     async def list(self, kind: str) -> FeedListing:
         await self._reach()
@@ -94,7 +97,10 @@
                 await self._store.changed.wait()
             await self._reach()
             return FeedChanges(found, self._store.revision)
-        return FeedChanges((), self._store.revision)
+        told = FeedChanges(self._since(kind, revision), self._store.revision)
+        if self.held is not None:
+            await self.held.wait()
+        return told
 
     def _since(self, kind: str, revision: int) -> tuple[FeedChange, ...]:
         return tuple(
@@ -292,3 +298,69 @@
             replaced_at = state.replaced_at(MODEL, 3)
             self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
             nursery.cancel_scope.cancel()
+
+    async def test_naming_that_is_read_after_a_pause(self) -> None:
+        """Guards against an age that counts from the end of a short freeze."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(6.2)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            self.clock.jump(1.5)
+            await trio.sleep(0.1)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_answer_that_waited_says_nothing_of_now(self) -> None:
+        """Guards against "nothing newer" that is taken for news when it is old."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            router.feed.held = trio.Event()
+            await trio.sleep(4)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(2)
+            self.assertFalse(router.state.is_confirmed(1.5))
+            router.feed.held.set()
+            await trio.sleep(0.1)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_age_that_was_under_way_for_long(self) -> None:
+        """Guards against a peer's word that makes weights younger by its delay."""
+        async with trio.open_nursery() as nursery:
+            self.start(nursery, 2)
+            self.name_weights(3)
+            await trio.sleep(5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(3)
+            self.hub.delay_s = 2
+            router = self.start_router(nursery, "r1")
+            await trio.sleep(6)
+            replaced_at = router.state.replaced_at(MODEL, 3)
+            self.assertLessEqual(replaced_at, named_at + 0.1)
+            self.assertGreater(replaced_at, named_at - 5)
+            nursery.cancel_scope.cancel()
+
+    async def test_confirmation_that_is_read_after_a_pause(self) -> None:
+        """Guards against denials by a configuration that an old word confirmed."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            routers[1].feed.is_away = True
+            await trio.sleep(2)
+            offer = StateOffer(
+                ((CONFIGURATION, routers[0].state.tables[CONFIGURATION].changed_at),),
+                is_confirmed=True,
+            )
+            self.hub.cut.add("r1")
+            self.clock.jump(6)
+            await routers[1].follower.on_state_offer(InstanceId("r0"), offer)
+            self.assertFalse(routers[1].state.is_confirmed(4.0))
+            nursery.cancel_scope.cancel()
