Judge by the last second, not by the whole watch, whether the process stood still

What is read by a process that has run for the last second cannot have waited longer; a stall counts from 0.3 s, which is less than the half second by which requests are withdrawn before the bound. Large fleets watch for 12 s, and stall somewhere in them when busy.

--- a/packages/corianderlb-router/src/corianderlb_router/pause_watch.py
+++ b/packages/corianderlb-router/src/corianderlb_router/pause_watch.py
@@ -1,7 +1,7 @@
 """Notice that this process stood still, as one on a suspended machine does.
 
-What arrived meanwhile is read only afterwards and looks as if it had just been said. A
-call that was under way tells nothing about how long its answer had been waiting.
+On waking it reads what arrived meanwhile, however long ago, and its clock has gone on.
+What it reads then must not be dated by when it was read.
 """
 
 from __future__ import annotations
@@ -10,34 +10,57 @@
 
 import trio
 
-TICK_S: Final = 0.25
-"""Time between two looks."""
+TICK_S: Final = 0.1
+"""Time between two looks at the clock."""
 
-LATE_S: Final = 0.5
-"""How late a look may come on a busy machine until the process counts as paused."""
+PAUSE_S: Final = 0.3
+"""Time between two looks from which the process counts as having stood still."""
+
+SETTLE_S: Final = 1.0
+"""How long after a pause what is read may have been waiting: the answers that came, and
+those to the calls that follow."""
 
 
 class PauseWatch:
-    """Remember when this process last stood still."""
+    """Hold when this process last stood still; ``run`` looks at the clock."""
 
     def __init__(self) -> None:
-        self._looked_at = float("inf")
-        self._resumed_at = float("-inf")
+        self._ran_at: float | None = None
+        """When the process was last seen to run; None while nobody looks."""
+        self._paused_at = float("-inf")
+        self._woke_at = float("-inf")
 
     async def run(self) -> None:
-        """Look until cancelled."""
+        """Look at the clock until cancelled."""
+        self._ran_at = trio.current_time()
         while True:
-            self._look()
             await trio.sleep(TICK_S)
+            self._look()
+
+    def arrived_after(self) -> float:
+        """Return the moment before which nothing that is read now had been waiting.
+
+        That is now, unless the process has just stood still.
+        """
+        return self._paused_at if self.has_just_woken else trio.current_time()
+
+    @property
+    def has_just_woken(self) -> bool:
+        """Whether what is read now may have waited for this process."""
+        return self.has_woken_since(trio.current_time() - SETTLE_S)
 
-    def paused_since(self, moment: float) -> bool:
-        """Return whether the process stood still at any time since a moment."""
+    def has_woken_since(self, moment: float) -> bool:
+        """Return whether a pause of this process ended after a moment."""
         # Of the tasks that go on after a pause the one that looks need not be first.
         self._look()
-        return self._resumed_at >= moment
+        return self._woke_at > moment
 
     def _look(self) -> None:
+        if self._ran_at is None:
+            return
         now = trio.current_time()
-        if now - self._looked_at > TICK_S + LATE_S:
-            self._resumed_at = now
-        self._looked_at = now
+        if now - self._ran_at >= PAUSE_S:
+            if self._ran_at - self._woke_at >= SETTLE_S:
+                self._paused_at = self._ran_at
+            self._woke_at = now
+        self._ran_at = now
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -42,9 +42,6 @@
 MAX_ASKS: Final = 16
 """Questions for ages that may still be answered."""
 
-STALE_S: Final = 0.5
-"""Time after a pause of this process in which messages may be read that waited."""
-
 GROUP_S: Final = 0.02
 """Time in which further changes join one offer."""
 
@@ -159,12 +156,13 @@
         started_at = trio.current_time()
         told = await self._feed.watch(kind, table.revision, wait_s)
         now = trio.current_time()
-        was_paused = self._pauses.paused_since(started_at)
-        in_time = not was_paused and now - table.read_at <= wait_s + HELD_BACK_S
+        has_woken = self._pauses.has_just_woken
+        in_time = not has_woken and now - table.read_at <= wait_s + HELD_BACK_S
         if told.changes:
             as_of = now if in_time else started_at
         else:
-            as_of = started_at if was_paused else min(now, started_at + wait_s)
+            ended_at = min(started_at + wait_s, self._pauses.arrived_after())
+            as_of = max(started_at, ended_at)
         self._state.store_answered()
         self._state.apply_changes(kind, told, as_of, in_time)
         return bool(told.changes)
@@ -221,9 +219,7 @@
         now = trio.current_time()
         if offer.ask and (named := self._state.named_ages()):
             self._peers.send(sender, NamedAges(offer.ask, named))
-        is_confirmed = offer.is_confirmed and not self._pauses.paused_since(
-            now - STALE_S
-        )
+        is_confirmed = offer.is_confirmed and not self._pauses.has_just_woken
         wanted = []
         for kind, revision in offer.revisions:
             table = self._state.tables.get(kind)
@@ -247,7 +243,7 @@
     async def on_named_ages(self, sender: InstanceId, told: NamedAges) -> None:
         """Take a peer's answer on the ages of weights, counted from the question."""
         asked_at = self._asks.get(told.ask)
-        if asked_at is not None and not self._pauses.paused_since(asked_at):
+        if asked_at is not None and not self._pauses.has_woken_since(asked_at):
             self._state.hear_named(told.named, asked_at)
 
     async def on_state_request(self, sender: InstanceId, req: StateRequest) -> None:
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -4,11 +4,12 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import SharedObject, StateOffer
+from corianderlb_core.message import NamedAges, SharedObject, StateOffer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -82,6 +83,8 @@
         self.n_calls = 0
         self.held: trio.Event | None = None
         """Set when answers that were under way may arrive; None to hold none back."""
+        self.on_its_way: Callable[[], None] | None = None
+        """Called once while word that no weights were named is on its way."""
 
     async def list(self, kind: str) -> FeedListing:
         await self._reach()
@@ -100,6 +103,9 @@
         told = FeedChanges(self._since(kind, revision), self._store.revision)
         if self.held is not None:
             await self.held.wait()
+        if kind == WEIGHTS and self.on_its_way is not None:
+            happen, self.on_its_way = self.on_its_way, None
+            happen()
         return told
 
     def _since(self, kind: str, revision: int) -> tuple[FeedChange, ...]:
@@ -364,3 +370,73 @@
             await routers[1].follower.on_state_offer(InstanceId("r0"), offer)
             self.assertFalse(routers[1].state.is_confirmed(4.0))
             nursery.cancel_scope.cancel()
+
+    async def test_weights_named_while_all_routers_stand_still(self) -> None:
+        """Guards against an age that counts from the end of a freeze of all routers."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            self.name_weights(3)
+            await trio.sleep(6.5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            self.clock.jump(2.2)
+            await trio.sleep(3)
+            for router in routers:
+                self.assertEqual(router.state.newest_weights(MODEL), 4)
+                self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_weights_named_after_an_answer_that_a_freeze_held_up(self) -> None:
+        """Guards against the same where a watch without news ended in the freeze."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(1)
+            named_at: list[float] = []
+
+            def freeze() -> None:
+                self.clock.jump(0.5)
+                self.name_weights(4)
+                named_at.append(trio.current_time())
+                self.clock.jump(1.2)
+
+            router.feed.on_its_way = freeze
+            await trio.sleep(6)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at[0])
+            nursery.cancel_scope.cancel()
+
+    async def test_age_that_waited_for_a_frozen_router(self) -> None:
+        """Guards against a peer's word that counts from the end of a freeze."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            routers[1].feed.is_silent = True
+            await trio.sleep(4)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(0.005)
+            told = routers[0].state.named_ages()
+            self.assertEqual([word.version for word in told], [3, 4])
+            self.clock.jump(2.0)
+            await routers[1].follower.on_named_ages("r0", NamedAges(1, told))
+            replaced_at = routers[1].state.replaced_at(MODEL, 3)
+            self.assertFalse(named_at + 0.1 < replaced_at < math.inf)
+            nursery.cancel_scope.cancel()
+
+    async def test_stall_before_a_naming_that_is_seen(self) -> None:
+        """Guards against old weights that nobody may use after a stall of routers."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(6.2)
+            self.clock.jump(0.5)
+            await trio.sleep(1.5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(0.1)
+            replaced_at = router.state.replaced_at(MODEL, 3)
+            self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
+            nursery.cancel_scope.cancel()
