Date a naming read after a pause by the beginning of the pause

Where the watch was in time until the process stood still, the naming came after that. Dated by the watch before, up to 3 s earlier (12 s in a large fleet), engines with older weights would be left out for so much too long.

--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -203,14 +203,16 @@
         kind: str,
         told: FeedChanges,
         as_of: float | None = None,
-        in_time: bool = True,
+        unchanged_at: float | None = None,
     ) -> None:
-        """Take what a watch of this router saw, in time or held back.
+        """Take what a watch of this router saw.
 
-        ``as_of`` is the moment up to which it tells all, now by default.
+        ``as_of`` is the moment up to which it tells all, now by default;
+        ``unchanged_at`` one at which nothing of it had happened yet, None when it has
+        only just happened.
         """
         table = self.tables[kind]
-        self._unchanged_at = None if in_time else table.read_at
+        self._unchanged_at = unchanged_at
         table.confirm(trio.current_time() if as_of is None else as_of)
         changed: dict[str, SharedObject] = {}
         removed: dict[str, None] = {}
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -155,16 +155,15 @@
             wait_s = max(0.1, min(wait_s, left_s))
         started_at = trio.current_time()
         told = await self._feed.watch(kind, table.revision, wait_s)
-        now = trio.current_time()
-        has_woken = self._pauses.has_just_woken
-        in_time = not has_woken and now - table.read_at <= wait_s + HELD_BACK_S
-        if told.changes:
-            as_of = now if in_time else started_at
-        else:
-            ended_at = min(started_at + wait_s, self._pauses.arrived_after())
-            as_of = max(started_at, ended_at)
+        arrived_at = self._pauses.arrived_after()
+        is_held_back = arrived_at - table.read_at > wait_s + HELD_BACK_S
+        unchanged_at = table.read_at if is_held_back else arrived_at
+        in_time = not (is_held_back or self._pauses.has_just_woken)
+        as_of = unchanged_at if told.changes else min(started_at + wait_s, arrived_at)
         self._state.store_answered()
-        self._state.apply_changes(kind, told, as_of, in_time)
+        self._state.apply_changes(
+            kind, told, max(started_at, as_of), None if in_time else unchanged_at
+        )
         return bool(told.changes)
 
     def _watch_s(self) -> float:
