Keep the wait for earlier orders when a holder starts again or takes its lease again

Seen by engines that check no fencing tokens: orders of two routers closer together than the platform allows, once the holder in between had started again or had lost and retaken its own lease. On the test clock 0.1 s (restarted holder hands over at once), 1.18 s (restarted while it waits for another's orders) and 1.2 s (lease lost and taken again while it waits), where 3.0 s is the least.

Cause: a router that finds its own lease in the store counted it as settled from that moment. The end of the wait, and the time of the last order that a handover tells the heir, were known to the process alone; a new life of it began with "no order for flight_s".

Change: the record says whether its holder still waits for earlier orders, until the first renewal after that. A new life that finds it so waits flight_s from its own taking; the same process keeps the time it knew. What is handed on counts an earlier life's orders up to the taking. Holders of settled leases still go on at once.

The three new tests of test_lease_duty failed before with the figures above, and pass now; test_orders, test_weights_keeper and the lease tests pass.

--- a/packages/corianderlb-core/src/corianderlb_core/lease.py
+++ b/packages/corianderlb-core/src/corianderlb_core/lease.py
@@ -47,6 +47,9 @@
     """The order that is being given; written before its first byte is sent."""
     done: tuple[OrderOutcome, ...] = ()
     """The last orders, oldest first."""
+    is_settling: bool = False
+    """Whether orders of an earlier holder may still arrive. The holder may start again
+    and forget that it waits for them."""
 
     def taken_by(self, holder: InstanceId, epoch: int, least_token: int) -> LeaseRecord:
         """Return the record after a change of holder."""
@@ -97,6 +100,6 @@
         """Return when the holder must have stopped, if nothing newer is seen."""
         return self.first_seen + terms.lease_s + terms.margin_s
 
-    def settles_at(self, terms: OrderSettings) -> float:
-        """Return when the holder's last order must have arrived."""
-        return self.first_seen + terms.lease_s - terms.send_s + terms.flight_s
+    def sends_until(self, terms: OrderSettings) -> float:
+        """Return when the holder must have begun to send its last order."""
+        return self.first_seen + terms.lease_s - terms.send_s
--- a/packages/corianderlb-router/src/corianderlb_router/lease_duty.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_duty.py
@@ -137,8 +137,7 @@
 
         A router that has not acted yet still waits for orders of another.
         """
-        last_at = self._lease.settled_at - self._lease.terms.flight_s
-        return trio.current_time() - max(self._acted_at, last_at)
+        return trio.current_time() - max(self._acted_at, self._lease.others_until)
 
     def lose(self) -> None:
         """Stop acting: another holder is newer."""
--- a/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import Final
 
@@ -64,6 +65,9 @@
         self._version: str | None = None
         self._valid_until = float("-inf")
         self._settled_at = 0.0
+        self._others_until = float("-inf")
+        self._own_token = 0
+        """Token under which this process itself last held the lease."""
 
     @property
     def state(self) -> str:
@@ -116,15 +120,27 @@
         if stored is not None and not self._is_free(stored, now):
             self._move("see_other")
             return False
-        lapsed = stored is not None and self._record.holder != NOBODY
-        was_mine = self._record.is_of(self._router, self._epoch)
-        await self._take(stored, least_token)
-        # An earlier life's orders were this router's too; their count keeps a late one
-        # from doing anything.
-        waits = lapsed and must_settle and not was_mine
-        self._begin(self._watch.settles_at(self.terms) if waits else now)
+        others_until = self._last_order_before(now)
+        settled_at = others_until + self.terms.flight_s if must_settle else now
+        if self._record.is_of(self._router, self._epoch):
+            # An earlier life's orders were this router's too; their count keeps a late
+            # one from doing anything.
+            waits = self._record.is_settling
+            settled_at = max(now, settled_at) if waits else now
+        await self._take(stored, least_token, settled_at)
+        self._begin(settled_at, others_until)
         return self.may_act()
 
+    def _last_order_before(self, now: float) -> float:
+        """Return until when the record just read let others begin to send orders."""
+        record = self._record
+        if record.holder == NOBODY:
+            return now - self.terms.flight_s
+        if not record.is_of(self._router, self._epoch):
+            return self._watch.sends_until(self.terms)
+        # What an earlier life of this router did is not known here.
+        return self._others_until if record.token == self._own_token else now
+
     async def take_over(self, token: int, settled_at: float) -> bool:
         """Take the lease from a holder that said it has stopped; return ``may_act``.
 
@@ -134,16 +150,18 @@
         stored = await self._read()
         if stored is None or self._record.token != token:
             return False
-        await self._take(stored, token + 1)
-        self._begin(settled_at)
+        await self._take(stored, token + 1, settled_at)
+        self._begin(settled_at, settled_at - self.terms.flight_s)
         return self.may_act()
 
-    def _begin(self, settled_at: float) -> None:
+    def _begin(self, settled_at: float, others_until: float) -> None:
         """Hold the lease, and act from a moment on."""
         self._move("see_other")
         waits = settled_at > trio.current_time()
         self._move("take_lapsed" if waits else "take_free")
         self._settled_at = settled_at
+        self._others_until = others_until
+        self._own_token = self._record.token
 
     @property
     def is_mine(self) -> bool:
@@ -157,9 +175,9 @@
         return self.is_mine and left_s < self.terms.lease_s * 2 / 3 - OVERDUE_S
 
     @property
-    def settled_at(self) -> float:
-        """When the last order of an earlier holder must have arrived."""
-        return self._settled_at
+    def others_until(self) -> float:
+        """When another holder, or an earlier life of this one, last can have sent."""
+        return self._others_until
 
     @property
     def lapses_at(self) -> float:
@@ -215,8 +233,12 @@
         self._watch.see(stored.version, now)
         return now >= self._watch.lapses_at(self.terms)
 
-    async def _take(self, stored: StoredObject | None, least_token: int) -> None:
+    async def _take(
+        self, stored: StoredObject | None, least_token: int, settled_at: float
+    ) -> None:
         record = self._record.taken_by(self._router, self._epoch, least_token)
+        is_settling = settled_at > trio.current_time()
+        record = dataclasses.replace(record, is_settling=is_settling)
         data = to_cbor(record)
         started_at = trio.current_time()
         try:
@@ -231,6 +253,8 @@
     async def _write(self, change: Callable[[LeaseRecord], LeaseRecord]) -> None:
         """Replace the record; the lease lasts from before the write on."""
         record = change(self._record)
+        if record.is_settling and trio.current_time() >= self._settled_at:
+            record = dataclasses.replace(record, is_settling=False)
         started_at = trio.current_time()
         assert self._version is not None
         try:
--- a/packages/corianderlb-router/tests/test_lease_duty.py
+++ b/packages/corianderlb-router/tests/test_lease_duty.py
@@ -26,7 +26,7 @@
 
     def __init__(self, shared: FakeStore) -> None:
         super().__init__()
-        self._shared = shared
+        self.shared = shared
         self.is_cut = False
         self.was_cut_at = -100.0
         """When a call last went unanswered."""
@@ -34,15 +34,15 @@
 
     async def get(self, key: str) -> StoredObject | None:
         await self._pass()
-        return await self._shared.get(key)
+        return await self.shared.get(key)
 
     async def create(self, key: str, value: bytes) -> str:
         await self._pass()
-        return await self._shared.create(key, value)
+        return await self.shared.create(key, value)
 
     async def update(self, key: str, value: bytes, version: str) -> str:
         await self._pass()
-        return await self._shared.update(key, value, version)
+        return await self.shared.update(key, value, version)
 
     async def _pass(self) -> None:
         self.n_calls += 1
@@ -60,9 +60,10 @@
         self.store = CutStore(shared)
         self.scope = trio.CancelScope()
         self.orders: list[float] = []
-        lease = LeaseHolder(self.store, "weights", InstanceId(name), 0, TERMS)
+        self.gives_orders = True
+        self.lease = LeaseHolder(self.store, "weights", InstanceId(name), 0, TERMS)
         self.duty = LeaseDuty(
-            lease,
+            self.lease,
             name,
             hub.join(name),
             random.Random(name),
@@ -77,7 +78,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.duty.run)
                 while True:
-                    if self.duty.may_act():
+                    if self.gives_orders and self.duty.may_act():
                         self.duty.acted()
                         self.orders.append(trio.current_time())
                     await trio.sleep(0.1)
@@ -214,6 +215,69 @@
                 self.assertGreaterEqual(acted_at - first.orders[-1], TURN_S)
                 nursery.cancel_scope.cancel()
 
+    def restart(self, nursery: trio.Nursery, router: Router) -> Router:
+        """Start a new life of a router on the same machine, which knows nothing."""
+        router.scope.cancel()
+        reborn = Router(router.name, self.hub, router.store.shared)
+        self.routers[self.routers.index(router)] = reborn
+        nursery.start_soon(reborn.run)
+        return reborn
+
+    async def settling_after_lost_holder(
+        self, nursery: trio.Nursery
+    ) -> tuple[Router, Router]:
+        """Return a holder that was lost and the router that waits for its orders."""
+        self.start(nursery)
+        await trio.sleep(6)
+        first = self.holder()
+        first.store.is_cut = True
+        self.hub.cut.add(first.name)
+        others = [r for r in self.routers if r is not first]
+        while not any(r.duty.is_settling for r in others):
+            await trio.sleep(0.02)
+        (second,) = (r for r in others if r.duty.is_settling)
+        return first, second
+
+    async def test_restarted_holder_hands_over_the_time_of_its_earlier_orders(
+        self,
+    ) -> None:
+        """Guard against a restart that makes the last order look long ago."""
+        async with trio.open_nursery() as nursery:
+            self.start(nursery)
+            await trio.sleep(6)
+            first = self.holder()
+            reborn = self.restart(nursery, first)
+            reborn.gives_orders = False
+            while not reborn.duty.token:
+                await trio.sleep(0.02)
+            await reborn.duty.release()
+            self.hub.dead.add(reborn.name)
+            await self.successor_of(first)
+            nursery.cancel_scope.cancel()
+
+    async def test_restart_of_a_holder_that_still_waits_for_earlier_orders(
+        self,
+    ) -> None:
+        """Guard against a restart that ends the wait for another holder's orders."""
+        async with trio.open_nursery() as nursery:
+            first, second = await self.settling_after_lost_holder(nursery)
+            reborn = self.restart(nursery, second)
+            while not reborn.orders:
+                await trio.sleep(0.02)
+            self.assertFalse(second.orders)
+            self.assertGreaterEqual(reborn.orders[0] - first.orders[-1], TURN_S)
+            nursery.cancel_scope.cancel()
+
+    async def test_lease_that_lapses_while_earlier_orders_are_waited_for(self) -> None:
+        """Guard against a lease taken again that ends the wait for earlier orders."""
+        async with trio.open_nursery() as nursery:
+            first, second = await self.settling_after_lost_holder(nursery)
+            second.duty.lose()
+            while not second.orders:
+                await trio.sleep(0.02)
+            self.assertGreaterEqual(second.orders[0] - first.orders[-1], TURN_S)
+            nursery.cancel_scope.cancel()
+
     async def test_standbys_that_hear_renewals_leave_the_store_alone(self) -> None:
         # Each look is a call to the store, which is paid by the call.
         async with trio.open_nursery() as nursery:
