Count repeats that an earlier life or a lost router may have spent

Seen by upstreams: more arrivals beyond the first of each request than the fleet's allowance for a window, when routers start again or are lost in it. In the model of the tests (fixed part 50, four routers that spend all they have): 200 repeats in one window once all have started again, and 70 once three of four are lost.

Cause: the window of repeats lives in the process, and begins empty at a start; the fixed part is divided by the routers known at the moment, one right after a start and fewer after a loss, while the allowance is a sum over the window and over all that were live in it.

Change: for a window after its start a router gets of the fixed part only what all leave as a margin; the part is divided by the most routers that were live within the window, and at first by those that the settings name. A router without requests for an upstream notes no counts, so one that was idle for a whole window while others were lost still divides by too few.

Ruled out: no fixed part at all after a start.

--- a/packages/corianderlb-core/tests/test_forwarding.py
+++ b/packages/corianderlb-core/tests/test_forwarding.py
@@ -91,16 +91,46 @@
         terms = BudgetTerms(ratio=0.2, fixed=50.0, window_s=10.0)
         n_routers, n_requests, n_repeats = 4, 0, 0
         for router in range(n_routers):
-            budget = ArrivalBudget(terms)
+            budget = ArrivalBudget(terms, started_at=-60.0)
             for n in range(100 * router):
-                budget.record_request(n * 0.01)
+                budget.record_request(n * 0.01, n_routers)
                 n_requests += 1
-            n_repeats += sum(budget.take(5.0, n_routers) for _ in range(1000))
+            n_repeats += self.spend(budget, 5.0, n_routers)
         self.assertLessEqual(n_repeats, 0.2 * n_requests + 50)
         self.assertGreater(n_repeats, 0.7 * (0.2 * n_requests + 50))
 
+    @staticmethod
+    def spend(budget: ArrivalBudget, now: float, n_routers: int) -> int:
+        """Take all there is; return how many repeats that were."""
+        return sum(budget.take(now, n_routers) for _ in range(1000))
+
+    def test_routers_that_start_again_have_spent_their_part(self) -> None:
+        """Guard against a fixed part that is spent once by each life of a router."""
+        terms = BudgetTerms(ratio=0.2, fixed=50.0, window_s=10.0)
+        n_repeats = 0
+        for _ in range(4):
+            n_repeats += self.spend(ArrivalBudget(terms, started_at=-60.0), 0.0, 4)
+            # Right after its start a router has heard of no other.
+            reborn = ArrivalBudget(terms, started_at=2.0, n_routers=4)
+            n_repeats += self.spend(reborn, 3.0, 1) + self.spend(reborn, 9.0, 4)
+        self.assertLessEqual(n_repeats, 50)
+        reborn = ArrivalBudget(terms, started_at=2.0, n_routers=4)
+        self.assertGreater(self.spend(reborn, 3.0, 4), 0)
+        self.assertEqual(self.spend(reborn, 13.1, 4), 10)
+
+    def test_part_of_routers_that_were_lost_stays_spent(self) -> None:
+        """Guard against survivors that spend again what lost routers have spent."""
+        terms = BudgetTerms(ratio=0.2, fixed=50.0, window_s=10.0)
+        budgets = [ArrivalBudget(terms, started_at=-60.0) for _ in range(4)]
+        n_repeats = sum(self.spend(budget, 0.0, 4) for budget in budgets[:3])
+        budgets[3].record_request(0.0, 4)
+        n_repeats += self.spend(budgets[3], 4.0, 1)
+        self.assertLessEqual(n_repeats, 50)
+        self.assertEqual(self.spend(budgets[3], 14.1, 1), 40)
+
     def test_window_moves_on(self) -> None:
-        budget = ArrivalBudget(BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0))
+        terms = BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0)
+        budget = ArrivalBudget(terms, started_at=-60.0)
         self.assertTrue(budget.take(0.0, 1))
         self.assertFalse(budget.take(5.0, 1))
         self.assertTrue(budget.take(10.1, 1))
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -120,7 +120,8 @@
         if refusal is not None:
             raise RequestRefusedError(refusal)
         upstream = pick_upstream(route, self._parts.rng)
-        self._parts.budget(upstream).record_request(trio.current_time())
+        budget = self._parts.budget(upstream)
+        budget.record_request(trio.current_time(), self._parts.n_routers)
         target = self._target(req, route, account, upstream)
         left_s = min(route.timeout_s, req.deadline_s)
         deadline = caller.arrived_at + left_s - DEADLINE_GRACE_S
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import signal
 import time
@@ -148,6 +149,7 @@
             peers=self._peers,
             metrics=ForwardMetrics(),
             rng=self._rng,
+            n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             copier=ports.copier,
         )
         self._watch_gauges()
@@ -160,6 +162,7 @@
     async def run(self) -> None:
         """Serve until told to end; return once nothing is left to finish."""
         eliot.log_message(message_type="router:start", listen=self._cfg.listen.front)
+        self._parts = dataclasses.replace(self._parts, started_at=trio.current_time())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._log.run)
             nursery.start_soon(self._take_signals)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -57,6 +57,10 @@
     peers: PeerNetwork
     metrics: ForwardMetrics
     rng: random.Random
+    started_at: float = -math.inf
+    """Router's clock when this process started."""
+    n_routers_at_start: int = 1
+    """Routers that there may be, before any was heard of."""
     copier: MemoryCopier | None = None
     """Copies runs between engines; None where engines cannot."""
     services: dict[Life, ServiceLoad] = field(default_factory=dict)
@@ -74,7 +78,10 @@
         """Return the budget of repeats of an upstream."""
         found = self.budgets.get(upstream)
         if found is None:
-            found = self.budgets[upstream] = ArrivalBudget(self.cfg.budget)
+            found = ArrivalBudget(
+                self.cfg.budget, self.started_at, self.n_routers_at_start
+            )
+            self.budgets[upstream] = found
         return found
 
     def back_in(
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -343,6 +343,12 @@
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
         return copier
 
+    def begin_life(self) -> None:
+        """Take this moment for the start of the router's process."""
+        now = trio.current_time()
+        self.parts = dataclasses.replace(self.parts, started_at=now)
+        self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
+
     def configure(self, cfg: ForwardConfiguration) -> None:
         """Put a configuration in force."""
         stored = self.decoder.put(cfg, "main", cfg.revision)
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -83,6 +83,19 @@
             self.assertLessEqual(len(bad.requests), 60)
             self.assertGreater(len(bad.requests), 52)
 
+    async def test_router_that_has_just_started_sends_little_again(self) -> None:
+        """Guard against repeats that an earlier life of the router has spent."""
+        bad = Upstream([an_answer(b"bad", 500)])
+        async with a_router(BudgetTerms(ratio=0.0, fixed=12.0), s1=bad) as router:
+            router.begin_life()
+            for n in range(10):
+                await router.ask("/read/7", x_id=f"q{n}")
+            self.assertEqual(len(bad.requests), 12)
+            await trio.sleep(10.1)
+            for n in range(10):
+                await router.ask("/read/7", x_id=f"r{n}")
+            self.assertEqual(len(bad.requests), 12 + 19)
+
     async def test_half_an_answer_is_no_answer(self) -> None:
         # The service breaks off inside the body. The caller must not take the half for
         # the whole.
