--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -111,8 +111,15 @@
 class Router:
     """Hold one router's state, feed and follower."""
 
-    def __init__(self, name: str, store: MemoryStore, hub: FakeHub, decoder) -> None:
-        self.feed = MemoryFeed(store)
+    def __init__(
+        self,
+        name: str,
+        store: MemoryStore,
+        hub: FakeHub,
+        decoder: TableDecoder,
+        feed: type[MemoryFeed] = MemoryFeed,
+    ) -> None:
+        self.feed = feed(store)
         self.state: ServingState = a_state(decoder)
         rng = random.Random(1)
         self.follower = StateFollower(self.feed, self.state, hub.join(name), rng)
