Count an engine's patience with its runs over all holders of the orders

Cause: the new holder takes the phase of an engine from the words of the one before, and begins its time anew.

Change: every router notes since when an engine has been wanted for its phase, by the first word of it; a new holder goes on from there.

test_patience_with_runs_counts_over_all_holders failed before with 16.25 s where 11 s is the most, and passes now.

--- a/packages/corianderlb-router/src/corianderlb_router/weights_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_board.py
@@ -44,11 +44,18 @@
 """Phases in which runs leave an engine."""
 
 
+def goes_on(before: EnginePhase, phase: EnginePhase) -> bool:
+    """Return whether the time of one phase counts for the next."""
+    return before in LEAVE_PHASES and phase in LEAVE_PHASES
+
+
 @dataclass
 class _Engine:
     versions: dict[str, int] = field(default_factory=dict)
     phase: EnginePhase = EnginePhase.SERVING
     phase_until: float = -math.inf
+    since: float = -math.inf
+    """When it was first wanted for that; clearing goes on from emptying."""
     changed: trio.Event = field(default_factory=trio.Event)
     """Set, and replaced, when the phase changes."""
 
@@ -88,13 +95,21 @@
             return EnginePhase.SERVING
         return engine.phase
 
+    def phase_since(self, instance: ForwardInstance) -> float:
+        """Return when an engine was first wanted for what it is wanted for now."""
+        return self._engine(instance).since
+
     def set_phase(self, instance: ForwardInstance, phase: EnginePhase) -> None:
         """Take note of what an engine is wanted for from now on."""
         engine = self._engine(instance)
+        now = trio.current_time()
         # A word that has lapsed and comes again is news to those who wait for it.
-        is_news = phase is not self.phase(instance)
+        before = self.phase(instance)
+        is_news = phase is not before
+        if is_news and not goes_on(before, phase):
+            engine.since = now
         lasts_s = LOADING_S if phase is EnginePhase.LOADING else EMPTYING_S
-        engine.phase_until = trio.current_time() + lasts_s
+        engine.phase_until = now + lasts_s
         engine.phase = phase
         if not is_news:
             return
--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -21,7 +21,7 @@
 from .engine_orders import EngineOrders
 from .lease_duty import LeaseDuty
 from .serving_state import ServingState
-from .weights_board import LEAVE_PHASES
+from .weights_board import LEAVE_PHASES, goes_on
 from .weights_load import OrderedEngine, WeightsLoader
 
 TICK_S: Final = 0.05
@@ -50,8 +50,7 @@
 
     def begin(self, phase: EnginePhase, now: float) -> None:
         """Take note of what it is wanted for from now on."""
-        goes_on = self.phase in LEAVE_PHASES and phase in LEAVE_PHASES
-        if not goes_on:
+        if not goes_on(self.phase, phase):
             self.since = now
         self.phase = phase
         self.told_at = -math.inf
@@ -212,5 +211,5 @@
             engine = self._engines[instance.life] = _Engine()
             phase = self._board.weights.phase(instance)
             if phase is not EnginePhase.LOADING:
-                engine.begin(phase, trio.current_time())
+                engine.begin(phase, self._board.weights.phase_since(instance))
         return engine
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -11,7 +11,7 @@
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import WeightsNews, WeightsWord
 from corianderlb_core.settings import OrderSettings
-from corianderlb_core.weights_roll import EnginePhase
+from corianderlb_core.weights_roll import PATIENCE_S, EnginePhase
 from corianderlb_router.engine_board import EngineBoard
 from corianderlb_router.engine_orders import (
     EngineOrders,
@@ -140,6 +140,12 @@
         )
         self.state.apply_listing(INSTANCES, FeedListing(listed, 20))
 
+    def begin_run(self, name: str) -> None:
+        """Have an engine run a request of this router that does not end."""
+        view = self.board.view(self.state.instance(name), MODEL)
+        view.pace.sent("run", 100, trio.current_time(), 100)
+        view.pace.first_token("run", trio.current_time())
+
     def name_weights(self, version: int) -> None:
         """Have the store name a version."""
         stored = self.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
@@ -257,6 +263,27 @@
             self.assertTrue(other.keeper.is_holder)
             nursery.cancel_scope.cancel()
 
+    async def test_patience_with_runs_counts_over_all_holders(self) -> None:
+        """Guard against each new holder that waits for an engine's runs anew."""
+        async with trio.open_nursery() as nursery:
+            keepers = self.start(nursery, n_routers=3, n_engines=2)
+            await trio.sleep(6)
+            for keeper in keepers:
+                nursery.start_soon(keeper.board.weights.run)
+                keeper.begin_run("e1")
+                keeper.name_weights(2)
+            named_at = trio.current_time()
+            for _ in range(2):
+                await trio.sleep(PATIENCE_S / 2)
+                self.assertFalse(self.engines.n_orders["e1"])
+                holder = next(k for k in keepers if k.keeper.is_holder)
+                await holder.keeper.release()
+                self.hub.dead.add(f"r{keepers.index(holder)}")
+            while not self.engines.n_orders["e1"]:
+                await trio.sleep(0.05)
+            self.assertLess(trio.current_time() - named_at, PATIENCE_S + 3.0)
+            nursery.cancel_scope.cancel()
+
     async def test_standbys_of_a_large_fleet_look_no_more_often(self) -> None:
         # Thirty routers wait for the lease while engines have weights that were
         # replaced. Each look is a call to the store, which is paid by the call.
