Drop what is known of engines from an earlier holding of the lease

Seen: a router that holds the orders again orders an engine with runs to load at once, without emptying it: the engine refuses requests until its runs have ended, while their memory could have been moved or the runs ended in peace.

Cause: the holder's table of engines outlives the lease. An engine that it was emptying when it lost the lease counts as being emptied ever since; so its patience is over when the router takes the lease again, whatever was loaded in between.

Change: the table is begun anew under each fencing token, but for loads that this router still follows.

--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -73,6 +73,8 @@
         self._board = board
         self._loader = WeightsLoader(duty, node, state, board, orders)
         self._engines: dict[tuple[str, int], _Engine] = {}
+        self._token = 0
+        """Fencing token under which they were looked at."""
 
     @property
     def is_holder(self) -> bool:
@@ -198,10 +200,17 @@
             engine.begin(EnginePhase.SERVING, trio.current_time())
 
     def _forget_ended(self) -> None:
-        """Drop what was known of lives that are listed no more."""
+        """Drop what was known of lives that are listed no more.
+
+        What dates from an earlier holding of the lease is dropped as well: others have
+        given orders since.
+        """
+        is_anew = self._duty.token != self._token
+        self._token = self._duty.token
         for life, engine in list(self._engines.items()):
             known = self._state.instance(life[0])
-            if not engine.is_loading and (known is None or known.life != life):
+            is_gone = known is None or known.life != life
+            if not engine.is_loading and (is_gone or is_anew):
                 del self._engines[life]
 
     def _of(self, instance: ForwardInstance) -> _Engine:
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -38,6 +38,7 @@
     a_state,
     an_instance,
 )
+from test_lease_duty import CutStore
 
 TERMS = OrderSettings(lease_s=3.5, margin_s=0.5, send_s=0.5, flight_s=3.5)
 
@@ -284,6 +285,41 @@
             self.assertLess(trio.current_time() - named_at, PATIENCE_S + 3.0)
             nursery.cancel_scope.cancel()
 
+    async def test_router_that_holds_the_lease_again(self) -> None:
+        """Guard against phases of an engine that date from an earlier holding."""
+        async with trio.open_nursery() as nursery:
+            self.engines = Engines(nursery, "e0", "e1")
+            hub, shared = FakeHub(nursery), FakeStore()
+            stores = [CutStore(shared), CutStore(shared)]
+            keepers = [
+                Keeper(f"r{n}", store, hub, self.engines)
+                for n, store in enumerate(stores)
+            ]
+            for keeper in keepers:
+                nursery.start_soon(keeper.keeper.run)
+                nursery.start_soon(keeper.board.weights.run)
+            await trio.sleep(6)
+            for keeper in keepers:
+                keeper.begin_run("e1")
+                keeper.name_weights(2)
+            await trio.sleep(2)
+            first = next(n for n in (0, 1) if keepers[n].keeper.is_holder)
+            for n in (first, 1 - first):
+                stores[n].is_cut = True
+                while not keepers[1 - n].keeper.is_holder:
+                    await trio.sleep(0.05)
+                stores[n].is_cut = False
+                if n == first:
+                    while self.engines.versions["e1"] < 2:
+                        await trio.sleep(0.05)
+                    await trio.sleep(1)
+                    for keeper in keepers:
+                        keeper.name_weights(3)
+            await trio.sleep(3)
+            self.assertEqual(self.engines.versions, {"e0": 3, "e1": 2})
+            self.assertEqual(self.engines.n_orders["e1"], 1)
+            nursery.cancel_scope.cancel()
+
     async def test_standbys_of_a_large_fleet_look_no_more_often(self) -> None:
         # Thirty routers wait for the lease while engines have weights that were
         # replaced. Each look is a call to the store, which is paid by the call.
