--- a/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_keeper.py
@@ -21,7 +21,7 @@
 from .engine_orders import EngineOrders
 from .lease_duty import LeaseDuty
 from .serving_state import ServingState
-from .weights_board import LEAVE_PHASES
+from .weights_board import LEAVE_PHASES, goes_on
 from .weights_load import OrderedEngine, WeightsLoader
 
 TICK_S: Final = 0.05
@@ -50,8 +50,7 @@
 
     def begin(self, phase: EnginePhase, now: float) -> None:
         """Take note of what it is wanted for from now on."""
-        goes_on = self.phase in LEAVE_PHASES and phase in LEAVE_PHASES
-        if not goes_on:
+        if not goes_on(self.phase, phase):
             self.since = now
         self.phase = phase
         self.told_at = -math.inf
@@ -74,6 +73,8 @@
         self._board = board
         self._loader = WeightsLoader(duty, node, state, board, orders)
         self._engines: dict[tuple[str, int], _Engine] = {}
+        self._token = 0
+        """Fencing token under which they were looked at."""
 
     @property
     def is_holder(self) -> bool:
@@ -199,10 +200,17 @@
             engine.begin(EnginePhase.SERVING, trio.current_time())
 
     def _forget_ended(self) -> None:
-        """Drop what was known of lives that are listed no more."""
+        """Drop what was known of lives that are listed no more.
+
+        What dates from an earlier holding of the lease is dropped as well: others have
+        given orders since.
+        """
+        is_anew = self._duty.token != self._token
+        self._token = self._duty.token
         for life, engine in list(self._engines.items()):
             known = self._state.instance(life[0])
-            if not engine.is_loading and (known is None or known.life != life):
+            is_gone = known is None or known.life != life
+            if not engine.is_loading and (is_gone or is_anew):
                 del self._engines[life]
 
     def _of(self, instance: ForwardInstance) -> _Engine:
@@ -212,5 +220,5 @@
             engine = self._engines[instance.life] = _Engine()
             phase = self._board.weights.phase(instance)
             if phase is not EnginePhase.LOADING:
-                engine.begin(phase, trio.current_time())
+                engine.begin(phase, self._board.weights.phase_since(instance))
         return engine
