Count an outage of the store from when its answer was due

The store is silent for 4.5 s and back just as a watch is given up: the outage counted as 0.1 s, so that live instances whose entries had lapsed meanwhile were dropped at once. It counted from the failure of the call. It counts from when the answer was due now, or from the store's last answer to another call. A watch that is cut off before its time still counts from its failure.

--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -84,6 +84,7 @@
         """While something is taken: when the store last showed here that it was not
         so; None when it has only just changed."""
         self._store_lost_at: float | None = None
+        self._store_answered_at = float("-inf")
         self._store_back_at = float("-inf")
         self.changed = trio.Event()
         """Set, and replaced, at each change of anything."""
@@ -136,16 +137,17 @@
 
     # How the store speaks, or does not.
 
-    def store_lost(self) -> None:
-        """Take note that the store does not answer."""
+    def store_lost(self, since: float) -> None:
+        """Take note that the store has not answered since an answer was due."""
         if self._store_lost_at is None:
-            self._store_lost_at = trio.current_time()
+            self._store_lost_at = max(since, self._store_answered_at)
             eliot.log_message(message_type="store:lost")
 
     def store_answered(self) -> None:
         """Take note of an answer of the store."""
         if self._store_lost_at is None:
             return
+        now = self._store_answered_at = trio.current_time()
         now = trio.current_time()
         away_s = now - self._store_lost_at
         self._store_lost_at = None
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -103,6 +103,8 @@
         peers.subscribe(StateOffer, self.on_state_offer)
         peers.subscribe(NamedAges, self.on_named_ages)
         peers.subscribe(StateRequest, self.on_state_request)
+        self._due_at: dict[str, float] = {}
+        """By kind: when the store's next answer is due."""
         peers.subscribe(StateObjects, self.on_state_objects)
 
     async def run(self) -> None:
@@ -133,7 +135,7 @@
                 must_list = True
                 eliot.log_message(message_type="store:history_gone", kind=kind)
             except StoreError:
-                self._state.store_lost()
+                self._state.store_lost(min(trio.current_time(), self._due_at[kind]))
                 # A store that lost its state of mind may also have lost the watch's
                 # place: a list costs little and settles what was missed.
                 n_failed += 1
@@ -141,7 +143,7 @@
                 await trio.sleep(self._pause(n_failed))
 
     async def _list(self, kind: str) -> None:
-        started_at = trio.current_time()
+        started_at = self._due_at[kind] = trio.current_time()
         listing: FeedListing = await self._feed.list(kind)
         self._state.store_answered()
         self._state.apply_listing(kind, listing, started_at)
@@ -157,6 +159,7 @@
         told = await self._feed.watch(kind, table.revision, wait_s)
         arrived_at = self._pauses.arrived_after()
         is_held_back = arrived_at - table.read_at > wait_s + HELD_BACK_S
+        self._due_at[kind] = started_at + wait_s
         unchanged_at = table.read_at if is_held_back else arrived_at
         in_time = not (is_held_back or self._pauses.has_just_woken)
         as_of = unchanged_at if told.changes else min(started_at + wait_s, arrived_at)
--- a/packages/corianderlb-router/tests/test_serving_state.py
+++ b/packages/corianderlb-router/tests/test_serving_state.py
@@ -65,7 +65,7 @@
         # The store comes back without the entries that were not renewed meanwhile.
         # Believed at once, no instance would be left to serve anybody.
         self.list_names("s1", "s2", revision=30)
-        self.state.store_lost()
+        self.state.store_lost(trio.current_time())
         await trio.sleep(3)
         self.state.store_answered()
         self.list_names(revision=40)
