Count a peer's confirmation from the question it answers

A restarted router that got a configuration from a peer cut off for 20 s called it confirmed, and an offer that was 13.5 s under way confirmed one too: 401 and 404 for what a newer configuration has. What was told counted from its arrival. Routers that have not read the store for longer than a watch lasts ask now with their offers; answers, ages of weights among them, and tables count from the question, and a table only if its sender has lately read the store. Offers no longer confirm anything.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -248,22 +248,25 @@
 
     revisions: tuple[tuple[str, int], ...]
     """By kind: the store's revision of the newest change that it knows of."""
-    is_confirmed: bool = False
-    """Whether the sender itself has lately read all kinds from the store."""
     ask: int = 0
-    """Number under which the sender asks how long ago weights were named; 0 if not."""
+    """Number of a question to be answered by ``StateAnswer``; 0 for none."""
 
 
 @dataclass(frozen=True)
-class NamedAges:
-    """Answer how long ago weights were named, as seen after the question came.
+class StateAnswer:
+    """Answer what a peer may not know: whether there is news, how old weights are.
 
-    The store does not date them. An age that is told without a question would count
-    from its arrival, and it may have been under way for long.
+    It counts from when the question was asked. Told without one it would count from its
+    arrival, and it may have been under way for long.
     """
 
     ask: int
-    named: tuple[NamedAge, ...]
+    revisions: tuple[tuple[str, int], ...]
+    """By kind, as in an offer."""
+    is_confirmed: bool = False
+    """Whether the sender itself has lately read all kinds from the store."""
+    named: tuple[NamedAge, ...] = ()
+    """Weights that were named of late; the store does not date them."""
 
 
 @dataclass(frozen=True)
@@ -271,6 +274,8 @@
     """Ask a peer for all objects of some kinds."""
 
     kinds: tuple[str, ...]
+    ask: int = 0
+    """Number of the question."""
 
 
 @dataclass(frozen=True)
@@ -289,6 +294,10 @@
     kind: str
     revision: int
     objects: tuple[SharedObject, ...]
+    ask: int = 0
+    """Number of the question."""
+    is_confirmed: bool = False
+    """Whether the sender itself has lately read all kinds from the store."""
 
 
 @dataclass(frozen=True)
@@ -410,7 +419,7 @@
     | CrashReport
     | SuspectCleared
     | StateOffer
-    | NamedAges
+    | StateAnswer
     | StateRequest
     | StateObjects
     | EngineNews
@@ -441,7 +450,7 @@
         CrashReport,
         SuspectCleared,
         StateOffer,
-        NamedAges,
+        StateAnswer,
         StateRequest,
         StateObjects,
         EngineNews,
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -145,10 +145,9 @@
 
     def store_answered(self) -> None:
         """Take note of an answer of the store."""
+        now = self._store_answered_at = trio.current_time()
         if self._store_lost_at is None:
             return
-        now = self._store_answered_at = trio.current_time()
-        now = trio.current_time()
         away_s = now - self._store_lost_at
         self._store_lost_at = None
         if away_s >= AWAY_S:
@@ -232,9 +231,16 @@
         self._apply(table, list(changed.values()), gone, told.revision)
 
     def apply_peer(
-        self, kind: str, revision: int, objects: Iterable[SharedObject]
+        self,
+        kind: str,
+        revision: int,
+        objects: Iterable[SharedObject],
+        as_of: float | None = None,
     ) -> bool:
-        """Take a peer's whole table if it is newer; return whether it was."""
+        """Take a peer's whole table if it is newer; return whether it was.
+
+        ``as_of`` is when the peer is known to have had it confirmed, if at all.
+        """
         table = self.tables.get(kind)
         if table is None or revision <= table.revision:
             return False
@@ -247,12 +253,14 @@
             if self._revision(table, stored.name) < stored.revision
         ]
         self._apply(table, changed, missing, revision)
-        table.confirmed_at = trio.current_time()
+        if as_of is not None:
+            self.confirm(kind, as_of)
         return True
 
-    def confirm(self, kind: str) -> None:
-        """Take note that a peer knows of nothing newer."""
-        self.tables[kind].confirmed_at = trio.current_time()
+    def confirm(self, kind: str, as_of: float) -> None:
+        """Take note that a peer knew of nothing newer at a moment."""
+        table = self.tables[kind]
+        table.confirmed_at = max(table.confirmed_at, as_of)
 
     @staticmethod
     def _revision(table: Table, name: str) -> int:
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -9,7 +9,7 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import NamedAges, StateObjects, StateOffer, StateRequest
+from corianderlb_core.message import StateAnswer, StateObjects, StateOffer, StateRequest
 
 from .interface import PeerNetwork
 from .object_feed import FeedListing, HistoryGoneError, ObjectFeed
@@ -39,8 +39,11 @@
 SEEK_S: Final = 3.0
 """How long it asks that often: some times what it takes to be linked after a start."""
 
-MAX_ASKS: Final = 16
-"""Questions for ages that may still be answered."""
+MAX_ASKS: Final = 64
+"""Questions to peers that may still be answered."""
+
+UNREAD_S: Final = WATCH_S + 0.2
+"""Age of this router's own reading from which peers are asked whether there is news."""
 
 GROUP_S: Final = 0.02
 """Time in which further changes join one offer."""
@@ -98,13 +101,13 @@
         self._behind_since: dict[str, float] = {}
         self._pauses = PauseWatch()
         self._asks: dict[int, float] = {}
-        """By number: when the ages of weights were asked for."""
+        """By number: when peers were asked."""
         self._n_asks = 0
-        peers.subscribe(StateOffer, self.on_state_offer)
-        peers.subscribe(NamedAges, self.on_named_ages)
-        peers.subscribe(StateRequest, self.on_state_request)
         self._due_at: dict[str, float] = {}
         """By kind: when the store's next answer is due."""
+        peers.subscribe(StateOffer, self.on_state_offer)
+        peers.subscribe(StateAnswer, self.on_state_answer)
+        peers.subscribe(StateRequest, self.on_state_request)
         peers.subscribe(StateObjects, self.on_state_objects)
 
     async def run(self) -> None:
@@ -156,10 +159,10 @@
         if left_s > 0:
             wait_s = max(0.1, min(wait_s, left_s))
         started_at = trio.current_time()
+        self._due_at[kind] = started_at + wait_s
         told = await self._feed.watch(kind, table.revision, wait_s)
         arrived_at = self._pauses.arrived_after()
         is_held_back = arrived_at - table.read_at > wait_s + HELD_BACK_S
-        self._due_at[kind] = started_at + wait_s
         unchanged_at = table.read_at if is_held_back else arrived_at
         in_time = not (is_held_back or self._pauses.has_just_woken)
         as_of = unchanged_at if told.changes else min(started_at + wait_s, arrived_at)
@@ -195,16 +198,28 @@
                 await trio.sleep(max(GROUP_S, self._gather_s() / 2))
 
     def _offer(self) -> StateOffer:
+        return StateOffer(self._revisions(), self._ask() if self._has_questions else 0)
+
+    def _revisions(self) -> tuple[tuple[str, int], ...]:
         tables = self._state.tables
-        revisions = tuple((kind, table.changed_at) for kind, table in tables.items())
-        read_at = tables[self._state.configuration_kind].read_at
-        is_confirmed = trio.current_time() - read_at < CONFIRMED_S
-        return StateOffer(revisions, is_confirmed, self._next_ask())
-
-    def _next_ask(self) -> int:
-        """Return the number of a new question for ages of weights, or 0 for none."""
-        if self._state.seeks_ages_for_s is None:
-            return 0
+        return tuple((kind, table.changed_at) for kind, table in tables.items())
+
+    @property
+    def _is_confirmed(self) -> bool:
+        """Whether this router itself has lately read the store."""
+        read_at = self._state.tables[self._state.configuration_kind].read_at
+        return trio.current_time() - read_at < CONFIRMED_S
+
+    @property
+    def _has_questions(self) -> bool:
+        """Whether peers may know what this router does not."""
+        if self._state.seeks_ages_for_s is not None:
+            return True
+        read_at = min(table.read_at for table in self._state.tables.values())
+        return trio.current_time() - read_at > UNREAD_S
+
+    def _ask(self) -> int:
+        """Return the number of a new question to peers."""
         self._n_asks += 1
         self._asks[self._n_asks] = trio.current_time()
         self._asks.pop(self._n_asks - MAX_ASKS, None)
@@ -218,19 +233,16 @@
 
     async def on_state_offer(self, sender: InstanceId, offer: StateOffer) -> None:
         """Ask for a peer's newer state while the store is out of reach."""
+        if offer.ask:
+            self._peers.send(sender, self._answer(offer.ask))
         now = trio.current_time()
-        if offer.ask and (named := self._state.named_ages()):
-            self._peers.send(sender, NamedAges(offer.ask, named))
-        is_confirmed = offer.is_confirmed and not self._pauses.has_just_woken
         wanted = []
         for kind, revision in offer.revisions:
             table = self._state.tables.get(kind)
             if table is None:
                 continue
-            if revision <= max(table.changed_at, table.revision):
+            if self._is_known(kind, revision):
                 self._behind_since.pop(kind, None)
-                if is_confirmed:
-                    self._state.confirm(kind)
                 continue
             behind_since = self._behind_since.setdefault(kind, now)
             is_read = now - table.read_at < ALONE_S or not self._state.is_store_lost
@@ -240,25 +252,45 @@
                 self._asked_at[kind] = now
                 wanted.append(kind)
         if wanted:
-            self._peers.send(sender, StateRequest(tuple(wanted)))
+            self._peers.send(sender, StateRequest(tuple(wanted), self._ask()))
 
-    async def on_named_ages(self, sender: InstanceId, told: NamedAges) -> None:
-        """Take a peer's answer on the ages of weights, counted from the question."""
+    def _answer(self, ask: int) -> StateAnswer:
+        named = self._state.named_ages()
+        return StateAnswer(ask, self._revisions(), self._is_confirmed, named)
+
+    def _is_known(self, kind: str, revision: int) -> bool:
+        """Return whether a peer's revision of a kind is no news."""
+        table = self._state.tables.get(kind)
+        return table is not None and revision <= max(table.changed_at, table.revision)
+
+    async def on_state_answer(self, sender: InstanceId, told: StateAnswer) -> None:
+        """Take a peer's answer, which counts from the question."""
         asked_at = self._asks.get(told.ask)
-        if asked_at is not None and not self._pauses.has_woken_since(asked_at):
+        if asked_at is None:
+            return
+        if told.is_confirmed:
+            for kind, revision in told.revisions:
+                if self._is_known(kind, revision):
+                    self._state.confirm(kind, asked_at)
+        if not self._pauses.has_woken_since(asked_at):
             self._state.hear_named(told.named, asked_at)
 
     async def on_state_request(self, sender: InstanceId, req: StateRequest) -> None:
         """Answer with the objects of the kinds asked for."""
         for kind in req.kinds:
             table = self._state.tables.get(kind)
-            if table is not None and table.revision:
-                objects = tuple(table.objects.values())
-                self._peers.send(sender, StateObjects(kind, table.revision, objects))
+            if table is None or not table.revision:
+                continue
+            objects = tuple(table.objects.values())
+            told = StateObjects(
+                kind, table.revision, objects, req.ask, self._is_confirmed
+            )
+            self._peers.send(sender, told)
 
     async def on_state_objects(self, sender: InstanceId, told: StateObjects) -> None:
         """Take a peer's state if it is newer than what is known here."""
-        if self._state.apply_peer(told.kind, told.revision, told.objects):
+        as_of = self._asks.get(told.ask) if told.is_confirmed else None
+        if self._state.apply_peer(told.kind, told.revision, told.objects, as_of):
             eliot.log_message(
                 message_type="state:from_peer",
                 kind=told.kind,
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -9,7 +9,7 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import NamedAges, SharedObject, StateOffer
+from corianderlb_core.message import SharedObject, StateAnswer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -367,14 +367,14 @@
             routers = self.start(nursery, 2)
             await trio.sleep(1)
             routers[1].feed.is_away = True
-            await trio.sleep(2)
-            offer = StateOffer(
-                ((CONFIGURATION, routers[0].state.tables[CONFIGURATION].changed_at),),
-                is_confirmed=True,
-            )
+            await trio.sleep(5)
+            self.assertTrue(routers[1].state.is_confirmed(4.0))
+            revision = routers[0].state.tables[CONFIGURATION].changed_at
             self.hub.cut.add("r1")
             self.clock.jump(6)
-            await routers[1].follower.on_state_offer(InstanceId("r0"), offer)
+            for ask in range(1, 20):
+                answer = StateAnswer(ask, ((CONFIGURATION, revision),), True)
+                await routers[1].follower.on_state_answer(InstanceId("r0"), answer)
             self.assertFalse(routers[1].state.is_confirmed(4.0))
             nursery.cancel_scope.cancel()
 
@@ -428,7 +428,8 @@
             told = routers[0].state.named_ages()
             self.assertEqual([word.version for word in told], [3, 4])
             self.clock.jump(2.0)
-            await routers[1].follower.on_named_ages("r0", NamedAges(1, told))
+            answer = StateAnswer(1, (), named=told)
+            await routers[1].follower.on_state_answer(InstanceId("r0"), answer)
             replaced_at = routers[1].state.replaced_at(MODEL, 3)
             self.assertFalse(named_at + 0.1 < replaced_at < math.inf)
             nursery.cancel_scope.cancel()
