Do not hand on a list that may lack lapsed entries

A router that the store does not answer yet took the list of a peer that had just started, in which entries that lapsed while the store was away were missing, and dropped live instances.

test_peer_that_has_just_started_knows_of_no_lapsed_entries failed before.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -276,6 +276,8 @@
     kinds: tuple[str, ...]
     ask: int = 0
     """Number of the question."""
+    knows_none: bool = False
+    """Whether the sender knows no instance yet."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -86,6 +86,8 @@
         self._store_lost_at: float | None = None
         self._store_answered_at = float("-inf")
         self._store_back_at = float("-inf")
+        self._first_listed_at: float | None = None
+        """When this router first read the instances from the store."""
         self.changed = trio.Event()
         """Set, and replaced, at each change of anything."""
 
@@ -169,6 +171,12 @@
         now = trio.current_time()
         return self._store_lost_at is None and now - self._store_back_at >= STEADY_S
 
+    @property
+    def may_lack_lapsed(self) -> bool:
+        """Whether entries may be missing that lapsed before this router started."""
+        first_at = self._first_listed_at
+        return first_at is not None and trio.current_time() - first_at < LAPSE_S
+
     @property
     def settles_at(self) -> float:
         """When entries that are missing after the store's return count as gone."""
@@ -186,6 +194,8 @@
         table = self.tables[kind]
         self._unchanged_at = table.read_at
         table.confirm(trio.current_time() if as_of is None else as_of)
+        if kind == self.instances_kind and self._first_listed_at is None:
+            self._first_listed_at = trio.current_time()
         if listing.revision < table.revision:
             return
         listed = {stored.name: stored for stored in listing.objects}
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -252,7 +252,10 @@
                 self._asked_at[kind] = now
                 wanted.append(kind)
         if wanted:
-            self._peers.send(sender, StateRequest(tuple(wanted), self._ask()))
+            instances = self._state.tables[self._state.instances_kind]
+            knows_none = not instances.revision
+            req = StateRequest(tuple(wanted), self._ask(), knows_none)
+            self._peers.send(sender, req)
 
     def _answer(self, ask: int) -> StateAnswer:
         named = self._state.named_ages()
@@ -276,11 +279,18 @@
             self._state.hear_named(told.named, asked_at)
 
     async def on_state_request(self, sender: InstanceId, req: StateRequest) -> None:
-        """Answer with the objects of the kinds asked for."""
+        """Answer with the objects of the kinds asked for.
+
+        A router that started while entries were missing does not know that they had
+        lapsed, and gives its list only to those that have none.
+        """
         for kind in req.kinds:
             table = self._state.tables.get(kind)
             if table is None or not table.revision:
                 continue
+            is_doubtful = kind == self._state.instances_kind and not req.knows_none
+            if is_doubtful and self._state.may_lack_lapsed:
+                continue
             objects = tuple(table.objects.values())
             told = StateObjects(
                 kind, table.revision, objects, req.ask, self._is_confirmed
