Take an engine for loaded once the store lists it with newer weights

Seen: a router that was stopped, or lost a link, while an engine loaded sends it nothing for up to 6 s after the load; with every engine so marked it refuses all prompts with "no_engine".

Cause: word of a load counts from its arrival, and its end may be lost with the link it would have come by. A word that lay in the buffer of a stopped process begins to count when the process runs again.

Change: the word names the version that the engine had; as soon as the engine's entry or an answer shows a newer one, the load is over.

test_word_of_a_load_that_is_over failed before (loading instead of serving) and passes now; the tests of weights, moves, the board and forwarding pass.

--- a/packages/corianderlb-router/src/corianderlb_router/weights_board.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_board.py
@@ -56,6 +56,8 @@
     phase_until: float = -math.inf
     since: float = -math.inf
     """When it was first wanted for that; clearing goes on from emptying."""
+    loads_from: tuple[str, int] = ("", 0)
+    """Model and version that it had as it began to load."""
     changed: trio.Event = field(default_factory=trio.Event)
     """Set, and replaced, when the phase changes."""
 
@@ -93,6 +95,11 @@
         engine = self._engine(instance)
         if engine.phase_until <= trio.current_time():
             return EnginePhase.SERVING
+        if engine.phase is EnginePhase.LOADING:
+            # The word may be old, or the one that the load is over be lost.
+            model, version = engine.loads_from
+            if model and self.version(instance, model) > version:
+                return EnginePhase.SERVING
         return engine.phase
 
     def phase_since(self, instance: ForwardInstance) -> float:
@@ -130,6 +137,7 @@
         """Tell the peers what the holder of the orders wants of an engine."""
         self.set_phase(instance, phase)
         version = self.version(instance, model)
+        self._engine(instance).loads_from = (model, version)
         self._word_number = max(self._word_number + 1, token * WORDS_A_TOKEN)
         self._heard_words[instance.life] = self._word_number
         word = WeightsWord(*instance.life, model, version, phase, self._word_number)
@@ -159,6 +167,7 @@
         if instance is not None and instance.life == life:
             self.learn(instance, word.model, word.version)
             self.set_phase(instance, word.phase)
+            self._engine(instance).loads_from = (word.model, word.version)
         return True
 
     def forget(self, life: Life) -> None:
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -147,6 +147,12 @@
         view.pace.sent("run", 100, trio.current_time(), 100)
         view.pace.first_token("run", trio.current_time())
 
+    def list_engine(self, name: str, version: int) -> None:
+        """Have the store list an engine with newer weights."""
+        engine = an_instance(name, "llm", weights=((MODEL, version),))
+        stored = self.decoder.put(engine, name, 20 + version)
+        self.state.apply_listing(INSTANCES, FeedListing((stored,), 20 + version))
+
     def name_weights(self, version: int) -> None:
         """Have the store name a version."""
         stored = self.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
@@ -383,6 +389,20 @@
             await trio.testing.wait_all_tasks_blocked()
             self.assertFalse(nursery.child_tasks)
 
+    async def test_word_of_a_load_that_is_over(self) -> None:
+        """Guard against word of a load that lay in a buffer while the load ended."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            keeper = Keeper("r1", FakeStore(), hub, Engines(nursery, "e1"))
+            word = WeightsWord("e1", 1, MODEL, 1, EnginePhase.LOADING, 10)
+            news = WeightsNews((word,))
+            await keeper.board.weights.on_weights_news(InstanceId("r9"), news)
+            e1 = keeper.state.instance("e1")
+            self.assertIs(keeper.board.weights.phase(e1), EnginePhase.LOADING)
+            keeper.list_engine("e1", 2)
+            e1 = keeper.state.instance("e1")
+            self.assertIs(keeper.board.weights.phase(e1), EnginePhase.SERVING)
+
 
 async def run_in(scope: trio.CancelScope, step) -> None:
     """Run a step until its scope is cancelled."""
