Repeat word of a load for as long as the load goes on

Seen: an engine that has taken its order and still ends its runs gets new requests again after 6 s, which it refuses; each costs a repeat and a way there.

Cause: word of a load counts for 6 s from its telling, whether or not the holder still follows the load (it does so for 10 s).

Change: the holder repeats the word every 3 s while it follows the load and may give orders. If it is lost, the word lapses as before.

test_load_that_waits_long_for_runs_to_end failed before (serving instead of loading) and passes now; the tests of weights, moves, the board and the platform's processes pass.

--- a/packages/corianderlb-router/src/corianderlb_router/weights_load.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_load.py
@@ -20,6 +20,7 @@
 from .engine_orders import EngineOrders, EngineReport, OrderAnswer, WeightsOrder
 from .lease_duty import LeaseDuty
 from .serving_state import ServingState
+from .weights_board import LOADING_S
 
 POLL_S: Final = 0.1
 """Pause between two questions to an engine that loads."""
@@ -155,8 +156,16 @@
         until its entry lapses, and the others would keep their old weights as long.
         """
         n_unanswered = 0
+        told_at = trio.current_time()
         while n_unanswered < LOST_REPORTS and self._state.may_take_work(engine):
             await trio.sleep(self._poll_s())
+            now = trio.current_time()
+            if now - told_at >= LOADING_S / 2 and self._duty.may_act():
+                # An engine that ends its runs first may take longer than the word of
+                # its load counts.
+                told_at = now
+                token = self._duty.token
+                self._board.weights.tell(engine, model, EnginePhase.LOADING, token)
             report = await self._orders.report(engine)
             if report is None:
                 n_unanswered += 1
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -56,6 +56,7 @@
         self.holders: list[tuple[float, str]] = []
         self.most_at_once = 0
         self.lose_answers = 0
+        self.load_s = 0.8
 
     async def report(self, engine: ForwardInstance) -> EngineReport | None:
         await trio.sleep(0.005)
@@ -85,7 +86,7 @@
     async def _load(self, name: str, version: int) -> None:
         self.busy.add(name)
         self.most_at_once = max(self.most_at_once, len(self.busy - self.dead))
-        await trio.sleep(0.8)
+        await trio.sleep(self.load_s)
         self.busy.discard(name)
         if name not in self.dead:
             self.versions[name] = version
@@ -291,6 +292,26 @@
             self.assertLess(trio.current_time() - named_at, PATIENCE_S + 3.0)
             nursery.cancel_scope.cancel()
 
+    async def test_load_that_waits_long_for_runs_to_end(self) -> None:
+        """Guard against word of a load that lapses while the load goes on."""
+        async with trio.open_nursery() as nursery:
+            keepers = self.start(nursery, n_routers=2, n_engines=2)
+            await trio.sleep(6)
+            self.engines.load_s = 9.0
+            for keeper in keepers:
+                nursery.start_soon(keeper.board.weights.run)
+                keeper.name_weights(2)
+            while not self.engines.busy:
+                await trio.sleep(0.05)
+            name = min(self.engines.busy)
+            for _ in range(85):
+                await trio.sleep(0.1)
+                for keeper in keepers:
+                    engine = keeper.state.instance(name)
+                    phase = keeper.board.weights.phase(engine)
+                    self.assertIs(phase, EnginePhase.LOADING)
+            nursery.cancel_scope.cancel()
+
     async def test_router_that_holds_the_lease_again(self) -> None:
         """Guard against phases of an engine that date from an earlier holding."""
         async with trio.open_nursery() as nursery:
