Tell how long ago a crash was with its report

A router that started over 120 s after a conviction let the request in again that its peers refused, and one that started when the hold was over refused it for a whole hold more: reports were kept for 120 s and counted from their arrival. They are kept as long as the longest hold, and carry the age of the crash.

test_restart_long_after_a_conviction and test_restart_after_the_hold_is_over failed before.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -219,6 +219,8 @@
     """Names the crash: instance and epoch, so that it counts once."""
     suspects: tuple[bytes, ...]
     """Body digests of the requests in flight."""
+    age_s: float = 0.0
+    """Seconds since the crash was noticed."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/quarantine.py
+++ b/packages/corianderlb-core/src/corianderlb_core/quarantine.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -41,7 +42,7 @@
 @dataclass
 class _Suspect:
     crashes: list[str] = field(default_factory=list)
-    last_at: float = 0.0
+    last_at: float = -math.inf
     held_until: float = 0.0
 
 
@@ -56,9 +57,9 @@
         self._counted: OrderedDict[tuple[str, bytes], None] = OrderedDict()
 
     def record_crash(
-        self, crash_id: str, digests: Sequence[bytes], now: float
+        self, crash_id: str, digests: Sequence[bytes], at: float
     ) -> tuple[bytes, ...]:
-        """Count a crash; return the digests that it is news for.
+        """Count a crash of some moment; return the digests that it is news for.
 
         The same crash is reported by each router that had requests there, and counts
         once for each digest.
@@ -66,7 +67,7 @@
         return tuple(
             digest
             for digest in dict.fromkeys(digests)
-            if self._count(crash_id, digest, now)
+            if self._count(crash_id, digest, at)
         )
 
     def record_success(self, digest: bytes, now: float) -> bool:
@@ -108,7 +109,7 @@
             for digest, known in self._suspects.items()
         )
 
-    def _count(self, crash_id: str, digest: bytes, now: float) -> bool:
+    def _count(self, crash_id: str, digest: bytes, at: float) -> bool:
         if (crash_id, digest) in self._counted:
             return False
         self._counted[crash_id, digest] = None
@@ -121,9 +122,9 @@
         if any(_may_be_same(crash_id, known) for known in suspect.crashes):
             return False
         suspect.crashes.append(crash_id)
-        suspect.last_at = now
+        suspect.last_at = max(suspect.last_at, at)
         if len(suspect.crashes) >= CRASH_LIMIT:
-            suspect.held_until = now + self._hold_s
+            suspect.held_until = suspect.last_at + self._hold_s
         return True
 
     def _make_room(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
@@ -75,7 +75,7 @@
 
     async def on_crash_report(self, sender: InstanceId, message: CrashReport) -> None:
         """Count a crash that a peer saw; pass it on while it is news."""
-        if self._count(message.crash_id, message.suspects):
+        if self._count(message.crash_id, message.suspects, message.age_s):
             self._peers.broadcast(message)
 
     async def on_suspect_cleared(
@@ -92,8 +92,11 @@
             for entry in self._table.entries(trio.current_time())
         )
 
-    def _count(self, crash_id: str, suspects: Sequence[bytes]) -> bool:
-        news = self._table.record_crash(crash_id, suspects, trio.current_time())
+    def _count(
+        self, crash_id: str, suspects: Sequence[bytes], age_s: float = 0.0
+    ) -> bool:
+        at = trio.current_time() - age_s
+        news = self._table.record_crash(crash_id, suspects, at)
         if news:
             eliot.log_message(
                 message_type="quarantine:crash", crash=crash_id, n_suspects=len(news)
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -32,6 +32,7 @@
     encode,
 )
 from corianderlb_core.overlay import choose_links
+from corianderlb_core.quarantine import HOLD_S
 from corianderlb_core.settings import PeerSettings
 
 from ._handshake import PeerIdentity, SealedLink, accept, introduce
@@ -53,8 +54,9 @@
 N_KEPT: Final = 128
 """Broadcasts kept for later links at most."""
 
-KEPT_S: Final = 120.0
-"""Seconds for which they are kept."""
+KEPT_S: Final = HOLD_S
+"""Seconds for which they are kept: a router that starts must refuse what the others
+refuse."""
 
 N_COPIES: Final = 4
 """Peers to whom a router passes news on. With four copies from each, one that was left
@@ -109,7 +111,7 @@
         self._links = LinkTable(own.instance)
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
-        self._kept: deque[tuple[float, bytes]] = deque(maxlen=N_KEPT)
+        self._kept: deque[tuple[float, Message]] = deque(maxlen=N_KEPT)
         self._n_beats = 0
         self._n_unproved = 0
         self._stranger_logged_at = -math.inf
@@ -136,7 +138,7 @@
         """Queue a message to the linked peers; return how many."""
         frame = encode(message)
         if isinstance(message, KEPT):
-            self._kept.append((trio.current_time(), frame))
+            self._kept.append((trio.current_time(), message))
         return sum(conn.post(frame) for conn in self._links)
 
     def pass_on(self, message: Message) -> int:
@@ -380,9 +382,9 @@
         )
         conn.post(encode(beat))
         oldest = trio.current_time() - KEPT_S
-        for kept_at, frame in self._kept:
+        for kept_at, message in self._kept:
             if kept_at >= oldest:
-                conn.post(frame)
+                conn.post(encode(_aged(message, trio.current_time() - kept_at)))
 
     async def _handle(self, conn: PeerConnection, message: Message) -> None:
         if isinstance(message, Heartbeat):
@@ -410,3 +412,10 @@
 
     def _wait_s(self, mean_s: float) -> float:
         return mean_s * self._rng.uniform(0.5, 1.5)
+
+
+def _aged(message: Message, waited_s: float) -> Message:
+    """Return a kept message as it is to be told some time later."""
+    if isinstance(message, CrashReport):
+        return dataclasses.replace(message, age_s=message.age_s + waited_s)
+    return message
