Failing tests: weights named while routers stand still

Guard against ages that count from the end of a freeze: of all routers, of one whose watch was answered just before, and of one that reads a peer's word late.

--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -4,10 +4,11 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 
-from corianderlb_core.message import SharedObject
+from corianderlb_core.message import SharedObject, StateOffer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -79,6 +80,8 @@
         self.is_silent = False
         """Whether calls get no answer, as from a store that holds them back."""
         self.n_calls = 0
+        self.on_its_way: Callable[[], None] | None = None
+        """Called once while word that no weights were named is on its way."""
 
     async def list(self, kind: str) -> FeedListing:
         await self._reach()
@@ -94,7 +97,11 @@
                 await self._store.changed.wait()
             await self._reach()
             return FeedChanges(found, self._store.revision)
-        return FeedChanges((), self._store.revision)
+        told = FeedChanges((), self._store.revision)
+        if kind == WEIGHTS and self.on_its_way is not None:
+            happen, self.on_its_way = self.on_its_way, None
+            happen()
+        return told
 
     def _since(self, kind: str, revision: int) -> tuple[FeedChange, ...]:
         return tuple(
@@ -292,3 +299,61 @@
             replaced_at = state.replaced_at(MODEL, 3)
             self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
             nursery.cancel_scope.cancel()
+
+    async def test_weights_named_while_all_routers_stand_still(self) -> None:
+        """Guards against an age that counts from the end of a freeze of all routers."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            self.name_weights(3)
+            await trio.sleep(6.5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            self.clock.jump(2.2)
+            await trio.sleep(3)
+            for router in routers:
+                self.assertEqual(router.state.newest_weights(MODEL), 4)
+                self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_weights_named_after_an_answer_that_a_freeze_held_up(self) -> None:
+        """Guards against the same where a watch without news ended in the freeze."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(1)
+            named_at: list[float] = []
+
+            def freeze() -> None:
+                self.clock.jump(0.5)
+                self.name_weights(4)
+                named_at.append(trio.current_time())
+                self.clock.jump(1.2)
+
+            router.feed.on_its_way = freeze
+            await trio.sleep(6)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at[0])
+            nursery.cancel_scope.cancel()
+
+    async def test_age_that_waited_for_a_frozen_router(self) -> None:
+        """Guards against a peer's word that counts from the end of a freeze."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            routers[1].feed.is_silent = True
+            await trio.sleep(4)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(0.005)
+            told = routers[0].state.named_ages()
+            self.assertEqual([word.version for word in told], [3, 4])
+            self.clock.jump(2.0)
+            await routers[1].follower.on_state_offer("r0", StateOffer((), named=told))
+            replaced_at = routers[1].state.replaced_at(MODEL, 3)
+            self.assertFalse(named_at + 0.1 < replaced_at < math.inf)
+            await trio.sleep(2)
+            replaced_at = routers[1].state.replaced_at(MODEL, 3)
+            self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
+            nursery.cancel_scope.cancel()
