Date nothing by the end of a pause of the process

Cause: a watch counted as in time within half a second beyond its own wait of 3 s (12 s in a large fleet). A freeze that is shorter than the rest of the wait was not seen, and its end was taken for the moment of the naming and told to peers as exact. The same held for a watch without news that was read after the freeze: its reading counted as that moment, and the next watch told of the naming at once. A peer's word that waited for the process was dated by when it was read.

Change: a look at the clock ten times a second shows that the process stood still for 0.3 s or more. For half a second after it the store's answers speak for the moment at which it began, a naming in them is not exact, and peers' ages are left out; they come again.

--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -20,6 +20,7 @@
 from corianderlb_core.named_versions import NamedVersions, Naming
 
 from .object_feed import FeedChanges, FeedListing, StateDecoder
+from .pause_watch import PauseWatch
 
 LAPSE_S: Final = 2.2
 """How long after the store's return a missing entry still counts. While the store was
@@ -49,10 +50,14 @@
     """Router's clock when the store last answered about this kind."""
     confirmed_at: float = float("-inf")
     """The same, or when a peer that reads the store knew of nothing newer."""
+    shown_at: float = float("-inf")
+    """Router's clock up to which the store's last answer surely tells all: an answer
+    that is read after a pause of this process may have been made before it."""
 
-    def confirm(self) -> None:
+    def confirm(self, shown_at: float) -> None:
         """Take note that the store has just spoken of this kind."""
         self.read_at = self.confirmed_at = trio.current_time()
+        self.shown_at = shown_at
 
 
 class ServingState:
@@ -77,6 +82,8 @@
         self._leaving: dict[tuple[str, int], None] = {}
         self._named: dict[str, NamedVersions] = {}
         """By model."""
+        self.pauses: Final = PauseWatch()
+        """Whether this process has just stood still."""
         self._named_news_at = float("-inf")
         """When a version newer than those before became known here."""
         self._unchanged_at: float | None = None
@@ -177,8 +184,8 @@
     def apply_listing(self, kind: str, listing: FeedListing) -> None:
         """Take a whole list that this router read from the store."""
         table = self.tables[kind]
-        self._unchanged_at = table.read_at
-        table.confirm()
+        self._unchanged_at = table.shown_at
+        table.confirm(self.pauses.arrived_after())
         if listing.revision < table.revision:
             return
         listed = {stored.name: stored for stored in listing.objects}
@@ -195,8 +202,9 @@
     def apply_changes(self, kind: str, told: FeedChanges, in_time: bool = True) -> None:
         """Take what a watch of this router saw, in time or held back."""
         table = self.tables[kind]
-        self._unchanged_at = None if in_time else table.read_at
-        table.confirm()
+        in_time = in_time and not self.pauses.has_just_woken
+        self._unchanged_at = None if in_time else table.shown_at
+        table.confirm(self.pauses.arrived_after())
         changed: dict[str, SharedObject] = {}
         removed: dict[str, None] = {}
         for change in told.changes:
@@ -220,7 +228,7 @@
         if table is None or revision <= table.revision:
             return False
         told = {stored.name: stored for stored in objects}
-        self._unchanged_at = table.read_at
+        self._unchanged_at = table.shown_at
         missing = [name for name in table.objects if name not in told]
         changed = [
             stored
@@ -358,12 +366,18 @@
         """
         newest = self.newest_weights(model)
         if version > newest:
-            at = self.tables[self.weights_kind].read_at
+            at = self.tables[self.weights_kind].shown_at
             naming = Naming(version, at, newest, is_exact=False)
             self._note_naming(model, naming, "engine")
 
     def hear_named(self, told: Iterable[NamedAge]) -> None:
-        """Take a peer's word on how long ago versions were named."""
+        """Take a peer's word on how long ago versions were named.
+
+        A word that waited for this process is left out: its ages are of when it was
+        sent. The peer says them again.
+        """
+        if self.pauses.has_just_woken:
+            return
         now = trio.current_time()
         for word in told:
             naming = Naming(word.version, now - word.age_ms / 1000, word.after)
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -99,6 +99,7 @@
             for kind in self._state.kinds:
                 nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._keep_offering)
+            nursery.start_soon(self._state.pauses.run)
 
     async def _follow(self, kind: str) -> None:
         n_failed = 0
