--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -44,7 +44,13 @@
 )
 from corianderlb_router.health_board import HealthBoard
 from corianderlb_router.in_flight import InFlightTable
-from corianderlb_router.object_feed import FeedListing, NamedWeights, StateDecoder
+from corianderlb_router.object_feed import (
+    FeedChange,
+    FeedChanges,
+    FeedListing,
+    NamedWeights,
+    StateDecoder,
+)
 from corianderlb_router.serving_state import ServingState
 from corianderlb_router.transport import UpstreamTransport
 from data_path_fakes import FakeCaller, FakePeers
@@ -349,6 +355,12 @@
         self.parts = dataclasses.replace(self.parts, cfg=cfg)
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
 
+    def name_weights(self, version: int) -> None:
+        """Have a watch of the store tell of a version."""
+        stored = self.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
+        told = FeedChanges((FeedChange(stored, False),), 20 + version)
+        self.state.apply_changes(WEIGHTS, told)
+
     def configure(self, cfg: ForwardConfiguration) -> None:
         """Put a configuration in force."""
         stored = self.decoder.put(cfg, "main", cfg.revision)
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -10,14 +10,12 @@
 from corianderlb_core.arrival_budget import BudgetTerms
 from corianderlb_core.engine_pace import PeerWork
 from corianderlb_core.forwarding import ForwardInstance
-from corianderlb_router.object_feed import FeedChange, FeedChanges, NamedWeights
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
     MODEL,
     NOT_RUN,
     ROUTES,
-    WEIGHTS,
     ForwardRouter,
     Upstream,
     a_configuration,
@@ -409,18 +407,12 @@
 class BeginTest(TrioTestCase):
     """Requests that an engine takes in time and begins late."""
 
-    def name_weights(self, router: ForwardRouter, version: int) -> None:
-        """Have a watch of the store tell of a version."""
-        stored = router.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
-        told = FeedChanges((FeedChange(stored, False),), 20 + version)
-        router.state.apply_changes(WEIGHTS, told)
-
     async def replace_weights(self, router: ForwardRouter) -> float:
         """Name versions 1 and 2 and return when the second one was."""
         router.limit_weights(LIMIT_S)
-        self.name_weights(router, 1)
+        router.name_weights(1)
         await trio.sleep(1)
-        self.name_weights(router, 2)
+        router.name_weights(2)
         return trio.current_time()
 
     async def play(self, path: str) -> tuple[FakeCaller, list[float]]:
--- a/packages/corianderlb-router/tests/test_run_mover.py
+++ b/packages/corianderlb-router/tests/test_run_mover.py
@@ -26,12 +26,16 @@
 
 
 class Copier(MemoryCopier):
-    """Copy in 20 ms, or answer what a test wants."""
+    """Copy in 20 ms, or as long and with what outcome a test wants."""
 
     def __init__(
-        self, outcome: CopyOutcome = CopyOutcome.COPIED, leaves: bool = False
+        self,
+        outcome: CopyOutcome = CopyOutcome.COPIED,
+        leaves: bool = False,
+        takes_s: float = 0.02,
     ) -> None:
         self.outcome = outcome
+        self.takes_s = takes_s
         self.leaves = leaves
         """Whether the engine with the copy leaves as the copy is made."""
         self.router: ForwardRouter | None = None
@@ -42,7 +46,7 @@
         self, engine: ForwardInstance, request_id: str, to: ForwardInstance
     ) -> MemoryCopy:
         self.copies.append((engine.instance, request_id, to.instance))
-        await trio.sleep(0.02)
+        await trio.sleep(self.takes_s)
         if self.leaves:
             self.router.state.mark_leaving(to, "test")
         handle = "h7" if self.outcome is CopyOutcome.COPIED else ""
@@ -65,6 +69,15 @@
     await stream.send_all(chunk(an_event(3)) + b"0\r\n\r\n")
 
 
+async def go_on_slowly(stream: trio.abc.Stream) -> None:
+    """Send an event each half second, six in all."""
+    await stream.send_all(STREAM_HEAD)
+    for number in range(1, 7):
+        await stream.send_all(chunk(an_event(number)))
+        await trio.sleep(0.5)
+    await stream.send_all(b"0\r\n\r\n")
+
+
 def shared(*script) -> Upstream:
     """Return an upstream that is all engines at once, so that any may be first."""
     return Upstream(list(script))
@@ -174,3 +187,25 @@
             self.assertEqual(caller.answer.count(b"data:"), 4)
             self.assertEqual(copier.copies, [])
             self.assertNotIn("x-continue", engine.requests[1])
+
+    async def test_run_whose_copy_takes_until_its_weights_are_too_old(self) -> None:
+        """Guards against a run taken off for a place where it may not begin."""
+        engine = shared(go_on_slowly)
+        async with a_router(e1=engine, e2=engine) as router:
+            router.limit_weights(10.0)
+            copier = router.copy_with(Copier(takes_s=0.8))
+            router.name_weights(1)
+            router.name_weights(2)
+            await trio.sleep(7.5)
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(1.4)
+                for name in ("e1", "e2"):
+                    if router.parts.in_flight.n_on(name):
+                        left = router.state.instance(name)
+                router.board.weights.set_phase(left, EnginePhase.EMPTYING)
+            self.assertEqual(caller.answer.count(b"data:"), 6)
+            self.assertTrue(caller.finished)
+            self.assertEqual(len(engine.requests), 1)
+            self.assertEqual(copier.dropped, ["h7"])
