--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -18,7 +18,7 @@
 from .forward_parts import ForwardParts
 from .forward_relay import Relay, WholeRelay, WrongAnswerError, read_whole
 from .forward_request import ForwardRequest, UpstreamHead
-from .forward_target import Placement, Target
+from .forward_target import WITHDRAW_S, Placement, Target
 from .run_mover import RunMover
 from .transport import EXCHANGE, FRESH, TARGET, Exchange
 
@@ -37,10 +37,6 @@
 WRITE_S: Final = 5.0
 """Longest wait for an upstream to take a request."""
 
-WITHDRAW_S: Final = 0.5
-"""Time before the age from which nothing may begin on replaced weights at which a
-request is withdrawn: a busy router notices late, and the close has a way to go."""
-
 SERVER_ERROR: Final = 500
 """Statuses from here on tell of a failure of the upstream."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -31,6 +31,10 @@
 from .forward_parts import ForwardParts
 from .forward_request import ForwardRequest, SendTerms, UpstreamHead
 
+WITHDRAW_S: Final = 0.5
+"""Time before the age from which nothing may begin on replaced weights at which a
+request is withdrawn: a busy router notices late, and the close has a way to go."""
+
 
 @dataclass(frozen=True)
 class Placement:
@@ -241,6 +245,11 @@
         moved = replace(choice, view=view, n_missing=0, fetch_from="", wait_s=0.0)
         return Placement(view.instance, OVERHEAD_S, moved)
 
+    def may_take(self, placement: Placement) -> bool:
+        """Return whether an engine may still get new work, and begin it in time."""
+        left_s = self.begin_before(placement) - WITHDRAW_S - trio.current_time()
+        return left_s > OVERHEAD_S and super().may_take(placement)
+
     def begin_before(self, placement: Placement) -> float:
         """Return when the weights that the engine is asked for are too old."""
         choice, limit_s = placement.choice, self.parts.cfg.weights_limit_s
