Test what of the age of weights and of withdrawn requests was not tested

With each part taken out in turn, 21 in all, eleven went unnoticed: that a withdrawn request may have run and its engine is not judged, that the bound is looked up again, news held back from one router, a peer's objects, the answer to a peer that lacks ages, seeking them, telling them with each offer, that what nobody saw is not told, two guards of an infinite bound. Ten of them are noticed now; the guard in begin_before is not.

The test feed dropped a change that came while it was silent; it does not any more.

--- a/packages/corianderlb-core/tests/test_named_versions.py
+++ b/packages/corianderlb-core/tests/test_named_versions.py
@@ -58,3 +58,8 @@
         self.assertEqual(history.replaced_at(1), 8.9)
         self.assertEqual(history.exact(since=8.0), [Naming(2, 8.9, after=1)])
         self.assertEqual(history.exact(since=9.0), [])
+
+    def test_time_that_nobody_saw_is_not_passed_on(self) -> None:
+        """Guards against an earliest time that peers would take for an exact one."""
+        history = self.a_history(Naming(2, 9.0, after=1, is_exact=False))
+        self.assertEqual(history.exact(since=8.0), [])
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import eliot
 import trio
@@ -10,12 +11,14 @@
 from corianderlb_core.arrival_budget import BudgetTerms
 from corianderlb_core.engine_pace import PeerWork
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_router.object_feed import FeedListing, NamedWeights
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
     MODEL,
     NOT_RUN,
     ROUTES,
+    WEIGHTS,
     ForwardRouter,
     Upstream,
     a_configuration,
@@ -458,6 +461,61 @@
         self.assertLess(closed_after[0], LIMIT_S)
         self.assertEqual(caller.status, 504)
 
+    async def test_engine_of_a_withdrawn_request_is_not_judged(self) -> None:
+        """Guards against an engine that is left alone because its weights got old."""
+        async with a_router(e1=Upstream([hang])) as router:
+            await self.replace_weights(router)
+            await trio.sleep(7.5)
+            caller = await router.ask("/quick/7", x_prompt=PROMPT, x_deadline_s="15")
+            self.assertEqual(caller.status, 504)
+            engine = router.state.instance("e1")
+            self.assertTrue(router.health.may_send(engine.life))
+            self.assertEqual(router.health.failure_rate(engine.life), 0.0)
+
+    async def test_withdrawn_stream_without_another_engine(self) -> None:
+        """Guards against "not run" for what an engine may have begun just then."""
+        async with a_router(e1=Upstream([hang])) as router:
+            await self.replace_weights(router)
+            await trio.sleep(7.5)
+            async with trio.open_nursery() as nursery:
+                engine = router.state.instance("e1")
+                nursery.start_soon(speak_elsewhere, router, engine)
+                caller = await router.ask("/long/7", x_prompt=PROMPT, x_deadline_s="15")
+                nursery.cancel_scope.cancel()
+            self.assertIn(caller.status, (502, 504))
+
+    async def test_weights_that_are_replaced_while_a_request_waits(self) -> None:
+        """Guards against a bound that was looked up when the request was sent."""
+        closed_at: list[float] = []
+
+        async def wait_closed(stream: trio.abc.Stream) -> None:
+            while await stream.receive_some(65536):
+                pass
+            closed_at.append(trio.current_time())
+
+        routes = tuple(dataclasses.replace(route, timeout_s=20.0) for route in ROUTES)
+        async with a_router(e1=Upstream([wait_closed])) as router:
+            router.configure(a_configuration(routes=routes, revision=11, version=2))
+            router.limit_weights(LIMIT_S)
+            router.name_weights(1)
+            caller = router.a_caller("/quick/7", x_prompt=PROMPT, x_deadline_s="20")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(1)
+                router.name_weights(2)
+                named_at = trio.current_time()
+            self.assertEqual(caller.status, 504)
+            self.assertLess(closed_at[0], named_at + LIMIT_S)
+
+    async def test_router_without_a_bound_takes_weights_of_any_age(self) -> None:
+        """Guards against engines that are out of use where nothing bounds the age."""
+        async with a_router(e1=Upstream([a_stream(1, 3)])) as router:
+            stored = router.decoder.put(NamedWeights(MODEL, 2), MODEL, 30)
+            router.state.apply_listing(WEIGHTS, FeedListing((stored,), 30))
+            self.assertEqual(router.state.replaced_at(MODEL, 1), -math.inf)
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertEqual((caller.status, caller.finished), (200, True))
+
 
 async def speak_elsewhere(router: ForwardRouter, engine: ForwardInstance) -> None:
     """Have an engine go on with the streams of others."""
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from corianderlb_core.message import SharedObject, StateOffer
+from corianderlb_core.message import SharedObject, StateObjects, StateOffer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -82,6 +82,8 @@
         self.n_calls = 0
         self.on_its_way: Callable[[], None] | None = None
         """Called once while word that no weights were named is on its way."""
+        self.holds_back_s = 0.0
+        """Time for which news of weights are held back from this router alone."""
 
     async def list(self, kind: str) -> FeedListing:
         await self._reach()
@@ -95,8 +97,14 @@
         with trio.move_on_after(wait_s):
             while not (found := self._since(kind, revision)):
                 await self._store.changed.wait()
+            if kind == WEIGHTS and self.holds_back_s:
+                with trio.CancelScope(shield=True):
+                    await trio.sleep(self.holds_back_s)
+                return FeedChanges(found, self._store.revision)
             await self._reach()
             return FeedChanges(found, self._store.revision)
+        if self.is_silent:
+            await trio.sleep_forever()
         told = FeedChanges((), self._store.revision)
         if kind == WEIGHTS and self.on_its_way is not None:
             happen, self.on_its_way = self.on_its_way, None
@@ -357,3 +365,72 @@
             replaced_at = routers[1].state.replaced_at(MODEL, 3)
             self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
             nursery.cancel_scope.cancel()
+
+    async def test_naming_that_was_held_back_from_a_router(self) -> None:
+        """Guards against an age that counts from a watch that was answered late."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(1)
+            router.feed.holds_back_s = 5.0
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(6)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_naming_that_a_peers_table_shows(self) -> None:
+        """Guards against an age that counts from when a peer's objects came."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(1)
+            router.feed.is_silent = True
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(5)
+            stored = self.store.tables[WEIGHTS][MODEL]
+            told = StateObjects(WEIGHTS, stored.revision, (stored,))
+            await router.follower.on_state_objects("r9", told)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_router_of_a_large_fleet_that_is_linked_late(self) -> None:
+        """Guards against seconds without older weights after a restart."""
+        async with trio.open_nursery() as nursery:
+            self.start(nursery, 14)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(6)
+            self.hub.cut.add("r14")
+            router = self.start_router(nursery, "r14")
+            await trio.sleep(1.5)
+            self.assertEqual(router.state.replaced_at(MODEL, 3), -math.inf)
+            self.hub.cut.clear()
+            await trio.sleep(0.3)
+            replaced_at = router.state.replaced_at(MODEL, 3)
+            self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
+            nursery.cancel_scope.cancel()
+
+    async def test_ages_that_all_know_cost_no_message(self) -> None:
+        """Guards against answers to offers whose sender lacks nothing."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 3)
+            await trio.sleep(5)
+            n_before = self.hub.n_messages
+            await trio.sleep(20)
+            n_usual = self.hub.n_messages - n_before
+            self.name_weights(3)
+            await trio.sleep(2)
+            n_before = self.hub.n_messages
+            await trio.sleep(20)
+            self.assertEqual(len(routers[0].state.named_ages()), 1)
+            self.assertLess(self.hub.n_messages - n_before, 1.1 * n_usual)
+            nursery.cancel_scope.cancel()
