Seek the age of a model's weights for as long as they are news only

Where the age of one model's weights is known to nobody any more, each naming of another model had every router offer its state 20 times in 3 s. The test failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -84,8 +84,8 @@
         """By model."""
         self.pauses: Final = PauseWatch()
         """Whether this process has just stood still."""
-        self._named_news_at = float("-inf")
-        """When a version newer than those before became known here."""
+        self._named_news_at: dict[str, float] = {}
+        """By model: when a version newer than those before became known here."""
         self._unchanged_at: float | None = None
         """While something is taken: when the store last showed here that it was not
         so; None when it has only just changed."""
@@ -401,7 +401,7 @@
         if not named.note(naming):
             return
         if is_news:
-            self._named_news_at = trio.current_time()
+            self._named_news_at[model] = trio.current_time()
         if is_news or was_exact != named.is_newest_exact:
             age_s = trio.current_time() - naming.at
             eliot.log_message(
@@ -416,9 +416,11 @@
     @property
     def seeks_ages(self) -> bool:
         """Whether peers may know better since when older weights are replaced."""
-        if trio.current_time() - self._named_news_at >= SEEK_S:
-            return False
-        return not all(named.is_newest_exact for named in self._named.values())
+        since = trio.current_time() - SEEK_S
+        return any(
+            self._named_news_at[model] > since and not named.is_newest_exact
+            for model, named in self._named.items()
+        )
 
 
 TOLD_FOR_S: Final = 60.0
--- a/packages/corianderlb-router/tests/test_serving_state.py
+++ b/packages/corianderlb-router/tests/test_serving_state.py
@@ -138,6 +138,18 @@
         for version in (0, 2, 3):
             self.assertEqual(self.state.replaced_at("m", version), float("-inf"))
 
+    async def test_ages_are_sought_for_what_has_just_become_known(self) -> None:
+        """Guards against offers at every naming for an age that nobody knows."""
+        stored = self.decoder.put(NamedWeights("m", 4), "m", 31)
+        self.state.apply_listing(WEIGHTS, FeedListing((stored,), 31))
+        self.assertTrue(self.state.seeks_ages)
+        await trio.sleep(10)
+        self.assertFalse(self.state.seeks_ages)
+        stored = self.decoder.put(NamedWeights("other", 2), "other", 32)
+        change = FeedChanges((FeedChange(stored, False),), 32)
+        self.state.apply_changes(WEIGHTS, change)
+        self.assertFalse(self.state.seeks_ages)
+
     async def test_age_of_weights_counts_from_the_first_newer_version(self) -> None:
         # Versions are named each three seconds. Counted from the newest one, an engine
         # that never loads would seem three seconds behind for ever.
