--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,12 @@
 
 # Real processes under random faults, by seed; seeds that break a promise keep their logs.
 SEEDS ?= 1-3
+PLANS ?= mixed roll
 JOBS ?= 2
 SOAK_LOGS ?= target/soak
 soak: setup
-	$(BIN)/python -W ignore platform/tests/soak.py --seeds $(SEEDS) --jobs $(JOBS) --keep $(SOAK_LOGS)
+	$(BIN)/python -W ignore platform/tests/soak.py --seeds $(SEEDS) --plans $(PLANS) \
+		--jobs $(JOBS) --keep $(SOAK_LOGS)
 
 test: setup
 	$(BIN)/python tests/run_all.py
