Ask peers no more often than offers come by themselves

Each linked peer answers a question, and an offer carried one at each change of anything too while the store is away, or in a large fleet at nearly all times: at five changes a second two messages for one. The new test fails without the limit (15288 messages in 10 s over 14 routers, 11527 at most).

--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -32,6 +32,9 @@
 LONG_OFFER_S: Final = 3.0
 """The same in a large fleet, where some peer's offer comes several times a second."""
 
+MIN_OFFER_SHARE: Final = 0.8
+"""Least part of that pause: offers of many routers spread."""
+
 SEEK_OFFER_S: Final = 0.15
 """The same of a router that has just come to lack the age of replaced weights: until it
 learns it, it takes none of them."""
@@ -192,13 +195,15 @@
         while True:
             changed = self._state.changed
             self._peers.broadcast(self._offer())
-            with trio.move_on_after(self._offer_s() * self._rng.uniform(0.8, 1.2)):
+            with trio.move_on_after(
+                self._offer_s() * self._rng.uniform(MIN_OFFER_SHARE, 1.2)
+            ):
                 await changed.wait()
                 # Changes come in groups; one offer tells of all of them.
                 await trio.sleep(max(GROUP_S, self._gather_s() / 2))
 
     def _offer(self) -> StateOffer:
-        return StateOffer(self._revisions(), self._ask() if self._has_questions else 0)
+        return StateOffer(self._revisions(), self._ask() if self._may_ask() else 0)
 
     def _revisions(self) -> tuple[tuple[str, int], ...]:
         tables = self._state.tables
@@ -210,13 +215,19 @@
         read_at = self._state.tables[self._state.configuration_kind].read_at
         return trio.current_time() - read_at < CONFIRMED_S
 
-    @property
-    def _has_questions(self) -> bool:
-        """Whether peers may know what this router does not."""
+    def _may_ask(self) -> bool:
+        """Return whether an offer should ask what peers may know and this router not.
+
+        Each linked peer answers, and offers come at each change as well.
+        """
+        now = trio.current_time()
+        pause_s = MIN_OFFER_SHARE * self._offer_s()
+        if now - self._asks.get(self._n_asks, float("-inf")) < pause_s:
+            return False
         if self._state.seeks_ages_for_s is not None:
             return True
         read_at = min(table.read_at for table in self._state.tables.values())
-        return trio.current_time() - read_at > UNREAD_S
+        return now - read_at > UNREAD_S
 
     def _ask(self) -> int:
         """Return the number of a new question to peers."""
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -525,3 +525,25 @@
             self.assertEqual(len(routers[0].state.named_ages()), 1)
             self.assertLess(self.hub.n_messages - n_before, 1.1 * n_usual)
             nursery.cancel_scope.cancel()
+
+    async def test_questions_while_much_changes_and_the_store_is_away(self) -> None:
+        """Guards against an answer of each peer to each of many offers."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 14)
+            await trio.sleep(1)
+            for router in routers:
+                router.feed.is_away = True
+            await trio.sleep(8)
+            n_before = self.hub.n_messages
+            for number in range(50):
+                for router in routers:
+                    stored = self.decoder.put(
+                        an_instance(f"s{number}", "app"), f"s{number}", 100 + number
+                    )
+                    told = FeedChanges((FeedChange(stored, False),), 100 + number)
+                    router.state.apply_changes(INSTANCES, told)
+                await trio.sleep(0.2)
+            n_pairs = 14 * 13
+            n_offers, n_questions = 55 * n_pairs, 10 / (0.8 * 3.0) * n_pairs
+            self.assertLess(self.hub.n_messages - n_before, n_offers + 2 * n_questions)
+            nursery.cancel_scope.cancel()
