--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -248,11 +248,25 @@
 
     revisions: tuple[tuple[str, int], ...]
     """By kind: the store's revision of the newest change that it knows of."""
+    ask: int = 0
+    """Number of a question to be answered by ``StateAnswer``; 0 for none."""
+
+
+@dataclass(frozen=True)
+class StateAnswer:
+    """Answer what a peer may not know: whether there is news, how old weights are.
+
+    It counts from when the question was asked. Told without one it would count from its
+    arrival, and it may have been under way for long.
+    """
+
+    ask: int
+    revisions: tuple[tuple[str, int], ...]
+    """By kind, as in an offer."""
     is_confirmed: bool = False
     """Whether the sender itself has lately read all kinds from the store."""
     named: tuple[NamedAge, ...] = ()
-    """Weights that were named of late. The store does not date them, so that a router
-    which has just started learns it here."""
+    """Weights that were named of late; the store does not date them."""
 
 
 @dataclass(frozen=True)
@@ -260,6 +274,10 @@
     """Ask a peer for all objects of some kinds."""
 
     kinds: tuple[str, ...]
+    ask: int = 0
+    """Number of the question."""
+    knows_none: bool = False
+    """Whether the sender knows no instance yet."""
 
 
 @dataclass(frozen=True)
@@ -278,6 +296,10 @@
     kind: str
     revision: int
     objects: tuple[SharedObject, ...]
+    ask: int = 0
+    """Number of the question."""
+    is_confirmed: bool = False
+    """Whether the sender itself has lately read all kinds from the store."""
 
 
 @dataclass(frozen=True)
@@ -399,6 +421,7 @@
     | CrashReport
     | SuspectCleared
     | StateOffer
+    | StateAnswer
     | StateRequest
     | StateObjects
     | EngineNews
@@ -429,6 +452,7 @@
         CrashReport,
         SuspectCleared,
         StateOffer,
+        StateAnswer,
         StateRequest,
         StateObjects,
         EngineNews,
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -46,13 +46,14 @@
     changed_at: int = 0
     """The store's revision of the newest change."""
     read_at: float = float("-inf")
-    """Router's clock when the store last answered about this kind."""
+    """Router's clock up to which the store has told all of this kind."""
     confirmed_at: float = float("-inf")
     """The same, or when a peer that reads the store knew of nothing newer."""
 
-    def confirm(self) -> None:
-        """Take note that the store has just spoken of this kind."""
-        self.read_at = self.confirmed_at = trio.current_time()
+    def confirm(self, as_of: float) -> None:
+        """Take note that the store has told all of this kind up to a moment."""
+        self.read_at = max(self.read_at, as_of)
+        self.confirmed_at = max(self.confirmed_at, as_of)
 
 
 class ServingState:
@@ -83,7 +84,10 @@
         """While something is taken: when the store last showed here that it was not
         so; None when it has only just changed."""
         self._store_lost_at: float | None = None
+        self._store_answered_at = float("-inf")
         self._store_back_at = float("-inf")
+        self._first_listed_at: float | None = None
+        """When this router first read the instances from the store."""
         self.changed = trio.Event()
         """Set, and replaced, at each change of anything."""
 
@@ -135,17 +139,17 @@
 
     # How the store speaks, or does not.
 
-    def store_lost(self) -> None:
-        """Take note that the store does not answer."""
+    def store_lost(self, since: float) -> None:
+        """Take note that the store has not answered since an answer was due."""
         if self._store_lost_at is None:
-            self._store_lost_at = trio.current_time()
+            self._store_lost_at = max(since, self._store_answered_at)
             eliot.log_message(message_type="store:lost")
 
     def store_answered(self) -> None:
         """Take note of an answer of the store."""
+        now = self._store_answered_at = trio.current_time()
         if self._store_lost_at is None:
             return
-        now = trio.current_time()
         away_s = now - self._store_lost_at
         self._store_lost_at = None
         if away_s >= AWAY_S:
@@ -167,6 +171,12 @@
         now = trio.current_time()
         return self._store_lost_at is None and now - self._store_back_at >= STEADY_S
 
+    @property
+    def may_lack_lapsed(self) -> bool:
+        """Whether entries may be missing that lapsed before this router started."""
+        first_at = self._first_listed_at
+        return first_at is not None and trio.current_time() - first_at < LAPSE_S
+
     @property
     def settles_at(self) -> float:
         """When entries that are missing after the store's return count as gone."""
@@ -174,11 +184,18 @@
 
     # What is told.
 
-    def apply_listing(self, kind: str, listing: FeedListing) -> None:
-        """Take a whole list that this router read from the store."""
+    def apply_listing(
+        self, kind: str, listing: FeedListing, as_of: float | None = None
+    ) -> None:
+        """Take a whole list that this router read from the store.
+
+        ``as_of`` is the moment up to which it tells all, now by default.
+        """
         table = self.tables[kind]
         self._unchanged_at = table.read_at
-        table.confirm()
+        table.confirm(trio.current_time() if as_of is None else as_of)
+        if kind == self.instances_kind and self._first_listed_at is None:
+            self._first_listed_at = trio.current_time()
         if listing.revision < table.revision:
             return
         listed = {stored.name: stored for stored in listing.objects}
@@ -192,11 +209,22 @@
             missing = [name for name in missing if self._is_leaving(name)]
         self._apply(table, changed, missing, listing.revision)
 
-    def apply_changes(self, kind: str, told: FeedChanges, in_time: bool = True) -> None:
-        """Take what a watch of this router saw, in time or held back."""
+    def apply_changes(
+        self,
+        kind: str,
+        told: FeedChanges,
+        as_of: float | None = None,
+        unchanged_at: float | None = None,
+    ) -> None:
+        """Take what a watch of this router saw.
+
+        ``as_of`` is the moment up to which it tells all, now by default;
+        ``unchanged_at`` one at which nothing of it had happened yet, None when it has
+        only just happened.
+        """
         table = self.tables[kind]
-        self._unchanged_at = None if in_time else table.read_at
-        table.confirm()
+        self._unchanged_at = unchanged_at
+        table.confirm(trio.current_time() if as_of is None else as_of)
         changed: dict[str, SharedObject] = {}
         removed: dict[str, None] = {}
         for change in told.changes:
@@ -213,9 +241,16 @@
         self._apply(table, list(changed.values()), gone, told.revision)
 
     def apply_peer(
-        self, kind: str, revision: int, objects: Iterable[SharedObject]
+        self,
+        kind: str,
+        revision: int,
+        objects: Iterable[SharedObject],
+        as_of: float | None = None,
     ) -> bool:
-        """Take a peer's whole table if it is newer; return whether it was."""
+        """Take a peer's whole table if it is newer; return whether it was.
+
+        ``as_of`` is when the peer is known to have had it confirmed, if at all.
+        """
         table = self.tables.get(kind)
         if table is None or revision <= table.revision:
             return False
@@ -228,12 +263,14 @@
             if self._revision(table, stored.name) < stored.revision
         ]
         self._apply(table, changed, missing, revision)
-        table.confirmed_at = trio.current_time()
+        if as_of is not None:
+            self.confirm(kind, as_of)
         return True
 
-    def confirm(self, kind: str) -> None:
-        """Take note that a peer knows of nothing newer."""
-        self.tables[kind].confirmed_at = trio.current_time()
+    def confirm(self, kind: str, as_of: float) -> None:
+        """Take note that a peer knew of nothing newer at a moment."""
+        table = self.tables[kind]
+        table.confirmed_at = max(table.confirmed_at, as_of)
 
     @staticmethod
     def _revision(table: Table, name: str) -> int:
@@ -362,11 +399,10 @@
             naming = Naming(version, at, newest, is_exact=False)
             self._note_naming(model, naming, "engine")
 
-    def hear_named(self, told: Iterable[NamedAge]) -> None:
-        """Take a peer's word on how long ago versions were named."""
-        now = trio.current_time()
+    def hear_named(self, told: Iterable[NamedAge], asked_at: float) -> None:
+        """Take a peer's answer on how long ago versions were named."""
         for word in told:
-            naming = Naming(word.version, now - word.age_ms / 1000, word.after)
+            naming = Naming(word.version, asked_at - word.age_ms / 1000, word.after)
             self._note_naming(word.model, naming, "peer")
 
     def named_ages(self) -> tuple[NamedAge, ...]:
@@ -400,20 +436,19 @@
             )
 
     @property
-    def seeks_ages(self) -> bool:
-        """Whether peers may know better since when older weights are replaced."""
-        if trio.current_time() - self._named_news_at >= SEEK_S:
-            return False
-        return not all(named.is_newest_exact for named in self._named.values())
+    def seeks_ages_for_s(self) -> float | None:
+        """For how long peers may have known better how old replaced weights are.
+
+        None when they cannot, or would have forgotten.
+        """
+        for_s = trio.current_time() - self._named_news_at
+        is_exact = all(named.is_newest_exact for named in self._named.values())
+        return None if is_exact or for_s >= TOLD_FOR_S else for_s
 
 
 TOLD_FOR_S: Final = 60.0
 """How long peers are told when a version was named: several times the longest bound on
 answers from replaced weights."""
 
-SEEK_S: Final = 3.0
-"""How long a router that has not seen a naming asks for its age: some times what it
-takes to be linked to its peers after a start."""
-
 MAX_LEAVING: Final = 4096
 """Lives remembered as leaving; the oldest are long gone."""
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -10,14 +10,12 @@
 from corianderlb_core.arrival_budget import BudgetTerms
 from corianderlb_core.engine_pace import PeerWork
 from corianderlb_core.forwarding import ForwardInstance
-from corianderlb_router.object_feed import FeedChange, FeedChanges, NamedWeights
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
     MODEL,
     NOT_RUN,
     ROUTES,
-    WEIGHTS,
     ForwardRouter,
     Upstream,
     a_configuration,
@@ -89,6 +87,19 @@
             self.assertLessEqual(len(bad.requests), 60)
             self.assertGreater(len(bad.requests), 52)
 
+    async def test_router_that_has_just_started_sends_little_again(self) -> None:
+        """Guard against repeats that an earlier life of the router has spent."""
+        bad = Upstream([an_answer(b"bad", 500)])
+        async with a_router(BudgetTerms(ratio=0.0, fixed=12.0), s1=bad) as router:
+            router.begin_life()
+            for n in range(10):
+                await router.ask("/read/7", x_id=f"q{n}")
+            self.assertEqual(len(bad.requests), 12)
+            await trio.sleep(10.1)
+            for n in range(10):
+                await router.ask("/read/7", x_id=f"r{n}")
+            self.assertEqual(len(bad.requests), 12 + 19)
+
     async def test_half_an_answer_is_no_answer(self) -> None:
         # The service breaks off inside the body. The caller must not take the half for
         # the whole.
@@ -409,18 +420,12 @@
 class BeginTest(TrioTestCase):
     """Requests that an engine takes in time and begins late."""
 
-    def name_weights(self, router: ForwardRouter, version: int) -> None:
-        """Have a watch of the store tell of a version."""
-        stored = router.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
-        told = FeedChanges((FeedChange(stored, False),), 20 + version)
-        router.state.apply_changes(WEIGHTS, told)
-
     async def replace_weights(self, router: ForwardRouter) -> float:
         """Name versions 1 and 2 and return when the second one was."""
         router.limit_weights(LIMIT_S)
-        self.name_weights(router, 1)
+        router.name_weights(1)
         await trio.sleep(1)
-        self.name_weights(router, 2)
+        router.name_weights(2)
         return trio.current_time()
 
     async def play(self, path: str) -> tuple[FakeCaller, list[float]]:
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -4,10 +4,12 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 
-from corianderlb_core.message import SharedObject
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.message import SharedObject, StateAnswer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -79,6 +81,10 @@
         self.is_silent = False
         """Whether calls get no answer, as from a store that holds them back."""
         self.n_calls = 0
+        self.held: trio.Event | None = None
+        """Set when answers that were under way may arrive; None to hold none back."""
+        self.on_its_way: Callable[[], None] | None = None
+        """Called once while word that no weights were named is on its way."""
 
     async def list(self, kind: str) -> FeedListing:
         await self._reach()
@@ -94,7 +100,13 @@
                 await self._store.changed.wait()
             await self._reach()
             return FeedChanges(found, self._store.revision)
-        return FeedChanges((), self._store.revision)
+        told = FeedChanges(self._since(kind, revision), self._store.revision)
+        if self.held is not None:
+            await self.held.wait()
+        if kind == WEIGHTS and self.on_its_way is not None:
+            happen, self.on_its_way = self.on_its_way, None
+            happen()
+        return told
 
     def _since(self, kind: str, revision: int) -> tuple[FeedChange, ...]:
         return tuple(
@@ -115,8 +127,15 @@
 class Router:
     """Hold one router's state, feed and follower."""
 
-    def __init__(self, name: str, store: MemoryStore, hub: FakeHub, decoder) -> None:
-        self.feed = MemoryFeed(store)
+    def __init__(
+        self,
+        name: str,
+        store: MemoryStore,
+        hub: FakeHub,
+        decoder: TableDecoder,
+        feed: type[MemoryFeed] = MemoryFeed,
+    ) -> None:
+        self.feed = feed(store)
         self.state: ServingState = a_state(decoder)
         rng = random.Random(1)
         self.follower = StateFollower(self.feed, self.state, hub.join(name), rng)
@@ -292,3 +311,140 @@
             replaced_at = state.replaced_at(MODEL, 3)
             self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
             nursery.cancel_scope.cancel()
+
+    async def test_naming_that_is_read_after_a_pause(self) -> None:
+        """Guards against an age that counts from the end of a short freeze."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(6.2)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            self.clock.jump(1.5)
+            await trio.sleep(0.1)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_answer_that_waited_says_nothing_of_now(self) -> None:
+        """Guards against "nothing newer" that is taken for news when it is old."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            router.feed.held = trio.Event()
+            await trio.sleep(4)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(2)
+            self.assertFalse(router.state.is_confirmed(1.5))
+            router.feed.held.set()
+            await trio.sleep(0.1)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_age_that_was_under_way_for_long(self) -> None:
+        """Guards against a peer's word that makes weights younger by its delay."""
+        async with trio.open_nursery() as nursery:
+            self.start(nursery, 2)
+            self.name_weights(3)
+            await trio.sleep(5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(3)
+            self.hub.delay_s = 2
+            router = self.start_router(nursery, "r1")
+            await trio.sleep(6)
+            replaced_at = router.state.replaced_at(MODEL, 3)
+            self.assertLessEqual(replaced_at, named_at + 0.1)
+            self.assertGreater(replaced_at, named_at - 5)
+            nursery.cancel_scope.cancel()
+
+    async def test_confirmation_that_is_read_after_a_pause(self) -> None:
+        """Guards against denials by a configuration that an old word confirmed."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            routers[1].feed.is_away = True
+            await trio.sleep(5)
+            self.assertTrue(routers[1].state.is_confirmed(4.0))
+            revision = routers[0].state.tables[CONFIGURATION].changed_at
+            self.hub.cut.add("r1")
+            self.clock.jump(6)
+            for ask in range(1, 20):
+                answer = StateAnswer(ask, ((CONFIGURATION, revision),), True)
+                await routers[1].follower.on_state_answer(InstanceId("r0"), answer)
+            self.assertFalse(routers[1].state.is_confirmed(4.0))
+            nursery.cancel_scope.cancel()
+
+    async def test_weights_named_while_all_routers_stand_still(self) -> None:
+        """Guards against an age that counts from the end of a freeze of all routers."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            self.name_weights(3)
+            await trio.sleep(6.5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            self.clock.jump(2.2)
+            await trio.sleep(3)
+            for router in routers:
+                self.assertEqual(router.state.newest_weights(MODEL), 4)
+                self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at)
+            nursery.cancel_scope.cancel()
+
+    async def test_weights_named_after_an_answer_that_a_freeze_held_up(self) -> None:
+        """Guards against the same where a watch without news ended in the freeze."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(1)
+            named_at: list[float] = []
+
+            def freeze() -> None:
+                self.clock.jump(0.5)
+                self.name_weights(4)
+                named_at.append(trio.current_time())
+                self.clock.jump(1.2)
+
+            router.feed.on_its_way = freeze
+            await trio.sleep(6)
+            self.assertEqual(router.state.newest_weights(MODEL), 4)
+            self.assertLessEqual(router.state.replaced_at(MODEL, 3), named_at[0])
+            nursery.cancel_scope.cancel()
+
+    async def test_age_that_waited_for_a_frozen_router(self) -> None:
+        """Guards against a peer's word that counts from the end of a freeze."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 2)
+            await trio.sleep(1)
+            self.name_weights(3)
+            await trio.sleep(5)
+            routers[1].feed.is_silent = True
+            await trio.sleep(4)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(0.005)
+            told = routers[0].state.named_ages()
+            self.assertEqual([word.version for word in told], [3, 4])
+            self.clock.jump(2.0)
+            answer = StateAnswer(1, (), named=told)
+            await routers[1].follower.on_state_answer(InstanceId("r0"), answer)
+            replaced_at = routers[1].state.replaced_at(MODEL, 3)
+            self.assertFalse(named_at + 0.1 < replaced_at < math.inf)
+            nursery.cancel_scope.cancel()
+
+    async def test_stall_before_a_naming_that_is_seen(self) -> None:
+        """Guards against old weights that nobody may use after a stall of routers."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, 1)
+            self.name_weights(3)
+            await trio.sleep(6.2)
+            self.clock.jump(0.5)
+            await trio.sleep(1.5)
+            self.name_weights(4)
+            named_at = trio.current_time()
+            await trio.sleep(0.1)
+            replaced_at = router.state.replaced_at(MODEL, 3)
+            self.assertAlmostEqual(replaced_at, named_at, delta=0.1)
+            nursery.cancel_scope.cancel()
