--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -78,8 +78,8 @@
         self._leaving: dict[tuple[str, int], None] = {}
         self._named: dict[str, NamedVersions] = {}
         """By model."""
-        self._named_news_at = float("-inf")
-        """When a version newer than those before became known here."""
+        self._named_news_at: dict[str, float] = {}
+        """By model: when a version newer than those before became known here."""
         self._unchanged_at: float | None = None
         """While something is taken: when the store last showed here that it was not
         so; None when it has only just changed."""
@@ -423,7 +423,7 @@
         if not named.note(naming):
             return
         if is_news:
-            self._named_news_at = trio.current_time()
+            self._named_news_at[model] = trio.current_time()
         if is_news or was_exact != named.is_newest_exact:
             age_s = trio.current_time() - naming.at
             eliot.log_message(
@@ -441,9 +441,13 @@
 
         None when they cannot, or would have forgotten.
         """
-        for_s = trio.current_time() - self._named_news_at
-        is_exact = all(named.is_newest_exact for named in self._named.values())
-        return None if is_exact or for_s >= TOLD_FOR_S else for_s
+        now = trio.current_time()
+        for_s = [
+            now - self._named_news_at[model]
+            for model, named in self._named.items()
+            if not named.is_newest_exact
+        ]
+        return min((found for found in for_s if found < TOLD_FOR_S), default=None)
 
 
 TOLD_FOR_S: Final = 60.0
--- a/packages/corianderlb-router/tests/test_state_age.py
+++ b/packages/corianderlb-router/tests/test_state_age.py
@@ -26,12 +26,12 @@
     """Lose the answers of watches that wait while the store falls silent."""
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> FeedChanges:
-        began_at = trio.current_time()
-        told = await super().watch(kind, revision, wait_s)
-        if self.is_silent:
-            await trio.sleep_until(began_at + wait_s + WATCH_GRACE_S)
-            raise StoreUnavailableError("no answer")
-        return told
+        with trio.move_on_after(wait_s + WATCH_GRACE_S):
+            told = await super().watch(kind, revision, wait_s)
+            if not self.is_silent:
+                return told
+            await trio.sleep_forever()
+        raise StoreUnavailableError("no answer")
 
 
 class StateAgeTest(TrioTestCase):
--- a/packages/corianderlb-router/tests/test_weights_keeper.py
+++ b/packages/corianderlb-router/tests/test_weights_keeper.py
@@ -56,6 +56,7 @@
         self.holders: list[tuple[float, str]] = []
         self.most_at_once = 0
         self.lose_answers = 0
+        self.load_s = 0.8
 
     async def report(self, engine: ForwardInstance) -> EngineReport | None:
         await trio.sleep(0.005)
@@ -85,7 +86,7 @@
     async def _load(self, name: str, version: int) -> None:
         self.busy.add(name)
         self.most_at_once = max(self.most_at_once, len(self.busy - self.dead))
-        await trio.sleep(0.8)
+        await trio.sleep(self.load_s)
         self.busy.discard(name)
         if name not in self.dead:
             self.versions[name] = version
@@ -147,6 +148,12 @@
         view.pace.sent("run", 100, trio.current_time(), 100)
         view.pace.first_token("run", trio.current_time())
 
+    def list_engine(self, name: str, version: int) -> None:
+        """Have the store list an engine with newer weights."""
+        engine = an_instance(name, "llm", weights=((MODEL, version),))
+        stored = self.decoder.put(engine, name, 20 + version)
+        self.state.apply_listing(INSTANCES, FeedListing((stored,), 20 + version))
+
     def name_weights(self, version: int) -> None:
         """Have the store name a version."""
         stored = self.decoder.put(NamedWeights(MODEL, version), MODEL, 20 + version)
@@ -285,6 +292,26 @@
             self.assertLess(trio.current_time() - named_at, PATIENCE_S + 3.0)
             nursery.cancel_scope.cancel()
 
+    async def test_load_that_waits_long_for_runs_to_end(self) -> None:
+        """Guard against word of a load that lapses while the load goes on."""
+        async with trio.open_nursery() as nursery:
+            keepers = self.start(nursery, n_routers=2, n_engines=2)
+            await trio.sleep(6)
+            self.engines.load_s = 9.0
+            for keeper in keepers:
+                nursery.start_soon(keeper.board.weights.run)
+                keeper.name_weights(2)
+            while not self.engines.busy:
+                await trio.sleep(0.05)
+            name = min(self.engines.busy)
+            for _ in range(85):
+                await trio.sleep(0.1)
+                for keeper in keepers:
+                    engine = keeper.state.instance(name)
+                    phase = keeper.board.weights.phase(engine)
+                    self.assertIs(phase, EnginePhase.LOADING)
+            nursery.cancel_scope.cancel()
+
     async def test_router_that_holds_the_lease_again(self) -> None:
         """Guard against phases of an engine that date from an earlier holding."""
         async with trio.open_nursery() as nursery:
@@ -383,6 +410,20 @@
             await trio.testing.wait_all_tasks_blocked()
             self.assertFalse(nursery.child_tasks)
 
+    async def test_word_of_a_load_that_is_over(self) -> None:
+        """Guard against word of a load that lay in a buffer while the load ended."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            keeper = Keeper("r1", FakeStore(), hub, Engines(nursery, "e1"))
+            word = WeightsWord("e1", 1, MODEL, 1, EnginePhase.LOADING, 10)
+            news = WeightsNews((word,))
+            await keeper.board.weights.on_weights_news(InstanceId("r9"), news)
+            e1 = keeper.state.instance("e1")
+            self.assertIs(keeper.board.weights.phase(e1), EnginePhase.LOADING)
+            keeper.list_engine("e1", 2)
+            e1 = keeper.state.instance("e1")
+            self.assertIs(keeper.board.weights.phase(e1), EnginePhase.SERVING)
+
 
 async def run_in(scope: trio.CancelScope, step) -> None:
     """Run a step until its scope is cancelled."""
