Announce a change of the membership over each link once

Cause: an announcement was repeated in eight heartbeats, up to 20 a second, over every link. Links are reliable, so seven of the eight are of no use.

Change: each change leaves with one heartbeat; a link that opens, or that dropped a frame, gets the full state. Heartbeats during churn keep a gap that grows with the links (0.01 s a link). Counts of members are kept until the membership changes, where each message rebuilt and sorted the list. A changed address counts as a change that is passed on.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -24,9 +24,6 @@
 FORGET_AFTER_S: Final = 600.0
 """Time for which a suspected router that is not in the platform's list is retried."""
 
-N_ANNOUNCEMENTS: Final = 8
-"""Heartbeats that repeat an announcement; about twice the diameter of the overlay."""
-
 
 class MergeResult(Enum):
     """Effect of merging an announcement about a router."""
@@ -70,7 +67,16 @@
         self._listed: dict[InstanceId, InstanceRecord] = {}
         self._list_revision = -1
         self._checked_at: float | None = None
-        self._n_sends_left: dict[InstanceId, int] = {}
+        self._unannounced: dict[InstanceId, None] = {}
+        """Routers whose state changed since the last heartbeat, in order."""
+        self.version = 0
+        """Incremented when a member or candidate is added, removed or changed in more
+        than its heartbeat; results computed from the membership stay valid until
+        then."""
+        self._names: tuple[InstanceId, ...] | None = None
+        """Names of the members, sorted; None until they are computed again."""
+        self._n_live: int | None = None
+        """Number of live members; None until it is computed again."""
         self.newer_own_epoch: int | None = None
         """Epoch of a newer incarnation of this router that peers know of, or None.
 
@@ -99,11 +105,13 @@
         self._own = dataclasses.replace(
             self._own, address=address, peer_address=peer_address
         )
+        self._set_changed()
         self._schedule_announcement(self._own.instance)
 
     def leave(self) -> None:
         """Announce that this router is leaving, which is final for this incarnation."""
         self._own = dataclasses.replace(self._own, presence=Presence.LEAVING)
+        self._set_changed()
         self._schedule_announcement(self._own.instance)
 
     def members(self) -> tuple[MemberState, ...]:
@@ -112,12 +120,42 @@
         A leaving router is included until it stops, since it still finishes its
         requests. Assign new responsibilities only to routers whose presence is LIVE.
         """
-        running = [
-            self._with_listed_presence(known.state)
-            for known in self._known.values()
-            if known.is_known_from_peers and known.suspected_since is None
-        ]
-        return tuple(sorted([self._own, *running], key=lambda item: item.instance))
+        return tuple(self._current_state(name) for name in self._member_names())
+
+    @property
+    def n_members(self) -> int:
+        """Number of routers presumed to run, including this one."""
+        return len(self._member_names())
+
+    @property
+    def n_live(self) -> int:
+        """Number of members that are not leaving, including this router."""
+        if self._n_live is None:
+            self._n_live = sum(
+                state.presence is Presence.LIVE for state in self.members()
+            )
+        return self._n_live
+
+    def _member_names(self) -> tuple[InstanceId, ...]:
+        if self._names is None:
+            running = [
+                name
+                for name, known in self._known.items()
+                if known.is_known_from_peers and known.suspected_since is None
+            ]
+            self._names = tuple(sorted([self._own.instance, *running]))
+        return self._names
+
+    def _current_state(self, name: InstanceId) -> MemberState:
+        if name == self._own.instance:
+            return self._own
+        return self._with_listed_presence(self._known[name].state)
+
+    def _set_changed(self) -> None:
+        """Drop what was computed from the set of routers and their presence."""
+        self.version += 1
+        self._names = None
+        self._n_live = None
 
     def state_of(self, instance: InstanceId) -> MemberState | None:
         """Return the last known state of a router, suspected or not."""
@@ -156,6 +194,7 @@
         known = self._known.get(state.instance)
         if known is None or not known.is_known_from_peers:
             self._known[state.instance] = _KnownRouter(state)
+            self._set_changed()
             self._schedule_announcement(state.instance)
             return MergeResult.CHANGED
         before = known.state
@@ -177,6 +216,7 @@
         if revived:
             known.suspected_since = None
         if revived or _is_membership_change(state, before):
+            self._set_changed()
             self._schedule_announcement(state.instance)
             return MergeResult.CHANGED
         return MergeResult.HEARTBEAT
@@ -214,6 +254,7 @@
         if (suspicion.epoch, suspicion.heartbeat) < _sequence(known.state):
             return MergeResult.IGNORED
         known.suspected_since = now
+        self._set_changed()
         self._schedule_announcement(suspicion.instance)
         return MergeResult.CHANGED
 
@@ -228,6 +269,7 @@
             if record.role is Role.ROUTER and record.instance != self._own.instance
         }
         self._merge_listed()
+        self._set_changed()
         return True
 
     def record_reachable(self, instance: InstanceId) -> None:
@@ -266,15 +308,14 @@
     def take_announcements(
         self, rng: random.Random, n_random: int = 0
     ) -> tuple[list[MemberState], list[Suspicion]]:
-        """Return the announcements for the next heartbeat, and count them as sent.
+        """Return the changes since the last heartbeat, for every link.
 
-        ``n_random`` further members are added, to repair lost announcements.
+        Links are reliable, so each change crosses a link once; a link that opens later
+        or drops a frame gets the full state. ``n_random`` further members are added, to
+        repair lost announcements.
         """
-        names = list(self._n_sends_left)
-        for name in names:
-            self._n_sends_left[name] -= 1
-            if self._n_sends_left[name] <= 0:
-                del self._n_sends_left[name]
+        names = list(self._unannounced)
+        self._unannounced.clear()
         others = [
             name
             for name, known in self._known.items()
@@ -305,6 +346,7 @@
     def _suspect(self, known: _KnownRouter, now: float) -> None:
         if known.suspected_since is None:
             known.suspected_since = now
+            self._set_changed()
             if known.is_known_from_peers:
                 self._schedule_announcement(known.state.instance)
 
@@ -332,7 +374,8 @@
                 continue
             if now - since >= FORGET_AFTER_S:
                 del self._known[name]
-                self._n_sends_left.pop(name, None)
+                self._set_changed()
+                self._unannounced.pop(name, None)
 
     def _merge_own_state(self, state: MemberState) -> MergeResult:
         """Merge an announcement of a peer about this router.
@@ -356,7 +399,7 @@
         return state
 
     def _schedule_announcement(self, instance: InstanceId) -> None:
-        self._n_sends_left[instance] = N_ANNOUNCEMENTS
+        self._unannounced[instance] = None
 
 
 def _sequence(state: MemberState) -> tuple[int, int]:
@@ -368,8 +411,13 @@
 
 
 def _is_membership_change(state: MemberState, before: MemberState) -> bool:
-    """Return whether the epoch or the presence differs, which is announced to peers."""
-    return state.epoch != before.epoch or state.presence is not before.presence
+    """Return whether two states differ in more than heartbeat and catalogue version."""
+    return (
+        state.epoch != before.epoch
+        or state.presence is not before.presence
+        or state.address != before.address
+        or state.peer_address != before.peer_address
+    )
 
 
 def _suspicion(state: MemberState) -> Suspicion:
--- a/packages/corianderlb-router/src/corianderlb_router/_handshake.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_handshake.py
@@ -57,12 +57,14 @@
         self._n_sent = 0
         self._n_received = 0
 
-    async def send(self, message: bytes) -> int:
-        """Send one encoded message; return the bytes of its frame."""
-        frame = _tag(self._send_key, self._n_sent, message) + message
-        self._n_sent += 1
-        await self._link.send(frame)
-        return len(frame)
+    async def send(self, *messages: bytes) -> int:
+        """Send encoded messages in order; return the bytes of their frames."""
+        frames = []
+        for message in messages:
+            frames.append(_tag(self._send_key, self._n_sent, message) + message)
+            self._n_sent += 1
+        await self._link.send_all(frames)
+        return sum(len(frame) for frame in frames)
 
     async def receive(self) -> bytes:
         """Return the next encoded message; raise ``FrameRefusedError`` if forged."""
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
@@ -60,22 +61,38 @@
         """Number of the last heartbeat received over this link."""
         self._link = link
         self._counters = counters
-        self._send, self._queue = trio.open_memory_channel[bytes](MAX_QUEUED)
+        self.has_dropped = False
+        """Whether a message was dropped since this was last cleared."""
+        self._queue: deque[bytes] = deque()
         self._n_queued_bytes = 0
+        self._must_write = trio.Event()
         self._scope = trio.CancelScope()
 
-    def post(self, frame: bytes) -> bool:
-        """Queue an encoded message; drop and count it if the queue is full."""
-        try:
-            if self._n_queued_bytes + len(frame) > MAX_QUEUED_BYTES:
-                raise trio.WouldBlock
-            self._send.send_nowait(frame)
-        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+    def post(self, frame: bytes, can_wait: bool = False) -> bool:
+        """Queue an encoded message; drop and count it if the queue is full.
+
+        A message that ``can_wait`` leaves with the next one that cannot, or at the next
+        ``flush``.
+        """
+        is_full = (
+            len(self._queue) >= MAX_QUEUED
+            or self._n_queued_bytes + len(frame) > MAX_QUEUED_BYTES
+        )
+        if is_full:
             self._counters.n_dropped += 1
+            self.has_dropped = True
             return False
+        self._queue.append(frame)
         self._n_queued_bytes += len(frame)
+        if not can_wait:
+            self._must_write.set()
         return True
 
+    def flush(self) -> None:
+        """Send the queued messages now."""
+        if self._queue:
+            self._must_write.set()
+
     def close(self) -> None:
         """Close the link; ``run`` returns soon after."""
         self._scope.cancel()
@@ -109,9 +126,12 @@
             await handle(self, message)
 
     async def _write(self) -> None:
-        async for frame in self._queue:
-            self._n_queued_bytes -= len(frame)
-            n_bytes = await self._link.send(frame)
-            # Read the counters after the await: other links update them meanwhile.
+        while True:
+            await self._must_write.wait()
+            self._must_write = trio.Event()
+            frames = tuple(self._queue)
+            self._queue.clear()
+            self._n_queued_bytes = 0
+            n_bytes = await self._link.send(*frames)
             self._counters.n_bytes_out += n_bytes
-            self._counters.n_messages_out += 1
+            self._counters.n_messages_out += len(frames)
--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -1,16 +1,29 @@
-"""Transport of frames between routers over websockets."""
+"""Transport of frames between routers over websockets.
+
+The protocol is the library's; the reading and writing of the socket stands here. A link
+then costs one task that reads, and all frames that are due leave in one write.
+"""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections import deque
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager, suppress
 from typing import Final
 
 import trio
-from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidURI
-from websockets.trio.client import connect
-from websockets.trio.connection import Connection
-from websockets.trio.server import ServerConnection, serve
+from websockets.client import ClientProtocol
+from websockets.exceptions import (
+    InvalidHandshake,
+    InvalidState,
+    InvalidURI,
+    PayloadTooBig,
+)
+from websockets.frames import Frame, Opcode
+from websockets.http11 import Request
+from websockets.protocol import Protocol, State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
 
 from corianderlb_core.message import MAX_MESSAGE_BYTES
 
@@ -28,18 +41,18 @@
 CLOSE_TIMEOUT_S: Final = 0.5
 """Timeout for the closing handshake."""
 
-FRAME_OVERHEAD_BYTES: Final = 64
-"""Upper bound of the bytes that a frame adds to its message."""
+MAX_FRAME_BYTES: Final = MAX_MESSAGE_BYTES + 64
+"""Limit of a frame: the longest message and an upper bound of what a link adds."""
 
-CLOSE_MESSAGE_TOO_BIG: Final = 1009
-"""Websocket close code for a message above the size limit."""
+READ_BYTES: Final = 1 << 16
+"""Most bytes taken from a socket at once."""
 
 
 class WebSocketTransport(PeerTransport):
     """Dial and accept websockets; port 0 lets the kernel choose a port.
 
-    Library pings are off: the routers' heartbeats detect dead links, and use a clock
-    that tests control.
+    Pings are not sent: the routers' heartbeats detect dead links, and use a clock that
+    tests control.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -50,18 +63,19 @@
     async def dial(self, address: str) -> AsyncIterator[PeerLink]:
         """Open a link to ``host:port``."""
         try:
-            async with connect(
-                f"ws://{address}/",
-                compression=None,
-                proxy=None,
-                open_timeout=OPEN_TIMEOUT_S,
-                close_timeout=CLOSE_TIMEOUT_S,
-                ping_interval=None,
-                max_size=MAX_MESSAGE_BYTES + FRAME_OVERHEAD_BYTES,
-            ) as websocket:
-                yield _WebSocketLink(websocket)
-        except (OSError, InvalidHandshake, InvalidURI) as exc:
+            with trio.fail_after(OPEN_TIMEOUT_S):
+                uri = parse_uri(f"ws://{address}/")
+                stream = await trio.open_tcp_stream(uri.host, uri.port)
+                websocket = _WebSocketLink(
+                    stream, ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
+                )
+                await websocket.open_as_client()
+        except (OSError, InvalidHandshake, InvalidURI, trio.TooSlowError) as exc:
             raise LinkClosedError(f"{address}: {exc!r}") from exc
+        try:
+            yield websocket
+        finally:
+            await websocket.aclose()
 
     async def serve(
         self,
@@ -70,45 +84,139 @@
     ) -> None:
         """Accept links until cancelled."""
 
-        async def handle(websocket: ServerConnection) -> None:
-            await handler(_WebSocketLink(websocket))
+        async def handle(stream: trio.SocketStream) -> None:
+            websocket = _WebSocketLink(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
+            try:
+                with trio.fail_after(OPEN_TIMEOUT_S):
+                    await websocket.open_as_server()
+            except (LinkClosedError, InvalidHandshake, trio.TooSlowError):
+                await trio.aclose_forcefully(stream)
+                return
+            try:
+                await handler(websocket)
+            finally:
+                await websocket.aclose()
 
         listeners = await trio.open_tcp_listeners(self._port, host=self._host)
         host, port = listeners[0].socket.getsockname()[:2]
         task_status.started(f"{host}:{port}")
-        await serve(
-            handle,
-            listeners=listeners,
-            compression=None,
-            open_timeout=OPEN_TIMEOUT_S,
-            close_timeout=CLOSE_TIMEOUT_S,
-            ping_interval=None,
-            max_size=MAX_MESSAGE_BYTES + FRAME_OVERHEAD_BYTES,
-        )
+        await trio.serve_listeners(handle, listeners)
 
 
 class _WebSocketLink(PeerLink):
     """Link over one websocket."""
 
-    def __init__(self, websocket: Connection) -> None:
-        self._websocket = websocket
+    def __init__(self, stream: trio.SocketStream, protocol: Protocol) -> None:
+        self._stream = stream
+        self._protocol = protocol
+        self._send_lock = trio.StrictFIFOLock()
+        self._received: deque[bytes] = deque()
+        self._fragments: list[bytes] = []
+
+    async def open_as_client(self) -> None:
+        """Run the opening handshake of the side that dialled."""
+        protocol = self._protocol
+        assert isinstance(protocol, ClientProtocol)
+        try:
+            protocol.send_request(protocol.connect())
+            await self._flush()
+            while protocol.state is State.CONNECTING and not protocol.handshake_exc:
+                await self._read()
+        except BaseException:
+            await trio.aclose_forcefully(self._stream)
+            raise
+        if protocol.handshake_exc is not None:
+            await trio.aclose_forcefully(self._stream)
+            raise protocol.handshake_exc
+
+    async def open_as_server(self) -> None:
+        """Run the opening handshake of the side that accepted."""
+        protocol = self._protocol
+        assert isinstance(protocol, ServerProtocol)
+        req: Request | None = None
+        while req is None:
+            if protocol.handshake_exc is not None:
+                raise protocol.handshake_exc
+            await self._read_bytes()
+            req = next(iter(protocol.events_received()), None)
+        protocol.send_response(protocol.accept(req))
+        await self._flush()
+        if protocol.handshake_exc is not None:
+            raise protocol.handshake_exc
 
     async def send(self, frame: bytes) -> None:
+        await self.send_all((frame,))
+
+    async def send_all(self, frames: Sequence[bytes]) -> None:
         try:
-            await self._websocket.send(frame)
-        except (ConnectionClosed, OSError, trio.BrokenResourceError) as exc:
+            for frame in frames:
+                self._protocol.send_binary(frame)
+        except InvalidState as exc:
             raise LinkClosedError(f"send failed: {exc!r}") from exc
+        await self._flush()
 
     async def receive(self) -> bytes:
-        try:
-            frame = await self._websocket.recv(decode=False)
-        except ConnectionClosed as exc:
-            too_long = exc.sent is not None and exc.sent.code == CLOSE_MESSAGE_TOO_BIG
-            if too_long and not exc.rcvd_then_sent:
-                raise FrameRefusedError("frame exceeds the size limit") from exc
-            raise LinkClosedError(f"receive failed: {exc!r}") from exc
-        return bytes(frame)
+        while not self._received:
+            if self._protocol.state is not State.OPEN:
+                raise LinkClosedError("receive failed: the websocket was closed")
+            await self._read()
+        return self._received.popleft()
 
     async def aclose(self) -> None:
-        with trio.move_on_after(CLOSE_TIMEOUT_S):
-            await self._websocket.aclose()
+        """Close the websocket, and wait a short time until the peer does so too."""
+        with trio.CancelScope(shield=True), trio.move_on_after(CLOSE_TIMEOUT_S):
+            try:
+                if self._protocol.state is State.OPEN:
+                    self._protocol.send_close()
+                await self._flush()
+                while self._protocol.state is not State.CLOSED:
+                    await self._read_bytes()
+            except LinkClosedError:
+                pass
+        await trio.aclose_forcefully(self._stream)
+
+    async def _read(self) -> None:
+        """Read what has arrived and take the messages out of it."""
+        await self._read_bytes()
+        for event in self._protocol.events_received():
+            if isinstance(event, Frame):
+                self._add_frame(event)
+        if isinstance(self._protocol.parser_exc, PayloadTooBig):
+            # Before any await: a concurrent send would fail first and hide the reason.
+            raise FrameRefusedError("frame exceeds the size limit")
+        if self._protocol.writes:
+            # An answer to a close; messages that came before it are still delivered.
+            with suppress(LinkClosedError):
+                await self._flush()
+
+    async def _read_bytes(self) -> None:
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self._protocol.receive_eof()
+            raise LinkClosedError(f"receive failed: {exc!r}") from exc
+        if data:
+            self._protocol.receive_data(data)
+        else:
+            self._protocol.receive_eof()
+
+    def _add_frame(self, frame: Frame) -> None:
+        if frame.opcode not in (Opcode.TEXT, Opcode.BINARY, Opcode.CONT):
+            return
+        self._fragments.append(bytes(frame.data))
+        if frame.fin:
+            self._received.append(b"".join(self._fragments))
+            self._fragments.clear()
+
+    async def _flush(self) -> None:
+        """Send what the protocol has to send."""
+        try:
+            async with self._send_lock:
+                data = self._protocol.data_to_send()
+                payload = b"".join(data)
+                if payload:
+                    await self._stream.send_all(payload)
+                if b"" in data:
+                    await self._stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise LinkClosedError(f"send failed: {exc!r}") from exc
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -351,7 +351,7 @@
 
     async def _announce_work(self) -> None:
         while True:
-            n_peers = len(self._peers.members()) - 1
+            n_peers = self._peers.n_members() - 1
             pause_s = max(MIN_UPDATE_INTERVAL_S, UPDATE_INTERVAL_PER_PEER_S * n_peers)
             await trio.sleep(pause_s)
             with trio.move_on_after(max(0.0, UPDATE_INTERVAL_S - pause_s)):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -9,7 +9,6 @@
 import trio
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms, FleetRetryBudget
-from corianderlb_core.identity import Presence
 from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.return_schedule import ReturnSchedule
 from corianderlb_core.service_choice import ServiceLoad
@@ -71,8 +70,7 @@
     @property
     def n_routers(self) -> int:
         """Number of routers known to be live, at least one."""
-        members = self.peers.members()
-        return max(1, sum(state.presence is Presence.LIVE for state in members))
+        return max(1, self.peers.n_live())
 
     def budget(self, upstream: str) -> FleetRetryBudget:
         """Return the retry budget of an upstream."""
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -14,7 +14,13 @@
 from typing import Any, TypeAlias
 
 from corianderlb_core.catalogue import Catalogue
-from corianderlb_core.identity import AttemptId, Incarnation, InstanceId, RequestId
+from corianderlb_core.identity import (
+    AttemptId,
+    Incarnation,
+    InstanceId,
+    Presence,
+    RequestId,
+)
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import MemberState, Message
 from corianderlb_core.request import (
@@ -146,6 +152,14 @@
     def members(self) -> Sequence[MemberState]:
         """Return the routers believed to be live, including this one."""
 
+    def n_members(self) -> int:
+        """Return the number of members."""
+        return len(self.members())
+
+    def n_live(self) -> int:
+        """Return the number of members that are not leaving."""
+        return sum(state.presence is Presence.LIVE for state in self.members())
+
     def reach(self) -> float:
         """Return the fraction of the other routers whose broadcasts arrive here."""
         return 1.0
--- a/packages/corianderlb-router/src/corianderlb_router/peer_link.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import TypeAlias
 
@@ -32,6 +32,11 @@
     async def send(self, frame: bytes) -> None:
         """Send one frame; raise ``LinkClosedError`` if the link is closed."""
 
+    async def send_all(self, frames: Sequence[bytes]) -> None:
+        """Send several frames in order, in one write where the transport can."""
+        for frame in frames:
+            await self.send(frame)
+
     @abstractmethod
     async def receive(self) -> bytes:
         """Return the next frame.
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -79,6 +79,10 @@
 MIN_HEARTBEAT_GAP_S: Final = 0.05
 """Minimum interval between heartbeats, whatever the rate of updates."""
 
+HEARTBEAT_GAP_S_PER_LINK: Final = 0.01
+"""Minimum interval between heartbeats per link, so that many changes of the membership
+at once, as when all routers start, leave in few heartbeats."""
+
 MAX_HEARTBEAT_TIMES: Final = 256
 """Maximum number of own heartbeats whose send times are stored."""
 
@@ -163,9 +167,17 @@
         """
         return self._membership.members()
 
+    def n_members(self) -> int:
+        """Return the number of members."""
+        return self._membership.n_members
+
+    def n_live(self) -> int:
+        """Return the number of members that are not leaving."""
+        return self._membership.n_live
+
     def reach(self) -> float:
         """Return the fraction of the other routers that are linked."""
-        n_others = len(self._membership.members()) - 1
+        n_others = self._membership.n_members - 1
         return min(1.0, len(self._links) / n_others) if n_others > 0 else 1.0
 
     def linked(self) -> Sequence[InstanceId]:
@@ -219,11 +231,15 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self._send_heartbeat()
-            await trio.sleep(MIN_HEARTBEAT_GAP_S)
-            with trio.move_on_after(self._cfg.heartbeat_s - MIN_HEARTBEAT_GAP_S):
+            with trio.move_on_after(self._cfg.heartbeat_s):
+                await trio.sleep(self._heartbeat_gap_s())
                 await self._heartbeat_requested.wait()
             self._heartbeat_requested = trio.Event()
 
+    def _heartbeat_gap_s(self) -> float:
+        gap_s = HEARTBEAT_GAP_S_PER_LINK * len(self._links)
+        return min(self._cfg.heartbeat_s, max(MIN_HEARTBEAT_GAP_S, gap_s))
+
     def _send_heartbeat(self) -> None:
         self._n_heartbeats += 1
         own = self._membership.beat(*self.version())
@@ -231,6 +247,9 @@
         states, suspected = self._membership.take_announcements(self._rng, n_random)
         self._record_heartbeat_time(own.heartbeat)
         for conn in self._links:
+            if conn.has_dropped:
+                self._post_full_state(conn, own)
+                continue
             beat = Heartbeat(
                 own.heartbeat,
                 own.catalogue_version,
@@ -240,6 +259,18 @@
             )
             conn.post(encode(beat))
 
+    def _post_full_state(self, conn: PeerConnection, own: MemberState) -> None:
+        """Send the full membership to a peer that may lack changes of it."""
+        states, suspected = self._membership.full_state()
+        beat = Heartbeat(
+            own.heartbeat,
+            own.catalogue_version,
+            tuple(states),
+            tuple(suspected),
+            conn.last_heartbeat,
+        )
+        conn.has_dropped = not conn.post(encode(beat))
+
     def _record_heartbeat_time(self, number: int) -> None:
         self._heartbeat_times[number] = trio.current_time()
         if len(self._heartbeat_times) > MAX_HEARTBEAT_TIMES:
@@ -382,12 +413,7 @@
 
     def _send_initial_state(self, conn: PeerConnection) -> None:
         """Send the full membership and the recent broadcasts to a new peer."""
-        own = self._membership.beat(*self.version())
-        states, suspected = self._membership.full_state()
-        beat = Heartbeat(
-            own.heartbeat, own.catalogue_version, tuple(states), tuple(suspected)
-        )
-        conn.post(encode(beat))
+        self._post_full_state(conn, self._membership.beat(*self.version()))
         oldest = trio.current_time() - REPLAY_S
         for sent_at, message in self._replayable:
             if sent_at >= oldest:
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -185,11 +185,11 @@
 
     @property
     def _is_large_fleet(self) -> bool:
-        return len(self._peers.members()) >= LARGE_FLEET
+        return self._peers.n_members() >= LARGE_FLEET
 
     def _rewatch_delay_s(self) -> float:
         return min(
-            MAX_REWATCH_DELAY_S, REWATCH_DELAY_S_PER_ROUTER * len(self._peers.members())
+            MAX_REWATCH_DELAY_S, REWATCH_DELAY_S_PER_ROUTER * self._peers.n_members()
         )
 
     def _retry_delay_s(self, n_failed: int) -> float:
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -9,7 +10,13 @@
 import trio
 
 from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
-from corianderlb_core.message import CrashReport, MemberState, UpstreamLeaving, encode
+from corianderlb_core.message import (
+    CrashReport,
+    Heartbeat,
+    MemberState,
+    UpstreamLeaving,
+    encode,
+)
 from corianderlb_core.settings import PeerSettings
 from corianderlb_router._handshake import PeerIdentity, initiate
 from corianderlb_router._websocket_transport import WebSocketTransport
@@ -112,6 +119,39 @@
             self.assertLessEqual(sum(links) / len(links), 6.5)
             self.assertLess(max(links), 14)
 
+    async def test_a_change_of_membership_crosses_each_link_once(self) -> None:
+        """Guards against announcements that are repeated over reliable links."""
+        fleet = Fleet(24)
+        n_received = 0
+
+        async def on_heartbeat(sender: InstanceId, beat: Heartbeat) -> None:
+            nonlocal n_received
+            n_received += len(beat.suspected)
+
+        for network in fleet.networks.values():
+            network.subscribe(Heartbeat, on_heartbeat)
+        async with fleet.running():
+            await trio.sleep(15)
+            fleet.scopes["r05"].cancel()
+            await trio.sleep(8)
+            others = sorted(set(fleet.networks) - {"r05"})
+            fleet.assert_all_members(self, others)
+            n_link_ends = sum(len(fleet.networks[name].linked()) for name in others)
+        # Once over each link in each direction, and with the state of new links.
+        self.assertLessEqual(n_received, 2 * n_link_ends)
+
+    async def test_starting_routers_do_not_keep_links_beyond_their_number(self) -> None:
+        """Guards against links that are opened while few members are known."""
+        fleet = Fleet(40, n_zones=5, n_peers=16, listed=False)
+        for name, network in fleet.networks.items():
+            seeds = ("r00", "r01") if name not in ("r00", "r01") else ("r02", "r03")
+            network._cfg = dataclasses.replace(fleet.cfg, seeds=seeds)
+        async with fleet.running():
+            await trio.sleep(15)
+            fleet.assert_all_members(self, sorted(fleet.networks))
+            links = [len(network.linked()) for network in fleet.networks.values()]
+        self.assertLessEqual(sum(links) / len(links), 16 + 1)
+
     async def test_broadcast_reaches_all(self) -> None:
         """A broadcast that receivers repeat reaches routers beyond one hop.
 
