Look less often at each engine when one is chosen

An engine whose weights are the newest needs no estimate of its wait to be known as fresh enough, reports of peers are summed once for each moment, names hash once, and looking an engine up makes no new state (each made an event of trio). Filters run before the views are built. It still grows with the engines (filters and views of all).

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -10,12 +10,14 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 from .forwarding import ForwardInstance, Prompt
 from .part_index import NO_COVERAGE, Coverage, IncarnationKey, PartIndex
 from .prefill_estimate import OVERHEAD_S, PrefillEstimator
-from .rendezvous import rank
+from .rendezvous import primary_node, rank
+
+T = TypeVar("T")
 
 RECOMPUTE_WEIGHT: Final = 2.0
 """Cost of one second of recomputing shared parts, in seconds of waiting. Recomputation
@@ -157,7 +159,7 @@
 
     Callers reject answers that begin on outdated weights after the limit.
     """
-    if math.isinf(query.weights_limit_s):
+    if math.isinf(query.weights_limit_s) or math.isinf(view.replaced_at):
         return True
     starts_in_s = view.estimator.wait_s(query.now) + OVERHEAD_S + WEIGHTS_LIMIT_MARGIN_S
     return query.now + starts_in_s - view.replaced_at < query.weights_limit_s
@@ -205,7 +207,8 @@
     chosen += rng.sample(list(views), N_SAMPLED)
     if part_ids:
         names = {view.instance.instance: view for view in views}
-        chosen.append(names[rank(_rendezvous_key(query, part_ids), names)[0]])
+        primary = primary_node(_rendezvous_key(query, part_ids), names)
+        chosen.append(names[primary])
     return list({view.instance.incarnation_key: view for view in chosen}.values())
 
 
@@ -307,8 +310,6 @@
     return best or _Source()
 
 
-def allowed_or_all(
-    views: Sequence[EngineView], allowed: Callable[[EngineView], bool]
-) -> list[EngineView]:
+def allowed_or_all(engines: Sequence[T], allowed: Callable[[T], bool]) -> list[T]:
     """Return the allowed engines, or all of them when none is allowed."""
-    return [view for view in views if allowed(view)] or list(views)
+    return [engine for engine in engines if allowed(engine)] or list(engines)
--- a/packages/corianderlb-core/src/corianderlb_core/forwarding.py
+++ b/packages/corianderlb-core/src/corianderlb_core/forwarding.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from typing import Final
 
 from .rendezvous import rank
@@ -239,7 +240,7 @@
     weights: tuple[tuple[str, int], ...] = ()
     """Weights version by model, as the instance last reported."""
 
-    @property
+    @cached_property
     def incarnation_key(self) -> tuple[str, int]:
         """Key of this incarnation: name and start. State about the instance is keyed by
         it."""
--- a/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
@@ -97,6 +97,18 @@
     """When it was reported, by this router's clock."""
 
 
+@dataclass
+class _PeerSums:
+    """Sums over the recent reports of other routers at one moment."""
+
+    at: float
+    n_requests: int = 0
+    n_held: float = 0.0
+    n_unread: float = 0.0
+    token_age_s: float = 0.0
+    """Sum over the unread tokens of the age of their report."""
+
+
 @dataclass
 class CommonEstimates:
     """Estimates that the engines of one upstream have in common.
@@ -135,6 +147,7 @@
         self._running: dict[str, _SentRequest] = {}
         self.peers: dict[str, PeerWork] = {}
         """By router."""
+        self._sums: _PeerSums | None = None
 
     @property
     def tokens_per_s(self) -> float:
@@ -159,13 +172,23 @@
 
     def n_reported_requests(self, now: float) -> int:
         """Return the requests in flight at the engine from all routers, as reported."""
-        n_reported = sum(work.n_requests for work in self._recent_peer_work(now))
-        return self.n_requests + n_reported
+        return self.n_requests + self._peer_sums(now).n_requests
+
+    def _peer_sums(self, now: float) -> _PeerSums:
+        """Return the sums over the recent reports of other routers.
 
-    def _recent_peer_work(self, now: float) -> list[PeerWork]:
-        return [
-            work for work in self.peers.values() if now - work.at < PEER_REPORT_TTL_S
-        ]
+        They are kept for a moment, since a choice of an engine uses them several times.
+        """
+        if self._sums is None or self._sums.at != now:
+            self._sums = _PeerSums(now)
+            for work in self.peers.values():
+                age_s = now - work.at
+                if age_s < PEER_REPORT_TTL_S:
+                    self._sums.n_requests += work.n_requests
+                    self._sums.n_held += work.n_held
+                    self._sums.n_unread += work.n_unread
+                    self._sums.token_age_s += work.n_unread * age_s
+        return self._sums
 
     def sent(self, key: str, n_tokens: int, now: float, n_held: int = 0) -> None:
         """Record a request that is being sent.
@@ -217,7 +240,7 @@
         Runs hold their memory until they complete, so a full engine admits no new
         request, whatever its prefill rate.
         """
-        n_all = self.n_held + sum(work.n_held for work in self._recent_peer_work(now))
+        n_all = self.n_held + self._peer_sums(now).n_held
         excess = n_all + n_held - self._capacity
         if excess <= 0 or not n_all:
             return 0.0
@@ -237,6 +260,7 @@
 
     def merge(self, router: str, work: PeerWork) -> None:
         """Record another router's report of its work at the engine."""
+        self._sums = None
         if not work.n_unread and not work.n_requests:
             self.peers.pop(router, None)
             return
@@ -257,13 +281,10 @@
         The engine serves all routers at one rate, so the progress is subtracted once
         from the sum. Subtracted from each report, a long queue would appear empty.
         """
-        n_reported = token_age_s = 0.0
-        for work in self._recent_peer_work(now):
-            n_reported += work.n_unread
-            token_age_s += work.n_unread * (now - work.at)
-        if not n_reported:
+        sums = self._peer_sums(now)
+        if not sums.n_unread:
             return 0.0
-        mean_age_s = token_age_s / n_reported
+        mean_age_s = sums.token_age_s / sums.n_unread
         return max(
-            0.0, n_reported - mean_age_s * self.tokens_per_s * PEER_PREFILL_SHARE
+            0.0, sums.n_unread - mean_age_s * self.tokens_per_s * PEER_PREFILL_SHARE
         )
--- a/packages/corianderlb-core/src/corianderlb_core/rendezvous.py
+++ b/packages/corianderlb-core/src/corianderlb_core/rendezvous.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
 
+@lru_cache(maxsize=4096)
 def seed(node: str) -> int:
-    """Return the hash of a node's name, to be cached with the node."""
+    """Return the hash of a node's name."""
     return xxhash.xxh3_64_intdigest(node.encode())
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -130,28 +130,30 @@
         self, query: EngineQuery, upstream: str, avoid: Sequence[IncarnationKey]
     ) -> EngineChoice | None:
         """Return the best engine of an upstream, or None when none is available."""
-        views = [
-            self.view(instance, query.prompt.model)
+        instances = [
+            instance
             for instance in self._state.instances(upstream)
             if instance.incarnation_key not in avoid
         ]
-        phases = {view.instance.incarnation_key: self._phase(view) for view in views}
-        views = [
-            view
-            for view in views
-            if phases[view.instance.incarnation_key] is not EnginePhase.LOADING
+        phases = {
+            instance.incarnation_key: self.weights.phase(instance)
+            for instance in instances
+        }
+        instances = [
+            instance
+            for instance in instances
+            if phases[instance.incarnation_key] is not EnginePhase.LOADING
         ]
-        if not views:
+        if not instances:
             return None
         now = query.now
-        views = allowed_or_all(
-            views,
-            lambda view: phases[view.instance.incarnation_key] is EnginePhase.SERVING,
-        )
-        views = allowed_or_all(
-            views, lambda view: self._health.may_send(view.instance.incarnation_key)
-        )
-        views = allowed_or_all(views, lambda view: not self._is_in_backoff(view, now))
+        for allowed in (
+            lambda instance: phases[instance.incarnation_key] is EnginePhase.SERVING,
+            lambda instance: self._health.may_send(instance.incarnation_key),
+            lambda instance: not self._is_in_backoff(instance, now),
+        ):
+            instances = allowed_or_all(instances, allowed)
+        views = [self.view(instance, query.prompt.model) for instance in instances]
         return choose_engine(query, views, self.index, self._rng)
 
     def is_unresponsive(self, instance: ForwardInstance) -> bool:
@@ -164,11 +166,13 @@
         """Return whether this router has received data from an engine since a time."""
         return self._health.received_since(instance.incarnation_key, moment)
 
-    def _is_in_backoff(self, view: EngineView, now: float) -> bool:
+    def _is_in_backoff(self, instance: ForwardInstance, now: float) -> bool:
         """Return whether an engine recently refused a request or was unreachable."""
-        engine = self._engine(view.instance)
+        engine = self._engine(instance)
         if engine.refused_until > now:
             return True
+        if not engine.unreachable_reports:
+            return False
         recent = [
             at
             for at in engine.unreachable_reports.values()
@@ -176,9 +180,7 @@
         ]
         if len(recent) < MIN_UNREACHABLE_REPORTS:
             return False
-        return not self._health.received_since(
-            view.instance.incarnation_key, max(recent)
-        )
+        return not self._health.received_since(instance.incarnation_key, max(recent))
 
     def view(self, instance: ForwardInstance, model: str) -> EngineView:
         """Return the state of one engine as known to this router."""
@@ -216,7 +218,7 @@
             and view.instance.incarnation_key != source.instance.incarnation_key
             and self._phase(view) in FALLBACK_PHASES
             and self._health.may_send(view.instance.incarnation_key)
-            and not self._is_in_backoff(view, now)
+            and not self._is_in_backoff(view.instance, now)
             and view.estimator.n_reported_requests(now) < view.instance.slots
         ]
         return min(
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -82,7 +82,7 @@
 
     def version(self, instance: ForwardInstance, model: str) -> int:
         """Return the known weights version of an engine, or 0 if it is unknown."""
-        listed = dict(instance.weights).get(model, 0)
+        listed = next((n for name, n in instance.weights if name == model), 0)
         return max(listed, self._engine(instance).versions.get(model, 0))
 
     def learn(self, instance: ForwardInstance, model: str, version: int) -> None:
@@ -198,4 +198,7 @@
             self._peers.broadcast(WeightsUpdate(batch))
 
     def _engine(self, instance: ForwardInstance) -> _Engine:
-        return self._engines.setdefault(instance.incarnation_key, _Engine())
+        engine = self._engines.get(instance.incarnation_key)
+        if engine is None:
+            engine = self._engines[instance.incarnation_key] = _Engine()
+        return engine
