Announce cached parts only when that is news

Now a part is announced when an engine begins to hold it, when it becomes ready, and when a tenth of the engine's memory was prefilled since its last announcement, so that peers do not take it for evicted.

--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -19,6 +20,10 @@
 """Share of an engine's memory that may be prefilled after a part before the part counts
 as evicted. The rest covers running requests and estimation errors."""
 
+REFRESH_SHARE: Final = 0.1
+"""Share of an engine's memory that is prefilled until a further use of a part is news
+again; well below ``RETAINED_SHARE``, so that parts in use stay known."""
+
 IncarnationKey = tuple[str, int]
 """Name of an instance and the time of its start."""
 
@@ -29,6 +34,8 @@
     """False while the engine is still prefilling the part."""
     n_prefilled_at_use: float
     """The engine's count of prefilled tokens when the part was last used."""
+    n_prefilled_at_news: float
+    """That count when a use was last reported as news."""
 
 
 @dataclass
@@ -65,14 +72,29 @@
         part_ids: Sequence[str],
         incarnation: IncarnationKey,
         is_ready: bool,
-    ) -> None:
-        """Record that an engine is prefilling, or has prefilled, some parts."""
+        capacity: float = math.inf,
+    ) -> bool:
+        """Record that an engine is prefilling, or has prefilled, some parts.
+
+        Return whether that is news: whether a part was not known to be held, or to be
+        ready, or was last used long ago for an engine memory of ``capacity`` tokens.
+        """
         n_prefilled = self._n_prefilled.get(incarnation, 0.0)
+        is_news = False
         for part_id in part_ids:
             part = self._part(scope, part_id)
             known = part.holders.get(incarnation)
-            ready = is_ready or (known is not None and known.is_ready)
-            part.holders[incarnation] = _Holder(ready, n_prefilled)
+            if known is None:
+                part.holders[incarnation] = _Holder(is_ready, n_prefilled, n_prefilled)
+                is_news = True
+                continue
+            n_since = n_prefilled - known.n_prefilled_at_news
+            if (is_ready and not known.is_ready) or n_since >= REFRESH_SHARE * capacity:
+                known.n_prefilled_at_news = n_prefilled
+                is_news = True
+            known.is_ready = known.is_ready or is_ready
+            known.n_prefilled_at_use = n_prefilled
+        return is_news
 
     def record_saved(self, scope: str, part_ids: Sequence[str]) -> None:
         """Record that parts were sent to the KV cache store."""
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -261,10 +261,10 @@
                 # Another router may be about to prefill the same parts on another
                 # engine.
                 self._update_requested.set()
-            self.index.record_parts(choice.scope, part_ids, incarnation_key, False)
-            self._part_announcements.append(
-                PartsAnnouncement(choice.scope, tuple(part_ids), *incarnation_key)
-            )
+            if self._record_parts(choice, part_ids, False):
+                self._part_announcements.append(
+                    PartsAnnouncement(choice.scope, tuple(part_ids), *incarnation_key)
+                )
 
     def first_token(
         self, key: str, choice: EngineChoice, part_ids: Sequence[str], saved: bool
@@ -274,13 +274,28 @@
         choice.view.estimator.first_token(key, trio.current_time())
         if not part_ids:
             return
-        self.index.record_parts(choice.scope, part_ids, incarnation_key, True)
+        is_news = self._record_parts(choice, part_ids, True)
         if saved:
             self.index.record_saved(choice.scope, part_ids)
-        announcement = PartsAnnouncement(
-            choice.scope, tuple(part_ids), *incarnation_key, True, saved
+        if is_news or saved:
+            self._part_announcements.append(
+                PartsAnnouncement(
+                    choice.scope, tuple(part_ids), *incarnation_key, True, saved
+                )
+            )
+
+    def _record_parts(
+        self, choice: EngineChoice, part_ids: Sequence[str], is_ready: bool
+    ) -> bool:
+        """Record parts that a run prefills; return whether the peers should know."""
+        instance = choice.view.instance
+        return self.index.record_parts(
+            choice.scope,
+            part_ids,
+            instance.incarnation_key,
+            is_ready,
+            self._kv_capacity(instance.upstream),
         )
-        self._part_announcements.append(announcement)
 
     def ended(
         self,
--- a/packages/corianderlb-router/tests/test_engine_table.py
+++ b/packages/corianderlb-router/tests/test_engine_table.py
@@ -35,7 +35,11 @@
 
     def chosen(self, table: EngineTable) -> str:
         """Return the engine that the table chooses for a prompt."""
-        query = EngineQuery(
+        return table.choose(self.query(), "llm", ()).view.instance.instance
+
+    def query(self) -> EngineQuery:
+        """Return a prompt to place now."""
+        return EngineQuery(
             prompt=PROMPT,
             isolation_key="",
             objective_left_s=1.0,
@@ -43,7 +47,6 @@
             zone="zone-a",
             now=trio.current_time(),
         )
-        return table.choose(query, "llm", ()).view.instance.instance
 
     async def test_engine_reported_unreachable_by_peers(self) -> None:
         # Each router of a large fleet would otherwise lose time on several requests
@@ -81,6 +84,31 @@
             self.health.record_data((preferred, 1))
             self.assertEqual(self.chosen(table), preferred)
 
+    async def test_known_parts_are_announced_once(self) -> None:
+        """Guards against reports that grow with the requests and not with news."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            table, peer = self.make_table("r1", hub), self.make_table("r2", hub)
+            n_announced = 0
+
+            async def on_update(sender: InstanceId, update: EngineUpdate) -> None:
+                nonlocal n_announced
+                n_announced += len(update.parts)
+
+            hub.networks["r2"].subscribe(EngineUpdate, on_update)
+            nursery.start_soon(table.run)
+            for number in range(50):
+                choice = table.choose(self.query(), "llm", ())
+                table.sent(f"q{number}", choice, ("shared",))
+                await trio.sleep(0.05)
+                table.first_token(f"q{number}", choice, ("shared",), False)
+                table.ended(f"q{number}", choice, ("shared",), True)
+            await trio.sleep(1)
+            self.assertEqual(len(peer.index), 1)
+            # Being prefilled and ready, once on each engine.
+            self.assertLessEqual(n_announced, 2 * len(ENGINES))
+            nursery.cancel_scope.cancel()
+
     async def test_unreachable_engine_is_announced_at_once(self) -> None:
         async with trio.open_nursery() as nursery:
             hub = FakeHub(nursery)
