--- a/packages/corianderlb-core/src/corianderlb_core/catalogue.py
+++ b/packages/corianderlb-core/src/corianderlb_core/catalogue.py
@@ -14,16 +14,7 @@
 from typing import ClassVar, Final
 
 from .identity import AccountId
-
-
-class ServiceClass(Enum):
-    """Urgency of a request; the value is used in headers and files."""
-
-    URGENT = "urgent"
-    """A person is waiting for the answer."""
-    STANDARD = "standard"
-    DEFERRABLE = "deferrable"
-    """Yields to the other classes, but is not starved."""
+from .service_class import ServiceClass
 
 
 class EntryKind(Enum):
--- a/packages/corianderlb-core/src/corianderlb_core/lease.py
+++ b/packages/corianderlb-core/src/corianderlb_core/lease.py
@@ -16,7 +16,7 @@
 
 from .error import CorianderError
 from .identity import InstanceId
-from .order import Order, OrderOutcome
+from .order_record import Order, OrderOutcome
 from .result import ResultCode
 from .settings import OrderSettings
 
--- a/packages/corianderlb-core/src/corianderlb_core/order.py
+++ b/packages/corianderlb-core/src/corianderlb_core/order.py
@@ -9,51 +9,17 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Final
 
 from .catalogue import Adapter, Catalogue, EntryKind, Model
 from .identity import InstanceId
 from .load import LoadReport
+from .order_record import Order, OrderKind
 
 MAX_LOADS: Final = 2
 """Maximum concurrent weight loads in the fleet; more would slow each other down."""
 
 
-class OrderKind(Enum):
-    """Kind of an order; values are those of the engine protocol."""
-
-    LOAD_MODEL = "load_model"
-    LOAD_ADAPTER = "load_adapter"
-    CHANGE_ROLE = "change_role"
-
-
-@dataclass(frozen=True)
-class Order:
-    """Order to one engine to load a model or an adapter, or to change its role."""
-
-    order_id: str
-    upstream: str
-    instance: InstanceId
-    epoch: int
-    """Epoch of the engine's incarnation whose report led to the order."""
-    kind: OrderKind
-    name: str
-    version: str
-    catalogue_version: int
-    """Catalogue version that requires the order, for auditors."""
-
-
-@dataclass(frozen=True)
-class OrderOutcome:
-    """Outcome of an order, for status and auditors."""
-
-    order: Order
-    token: int
-    state: str
-    """Final state in the state chart ``order``."""
-
-
 @dataclass(frozen=True)
 class EngineState:
     """An engine and its latest report."""
--- a/packages/corianderlb-core/src/corianderlb_core/request.py
+++ b/packages/corianderlb-core/src/corianderlb_core/request.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from .catalogue import ServiceClass
 from .identity import AccountId, Incarnation, InstanceId, RequestId
 from .result import ResultCode
+from .service_class import ServiceClass
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/app.py
+++ b/packages/corianderlb-router/src/corianderlb_router/app.py
@@ -31,8 +31,8 @@
     refuse,
 )
 from .dispatcher import Dispatcher
+from .forward_metric import CONTENT_TYPE
 from .inbound import BEARER, authenticate
-from .metric import CONTENT_TYPE
 
 JSON: Final = "application/json"
 """Media type of most responses."""
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -11,11 +11,11 @@
 import trio
 
 from corianderlb_core import header
-from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.identity import DecisionId, RequestId
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import RESULT_INFO, ResultCode
+from corianderlb_core.service_class import ServiceClass
 
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -28,11 +28,11 @@
 from .inbound import (
     SERVICE_PREFIX,
     ServiceRequest,
-    check_headers,
     parse_completion,
     parse_service_call,
 )
 from .interface import Admission, CallJournal, CatalogueInForce, CatalogueSource, Slot
+from .request_check import check_headers
 from .service_run import ServiceRun
 
 COMPLETION_PATHS: Final = frozenset({"/v1/chat/completions", "/v1/completions"})
--- a/packages/corianderlb-router/src/corianderlb_router/engine_control.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_control.py
@@ -14,7 +14,8 @@
 from corianderlb_core.codec import DecodeError, from_json
 from corianderlb_core.identity import AttemptId
 from corianderlb_core.load import LoadReport
-from corianderlb_core.order import EngineState, Order
+from corianderlb_core.order import EngineState
+from corianderlb_core.order_record import Order
 
 from .connection import UpstreamError
 from .interface import UpstreamInstance
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import eliot
 import trio
@@ -13,10 +13,12 @@
 from corianderlb_core.quarantine import DEFAULT_QUARANTINE_S, SuspectTable
 from corianderlb_core.request import Refusal, RequestFacts
 from corianderlb_core.result import ResultCode
-from corianderlb_core.status import QuarantineStatus
 
 from .interface import PeerNetwork, Quarantine
 
+if TYPE_CHECKING:
+    from corianderlb_core.status import QuarantineStatus
+
 MAX_SUSPECTS_PER_REPORT: Final = 512
 """Maximum number of digests in one message; further ones go into more messages."""
 
@@ -89,6 +91,9 @@
 
     def status(self) -> tuple[QuarantineStatus, ...]:
         """Return the suspects for the status report."""
+        # Loaded here since only operators' queries need it, not the start.
+        from corianderlb_core.status import QuarantineStatus
+
         return tuple(
             QuarantineStatus(entry.body_digest, len(entry.crashes), entry.refused_for_s)
             for entry in self._table.entries(trio.current_time())
--- a/packages/corianderlb-router/src/corianderlb_router/forward_app.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_app.py
@@ -8,8 +8,7 @@
 from .caller import Receive, Send
 from .forward_caller import ForwardCaller
 from .forward_dispatcher import ForwardDispatcher
-from .forward_metric import ForwardMetrics
-from .metric import CONTENT_TYPE
+from .forward_metric import CONTENT_TYPE, ForwardMetrics
 
 METRICS_PATH: Final = "/metrics"
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -29,7 +29,7 @@
 from .forward_request import ForwardRequest
 from .forward_run import ForwardRun
 from .forward_target import EngineTarget, ServiceTarget, Target, pick_upstream
-from .inbound import body_digest, check_headers
+from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
 
 UNCONFIRMED_S: Final = WATCH_S + 1.5
--- a/packages/corianderlb-router/src/corianderlb_router/inbound.py
+++ b/packages/corianderlb-router/src/corianderlb_router/inbound.py
@@ -35,6 +35,7 @@
 from corianderlb_core.result import ResultCode
 
 from .caller import CallerExchange, refuse
+from .request_check import body_digest
 
 BEARER: Final = "Bearer "
 """Scheme of the authorization header."""
@@ -95,14 +96,6 @@
     return found
 
 
-def check_headers(req: CallerExchange, limit: int) -> None:
-    """Refuse a request whose headers exceed the limit in bytes."""
-    n_bytes = sum(len(name) + len(value) for name, value in req.raw_headers)
-    if n_bytes > limit:
-        detail = f"The headers are longer than {limit} bytes."
-        raise refuse(ResultCode.HEADERS_TOO_LARGE, detail)
-
-
 def parse_completion(
     req: CallerExchange, body: bytes, catalogue: Catalogue, default_deadline_s: float
 ) -> CompletionRequest:
@@ -173,11 +166,6 @@
     )
 
 
-def body_digest(account: str, body: bytes) -> bytes:
-    """Return the digest by which all routers identify a request for quarantine."""
-    return hashlib.sha256(account.encode() + b"\0" + body).digest()[:16]
-
-
 _FORWARDED_HEADERS: Final = frozenset({b"content-type", b"accept", b"idempotency-key"})
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -11,9 +11,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Collection, Sequence
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias
 
-from corianderlb_core.catalogue import Catalogue
 from corianderlb_core.identity import (
     AttemptId,
     Incarnation,
@@ -21,7 +20,6 @@
     Presence,
     RequestId,
 )
-from corianderlb_core.load import LoadReport
 from corianderlb_core.message import MemberState, Message
 from corianderlb_core.request import (
     AttemptOutcome,
@@ -31,6 +29,10 @@
     RequestFacts,
 )
 
+if TYPE_CHECKING:
+    from corianderlb_core.catalogue import Catalogue
+    from corianderlb_core.load import LoadReport
+
 
 @dataclass(frozen=True)
 class CatalogueInForce:
--- a/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import eliot
 import trio
@@ -18,9 +18,8 @@
     LeaseRecord,
     LeaseWatch,
 )
-from corianderlb_core.order import Order, OrderOutcome
+from corianderlb_core.order_record import Order, OrderOutcome
 from corianderlb_core.settings import OrderSettings
-from corianderlb_core.status import LeaseStatus
 
 from .store import (
     ObjectStore,
@@ -30,6 +29,9 @@
     StoreUnknownError,
 )
 
+if TYPE_CHECKING:
+    from corianderlb_core.status import LeaseStatus
+
 OVERDUE_S: Final = 0.4
 """Delay after which a due renewal counts as unanswered; far above the usual response
 time of the store."""
@@ -94,6 +96,9 @@
 
     def status(self) -> LeaseStatus:
         """Return the lease status shown to operators."""
+        # Loaded here since only operators' queries need it, not the start.
+        from corianderlb_core.status import LeaseStatus
+
         is_own = self._record.is_held_by(self._router, self._epoch)
         remaining_s = self._valid_until - trio.current_time() if is_own else 0.0
         return LeaseStatus(
--- a/packages/corianderlb-router/src/corianderlb_router/metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/metric.py
@@ -15,15 +15,12 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import CollectorRegistry, generate_latest
 
-from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.result import ResultCode
+from corianderlb_core.service_class import ServiceClass
 
 TTFT_BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 4.0, 8.0, 16.0)
 """Bucket bounds for the TTFT, including the 1.7 s objective."""
 
-CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
-"""Content type of the exposition."""
-
 
 class Gauge(Enum):
     """Gauges that are read at each scrape."""
--- a/packages/corianderlb-router/src/corianderlb_router/order_task.py
+++ b/packages/corianderlb-router/src/corianderlb_router/order_task.py
@@ -25,11 +25,10 @@
     EngineNeed,
     EngineState,
     LoadSlot,
-    Order,
-    OrderOutcome,
     is_met,
     needs,
 )
+from corianderlb_core.order_record import Order, OrderOutcome
 from corianderlb_core.status import LeaseStatus
 
 from .engine_control import EngineControl, OrderReply
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -16,7 +16,6 @@
 import eliot
 import trio
 
-from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.identity import (
     Incarnation,
     InstanceId,
@@ -28,6 +27,7 @@
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import UpstreamLeaving, UpstreamRestarted
 from corianderlb_core.request import RequestFacts
+from corianderlb_core.service_class import ServiceClass
 
 from .interface import UpstreamDirectory, UpstreamInstance
 from .store import InstanceList
--- a/packages/corianderlb-router/tests/test_orders.py
+++ b/packages/corianderlb-router/tests/test_orders.py
@@ -15,7 +15,8 @@
 from corianderlb_core.identity import InstanceId, InstanceRecord, Role
 from corianderlb_core.lease import LeaseRecord
 from corianderlb_core.load import LoadReport
-from corianderlb_core.order import EngineState, Order
+from corianderlb_core.order import EngineState
+from corianderlb_core.order_record import Order
 from corianderlb_router.engine_control import EngineControl, OrderReply
 from corianderlb_router.interface import (
     CatalogueInForce,
