--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -268,15 +268,29 @@
 
     async def _run_offers(self) -> None:
         while True:
+            offered = self._revisions_to_offer()
             changed = self._state.changed
             self._peers.broadcast(self._offer())
             with trio.move_on_after(
                 self._offer_s() * self._rng.uniform(MIN_OFFER_FACTOR, 1.2)
             ):
-                await changed.wait()
+                while self._revisions_to_offer() == offered:
+                    await changed.wait()
+                    changed = self._state.changed
                 # Combine changes that follow each other into one offer.
                 await trio.sleep(max(COALESCE_S, self._rewatch_delay_s() / 2))
 
+    def _revisions_to_offer(self) -> tuple[tuple[str, int], ...]:
+        """Return the revisions whose change is offered at once.
+
+        In a large fleet changes of the instances are announced themselves.
+        """
+        return tuple(
+            (kind, revision)
+            for kind, revision in self._revisions()
+            if kind != self._state.instances_kind or not self._is_large_fleet
+        )
+
     def _offer(self) -> StateOffer:
         return StateOffer(
             self._revisions(), self._open_query() if self._may_query() else 0
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -7,7 +7,7 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import StateAnswer, StateChanges
+from corianderlb_core.message import StateAnswer, StateChanges, StateOffer
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -123,6 +123,26 @@
         # In ten seconds a further router may watch two kinds and look at the third.
         self.assertLessEqual(n_calls[60] - n_calls[20], 40 * 3)
 
+    async def test_offers_do_not_grow_with_the_changes_of_instances(self) -> None:
+        """Guards against an offer over each link for changes that are announced."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 14)
+            n_offers = 0
+
+            async def on_offer(sender: InstanceId, offer: StateOffer) -> None:
+                nonlocal n_offers
+                n_offers += 1
+
+            await trio.sleep(3)
+            for router in routers:
+                router.follower._peers.subscribe(StateOffer, on_offer)
+            for number in range(60):
+                self.enter(f"e{number}")
+                await trio.sleep(0.1)
+            # Six seconds with an offer each 2.4 s at least, over all links.
+            self.assertLessEqual(n_offers, 3 * 14 * 13)
+            nursery.cancel_scope.cancel()
+
     async def test_change_while_the_watchers_reach_no_store(self) -> None:
         """Guards against instances that all miss when the watchers are cut off."""
         async with trio.open_nursery() as nursery:
