Announce changes of the instances from the last change on

The revision of the store grows with each write of any kind, and so did the revision that announced changes followed on: after an empty answer to a watcher, the next change made every router that had not read since request the whole table (22 KB at 78 routers). Each table now keeps from where on it was steady. What a list skips over counts as a change, and removals of instances unknown to the watcher are announced too.

--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -42,6 +42,8 @@
     """The store's revision up to which all changes are known."""
     changed_at: int = 0
     """The store's revision of the newest change."""
+    steady_from: int = 0
+    """A revision from which up to ``revision`` there were no changes."""
     read_at: float = float("-inf")
     """Time up to which this router has read all changes from the store."""
     confirmed_at: float = float("-inf")
@@ -59,10 +61,11 @@
     """What a read from the store changed in one table."""
 
     after_revision: int
-    """Revision of the table before."""
+    """A revision after which these are all changes, up to ``revision``."""
     revision: int
     objects: tuple[SharedObject, ...]
     removed: tuple[str, ...]
+    """Also instances that were not known here: peers may know them."""
 
 
 class ServingState:
@@ -222,7 +225,7 @@
         ]
         if kind == self.instances_kind and trio.current_time() < self.removals_apply_at:
             missing = [name for name in missing if self._is_leaving_or_unknown(name)]
-        return self._apply(table, changed, missing, listing.revision)
+        return self._apply(table, changed, missing, listing.revision, is_list=True)
 
     def apply_changes(
         self,
@@ -279,7 +282,9 @@
         is_in_grace = trio.current_time() < self.removals_apply_at
         if changes.kind == self.instances_kind and is_in_grace:
             removed = [name for name in removed if self._is_leaving_or_unknown(name)]
-        return self._apply(table, changed, removed, changes.revision) is not None
+        changed_at = table.changed_at
+        self._apply(table, changed, removed, changes.revision)
+        return table.changed_at > changed_at
 
     def apply_peer(
         self,
@@ -303,7 +308,7 @@
             for stored in received.values()
             if self._revision(table, stored.name) < stored.revision
         ]
-        self._apply(table, changed, missing, revision)
+        self._apply(table, changed, missing, revision, is_list=True)
         if as_of is not None:
             self.confirm(kind, as_of)
         return True
@@ -329,12 +334,20 @@
         changed: Sequence[SharedObject],
         removed: Sequence[str],
         revision: int,
+        is_list: bool = False,
     ) -> AppliedChanges | None:
-        after_revision = table.revision
+        applied = AppliedChanges(
+            table.steady_from, revision, tuple(changed), tuple(removed)
+        )
+        # What was added and removed again between two lists shows in neither.
+        if changed or removed or (is_list and revision > table.revision):
+            table.steady_from = max(table.steady_from, revision)
         table.revision = max(table.revision, revision)
-        removed = [name for name in removed if name in table.objects]
         if not changed and not removed:
             return None
+        removed = [name for name in removed if name in table.objects]
+        if not changed and not removed:
+            return applied
         for stored in changed:
             table.objects[stored.name] = stored
         for name in removed:
@@ -344,7 +357,7 @@
         self._apply_objects(table.kind, changed, removed)
         self.changed.set()
         self.changed = trio.Event()
-        return AppliedChanges(after_revision, revision, tuple(changed), tuple(removed))
+        return applied
 
     def _apply_objects(
         self, kind: str, changed: Sequence[SharedObject], removed: Sequence[str]
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -7,7 +7,12 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.message import StateAnswer, StateChanges, StateOffer
+from corianderlb_core.message import (
+    StateAnswer,
+    StateChanges,
+    StateObjects,
+    StateOffer,
+)
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -143,6 +148,31 @@
             self.assertLessEqual(n_offers, 3 * 14 * 13)
             nursery.cancel_scope.cancel()
 
+    async def test_changes_after_a_quiet_time_need_no_whole_tables(self) -> None:
+        """Guards against tables sent to every router after each empty answer."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 30)
+            n_tables = 0
+
+            async def on_objects(sender: InstanceId, objects: StateObjects) -> None:
+                nonlocal n_tables
+                n_tables += 1
+
+            await trio.sleep(3)
+            for router in routers:
+                router.follower._peers.subscribe(StateObjects, on_objects)
+            for number in range(5):
+                # Other kinds move the store's revision on while watches end empty.
+                for version in range(16):
+                    self.publish(16 * number + version)
+                    await trio.sleep(1)
+                self.enter(f"e{number}")
+            await trio.sleep(1)
+            for router in routers:
+                self.assertEqual(len(router.state.instances("app")), 6)
+            self.assertEqual(n_tables, 0)
+            nursery.cancel_scope.cancel()
+
     async def test_change_while_the_watchers_reach_no_store(self) -> None:
         """Guards against instances that all miss when the watchers are cut off."""
         async with trio.open_nursery() as nursery:
