--- a/packages/corianderlb-core/src/corianderlb_core/chart.py
+++ b/packages/corianderlb-core/src/corianderlb_core/chart.py
@@ -27,11 +27,12 @@
     def __init__(self, chart_name: str) -> None:
         self._interpreter = Interpreter(_load(chart_name))
         self._interpreter.execute()
+        self._state = self._interpreter.configuration[-1]
 
     @property
     def state(self) -> str:
         """The active leaf state."""
-        return self._interpreter.configuration[-1]
+        return self._state
 
     def send(self, event: str) -> bool:
         """Handle an event; return whether the state changed.
@@ -41,7 +42,9 @@
         before = self.state
         self._interpreter.queue(event)
         self._interpreter.execute()
-        return self.state != before
+        # Kept: the interpreter sorts its active states for each query.
+        self._state = self._interpreter.configuration[-1]
+        return self._state != before
 
 
 @cache
