Keep the views of engines until something about them changes

Each choice built the state of all engines anew: weights version, estimator and time of replacement of 47 engines, then phase, health and backoff of each. The views are kept until instances, published versions or learned versions change; phase and backoff are looked up only for engines that announced one.

Test: test_choices_build_no_state_of_engines_that_did_not_change, 600 views built for 200 choices before, bound 3.

--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -118,6 +118,11 @@
         self._prefill_demands: dict[str, PrefillDemand] = {}
         """By upstream: prompt tokens assigned to its engines by all routers."""
         self._part_announcements: list[PartsAnnouncement] = []
+        self._views_of_changes = (-1, -1)
+        self._kept_views: dict[tuple[str, str], list[EngineView]] = {}
+        """By upstream and model."""
+        self._in_trouble: set[IncarnationKey] = set()
+        """Engines that refused a request or were reported as unreachable."""
         self._unreached: dict[IncarnationKey, None] = {}
         """Incarnations that accepted no connection, not announced yet."""
         self._announced_work: tuple[EngineWork, ...] = ()
@@ -130,32 +135,36 @@
         self, query: EngineQuery, upstream: str, avoid: Sequence[IncarnationKey]
     ) -> EngineChoice | None:
         """Return the best engine of an upstream, or None when none is available."""
-        instances = [
-            instance
-            for instance in self._state.instances(upstream)
-            if instance.incarnation_key not in avoid
-        ]
-        phases = {
-            instance.incarnation_key: self.weights.phase(instance)
-            for instance in instances
-        }
-        instances = [
-            instance
-            for instance in instances
-            if phases[instance.incarnation_key] is not EnginePhase.LOADING
+        views = [
+            view
+            for view in self._views(upstream, query.prompt.model)
+            if view.instance.incarnation_key not in avoid
+            and self.weights.phase(view.instance) is not EnginePhase.LOADING
         ]
-        if not instances:
+        if not views:
             return None
-        now = query.now
         for allowed in (
-            lambda instance: phases[instance.incarnation_key] is EnginePhase.SERVING,
-            lambda instance: self._health.may_send(instance.incarnation_key),
-            lambda instance: not self._is_in_backoff(instance, now),
+            lambda view: self.weights.phase(view.instance) is EnginePhase.SERVING,
+            lambda view: self._health.may_send(view.instance.incarnation_key),
+            lambda view: not self._is_in_backoff(view.instance, query.now),
         ):
-            instances = allowed_or_all(instances, allowed)
-        views = [self.view(instance, query.prompt.model) for instance in instances]
+            views = allowed_or_all(views, allowed)
         return choose_engine(query, views, self.index, self._rng)
 
+    def _views(self, upstream: str, model: str) -> Sequence[EngineView]:
+        """Return the state of all engines of an upstream; kept until it changes."""
+        changes = (self._state.n_engine_changes, self.weights.n_versions_learned)
+        if changes != self._views_of_changes:
+            self._views_of_changes = changes
+            self._kept_views.clear()
+        key = (upstream, model)
+        if key not in self._kept_views:
+            self._kept_views[key] = [
+                self.view(instance, model)
+                for instance in self._state.instances(upstream)
+            ]
+        return self._kept_views[key]
+
     def is_unresponsive(self, instance: ForwardInstance) -> bool:
         """Return whether an engine with requests of this router is unresponsive."""
         if not self._engine(instance).estimator.n_requests:
@@ -168,11 +177,11 @@
 
     def _is_in_backoff(self, instance: ForwardInstance, now: float) -> bool:
         """Return whether an engine recently refused a request or was unreachable."""
+        if instance.incarnation_key not in self._in_trouble:
+            return False
         engine = self._engine(instance)
         if engine.refused_until > now:
             return True
-        if not engine.unreachable_reports:
-            return False
         recent = [
             at
             for at in engine.unreachable_reports.values()
@@ -210,10 +219,7 @@
             return None
         views = [
             view
-            for view in (
-                self.view(instance, model)
-                for instance in self._state.instances(upstream)
-            )
+            for view in self._views(upstream, model)
             if view.weights_version == version
             and view.instance.incarnation_key != source.instance.incarnation_key
             and self._phase(view) in FALLBACK_PHASES
@@ -314,10 +320,12 @@
     def refused(self, instance: ForwardInstance) -> None:
         """Back off from an engine that refused a request as full or loading."""
         self._engine(instance).refused_until = trio.current_time() + REFUSED_BACKOFF_S
+        self._in_trouble.add(instance.incarnation_key)
 
     def unreached(self, instance: ForwardInstance) -> None:
         """Back off from an engine that accepted no connection, and notify the peers."""
         self._engine(instance).refused_until = trio.current_time() + UNREACHED_BACKOFF_S
+        self._in_trouble.add(instance.incarnation_key)
         self._unreached[instance.incarnation_key] = None
         self._update_requested.set()
 
@@ -349,6 +357,7 @@
                 incarnation_key
             ):
                 self._engine(instance).unreachable_reports[sender] = now
+                self._in_trouble.add(instance.incarnation_key)
         for announcement in update.parts:
             incarnation_key = (announcement.instance, announcement.born_ms)
             self.index.record_parts(
@@ -411,6 +420,8 @@
             ):
                 continue
             del self._engines[incarnation_key]
+            self._in_trouble.discard(incarnation_key)
+            self._kept_views.clear()
             self.weights.forget(incarnation_key)
             self.index.forget(incarnation_key)
             eliot.log_message(
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -100,6 +100,8 @@
         self._store_back_at = float("-inf")
         self._first_listed_at: float | None = None
         """Time of this router's first read of the instances."""
+        self.n_engine_changes = 0
+        """Counts the changes of the instances and of the published versions."""
         self.changed = trio.Event()
         """Set, and replaced by a new event, at each change."""
 
@@ -433,6 +435,7 @@
             if not known.is_leaving and known.incarnation_key not in self._leaving:
                 by_upstream.setdefault(known.upstream, []).append(known)
         self._by_upstream = by_upstream
+        self.n_engine_changes += 1
 
     def _apply_weights(self, stored: SharedObject) -> None:
         decoded = self._decoder.weights(stored)
@@ -489,6 +492,7 @@
         is_newer = published_version.version > named.newest
         if not named.record_publication(published_version):
             return
+        self.n_engine_changes += 1
         if is_newer:
             self._newer_version_at[model] = trio.current_time()
         if is_newer or was_exact != named.is_newest_exact:
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -71,6 +71,10 @@
         self._state = state
         self._peers = peers
         self._engines: dict[IncarnationKey, _Engine] = {}
+        self.n_versions_learned = 0
+        """Counts the changes of what ``version`` returns."""
+        self._not_serving: set[IncarnationKey] = set()
+        """Engines whose announced phase was not serving; it may have expired."""
         self._sequence = 0
         self._latest_sequences: dict[IncarnationKey, int] = {}
         """Sequence number of the latest announcement per incarnation. Announcements
@@ -90,10 +94,13 @@
         engine = self._engine(instance)
         if version > engine.versions.get(model, 0):
             engine.versions[model] = version
+            self.n_versions_learned += 1
             self._state.record_engine_weights(model, version)
 
     def phase(self, instance: ForwardInstance) -> EnginePhase:
         """Return the current phase of an engine."""
+        if instance.incarnation_key not in self._not_serving:
+            return EnginePhase.SERVING
         engine = self._engine(instance)
         if engine.phase_until <= trio.current_time():
             return EnginePhase.SERVING
@@ -121,6 +128,10 @@
         ttl_s = LOADING_TTL_S if phase is EnginePhase.LOADING else EMPTYING_TTL_S
         engine.phase_until = now + ttl_s
         engine.phase = phase
+        if phase is EnginePhase.SERVING:
+            self._not_serving.discard(instance.incarnation_key)
+        else:
+            self._not_serving.add(instance.incarnation_key)
         if not is_change:
             return
         engine.changed.set()
@@ -185,6 +196,7 @@
     def forget(self, incarnation_key: IncarnationKey) -> None:
         """Drop the state of an engine incarnation that has ended."""
         self._engines.pop(incarnation_key, None)
+        self._not_serving.discard(incarnation_key)
         self._latest_sequences.pop(incarnation_key, None)
 
     async def run(self) -> None:
--- a/packages/corianderlb-router/tests/test_engine_table.py
+++ b/packages/corianderlb-router/tests/test_engine_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from unittest import mock
 
 import trio
 
@@ -84,6 +85,19 @@
             self.health.record_data((preferred, 1))
             self.assertEqual(self.chosen(table), preferred)
 
+    async def test_choices_build_no_state_of_engines_that_did_not_change(self) -> None:
+        """Guards against choices that cost as much as the fleet has engines."""
+        async with trio.open_nursery() as nursery:
+            table = self.make_table("r1", FakeHub(nursery))
+            with mock.patch.object(table, "view", wraps=table.view) as view:
+                for _ in range(200):
+                    self.chosen(table)
+                self.assertLessEqual(view.call_count, len(ENGINES))
+                table.weights.learn(self.state.instance("e1"), MODEL, 3)
+                self.chosen(table)
+                views = table._views("llm", MODEL)
+            self.assertEqual([view.weights_version for view in views], [3, 1, 1])
+
     async def test_known_parts_are_announced_once(self) -> None:
         """Guards against reports that grow with the requests and not with news."""
         async with trio.open_nursery() as nursery:
