--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -75,6 +75,8 @@
         then."""
         self._names: tuple[InstanceId, ...] | None = None
         """Names of the members, sorted; None until they are computed again."""
+        self._n_candidates: int | None = None
+        """Number of candidates; None until it is computed again."""
         self._n_live: int | None = None
         """Number of live members; None until it is computed again."""
         self.newer_own_epoch: int | None = None
@@ -155,6 +157,7 @@
         """Drop what was computed from the set of routers and their presence."""
         self.version += 1
         self._names = None
+        self._n_candidates = None
         self._n_live = None
 
     def state_of(self, instance: InstanceId) -> MemberState | None:
@@ -175,6 +178,13 @@
             if known.suspected_since is None
         )
 
+    @property
+    def n_candidates(self) -> int:
+        """Number of ``candidates``."""
+        if self._n_candidates is None:
+            self._n_candidates = len(self.candidates())
+        return self._n_candidates
+
     def lost(self) -> tuple[MemberState, ...]:
         """Return the suspected routers, to be retried occasionally.
 
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -163,6 +163,10 @@
         """Return the number of members."""
         return len(self.members())
 
+    def n_known(self) -> int:
+        """Return the number of members and of routers that are listed to run."""
+        return self.n_members()
+
     def n_live(self) -> int:
         """Return the number of members that are not leaving."""
         return sum(state.presence is Presence.LIVE for state in self.members())
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -196,6 +196,10 @@
         """Return the number of members."""
         return self._membership.n_members
 
+    def n_known(self) -> int:
+        """Return the number of members and of routers that are listed to run."""
+        return 1 + self._membership.n_candidates
+
     def n_live(self) -> int:
         """Return the number of members that are not leaving."""
         return self._membership.n_live
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -253,7 +253,8 @@
 
     @property
     def _is_large_fleet(self) -> bool:
-        return self._peers.n_members() >= LARGE_FLEET
+        # Listed routers count too: after a start few are linked yet.
+        return self._peers.n_known() >= LARGE_FLEET
 
     def _rewatch_delay_s(self) -> float:
         return min(
