--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -65,8 +65,13 @@
         limits = httpx.Limits(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_CONNECTIONS
         )
+        # Loading the certificate authorities takes a good part of a start.
+        is_encrypted = httpx.URL(url).scheme != "http"
         transport = transport or httpx.AsyncHTTPTransport(
-            limits=limits, socket_options=KEEPALIVE_OPTIONS, trust_env=False
+            verify=is_encrypted,
+            limits=limits,
+            socket_options=KEEPALIVE_OPTIONS,
+            trust_env=False,
         )
         self.client = httpx.AsyncClient(
             base_url=url, transport=transport, trust_env=False
--- a/packages/corianderlb-router/tests/test_http_store.py
+++ b/packages/corianderlb-router/tests/test_http_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable
+from unittest import mock
 
 import httpx
 import trio
@@ -32,6 +34,14 @@
 
 
 class HttpStoreTest(TrioTestCase):
+    def test_plain_store_loads_no_certificates(self) -> None:
+        """Guards against a start that reads certificate authorities for nothing."""
+        with mock.patch.object(ssl.SSLContext, "load_verify_locations") as load:
+            HttpObjectStore("http://store")
+            self.assertEqual(load.call_count, 0)
+            HttpObjectStore("https://store")
+            self.assertEqual(load.call_count, 1)
+
     async def test_lost_answer_of_a_write_is_unknown(self) -> None:
         """The connection broke after the store wrote the object.
 
