Keep the calls of an idle fleet constant

Watches of configuration and weights last 0.3 s for each router of a fleet above forty, 30 s at most, and so do the reads of the instances by routers that do not watch them: 3.3 reads a second of each kind, whatever the size. Registrations are read once a second over the fleet.

--- a/packages/corianderlb-router/src/corianderlb_router/router_registration.py
+++ b/packages/corianderlb-router/src/corianderlb_router/router_registration.py
@@ -27,7 +27,10 @@
 """Mean seconds before a failed registration is retried."""
 
 READ_INTERVAL_S: Final = 15.0
-"""Mean seconds between reads of all registrations."""
+"""Mean seconds between two reads of all registrations by one router, at least."""
+
+READ_INTERVAL_S_PER_ROUTER: Final = 1.0
+"""Mean seconds between two reads by any router of a large fleet."""
 
 
 class RouterRegistration:
@@ -37,6 +40,7 @@
         self._store = store
         self._rng = rng
         self._n_reads = 0
+        self._n_listed = 0
 
     async def keep(
         self, record: InstanceRecord, subscriber: Callable[[InstanceList], None]
@@ -49,7 +53,8 @@
             except StoreError:
                 # Known peers stay known; the next read may succeed.
                 pass
-            await trio.sleep(READ_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            mean_s = max(READ_INTERVAL_S, READ_INTERVAL_S_PER_ROUTER * self._n_listed)
+            await trio.sleep(mean_s * self._rng.uniform(0.5, 1.5))
 
     async def _register(self, record: InstanceRecord) -> None:
         key, value = REGISTRATION_PREFIX + record.instance, to_cbor(record)
@@ -75,6 +80,7 @@
         records = [_record_of(stored) for stored in found]
         self._n_reads += 1
         listed = tuple(record for record in records if record is not None)
+        self._n_listed = len(listed)
         subscriber(InstanceList(self._n_reads, listed))
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -83,6 +83,11 @@
 """Seconds that a watch waits in a large fleet. Peers that have read the store more
 recently confirm the state and announce changes withheld from other routers."""
 
+LONG_WATCH_S_PER_ROUTER: Final = 0.3
+MAX_LONG_WATCH_S: Final = 30.0
+"""In a larger fleet watches last longer, so that the fleet's calls do not grow with it:
+seconds per router, and the maximum."""
+
 LARGE_FLEET: Final = 12
 """Number of routers from which a fleet counts as large: with ``LONG_WATCH_S`` one of
 them reads the store each second."""
@@ -92,16 +97,13 @@
 Each change ends their watches, so the number does not grow with the fleet; it covers
 routers that are paused or that the store does not answer."""
 
-LOOK_INTERVAL_S: Final = 12.0
-"""Mean seconds between two reads of the instances by a router that does not watch them.
-A fleet makes several such reads a second, which find a change that the watchers miss.
-"""
-
 WATCHERS_KEY: Final = b"instances"
 """Key by which rendezvous hashing chooses the watchers."""
 
 LOOK_WAIT_S: Final = 0.001
-"""Seconds that such a read waits for changes."""
+"""Seconds that a router which does not watch the instances waits for their changes when
+it reads them, once in the time of a watch. A fleet makes several such reads a second,
+which find a change that the watchers miss."""
 
 LOOK_CHECK_S: Final = 1.0
 """Seconds between two checks of whether such a read is due earlier."""
@@ -201,7 +203,7 @@
 
     async def _wait_for_look(self, settled_until: float) -> None:
         """Wait until this router should read the instances again."""
-        look_at = trio.current_time() + LOOK_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+        look_at = trio.current_time() + self._watch_s() * self._rng.uniform(0.5, 1.5)
         while (now := trio.current_time()) < look_at:
             settles_at = self._state.removals_apply_at
             if settles_at > settled_until:
@@ -249,7 +251,10 @@
         return bool(update.changes)
 
     def _watch_s(self) -> float:
-        return LONG_WATCH_S if self._is_large_fleet else WATCH_S
+        if not self._is_large_fleet:
+            return WATCH_S
+        scaled_s = LONG_WATCH_S_PER_ROUTER * self._peers.n_known()
+        return min(MAX_LONG_WATCH_S, max(LONG_WATCH_S, scaled_s))
 
     @property
     def _is_large_fleet(self) -> bool:
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -128,6 +128,20 @@
         # In ten seconds a further router may watch two kinds and look at the third.
         self.assertLessEqual(n_calls[60] - n_calls[20], 40 * 3)
 
+    async def test_store_calls_without_changes_do_not_grow_with_the_fleet(self) -> None:
+        """Guards against idle fleets that use up the calls of the store."""
+        n_calls = {}
+        for n_routers in (40, 80):
+            async with trio.open_nursery() as nursery:
+                routers = self.start(nursery, n_routers)
+                await trio.sleep(5)
+                n_before = sum(router.feed.n_calls for router in routers)
+                await trio.sleep(75)
+                n_after = sum(router.feed.n_calls for router in routers)
+                n_calls[n_routers] = n_after - n_before
+                nursery.cancel_scope.cancel()
+        self.assertLessEqual(n_calls[80], 1.2 * n_calls[40])
+
     async def test_offers_do_not_grow_with_the_changes_of_instances(self) -> None:
         """Guards against an offer over each link for changes that are announced."""
         async with trio.open_nursery() as nursery:
