--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -28,6 +28,7 @@
     MemberState,
     Message,
     SuspectCleared,
+    Suspicion,
     UpstreamLeaving,
     UpstreamRestarted,
     encode,
@@ -281,19 +282,23 @@
         for conn in self._links:
             if conn.has_dropped:
                 self._post_full_state(conn, own)
-                continue
-            beat = Heartbeat(
-                own.heartbeat,
-                own.catalogue_version,
-                tuple(states),
-                tuple(suspected),
-                conn.last_heartbeat,
-            )
-            conn.post(encode(beat), can_wait=not (states or suspected))
+            else:
+                can_wait = not (states or suspected)
+                self._post_heartbeat(conn, own, states, suspected, can_wait)
 
     def _post_full_state(self, conn: PeerConnection, own: MemberState) -> None:
         """Send the full membership to a peer that may lack changes of it."""
         states, suspected = self._membership.full_state()
+        conn.has_dropped = not self._post_heartbeat(conn, own, states, suspected)
+
+    @staticmethod
+    def _post_heartbeat(
+        conn: PeerConnection,
+        own: MemberState,
+        states: Sequence[MemberState],
+        suspected: Sequence[Suspicion],
+        can_wait: bool = False,
+    ) -> bool:
         beat = Heartbeat(
             own.heartbeat,
             own.catalogue_version,
@@ -301,7 +306,7 @@
             tuple(suspected),
             conn.last_heartbeat,
         )
-        conn.has_dropped = not conn.post(encode(beat))
+        return conn.post(encode(beat), can_wait)
 
     def _record_heartbeat_time(self, number: int) -> None:
         self._heartbeat_times[number] = trio.current_time()
