--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -34,11 +34,11 @@
     encode,
     level_of,
 )
-from corianderlb_core.overlay import choose_links
 from corianderlb_core.quarantine import DEFAULT_QUARANTINE_S
 from corianderlb_core.settings import PeerSettings
 
 from ._handshake import AuthenticatedLink, PeerIdentity, accept, initiate
+from ._link_choice import LinkChoice
 from ._link_table import LinkTable
 from ._peer_connection import PeerConnection, PeerCounters
 from .interface import Handler, PeerNetwork
@@ -86,10 +86,6 @@
 """Minimum interval between heartbeats per link, so that many changes of the membership
 at once, as when all routers start, leave in few heartbeats."""
 
-SURPLUS_AFTER_S: Final = 4.0
-"""Age of a link, and time without changes of the membership, after which a link that
-this router would no longer open is closed."""
-
 MAX_WAIT_SHARE: Final = 0.5
 """Share of the heartbeat interval for which a heartbeat without changes waits for
 another message, to leave in the same write."""
@@ -131,9 +127,7 @@
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
         self._replayable: deque[tuple[float, Message]] = deque(maxlen=MAX_REPLAYED)
-        self._chosen: Sequence[InstanceId] = ()
-        self._chosen_at_version = -1
-        self._chosen_since = -math.inf
+        self._link_choice = LinkChoice(self._membership, self._links, cfg.n_peers)
         self._n_heartbeats = 0
         self._n_unauthenticated = 0
         self._auth_failure_logged_at = -math.inf
@@ -323,9 +317,12 @@
             now = trio.current_time()
             was_running = self._membership.update_suspicions(now)
             self._close_silent_links(now, was_running)
-            for state in (*self._missing_links(), *self._seed_candidates()):
+            missing = self._link_choice.missing(now)
+            for state in (*missing, *self._seed_candidates()):
                 self._start_dial(nursery, state)
-            self._close_surplus_link(now)
+            surplus = self._link_choice.surplus(now)
+            if surplus is not None:
+                surplus.close_surplus()
             lost = self._membership.lost()
             if lost and now >= suspect_retry_at:
                 suspect_retry_at = now + self._jittered_s(SUSPECT_RETRY_S)
@@ -334,41 +331,6 @@
                 await self._links_check_requested.wait()
             self._links_check_requested = trio.Event()
 
-    def _missing_links(self) -> list[MemberState]:
-        """Return the routers chosen for a link that are not linked yet."""
-        missing = [name for name in self._choose_links() if name not in self._links]
-        states = [self._membership.state_of(name) for name in missing]
-        return [state for state in states if state is not None and state.peer_address]
-
-    def _choose_links(self) -> Sequence[InstanceId]:
-        """Return the routers to which this one keeps links that it opens."""
-        member = self._membership
-        if self._chosen_at_version != member.version:
-            self._chosen_at_version = member.version
-            self._chosen_since = trio.current_time()
-            self._chosen = choose_links(
-                member.own, member.candidates(), self._cfg.n_peers
-            )
-        return self._chosen
-
-    def _close_surplus_link(self, now: float) -> None:
-        """Close one link that was opened while fewer routers were known.
-
-        Only the side that opened it may close it, and only while the membership is
-        stable. A peer that has chosen this router for a link opens a new one.
-        """
-        if now - self._chosen_since < SURPLUS_AFTER_S:
-            return
-        for conn in self._links:
-            if (
-                conn.dialled
-                and conn.peer.level >= level_of(LinkClosing())
-                and conn.peer.instance not in self._chosen
-                and now - conn.opened_at >= SURPLUS_AFTER_S
-            ):
-                conn.close_surplus()
-                return
-
     def _seed_candidates(self) -> list[MemberState]:
         """Return the seed addresses to dial if no router is linked."""
         if self._links:
