--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
@@ -14,6 +15,7 @@
     CrashReport,
     Heartbeat,
     MemberState,
+    StateChanges,
     UpstreamLeaving,
     encode,
 )
@@ -152,6 +154,33 @@
             links = [len(network.linked()) for network in fleet.networks.values()]
         self.assertLessEqual(sum(links) / len(links), 16 + 1)
 
+    async def test_older_routers_get_no_messages_that_they_do_not_know(self) -> None:
+        """Guards against links that an older router closes during a rolling update."""
+        fleet = Fleet(2)
+        changes = StateChanges("kind", 1, 2)
+        with mock.patch("corianderlb_router._handshake.LEVEL", 0):
+            async with fleet.running():
+                await trio.sleep(3)
+                network = fleet.networks["r00"]
+                self.assertEqual(network.linked(), ("r01",))
+                self.assertEqual(network.broadcast(changes), 0)
+                self.assertEqual(network.forward_update(changes), 0)
+                self.assertFalse(network.send(InstanceId("r01"), changes))
+                self.assertEqual(network.broadcast(UpstreamLeaving("e1", 7)), 1)
+
+    async def test_closed_surplus_link_raises_no_suspicion(self) -> None:
+        """Guards against a live router that is left out after a link was closed."""
+        fleet = Fleet(2)
+        async with fleet.running():
+            await trio.sleep(3)
+            for network in fleet.networks.values():
+                network._link_choice.missing = lambda now: []
+            (conn,) = fleet.networks["r00"]._links
+            conn.close_surplus()
+            await trio.sleep(20)
+            self.assertEqual(fleet.networks["r01"].linked(), ())
+            fleet.assert_all_members(self, sorted(fleet.networks))
+
     async def test_broadcast_reaches_all(self) -> None:
         """A broadcast that receivers repeat reaches routers beyond one hop.
 
