--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -23,7 +23,7 @@
     INSTANCES,
     an_instance,
 )
-from state_builders import StateCase
+from state_builders import Router, StateCase
 
 
 class StateFollowerTest(StateCase):
@@ -187,22 +187,70 @@
             self.assertEqual(n_tables, 0)
             nursery.cancel_scope.cancel()
 
+    def start_large(
+        self, nursery: trio.Nursery
+    ) -> tuple[list[Router], list[Router], list[Router]]:
+        """Start 40 routers; return all, the watchers of instances and the others."""
+        routers = self.start(nursery, 40)
+        for number, router in enumerate(routers):
+            router.follower._rng = random.Random(number)
+        watchers = [r for r in routers if r.follower._watches_instances()]
+        self.assertEqual(len(watchers), N_INSTANCE_WATCHERS)
+        return routers, watchers, [r for r in routers if r not in watchers]
+
+    def assert_n_instances(self, routers: list[Router], n_instances: int) -> None:
+        found = {len(router.state.instances("app")) for router in routers}
+        self.assertEqual(found, {n_instances})
+
     async def test_change_while_the_watchers_reach_no_store(self) -> None:
         """Guards against instances that all miss when the watchers are cut off."""
         async with trio.open_nursery() as nursery:
-            routers = self.start(nursery, 40)
-            for number, router in enumerate(routers):
-                router.follower._rng = random.Random(number)
+            routers, watchers, _ = self.start_large(nursery)
             await trio.sleep(1)
-            watchers = [r for r in routers if r.follower._watches_instances()]
-            self.assertEqual(len(watchers), N_INSTANCE_WATCHERS)
             for router in watchers:
                 router.feed.is_silent = True
             await trio.sleep(15)
             self.enter("s2")
             await trio.sleep(4)
-            for router in routers:
-                self.assertEqual(len(router.state.instances("app")), 2)
+            self.assert_n_instances(routers, 2)
+            nursery.cancel_scope.cancel()
+
+    async def test_change_while_the_watchers_are_in_another_partition(self) -> None:
+        """Guards against a zone that hears nothing while links between zones fail."""
+        async with trio.open_nursery() as nursery:
+            routers, watchers, others = self.start_large(nursery)
+            apart = {router.follower._peers.own for router in others[:20]}
+            await trio.sleep(5)
+            self.hub.passes = lambda a, b: (a in apart) == (b in apart)
+            self.enter("s2")
+            await trio.sleep(4)
+            self.assert_n_instances(routers, 2)
+            nursery.cancel_scope.cancel()
+
+    async def test_change_after_all_watchers_died_at_once(self) -> None:
+        """Guards against a fleet that waits for watchers that are gone."""
+        async with trio.open_nursery() as nursery:
+            _, watchers, others = self.start_large(nursery)
+            await trio.sleep(5)
+            for router in watchers:
+                router.feed.is_silent = True
+                self.hub.dead.add(router.follower._peers.own)
+            for number in range(10):
+                self.enter(f"e{number}")
+                await trio.sleep(0.2)
+            await trio.sleep(2)
+            self.assert_n_instances(others, 11)
+            nursery.cancel_scope.cancel()
+
+    async def test_changes_during_a_start_of_the_whole_fleet(self) -> None:
+        """Guards against routers that miss what changes while all read their lists."""
+        async with trio.open_nursery() as nursery:
+            routers, _, _ = self.start_large(nursery)
+            for number in range(40):
+                self.enter(f"e{number}")
+                await trio.sleep(0.01)
+            await trio.sleep(3)
+            self.assert_n_instances(routers, 41)
             nursery.cancel_scope.cancel()
 
     async def test_router_that_missed_changes_requests_all_instances(self) -> None:
--- a/packages/corianderlb-standins/src/corianderlb_standins/fake_network.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fake_network.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -45,6 +45,8 @@
     """Routers whose messages are dropped in both directions."""
     dead: set[str] = field(default_factory=set)
     """Routers that are removed from the member list; their messages are dropped."""
+    passes: Callable[[str, str], bool] = lambda sender, target: True
+    """Whether messages from one router to another pass, as in a partition."""
     networks: dict[str, FakeNetwork] = field(default_factory=dict)
     n_messages: int = 0
 
@@ -60,6 +62,8 @@
         unreachable = {sender, target} & (self.cut | self.dead)
         if target not in self.networks or unreachable:
             return False
+        if not self.passes(sender, target):
+            return False
         if self.rng.random() >= self.loss:
             self.nursery.start_soon(self._deliver, sender, target, message)
         return True
