--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -22,7 +22,7 @@
 from corianderlb_core.settings import PeerSettings
 from corianderlb_router._handshake import PeerIdentity, initiate
 from corianderlb_router._websocket_transport import WebSocketTransport
-from corianderlb_router.peer_link import LinkClosedError
+from corianderlb_router.peer_link import LinkClosedError, PeerLink
 from corianderlb_router.peer_network import OverlayNetwork
 from corianderlb_router.store import InstanceList
 from corianderlb_standins.memory_transport import MemoryFabric
@@ -428,3 +428,30 @@
                 while not network.counters.n_refused:
                     await trio.sleep(0.05)
                 nursery.cancel_scope.cancel()
+
+    async def test_link_that_ends_without_a_closing_handshake(self) -> None:
+        """Guards against a reader that waits for, or spins on, a dead connection."""
+        ends: list[str] = []
+        for aborting in ("dialler", "acceptor"):
+
+            async def end(link: PeerLink, name: str, aborting=aborting) -> None:
+                if name == aborting:
+                    await trio.aclose_forcefully(link._stream)
+                    return
+                with self.assertRaises(LinkClosedError):
+                    await link.receive()
+                ends.append(name)
+
+            async def accept(link: PeerLink, end=end) -> None:
+                await end(link, "acceptor")
+
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    transport = WebSocketTransport("127.0.0.1", 0)
+                    address = await nursery.start(transport.serve, accept)
+                    async with transport.dial(address) as link:
+                        await end(link, "dialler")
+                        while not ends or ends[-1] == aborting:
+                            await trio.sleep(0.01)
+                    nursery.cancel_scope.cancel()
+        self.assertEqual(ends, ["acceptor", "dialler"])
