Import the exporter of the metrics beside the requests

At the first scrape the import held up all requests of a router for as long as it took. It runs in a thread now, and is also begun by a task of its own once 10,000 values are kept.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_app.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_app.py
@@ -65,16 +65,16 @@
         if scope["type"] == "lifespan":
             await _take_lifespan(receive, send)
         elif scope["type"] == "http":
-            status, body, content_type = self._answer(scope["path"])
+            status, body, content_type = await self._answer(scope["path"])
             headers = [(b"content-type", content_type)] if content_type else []
             start = {"type": "http.response.start", "status": status}
             await send({**start, "headers": headers})
             await send({"type": "http.response.body", "body": body})
 
-    def _answer(self, path: str) -> tuple[int, bytes, bytes]:
+    async def _answer(self, path: str) -> tuple[int, bytes, bytes]:
         """Return status, body and content type."""
         if path == self._readiness_path:
             return (200 if self._is_ready() else 503), b"", b""
         if path == METRICS_PATH:
-            return 200, self._metrics.exposition(), CONTENT_TYPE.encode()
+            return 200, await self._metrics.exposition(), CONTENT_TYPE.encode()
         return 404, b"", b""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import importlib
 from collections.abc import Callable
+from types import ModuleType
 from typing import TYPE_CHECKING, Final
 
+import trio
+
 if TYPE_CHECKING:
     from ._metric_exporter import MetricExporter
 
@@ -12,20 +16,27 @@
 """Content type of the exposition."""
 
 MAX_PENDING: Final = 10_000
-"""Most values that are kept until the first scrape; more load the exporter."""
+"""Values kept until the first scrape from which the exporter is loaded anyway."""
 
 
 class ForwardMetrics:
     """Counts requests and attempts; labels never contain text from callers.
 
     The exporter is loaded at the first scrape: importing it would be a tenth of the
-    start of a router. Until then, values are kept to be recorded there.
+    start of a router. Until then, values are kept to be recorded there. ``run`` loads
+    it too once many are kept.
     """
 
     def __init__(self) -> None:
         self._exporter: MetricExporter | None = None
         self._pending: list[tuple[str, float, dict[str, str]]] = []
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._is_full = trio.Event()
+
+    async def run(self) -> None:
+        """Load the exporter when many values are kept."""
+        await self._is_full.wait()
+        await self._load_exporter()
 
     def request_ended(
         self, code: str, kind: str, whole_s: float, first_s: float | None
@@ -52,9 +63,9 @@
         """Register a gauge that is read at each scrape."""
         self._gauges[f"corianderlb_{name}"] = read
 
-    def exposition(self) -> bytes:
+    async def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return self._load_exporter().exposition()
+        return (await self._load_exporter()).exposition()
 
     def _record(self, name: str, value: float, labels: dict[str, str]) -> None:
         if self._exporter is not None:
@@ -62,14 +73,19 @@
             return
         self._pending.append((name, value, labels))
         if len(self._pending) >= MAX_PENDING:
-            self._load_exporter()
+            self._is_full.set()
 
-    def _load_exporter(self) -> MetricExporter:
+    async def _load_exporter(self) -> MetricExporter:
         if self._exporter is None:
-            from ._metric_exporter import MetricExporter
-
-            self._exporter = MetricExporter(self._gauges)
-            for name, value, labels in self._pending:
-                self._exporter.record(name, value, labels)
-            self._pending.clear()
+            # In a thread, since requests would wait for the import.
+            module = await trio.to_thread.run_sync(_import_exporter)
+            if self._exporter is None:
+                self._exporter = module.MetricExporter(self._gauges)
+                for name, value, labels in self._pending:
+                    self._exporter.record(name, value, labels)
+                self._pending.clear()
         return self._exporter
+
+
+def _import_exporter() -> ModuleType:
+    return importlib.import_module("._metric_exporter", __package__)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -184,6 +184,7 @@
             self._keep_registered,
             self._apply_limits,
             self._become_ready,
+            self._parts.metrics.run,
         ]
 
     async def _serve_all(self, nursery: trio.Nursery) -> None:
--- a/packages/corianderlb-router/tests/test_forward_app.py
+++ b/packages/corianderlb-router/tests/test_forward_app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from corianderlb_router.forward_app import METRICS_PATH, StatusApp
-from corianderlb_router.forward_metric import ForwardMetrics
+from corianderlb_router.forward_metric import MAX_PENDING, ForwardMetrics
 from corianderlb_standins.trio_case import TrioTestCase
 
 
@@ -38,6 +38,19 @@
         self.assertTrue(headers[b"content-type"].startswith(b"text/plain"))
         self.assertIn(b"corianderlb_routers 3.0", body["body"])
 
+    async def test_values_before_the_first_scrape_are_exported(self) -> None:
+        """Guards against counts that are lost or kept without bound until a scrape."""
+        metrics = ForwardMetrics()
+        for _ in range(MAX_PENDING + 1):
+            metrics.attempt_ended("ok", is_repeat=False)
+        await metrics.run()
+        metrics.attempt_ended("ok", is_repeat=False)
+        self.assertEqual(metrics._pending, [])
+        count = (
+            b'corianderlb_forward_attempts_total{outcome="ok",repeat="false"} 10002.0'
+        )
+        self.assertIn(count, await metrics.exposition())
+
     async def test_other_paths_are_not_found(self) -> None:
         start, _ = await self.get("/v1/else")
         self.assertEqual(start["status"], 404)
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import trio
+
 from corianderlb_core.admission import GateCounts
 from corianderlb_core.catalogue import ServiceClass
 from corianderlb_core.chart import _load
@@ -409,7 +411,7 @@
     node._ports.state.configuration = None
     node._log.n_dropped_lines = 0
     ForwardNode._watch_gauges(node)
-    return metrics.exposition()
+    return trio.run(metrics.exposition)
 
 
 def counters() -> NodeCounters:
