Announce instances in large fleets alone, and offer at once while ages are unknown

In a fleet in which each router watches the instances, announcing them to each other was of no use. While the age of a version is unknown, any change makes an offer again, as before: it carries the query for the age.

--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -164,15 +164,15 @@
                     must_list = False
                     if trio.current_time() >= removals_apply_at:
                         settled_until = removals_apply_at
-                if kind != self._state.instances_kind:
-                    await self._watch(kind, self._watch_s())
-                elif not self._watches_instances():
-                    await self._watch(kind, LOOK_WAIT_S)
-                    n_failed = 0
+                is_instances = kind == self._state.instances_kind
+                is_watcher = not is_instances or self._watches_instances()
+                wait_s = self._watch_s() if is_watcher else LOOK_WAIT_S
+                has_changes = await self._watch(kind, wait_s)
+                n_failed = 0
+                if not is_watcher:
                     await self._wait_for_look(settled_until)
-                elif await self._watch(kind, self._watch_s()):
+                elif is_instances and has_changes:
                     await trio.sleep(self._rewatch_delay_s())
-                n_failed = 0
             except HistoryGoneError:
                 must_list = True
                 eliot.log_message(message_type="store:history_gone", kind=kind)
@@ -214,9 +214,11 @@
                 return
 
     def _pass_on(self, kind: str, applied: AppliedChanges | None) -> None:
-        """Announce changes of the instances that this router was first to read."""
-        is_first_list = applied is not None and not applied.after_revision
-        if applied is None or is_first_list or kind != self._state.instances_kind:
+        """Announce changes of the instances to a fleet in which few watch them."""
+        if applied is None or kind != self._state.instances_kind:
+            return
+        is_first_list = not applied.after_revision
+        if is_first_list or not self._is_large_fleet:
             return
         self._peers.broadcast(
             StateChanges(
@@ -280,7 +282,10 @@
             with trio.move_on_after(
                 self._offer_s() * self._rng.uniform(MIN_OFFER_FACTOR, 1.2)
             ):
-                while self._revisions_to_offer() == offered:
+                while (
+                    self._revisions_to_offer() == offered
+                    and self._state.ages_unknown_for_s is None
+                ):
                     await changed.wait()
                     changed = self._state.changed
                 # Combine changes that follow each other into one offer.
