--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -284,7 +284,7 @@
             ):
                 while (
                     self._revisions_to_offer() == offered
-                    and self._state.ages_unknown_for_s is None
+                    and not self._queries_ages_often
                 ):
                     await changed.wait()
                     changed = self._state.changed
@@ -339,9 +339,14 @@
         self._queries.pop(self._n_queries - MAX_OPEN_QUERIES, None)
         return self._n_queries
 
-    def _offer_s(self) -> float:
+    @property
+    def _queries_ages_often(self) -> bool:
+        """Whether the age of a version has become unknown just now."""
         unknown_for_s = self._state.ages_unknown_for_s
-        if unknown_for_s is not None and unknown_for_s < AGE_QUERY_PHASE_S:
+        return unknown_for_s is not None and unknown_for_s < AGE_QUERY_PHASE_S
+
+    def _offer_s(self) -> float:
+        if self._queries_ages_often:
             return AGE_QUERY_INTERVAL_S
         return LONG_OFFER_S if self._is_large_fleet else OFFER_S
 
