Let the last attempt of a stream wait through a pause

With no attempt left there is nothing to go to: the caller now gets what still comes until its deadline.

Test: test_pause_of_the_last_attempt_does_not_cut_the_answer, failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -276,6 +276,7 @@
     ) -> None:
         """Relay an answer, or raise ``ServerFailureError`` for a server error."""
         if head.status < 300:
+            self._relay.has_retry = not self._is_last
             await self._relay.relay_answer(head, exchange, on_data)
             return
         relay = WholeRelay(self._job.caller)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -46,6 +46,9 @@
     longest_pause_s: float = 0.0
     """Longest pause between two writes to the caller."""
 
+    has_retry: bool = True
+    """Whether another attempt may follow if this answer stalls."""
+
     def interrupt(self) -> None:
         """Make ``relay_answer`` raise ``TakenOffError`` at the next event boundary.
 
@@ -134,7 +137,9 @@
     async def _receive(self, exchange: Exchange) -> bytes:
         # Only the wait is cancelled: cancelling a write could lose an event that is
         # already counted as sent.
-        stall_s = self._stall_s if self.n_events else math.inf
+        # The last attempt goes on waiting: nothing better is left for the caller.
+        may_stall = self.has_retry and self.n_events
+        stall_s = self._stall_s if may_stall else math.inf
         deadline = trio.current_time() + stall_s
         with trio.CancelScope(deadline=deadline) as self._wait_scope:
             if self._is_interrupted:
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -309,6 +309,25 @@
             self.assertTrue(caller.finished)
             self.assertLess(trio.current_time() - start, 1.5)
 
+    async def test_pause_of_the_last_attempt_does_not_cut_the_answer(self) -> None:
+        """Guards against an answer that is cut with time left and no retry to make."""
+
+        async def pause(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_stream(3, 4, ends=False))
+            await trio.sleep(2)
+            rest = a_stream(5, 6).partition(b"\r\n\r\n")[2]
+            await stream.send_all(rest)
+
+        async def break_off(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_stream(1, 2, ends=False))
+            await stream.aclose()
+
+        engine = Upstream([break_off, pause])
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertTrue(caller.finished)
+            self.assertTrue(caller.answer.endswith(an_event(6)))
+
     async def test_engine_unresponsive_during_a_large_prefill(self) -> None:
         # An engine stalls before the first token of a large prompt. The request must
         # move to another engine before the deadline.
