--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -201,9 +201,6 @@
             self._state.replaced_at(model, version),
         )
 
-    def _phase(self, view: EngineView) -> EnginePhase:
-        return self.weights.phase(view.instance)
-
     def fallback(
         self, source: EngineView, upstream: str, model: str, limit_s: float
     ) -> EngineView | None:
@@ -222,7 +219,7 @@
             for view in self._views(upstream, model)
             if view.weights_version == version
             and view.instance.incarnation_key != source.instance.incarnation_key
-            and self._phase(view) in FALLBACK_PHASES
+            and self.weights.phase(view.instance) in FALLBACK_PHASES
             and self._health.may_send(view.instance.incarnation_key)
             and not self._is_in_backoff(view.instance, now)
             and view.estimator.n_reported_requests(now) < view.instance.slots
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -27,6 +27,18 @@
 
 
 class StateFollowerTest(StateCase):
+    @staticmethod
+    def record_messages(routers: list[Router], cls: type) -> list[object]:
+        """Return a list to which each message of a class is added on receipt."""
+        received: list[object] = []
+
+        async def on_message(sender: InstanceId, message: object) -> None:
+            received.append(message)
+
+        for router in routers:
+            router.follower._peers.subscribe(cls, on_message)
+        return received
+
     async def test_change_is_in_force_at_once(self) -> None:
         async with trio.open_nursery() as nursery:
             (router,) = self.start(nursery, 1)
@@ -146,35 +158,21 @@
         """Guards against an offer over each link for changes that are announced."""
         async with trio.open_nursery() as nursery:
             routers = self.start(nursery, 14)
-            n_offers = 0
-
-            async def on_offer(sender: InstanceId, offer: StateOffer) -> None:
-                nonlocal n_offers
-                n_offers += 1
-
             await trio.sleep(3)
-            for router in routers:
-                router.follower._peers.subscribe(StateOffer, on_offer)
+            offers = self.record_messages(routers, StateOffer)
             for number in range(60):
                 self.enter(f"e{number}")
                 await trio.sleep(0.1)
             # Six seconds with an offer each 2.4 s at least, over all links.
-            self.assertLessEqual(n_offers, 3 * 14 * 13)
+            self.assertLessEqual(len(offers), 3 * 14 * 13)
             nursery.cancel_scope.cancel()
 
     async def test_changes_after_a_quiet_time_need_no_whole_tables(self) -> None:
         """Guards against tables sent to every router after each empty answer."""
         async with trio.open_nursery() as nursery:
             routers = self.start(nursery, 30)
-            n_tables = 0
-
-            async def on_objects(sender: InstanceId, objects: StateObjects) -> None:
-                nonlocal n_tables
-                n_tables += 1
-
             await trio.sleep(3)
-            for router in routers:
-                router.follower._peers.subscribe(StateObjects, on_objects)
+            tables = self.record_messages(routers, StateObjects)
             for number in range(5):
                 # Other kinds move the store's revision on while watches end empty.
                 for version in range(16):
@@ -184,7 +182,7 @@
             await trio.sleep(1)
             for router in routers:
                 self.assertEqual(len(router.state.instances("app")), 6)
-            self.assertEqual(n_tables, 0)
+            self.assertEqual(len(tables), 0)
             nursery.cancel_scope.cancel()
 
     def start_large(
