--- a/packages/corianderlb-standins/src/corianderlb_standins/engine.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/engine.py
@@ -20,6 +20,7 @@
 from ._asgi import Call, CutConnectionError, StandIn
 from .batch import Batch, Job
 from .engine_settings import EngineFaults, EngineSettings
+from .loopback import loopback_client
 from .piece_cache import PieceCache
 from .sse import Completion, digest_prompt
 from .weights import OrderHandler
@@ -332,7 +333,7 @@
         body = {"keys": [key.hex() for key in keys]}
         url = f"http://{self.cfg.kv_cache}/pieces/lookup"
         try:
-            async with httpx.AsyncClient(timeout=2.0) as client:
+            async with loopback_client(timeout=2.0) as client:
                 answer = await client.post(url, json=body)
         except httpx.HTTPError:
             return []
@@ -345,7 +346,7 @@
     async def _export_pieces(self) -> None:
         """Send newly computed pieces to the KV cache upstream in batches."""
         url = f"http://{self.cfg.kv_cache}/pieces/store"
-        async with httpx.AsyncClient(timeout=2.0) as client:
+        async with loopback_client(timeout=2.0) as client:
             while True:
                 await trio.sleep(0.1)
                 keys = list(dict.fromkeys(self._keys_to_export))
--- a/packages/corianderlb-standins/src/corianderlb_standins/fleet.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fleet.py
@@ -32,6 +32,7 @@
     FleetPlan,
     default_entries,
 )
+from .loopback import loopback_client
 from .process import Process, ProcessError, child_environment
 
 OPERATOR_KEY: Final = "operator-secret"
@@ -55,7 +56,7 @@
     def __init__(self, plan: FleetPlan, folder: Path) -> None:
         self.plan = plan
         self.folder = folder
-        self.http = httpx.AsyncClient(timeout=30.0, trust_env=False)
+        self.http = loopback_client(timeout=30.0)
         self.processes: dict[str, Process] = {}
         """Processes by name, such as ``engine-1``, ``router-2`` or ``store``."""
         self.proxies: dict[str, Process] = {}
--- a/packages/corianderlb-standins/src/corianderlb_standins/load_client.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/load_client.py
@@ -12,6 +12,7 @@
 from corianderlb_core import header
 
 from .fleet_plan import LARGE_ACCOUNTS, MODEL, account_key
+from .loopback import loopback_client
 
 DONE: Final = "[DONE]"
 """Data of the event that ends a complete stream."""
@@ -52,9 +53,7 @@
     def __init__(self, address: str, timeout_s: float = 30.0) -> None:
         self._base_url = f"http://{address}"
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=200)
-        self._http = httpx.AsyncClient(
-            timeout=timeout_s, limits=limits, trust_env=False
-        )
+        self._http = loopback_client(timeout=timeout_s, limits=limits)
 
     async def __aenter__(self) -> LoadClient:
         return self
--- a/packages/corianderlb-standins/src/corianderlb_standins/weights.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/weights.py
@@ -5,7 +5,6 @@
 import math
 from typing import Any, Final
 
-import httpx
 import trio
 
 from corianderlb_core import header
@@ -13,6 +12,7 @@
 
 from ._asgi import Call
 from .engine_settings import EngineSettings
+from .loopback import loopback_client
 
 LOCAL_LOAD_S: Final = 0.8
 """Time of a load without a weight store."""
@@ -72,5 +72,5 @@
             await trio.sleep(LOCAL_LOAD_S)
             return
         url = f"http://{self._cfg.weight_store}/weights/fetch"
-        async with httpx.AsyncClient(timeout=60.0) as client:
+        async with loopback_client(timeout=60.0) as client:
             await client.post(url)
