Refuse a request that is not read by its deadline, and log when it was read

Cause: nothing bounded the wait for a request's body. Its deadline was worked out after the body had arrived; a late request was sent on all the same, could not be answered in time, and was then said to have run perhaps. The project's own interface waited for a body for good.

Change: the body is read under the deadline of the request. What has not arrived by then is refused at the deadline as "not run" (503) and never sent. The log line of a request has read_ms, which was missing to tell a late body from a slow router.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -25,6 +25,11 @@
 """Content type of errors and complete answers."""
 
 
+LATE_RETRY_S: Final = 0.05
+"""Retry-after time of a request whose deadline has passed: short, since waiting would
+not make it easier to serve."""
+
+
 class RequestRefusedError(CorianderError):
     """Raised to end a request with a refusal."""
 
@@ -107,8 +112,22 @@
                 return value.decode("latin-1")
         return None
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the body; refuse one above the limit without reading all of it."""
+    async def read_body(self, limit: int, deadline: float) -> bytes:
+        """Return the body; refuse one that is longer than the limit or late.
+
+        A request is refused as "not run" when its deadline passes before its body has
+        arrived. Sent on, it could not be answered in time, and an upstream might run it
+        in vain.
+        """
+        body = None
+        with trio.move_on_at(deadline):
+            body = await self._receive_body(limit)
+        if body is None or trio.current_time() >= deadline:
+            detail = "The deadline passed before the request was read."
+            raise refuse(ResultCode.DEADLINE_UNREACHABLE, detail, LATE_RETRY_S)
+        return body
+
+    async def _receive_body(self, limit: int) -> bytes:
         parts: list[bytes] = []
         n_bytes = 0
         while True:
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -28,6 +28,7 @@
 from .inbound import (
     SERVICE_PREFIX,
     ServiceRequest,
+    deadline_of,
     parse_completion,
     parse_service_call,
 )
@@ -128,7 +129,7 @@
     ) -> None:
         if caller.method != "POST":
             raise refuse(ResultCode.METHOD_NOT_ALLOWED, "Use the POST method.")
-        body = await caller.read_body(self._cfg.max_body_bytes)
+        body = await self._read_body(caller)
         catalogue = in_force.catalogue
         req = parse_completion(caller, body, catalogue, self._cfg.default_deadline_s)
         self._begin_decision(caller, req.facts, catalogue)
@@ -145,7 +146,7 @@
         await self._run_for_caller(caller, req.facts, run)
 
     async def _call(self, caller: CallerExchange, in_force: CatalogueInForce) -> None:
-        body = await caller.read_body(self._cfg.max_body_bytes)
+        body = await self._read_body(caller)
         catalogue = in_force.catalogue
         req = parse_service_call(caller, body, catalogue, self._cfg.default_deadline_s)
         self._begin_decision(caller, req.facts, catalogue)
@@ -158,6 +159,10 @@
             caller, req.facts, lambda: self._run_call(caller, req, in_force)
         )
 
+    async def _read_body(self, caller: CallerExchange) -> bytes:
+        deadline = deadline_of(caller, self._cfg.default_deadline_s)
+        return await caller.read_body(self._cfg.max_body_bytes, deadline)
+
     def _begin_decision(
         self, caller: CallerExchange, facts: RequestFacts, catalogue: Catalogue
     ) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -19,7 +19,13 @@
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
 
-from .caller import CallerGoneError, CallerStalledError, RequestRefusedError, refuse
+from .caller import (
+    LATE_RETRY_S,
+    CallerGoneError,
+    CallerStalledError,
+    RequestRefusedError,
+    refuse,
+)
 from .caller_run import run_for_caller
 from .exchange_registry import ExchangeRegistry
 from .forward_attempt import ForwardJob
@@ -114,7 +120,10 @@
         if route.kind is RepeatKind.STREAM and not self._exchanges.accepts_streams:
             detail = "This router is draining; a stream might not complete."
             raise refuse(ResultCode.DRAINING, detail, DRAINING_RETRY_S)
-        body = await caller.read_body(cfg.limits.max_body_bytes)
+        left_s = min(route.timeout_s, req.deadline_s)
+        deadline = caller.arrived_at + left_s - DEADLINE_MARGIN_S
+        body = await caller.read_body(cfg.limits.max_body_bytes, deadline)
+        request_log.read_at = trio.current_time()
         digest = body_digest(
             account.name if account else "",
             req.method.encode() + b" " + req.target + b"\n" + body,
@@ -122,14 +131,12 @@
         refusal = self._parts.quarantine.refusal(digest)
         if refusal is not None:
             raise RequestRefusedError(refusal)
-        left_s = min(route.timeout_s, req.deadline_s)
         self._parts.usage.apply(cfg)
         usage = self._parts.usage.charge(account, req.prompt, left_s)
         upstream = pick_upstream(route, self._parts.rng)
         budget = self._parts.budget(upstream)
         budget.record_request(trio.current_time(), self._parts.n_routers)
         target = self._target(req, route, account, upstream)
-        deadline = caller.arrived_at + left_s - DEADLINE_MARGIN_S
         relay = self._relay(req, route, caller)
         job = ForwardJob(
             self._parts,
@@ -168,7 +175,8 @@
             raise StreamCutError("the deadline has passed")
         if run.may_have_run:
             raise refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline has passed.")
-        raise refuse(ResultCode.DEADLINE_UNREACHABLE, "The deadline has passed.", 0.05)
+        detail = "The deadline has passed."
+        raise refuse(ResultCode.DEADLINE_UNREACHABLE, detail, LATE_RETRY_S)
 
     def _admit(
         self, req: ForwardRequest, cfg: ForwardConfiguration
@@ -231,6 +239,8 @@
         self.route: ForwardRoute | None = None
         self.account: ForwardAccount | None = None
         self.run: ForwardRun | None = None
+        self.read_at: float | None = None
+        """When the whole request had been read, on the router's clock."""
         self.detail = ""
 
     def write(self, parts: ForwardParts) -> None:
@@ -239,6 +249,7 @@
         now = trio.current_time()
         first_s = caller.first_byte_at - caller.arrived_at if caller.started else None
         whole_s = now - caller.arrived_at
+        read_s = self.read_at - caller.arrived_at if self.read_at is not None else None
         kind = self.route.kind.value if self.route else "none"
         parts.metrics.request_ended(caller.result.name, kind, whole_s, first_s)
         eliot.log_message(
@@ -249,6 +260,7 @@
             result=caller.result.name,
             status=caller.status,
             whole=caller.finished,
+            read_ms=round(read_s * 1000) if read_s is not None else None,
             first_ms=round(first_s * 1000) if first_s is not None else None,
             took_ms=round(whole_s * 1000),
             objective_ms=_ms(self.route.objective_s) if self.route else None,
--- a/packages/corianderlb-router/src/corianderlb_router/inbound.py
+++ b/packages/corianderlb-router/src/corianderlb_router/inbound.py
@@ -118,7 +118,7 @@
         target=target.name,
         upstream=model.upstream,
         arrived_at=req.arrived_at,
-        deadline=_deadline(req, default_deadline_s),
+        deadline=deadline_of(req, default_deadline_s),
         body_digest=body_digest(account.name, body),
         prefix_keys=prefix_keys(text, scope, model.piece_chars),
         prompt_tokens=len(text) // CHARS_PER_TOKEN,
@@ -155,7 +155,7 @@
         target=name,
         upstream=route.upstream,
         arrived_at=req.arrived_at,
-        deadline=_deadline(req, default_deadline_s),
+        deadline=deadline_of(req, default_deadline_s),
         repeatable=route.repeatable,
         body_digest=body_digest(
             account.name, f"{req.method} {rest}{query}\n".encode() + body
@@ -237,7 +237,8 @@
         raise refuse(ResultCode.INVALID_REQUEST, detail) from None
 
 
-def _deadline(req: CallerExchange, default_s: float) -> float:
+def deadline_of(req: CallerExchange, default_s: float) -> float:
+    """Return the deadline of a request, on the router's clock."""
     text = req.header(header.DEADLINE_MS)
     if text is None:
         return req.arrived_at + default_s
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -359,10 +359,14 @@
         self.gone = trio.Event()
         self.reading = trio.Event()
         self.reading.set()
+        self.body_arrived = trio.Event()
+        """Clear to delay the body after the headers."""
+        self.body_arrived.set()
         self._sent = False
 
     async def receive(self) -> dict[str, Any]:
         if not self._sent:
+            await self.body_arrived.wait()
             self._sent = True
             return {"type": "http.request", "body": self.body, "more_body": False}
         await self.gone.wait()
