Answer "not run" for a request that was given up before its first byte was sent

Callers saw 504, "may have run", for a request whose deadline passed, or whose weights expired, while its connection was still being opened; a booking is not repeated then.

Cause: an attempt counted as possibly run from before it connected, since only the errors of the transport said what had been sent, and a cancelled attempt has none.

Change: the transport tells the attempt right before the first byte. An attempt given up earlier has not run: 503 at the deadline, another instance on a withdrawal.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -21,7 +21,7 @@
 from .forward_request import ForwardRequest, UpstreamHead
 from .forward_target import WITHDRAW_MARGIN_S, Placement, Target
 from .run_mover import RunMover
-from .transport import EXCHANGE, FRESH, TARGET, Exchange
+from .transport import EXCHANGE, FRESH, ON_SEND, TARGET, Exchange
 
 RETRY_SHARE: Final = 0.6
 """Share of the objective after which an unanswered attempt of a repeatable call is
@@ -145,16 +145,19 @@
                     "pool": None,
                 },
                 FRESH: True,
+                ON_SEND: self._mark_sent,
                 TARGET: self._req.target,
             },
         )
-        self.may_have_run = True
         try:
             return await self._wait_for_head(request)
         except UpstreamError as exc:
             self.may_have_run = exc.sent
             raise
 
+    def _mark_sent(self) -> None:
+        self.may_have_run = True
+
     def _resumed_request(self) -> ForwardRequest:
         after = self._relay.resume_after
         if after == self._req.resume_after:
@@ -168,6 +171,7 @@
         limit_s = self._head_timeout_s()
         result: list[httpx.Response] = []
         errors: list[UpstreamError] = []
+        is_withdrawn = False
 
         async def send(scope: trio.CancelScope) -> None:
             try:
@@ -181,11 +185,7 @@
             while trio.current_time() - sent_at < limit_s:
                 left_s = self._withdraws_at() - trio.current_time()
                 if left_s <= 0:
-                    errors.append(
-                        WithdrawnError(
-                            "withdrawn before its weights expired", sent=True
-                        )
-                    )
+                    is_withdrawn = True
                     break
                 await trio.sleep(min(limit_s, UNRESPONSIVE_S, left_s))
                 if self._is_unresponsive(incarnation_key, sent_at):
@@ -196,6 +196,10 @@
             return result[0]
         if errors:
             raise errors[0]
+        if not self.may_have_run:
+            raise NotRunError("given up before it was sent", sent=False)
+        if is_withdrawn:
+            raise WithdrawnError("withdrawn before its weights expired", sent=True)
         raise SilentError("no response head in time", sent=True)
 
     def _withdraws_at(self) -> float:
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -35,6 +35,9 @@
 SEND_BEFORE: Final = "send_before"
 """Request extension: time by the router's clock after which nothing may be sent."""
 
+ON_SEND: Final = "on_send"
+"""Request extension: function that is called right before the first byte is sent."""
+
 TARGET: Final = "target"
 """Request extension: the exact request target. The client would normalise a URL, and
 the upstream would receive another path than the caller sent."""
@@ -153,6 +156,7 @@
         conn = await self.pool.take(address, fresh, timeout["connect"])
         try:
             _check_send_deadline(request, address)
+            request.extensions.get(ON_SEND, _do_nothing)()
             await _with_timeout(timeout["write"], conn, lambda: _send(conn, request))
             head = await _with_timeout(timeout["read"], conn, conn.receive_head)
         except BaseException:
@@ -172,6 +176,10 @@
         await self.pool.close()
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _check_send_deadline(request: httpx.Request, address: str) -> None:
     """Raise ``ConnectFailedError`` if the send deadline of a request has passed.
 
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -250,6 +250,8 @@
     closes: bool = False
     """Whether the connection ends after an answer."""
     alive: bool = True
+    accepts: bool = True
+    """Whether connections are established; otherwise they wait for good."""
     requests: list[dict[str, str]] = field(default_factory=list)
     """Headers of the received requests; ``:target`` is the request line's target."""
     bodies: list[bytes] = field(default_factory=list)
@@ -312,6 +314,8 @@
         upstream = self.upstreams[address.partition(":")[0]]
         if not upstream.alive:
             raise ConnectionRefusedError("connection refused")
+        if not upstream.accepts:
+            await trio.sleep_forever()
         ours, theirs = trio.testing.memory_stream_pair()
         self._nursery.start_soon(upstream.serve, theirs)
         return ours
--- a/packages/corianderlb-router/tests/test_late_request.py
+++ b/packages/corianderlb-router/tests/test_late_request.py
@@ -47,6 +47,16 @@
         self.assertEqual(caller.status, 200)
         self.assertLess(float(upstream.requests[0]["x-left-s"]), 0.5)
 
+    async def test_request_that_was_not_sent_is_refused_as_not_run(self) -> None:
+        """Guards against a caller that does not repeat a booking which never ran."""
+        for path in ("/read/7", "/book/7"):
+            with self.subTest(path=path):
+                unreached = Upstream([an_answer()], accepts=False)
+                async with a_router(s1=unreached) as router:
+                    caller = await router.ask(path, x_deadline_s="0.1")
+                self.assertEqual(caller.status, 503)
+                self.assertEqual(caller.error["ran"], "no")
+
 
 class CompletionTest(TrioTestCase):
     async def test_prompt_read_after_its_deadline_is_refused_as_not_run(self) -> None:
