Apply a stand-in's faults before answering the call that sets them

Cause: the proxy answered "fault set" first and froze its open connections after that. The test opens a new connection on that answer; accepted in between, it was frozen for good with the old ones.

Cut connections and a closed listener had the same order.

--- a/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -95,6 +95,9 @@
         """Return the counters for ``GET /debug/calls``."""
         return {}
 
+    def apply_faults(self) -> None:
+        """Act on faults that were just set; does nothing by default."""
+
     async def extra_addresses(self) -> dict[str, str]:
         """Return additional addresses to print, by name."""
         return {}
@@ -117,8 +120,10 @@
         if call.path == "/debug/calls":
             await call.answer(200, self.counters())
         elif call.path == "/debug/fault":
-            self.faults = replace_fields(self.faults, call.plain())
-            await call.answer(200, dataclasses.asdict(self.faults))
+            faults = self.faults = replace_fields(self.faults, call.plain())
+            # Before the answer, on which the caller acts at once.
+            self.apply_faults()
+            await call.answer(200, dataclasses.asdict(faults))
         else:
             await self.handle(call)
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -68,8 +68,8 @@
         """Return the number of connections opened, cut, frozen, dropped and open."""
         return {"calls": dict(self._calls), "open": len(self._connections)}
 
-    async def _route(self, call: Call) -> None:
-        await super()._route(call)
+    def apply_faults(self) -> None:
+        """Cut or freeze the open connections, or stop listening."""
         if self.faults.cut_now:
             self._cut_all()
         if self.faults.freeze_now:
