Let a part of a fleet save what it does not use of an account's cap

Cause: the bucket of a part of the fleet holds its part of the burst only, and discards what the part does not use as soon as it is full; a prompt of 31,367 tokens met a bucket of 17,280. The additional rate that a whole fleet has of the tolerance is idle then.

Change: such a bucket fills up to the whole burst, within its part of that tolerance. What is saved lapses when the share changes; the additional rate returns after as long as the fleet was cut, one window at most.

--- a/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
+++ b/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
@@ -31,10 +31,10 @@
 that are larger than the bucket, and covers the delay of announcements the other way:
 what a router wrongly believes used."""
 
-RATE_SHARE: Final = 0.4
+SPARE_SHARE: Final = 0.4
 """Share of the tolerance by which an account may exceed its rate in a window, while the
-routers have heard each other for ``WHOLE_S``. Otherwise it covers what routers do not
-hear of each other."""
+routers have heard each other for ``WHOLE_S``. A router that does not hear some of them
+may instead save what it has not used, up to its part of this share."""
 
 WHOLE_HEARD_SHARE: Final = 0.9
 """Fraction of the other routers that are heard from which a fleet counts as whole."""
@@ -106,6 +106,8 @@
         self._settles_until = -math.inf
         self._whole_since = math.inf
         """Since when the fleet counts as whole; infinite while it does not."""
+        self._split_since = -math.inf
+        """When it last ceased to be whole."""
 
     # Configuration and fleet.
 
@@ -142,7 +144,11 @@
             return
         for bucket in self._buckets.values():
             self._refill(bucket, now)
+            # What was saved lapses: others may know nothing of it, or have run it.
+            bucket.level = min(bucket.level, self._capacity(bucket))
         if heard_share < WHOLE_HEARD_SHARE:
+            if math.isfinite(self._whole_since):
+                self._split_since = now
             self._whole_since = math.inf
         elif math.isinf(self._whole_since):
             self._whole_since = now
@@ -219,7 +225,7 @@
         bucket = self._refilled(account, now)
         if bucket is None:
             return 0.0
-        return self._capacity(bucket) - bucket.level
+        return max(0.0, self._capacity(bucket) - bucket.level)
 
     # Announcements.
 
@@ -336,7 +342,8 @@
     def _unannounced_allowed(self, bucket: UsageBucket) -> float:
         """Return what one router may run unannounced for half of ``MAX_PAUSE_S``."""
         of_tolerance = UNANNOUNCED_SHARE * self._terms.tolerance(bucket.cap)
-        of_level = UNANNOUNCED_LEVEL_SHARE * max(0.0, bucket.level)
+        level = min(bucket.level, self._capacity(bucket))
+        of_level = UNANNOUNCED_LEVEL_SHARE * max(0.0, level)
         return (of_tolerance + of_level) / min(self._n_routers, MAX_SPLIT)
 
     def _take_reserve(
@@ -355,7 +362,7 @@
         grown = max(0.0, now - bucket.refilled_at) * self._rate_per_s(bucket.cap, now)
         bucket.refilled_at = max(now, bucket.refilled_at)
         own = grown * self._own_share
-        room = max(0.0, self._capacity(bucket) - bucket.level)
+        room = max(0.0, self._max_level(bucket) - bucket.level)
         bucket.level += min(own, room)
         # What a full bucket does not take refills what the routers have run
         # unannounced; each takes an even share.
@@ -372,15 +379,31 @@
 
     def _rate_per_s(self, cap: UsageCap, now: float) -> float:
         """Return the rate at which an account's bucket is refilled."""
-        if now - self._whole_since < WHOLE_S:
+        # Until the window is over, what its parts had saved counts against the spare.
+        split_s = max(WHOLE_S, self._whole_since - self._split_since)
+        settle_s = min(split_s, self._terms.window_s)
+        if now - self._whole_since < settle_s:
             return cap.rate_per_s
-        tolerance = RATE_SHARE * self._terms.tolerance(cap)
-        return cap.rate_per_s + tolerance / self._terms.window_s
+        return cap.rate_per_s + self._spare(cap) / self._terms.window_s
 
     def _capacity(self, bucket: UsageBucket) -> float:
         """Return the level of a full bucket."""
         return bucket.cap.burst * self._own_share
 
+    def _max_level(self, bucket: UsageBucket) -> float:
+        """Return the level to which a bucket is refilled, with what it may save.
+
+        A part of the fleet has a part of the burst, and prompts that are larger would
+        wait until its bucket is full.
+        """
+        if self._heard_share >= WHOLE_HEARD_SHARE:
+            return self._capacity(bucket)
+        saved = self._spare(bucket.cap) * self._own_share
+        return min(bucket.cap.burst, self._capacity(bucket) + saved)
+
+    def _spare(self, cap: UsageCap) -> float:
+        return SPARE_SHARE * self._terms.tolerance(cap)
+
     def _debt_allowed(self, bucket: UsageBucket) -> float:
         return self._max_debt(bucket.cap) * self._own_share
 
--- a/packages/corianderlb-core/tests/test_usage_fleet.py
+++ b/packages/corianderlb-core/tests/test_usage_fleet.py
@@ -100,6 +100,19 @@
                 refused = fleet.refused_within_cap()
                 self.assertLessEqual(refused, MAX_REFUSED_IN_PARTITION)
 
+    def test_overload_when_idle_halves_meet_stays_within_the_terms(self) -> None:
+        """Guards against what both halves have saved and run once more together."""
+        for cap in (SMALL, LARGE):
+            for seed in range(1, 4):
+                with self.subTest(rate=cap.rate_per_s, seed=seed):
+                    fleet = self.a_fleet(cap, seed=seed)
+                    fleet.partition(lambda index: index % 2)
+                    fleet.play(9.0, 0.05 * usual(cap))
+                    fleet.play(0.5, HOT * usual(cap))
+                    fleet.heal()
+                    fleet.play(12.0, HOT * usual(cap))
+                    self.assert_within(fleet)
+
     def test_killed_routers_do_not_reset_what_was_used(self) -> None:
         for cap in (SMALL, LARGE):
             with self.subTest(rate=cap.rate_per_s):
@@ -225,6 +238,31 @@
         ledger.merge([self.an_entry(router="r1")], 0.0)
         self.assertEqual(ledger.used("acme", 0.0), 0.0)
 
+    def a_half(self, burst: float) -> UsageLedger:
+        """Build a ledger that hears half of eleven routers and has been idle."""
+        ledger = UsageLedger(InstanceId("r1"), 1, UsageTerms(8.0, 0.0, 200.0))
+        ledger.set_caps({}, 0.0)
+        ledger.set_caps({"acme": UsageCap(10.0, burst)}, 0.0)
+        ledger.set_fleet(11, 0.45, 0.0, 0.0)
+        return ledger
+
+    def test_half_of_a_fleet_saves_what_it_does_not_use(self) -> None:
+        """Guards against large prompts that find the bucket of a half too small."""
+        ledger = self.a_half(100.0)
+        self.assertTrue(ledger.charge("acme", 60.0, 20.0))
+        self.assertTrue(ledger.charge("acme", 50.0, 20.0))
+        self.assertFalse(ledger.charge("acme", 30.0, 20.0))
+
+    def test_half_of_a_fleet_saves_no_more_than_the_burst(self) -> None:
+        ledger = self.a_half(100.0)
+        n_run = sum(ledger.charge("acme", 1.0, 1000.0) for _ in range(500))
+        self.assertLessEqual(n_run, 100 + 0.25 * 200)
+
+    def test_what_a_half_saved_lapses_when_it_hears_the_others(self) -> None:
+        ledger = self.a_half(100.0)
+        ledger.set_fleet(11, 1.0, 0.0, 20.0)
+        self.assertGreaterEqual(ledger.used("acme", 20.0), 50.0)
+
     def test_caps_of_zero_burst_hold_the_rate(self) -> None:
         ledger = UsageLedger(InstanceId("r1"), 1, UsageTerms(10.0, 0.0, 0.0))
         ledger.set_caps({"acme": UsageCap(10.0, 0.0)}, 0.0)
