Order every engine once before any again, and serve while orders get no response

Change: an order without response is repeated with the slots that first orders leave, the oldest first, and its engine serves on until it is seen to load; a load is given up once the engine is idle without the version; more engines load at once when time runs out. weights:load_ended, added first, says how long each order occupied its slot.

Evidence: the new tests failed before.

--- a/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
+++ b/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -29,6 +30,9 @@
 LOAD_TIMEOUT_S: Final = 8.0
 """Time after which a load counts as stalled and frees its slot for another engine."""
 
+ROUND_S: Final = 2.0
+"""Time to empty an engine and load its weights, when its order takes effect at once."""
+
 MOVE_TIMEOUT_S: Final = 0.6
 """Timeout for moving the runs of an engine to a fallback. The load order is sent then,
 and the remaining runs complete before the engine loads."""
@@ -79,6 +83,11 @@
     """Whether an order can be sent now."""
     is_lost: bool = False
     """Whether the last call failed; no requests go there until its next report."""
+    awaits_order: bool = False
+    """Whether an order without response may still be carried out, at any moment.
+
+    The engine serves until then, also while it is sent another order.
+    """
     is_unresponsive: bool = False
     """Whether it is unresponsive with requests in flight, and so may be lost."""
     emptying_s: float | None = None
@@ -89,7 +98,8 @@
     @property
     def is_available(self) -> bool:
         """Whether the engine can take runs that are moved from another engine."""
-        return not (self.is_loading or self.is_lost) and self.emptying_s is None
+        is_loading = self.is_loading and not self.awaits_order
+        return not (is_loading or self.is_lost) and self.emptying_s is None
 
     @property
     def is_serving(self) -> bool:
@@ -127,26 +137,41 @@
 
 
 def plan_rollout(
-    engines: Sequence[EngineWeights], newest: int, n_needed: int = 1
+    engines: Sequence[EngineWeights],
+    newest: int,
+    n_needed: int = 1,
+    time_left_s: float = math.inf,
 ) -> RolloutPlan:
     """Return which engines to empty and which to send load orders to.
 
     Engines with the oldest weights go first, so that a busy engine is not passed over
     when new versions arrive faster than engines load. Among equals the engine with the
-    fewest requests goes first. ``n_needed`` engines keep serving if that many are
-    available.
+    fewest requests goes first.
+
+    An engine whose order got no response gets its next one after those without an
+    order: it was emptied in vain, has the fewest requests, and would be emptied again
+    in place of the others. It serves
+    on until then: the last order may take effect at any moment anyway.
+
+    ``n_needed`` engines keep serving if that many are available, unless the rollout
+    would then take longer than ``time_left_s``, after which no request may begin on the
+    replaced weights.
     """
-    return _Planner(engines, newest, n_needed).plan()
+    return _Planner(engines, newest, n_needed, time_left_s).plan()
 
 
 class _Planner:
     """Intermediate results of one call of ``plan_rollout``."""
 
     def __init__(
-        self, engines: Sequence[EngineWeights], newest: int, n_needed: int
+        self,
+        engines: Sequence[EngineWeights],
+        newest: int,
+        n_needed: int,
+        time_left_s: float,
     ) -> None:
         self._engines = engines
-        self._outdated = sorted(
+        ready = sorted(
             (
                 engine
                 for engine in engines
@@ -157,6 +182,8 @@
             ),
             key=_load_priority,
         )
+        self._outdated = [engine for engine in ready if not engine.awaits_order]
+        self._awaiting = [engine for engine in ready if engine.awaits_order]
         self._n_fallbacks = Counter(
             engine.version for engine in engines if engine.is_available
         )
@@ -166,7 +193,13 @@
             for engine in engines
         )
         n_available = sum(not engine.is_lost for engine in engines) - n_stalled
-        self._n_required = min(n_needed, n_available - 1)
+        self._n_needed = min(n_needed, n_available - 1)
+        n_outdated = sum(
+            engine.version < newest and not engine.is_lost for engine in engines
+        )
+        # Fewer than needed keep serving when the time for the rollout runs out.
+        n_at_once = _n_at_once(n_outdated, time_left_s)
+        self._n_required = min(self._n_needed, n_available - n_at_once)
         n_loading = sum(
             engine.is_loading and engine.loading_s < LOAD_TIMEOUT_S
             for engine in engines
@@ -188,12 +221,12 @@
         ]
         finishing = [engine for engine in emptying if not self._has_fallback(engine)]
         n_moving = len(emptying) - len(finishing)
-        n_to_empty = self._n_free_loads - len(orders) - n_moving
-        if self._n_newest > self._n_required:
-            # Enough engines have the newest weights. A run moved now would restart on
-            # weights that are already replaced.
-            n_to_empty = 0
-        newly_emptying = self._next_to_empty(orders, n_to_empty)
+        n_free_loads = self._n_free_loads - len(orders) - n_moving
+        # While enough engines have the newest weights, none is emptied: a run moved now
+        # would restart on weights that are already replaced.
+        has_enough = self._n_newest > self._n_needed
+        newly_emptying = self._next_to_empty(orders, 0 if has_enough else n_free_loads)
+        orders += self._orders_to_repeat(n_free_loads - len(newly_emptying))
         resting = self._engines_to_rest(orders, newly_emptying)
         n_excess = len(finishing) - int(MAX_FINISHING_SHARE * len(self._engines))
         return RolloutPlan(
@@ -203,11 +236,16 @@
             resting=_instances(resting),
         )
 
+    def _orders_to_repeat(self, n_free_loads: int) -> list[EngineWeights]:
+        """Return the engines whose order to repeat; the oldest orders go first."""
+        engines = sorted(self._awaiting, key=lambda engine: -engine.since_order_s)
+        return engines[: max(0, n_free_loads)]
+
     def _engines_to_rest(
         self, orders: list[EngineWeights], newly_emptying: list[EngineWeights]
     ) -> list[EngineWeights]:
         """Return the engines to finish their runs while others serve newer weights."""
-        if self._n_newest <= self._n_required:
+        if self._n_newest <= self._n_needed:
             return []
         return [
             engine
@@ -277,6 +315,12 @@
         return selected
 
 
+def _n_at_once(n_outdated: int, time_left_s: float) -> int:
+    """Return how many engines must load concurrently to finish within a time."""
+    n_rounds = max(1.0, time_left_s / ROUND_S)
+    return max(1, math.ceil(n_outdated / n_rounds))
+
+
 def _load_priority(engine: EngineWeights) -> tuple[bool, int, int, str]:
     may_be_lost = engine.is_lost or engine.is_unresponsive
     return (may_be_lost, engine.version, engine.n_requests, engine.instance)
--- a/packages/corianderlb-core/tests/test_weights_rollout.py
+++ b/packages/corianderlb-core/tests/test_weights_rollout.py
@@ -64,6 +64,47 @@
 
 
 class EmptyingTest(unittest.TestCase):
+    def test_engine_without_an_order_is_emptied_first(self) -> None:
+        """Guards against engines that get no order while others get a second one."""
+        again = engine("a", 1, n_requests=1, since_order_s=2.0, awaits_order=True)
+        others = [engine(name, 1, n_requests=9) for name in "bc"]
+        plan = plan_rollout([again, *others], 2, n_needed=2)
+        self.assertEqual(plan.emptying, ("b",))
+
+    def test_order_without_response_is_repeated_without_emptying(self) -> None:
+        """Guards against an engine that is out of service for each order in vain."""
+        again = engine("a", 1, n_requests=9, since_order_s=2.0, awaits_order=True)
+        others = [engine(name, 1, n_requests=9) for name in "bcd"]
+        plan = plan_rollout([again, *others], 2, n_needed=3)
+        self.assertEqual((plan.orders, plan.emptying), (("a",), ("b",)))
+        plan = plan_rollout([again, *others], 2, n_needed=1)
+        self.assertEqual((plan.orders, plan.emptying), ((), ("b", "c")))
+
+    def test_oldest_order_is_repeated_first(self) -> None:
+        """Guards against an engine that is passed over since it is the busiest."""
+        engines = [
+            engine("a", 1, n_requests=1, since_order_s=2.0, awaits_order=True),
+            engine("b", 1, n_requests=9, since_order_s=6.0, awaits_order=True),
+            engine("c", 1, n_requests=2, since_order_s=4.0, awaits_order=True),
+        ]
+        self.assertEqual(plan_rollout(engines, 2).orders, ("b", "c"))
+
+    def test_engine_serves_while_its_order_is_repeated(self) -> None:
+        """Guards against repeated orders that keep the other engines from loading."""
+        fields = {"is_loading": True, "loading_s": 0.1, "awaits_order": True}
+        again = engine("a", 1, n_requests=9, **fields, since_order_s=0.1)
+        others = [engine(name, 1, n_requests=9) for name in "bcd"]
+        plan = plan_rollout([again, *others], 2, n_needed=3)
+        self.assertEqual((plan.orders, plan.emptying), ((), ("b",)))
+
+    def test_engines_are_emptied_faster_when_time_runs_out(self) -> None:
+        """Guards against a fleet that is past the age limit since all were needed."""
+        engines = [engine(name, 1, n_requests=9) for name in "abcde"]
+        for time_left_s, emptying in ((10.0, "a"), (7.0, "ab"), (-1.0, "ab")):
+            with self.subTest(time_left_s=time_left_s):
+                plan = plan_rollout(engines, 2, 5, time_left_s)
+                self.assertEqual(plan.emptying, tuple(emptying))
+
     def test_busy_engine_is_emptied_before_its_order(self) -> None:
         # An order to a busy engine takes it out of service until its runs complete.
         engines = [engine(name, 1, n_requests=9) for name in "abcdef"]
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -334,7 +334,12 @@
             must_await_earlier_orders=not cfg.engines_check_tokens,
         )
         return WeightsController(
-            coordinator, node, state, self._engines, self._ports.orders
+            coordinator,
+            node,
+            state,
+            self._engines,
+            self._ports.orders,
+            cfg.forward.weights_limit_s,
         )
 
     def _watch_gauges(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -67,11 +68,13 @@
         state: ServingState,
         table: EngineTable,
         orders: EngineOrders,
+        weights_limit_s: float = math.inf,
     ) -> None:
         self._coordinator = coordinator
         self._coordinator.is_busy = lambda: self._is_busy
         self._state = state
         self._table = table
+        self._weights_limit_s = weights_limit_s
         self._loader = WeightsLoader(coordinator, node, state, table, orders)
         self._engines: dict[tuple[str, int], _Engine] = {}
         self._token = 0
@@ -123,7 +126,8 @@
             instances = self._state.instances(upstream)
             inputs = [self._plan_input(instance, model) for instance in instances]
             n_needed = self._table.n_engines_needed(upstream)
-            plan = plan_rollout(inputs, newest, n_needed)
+            time_left_s = self._time_left_s(model, inputs)
+            plan = plan_rollout(inputs, newest, n_needed, time_left_s)
             for instance in instances:
                 if instance.instance in plan.orders:
                     nursery.start_soon(self._load, instance, model, newest)
@@ -131,6 +135,19 @@
                 else:
                     self._apply_phase(instance, model, plan)
 
+    def _time_left_s(self, model: str, engines: Sequence[EngineWeights]) -> float:
+        """Return the time until replaced weights on an engine exceed their age limit.
+
+        It is infinite without a limit, or if all engines have the newest weights.
+        """
+        if math.isinf(self._weights_limit_s):
+            return math.inf
+        replaced_at = min(
+            (self._state.replaced_at(model, engine.version) for engine in engines),
+            default=math.inf,
+        )
+        return replaced_at + self._weights_limit_s - trio.current_time()
+
     def _apply_phase(
         self, instance: ForwardInstance, model: str, plan: RolloutPlan
     ) -> None:
@@ -184,6 +201,7 @@
             n_requests=view.estimator.n_reported_requests(now),
             is_reachable=engine.sent_orders.unreachable_until <= now,
             is_lost=self._is_lost(instance, engine.sent_orders),
+            awaits_order=engine.sent_orders.awaits_order(view.weights_version, now),
             is_unresponsive=self._table.is_unresponsive(instance),
             emptying_s=phase_s if engine.phase in DRAIN_PHASES else None,
             resting_s=phase_s if engine.phase is EnginePhase.RESTING else None,
--- a/packages/corianderlb-router/src/corianderlb_router/weights_load.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_load.py
@@ -39,10 +39,17 @@
 """Backoff before an engine that does not respond gets another order; each
 attempt occupies a load slot."""
 
+ORDER_DELAY_S: Final = 8.0
+"""Time for which an order without response may still be carried out."""
+
 UNKNOWN_ORDER_TIMEOUT_S: Final = 0.6
 """Time for an engine to show an order whose response was lost; a later arrival is
 rejected by its order count."""
 
+IDLE_TIMEOUT_S: Final = 0.6
+"""Time without an order in progress after which an engine counts as not loading;
+longer than a report may be outdated."""
+
 FOLLOW_TIMEOUT_S: Final = 10.0
 """Time limit for one order and its load; afterwards the engine may be ordered again."""
 
@@ -56,6 +63,15 @@
     unreachable_until: float = -math.inf
     unanswered_at: float | None = None
     """When the last request went unanswered; None after a response."""
+    unknown_at: float = -math.inf
+    """When the last order without response was sent, unless it has had its effect."""
+    unknown_version: int = 0
+    """Version that this order was for."""
+
+    def awaits_order(self, version: int, now: float) -> bool:
+        """Return whether an engine with a version may still get a late order."""
+        is_recent = now - self.unknown_at < ORDER_DELAY_S
+        return is_recent and version < self.unknown_version
 
     def record_unreachable(self, now: float) -> None:
         """Record that the engine did not respond."""
@@ -90,9 +106,19 @@
     ) -> None:
         """Order a load and wait until it completes or times out."""
         self._n_loading += 1
+        started_at = trio.current_time()
         try:
-            with trio.move_on_after(FOLLOW_TIMEOUT_S):
+            with trio.move_on_after(FOLLOW_TIMEOUT_S) as scope:
                 await self._send_and_follow(engine, model, version, order_state)
+            eliot.log_message(
+                message_type="weights:load_ended",
+                instance=engine.instance,
+                model=model,
+                version=version,
+                has_version=self._table.weights.version(engine, model),
+                took_ms=round((trio.current_time() - started_at) * 1000),
+                is_timeout=scope.cancelled_caught,
+            )
         finally:
             self._n_loading -= 1
             self._table.weights.announce(
@@ -119,7 +145,9 @@
         if not self._coordinator.may_act():
             return
         token = self._coordinator.token
-        self._table.weights.announce(engine, model, EnginePhase.LOADING, token)
+        held = self._table.weights.version(engine, model)
+        if not order_state.awaits_order(held, trio.current_time()):
+            self._announce_load(engine, model)
         order = WeightsOrder(model, version, self._node, token, order_state.n_orders)
         self._coordinator.record_order()
         answer = await self._orders.order(engine, order)
@@ -144,14 +172,17 @@
         if answer is OrderAnswer.HOLDS:
             self._table.weights.learn(engine, model, version)
         elif answer is OrderAnswer.TAKEN:
+            order_state.unknown_at = -math.inf
             if order_state.n_orders is not None:
                 order_state.n_orders += 1
-            if not await self._follow(engine, model, version):
-                order_state.n_orders = None
-                order_state.record_unreachable(trio.current_time())
+            await self._follow(engine, model, version, order_state)
         elif answer is OrderAnswer.UNKNOWN:
             order_state.n_orders = None
-            await self._resolve_unknown(engine, model, version)
+            order_state.unknown_at = trio.current_time()
+            order_state.unknown_version = version
+            if await self._shows_effect(engine, model, version):
+                order_state.unknown_at = -math.inf
+                await self._follow(engine, model, version, order_state)
         elif answer is OrderAnswer.BUSY:
             order_state.n_orders = None
             await trio.sleep(POLL_S)
@@ -160,15 +191,24 @@
         elif answer is OrderAnswer.GONE:
             self._state.mark_leaving(engine, "address_reused")
 
-    async def _follow(self, engine: ForwardInstance, model: str, version: int) -> bool:
-        """Poll an engine until it has the version; False if it stops responding.
+    async def _follow(
+        self,
+        engine: ForwardInstance,
+        model: str,
+        version: int,
+        order_state: EngineOrderState,
+    ) -> None:
+        """Poll an engine until it has the version or does not load it.
 
         An engine that crashes during a load must free its load slot before its
         instance record expires, or the other engines would keep their old weights
-        until then.
+        until then. So must one that was carrying out an earlier order, which arrived
+        late and made this one void.
         """
         n_unanswered = 0
-        announced_at = trio.current_time()
+        announced_at = busy_at = trio.current_time()
+        if self._table.weights.phase(engine) is not EnginePhase.LOADING:
+            self._announce_load(engine, model)
         while n_unanswered < MAX_UNANSWERED_REPORTS and self._state.accepts_requests(
             engine
         ):
@@ -178,35 +218,45 @@
                 # Announce again: an engine that completes its runs first may load for
                 # longer than the announcement is valid.
                 announced_at = now
-                token = self._coordinator.token
-                self._table.weights.announce(engine, model, EnginePhase.LOADING, token)
+                self._announce_load(engine, model)
             report = await self._orders.report(engine)
             if report is None:
                 n_unanswered += 1
                 continue
             n_unanswered = 0
-            if report.versions.get(model, 0) >= version and not report.is_busy:
-                self._record_versions(engine, report)
-                return True
-        return False
+            if report.is_busy:
+                busy_at = now
+                continue
+            self._record_versions(engine, report)
+            if report.versions.get(model, 0) >= version:
+                return
+            if now - busy_at >= IDLE_TIMEOUT_S:
+                order_state.n_orders = None
+                return
+        order_state.n_orders = None
+        order_state.record_unreachable(trio.current_time())
+
+    def _announce_load(self, engine: ForwardInstance, model: str) -> None:
+        token = self._coordinator.token
+        self._table.weights.announce(engine, model, EnginePhase.LOADING, token)
 
     def _poll_interval_s(self) -> float:
         return max(POLL_S, self._n_loading / MAX_POLLS_PER_S)
 
-    async def _resolve_unknown(
+    async def _shows_effect(
         self, engine: ForwardInstance, model: str, version: int
-    ) -> None:
-        """Determine whether an order without a response is being carried out."""
+    ) -> bool:
+        """Return whether an order without a response is carried out by now."""
         until = trio.current_time() + UNKNOWN_ORDER_TIMEOUT_S
         while trio.current_time() < until:
             await trio.sleep(POLL_S)
             report = await self._orders.report(engine)
-            if report is not None and report.versions.get(model, 0) >= version:
-                self._record_versions(engine, report)
-                return
-            if report is not None and report.is_busy:
-                await self._follow(engine, model, version)
-                return
+            if report is None:
+                continue
+            self._record_versions(engine, report)
+            if report.is_busy or report.versions.get(model, 0) >= version:
+                return True
+        return False
 
     def _record_versions(self, engine: ForwardInstance, report: EngineReport) -> None:
         for model, version in report.versions.items():
--- a/packages/corianderlb-router/tests/test_weights_controller.py
+++ b/packages/corianderlb-router/tests/test_weights_controller.py
@@ -57,6 +57,10 @@
         self.n_max_loading = 0
         self.n_lost_answers = 0
         self.load_s = 0.8
+        self.delays_s: list[float] = []
+        """Delays of the next orders, which get no response."""
+        self.ordered: list[str] = []
+        """Engines by the time of their orders, also of those without effect."""
 
     async def report(self, engine: ForwardInstance) -> EngineReport | None:
         await trio.sleep(0.005)
@@ -71,18 +75,34 @@
         name = engine.instance
         if self.tokens and order.token < max(self.tokens):
             return OrderAnswer.OUTDATED
-        if name in self.busy or order.expected not in (None, self.n_orders[name]):
+        self.ordered.append(name)
+        if self.delays_s:
+            delay_s = self.delays_s.pop(0)
+            self._nursery.start_soon(self._take_late, name, order, delay_s)
+            await trio.sleep(0.5)
+            return OrderAnswer.UNKNOWN
+        if not self._take(name, order):
             return OrderAnswer.BUSY
-        self.tokens.append(order.token)
-        self.holders.append((trio.current_time(), order.holder))
-        self.n_orders[name] += 1
-        self._nursery.start_soon(self._load, name, order.version)
         if self.n_lost_answers:
             self.n_lost_answers -= 1
             await trio.sleep(0.5)
             return OrderAnswer.UNKNOWN
         return OrderAnswer.TAKEN
 
+    async def _take_late(self, name: str, order: WeightsOrder, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        self._take(name, order)
+
+    def _take(self, name: str, order: WeightsOrder) -> bool:
+        """Carry out an order; return False if it is refused."""
+        if name in self.busy or order.expected not in (None, self.n_orders[name]):
+            return False
+        self.tokens.append(order.token)
+        self.holders.append((trio.current_time(), order.holder))
+        self.n_orders[name] += 1
+        self._nursery.start_soon(self._load, name, order.version)
+        return True
+
     async def _load(self, name: str, version: int) -> None:
         self.busy.add(name)
         self.n_max_loading = max(self.n_max_loading, len(self.busy - self.dead))
@@ -204,6 +224,36 @@
             self.assertEqual(len(self.engines.tokens), 5)
             nursery.cancel_scope.cancel()
 
+    async def test_orders_without_response_reach_every_engine(self) -> None:
+        """Guards against engines that wait while others are emptied again in vain."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery)
+            router.table.n_engines_needed = lambda upstream: 5
+            for name in self.engines.versions:
+                router.start_run(name)
+            await trio.sleep(1.0)
+            self.engines.delays_s = [60.0] * 100
+            router.name_weights(2)
+            await trio.sleep(10.0)
+            self.assertEqual(set(self.engines.ordered), set(self.engines.versions))
+            await trio.sleep(8.0)
+            self.assertGreaterEqual(len(self.engines.ordered), 8)
+            nursery.cancel_scope.cancel()
+
+    async def test_late_order_for_older_weights_frees_its_slot(self) -> None:
+        """Guards against waiting for a load that a late earlier order made void."""
+        async with trio.open_nursery() as nursery:
+            (router,) = self.start(nursery, n_engines=1)
+            await trio.sleep(1.0)
+            self.engines.delays_s = [2.3, 30.0]
+            router.name_weights(2)
+            await trio.sleep(1.3)
+            router.name_weights(3)
+            await trio.sleep(4.5)
+            self.assertEqual(self.engines.versions, {"e0": 3})
+            self.assertEqual(len(self.engines.tokens), 2)
+            nursery.cancel_scope.cancel()
+
     async def test_engine_that_dies_during_a_load_frees_its_slot(self) -> None:
         # The other engines must not wait until the dead ones' instance records expire.
         async with trio.open_nursery() as nursery:
