Repeat orders without response beside the loads, not in their slots

A repeated order took a load slot for 1.24 s, although it is void when another one has arrived before. Repeated orders now have a limit of their own, twice the slots, so that each engine gets one every 1.5 s and first orders never wait for them. A slot is taken once an engine is seen to load.

--- a/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
+++ b/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
@@ -27,6 +27,10 @@
 ORDER_RETRY_S: Final = 1.5
 """Time after which an order without effect is sent again."""
 
+REPEATED_ORDERS_PER_LOAD: Final = 2
+"""Repeated orders under way at once, for each concurrent load. They take no load slot,
+since most of them have no effect, but cost the sender processor time."""
+
 LOAD_TIMEOUT_S: Final = 8.0
 """Time after which a load counts as stalled and frees its slot for another engine."""
 
@@ -95,11 +99,15 @@
     resting_s: float | None = None
     """Seconds since the engine began to rest; None while it does not."""
 
+    @property
+    def takes_slot(self) -> bool:
+        """Whether the engine counts as loading; a late order may still be void."""
+        return self.is_loading and not self.awaits_order
+
     @property
     def is_available(self) -> bool:
         """Whether the engine can take runs that are moved from another engine."""
-        is_loading = self.is_loading and not self.awaits_order
-        return not (is_loading or self.is_lost) and self.emptying_s is None
+        return not (self.takes_slot or self.is_lost) and self.emptying_s is None
 
     @property
     def is_serving(self) -> bool:
@@ -148,10 +156,9 @@
     when new versions arrive faster than engines load. Among equals the engine with the
     fewest requests goes first.
 
-    An engine whose order got no response gets its next one after those without an
-    order: it was emptied in vain, has the fewest requests, and would be emptied again
-    in place of the others. It serves
-    on until then: the last order may take effect at any moment anyway.
+    An engine whose order got no response is not emptied again: it would have the fewest
+    requests and be emptied in place of the others. It serves on until an order is seen
+    to take effect, and its order is repeated meanwhile.
 
     ``n_needed`` engines keep serving if that many are available, unless the rollout
     would then take longer than ``time_left_s``, after which no request may begin on the
@@ -189,7 +196,7 @@
         )
         self._n_serving = sum(engine.is_serving for engine in engines)
         n_stalled = sum(
-            engine.is_loading and engine.loading_s >= LOAD_TIMEOUT_S
+            engine.takes_slot and engine.loading_s >= LOAD_TIMEOUT_S
             for engine in engines
         )
         n_available = sum(not engine.is_lost for engine in engines) - n_stalled
@@ -201,7 +208,7 @@
         n_at_once = _n_at_once(n_outdated, time_left_s)
         self._n_required = min(self._n_needed, n_available - n_at_once)
         n_loading = sum(
-            engine.is_loading and engine.loading_s < LOAD_TIMEOUT_S
+            engine.takes_slot and engine.loading_s < LOAD_TIMEOUT_S
             for engine in engines
         )
         self._n_newest = sum(
@@ -221,12 +228,12 @@
         ]
         finishing = [engine for engine in emptying if not self._has_fallback(engine)]
         n_moving = len(emptying) - len(finishing)
-        n_free_loads = self._n_free_loads - len(orders) - n_moving
+        n_to_empty = self._n_free_loads - len(orders) - n_moving
         # While enough engines have the newest weights, none is emptied: a run moved now
         # would restart on weights that are already replaced.
         has_enough = self._n_newest > self._n_needed
-        newly_emptying = self._next_to_empty(orders, 0 if has_enough else n_free_loads)
-        orders += self._orders_to_repeat(n_free_loads - len(newly_emptying))
+        newly_emptying = self._next_to_empty(orders, 0 if has_enough else n_to_empty)
+        orders += self._orders_to_repeat()
         resting = self._engines_to_rest(orders, newly_emptying)
         n_excess = len(finishing) - int(MAX_FINISHING_SHARE * len(self._engines))
         return RolloutPlan(
@@ -236,10 +243,14 @@
             resting=_instances(resting),
         )
 
-    def _orders_to_repeat(self, n_free_loads: int) -> list[EngineWeights]:
+    def _orders_to_repeat(self) -> list[EngineWeights]:
         """Return the engines whose order to repeat; the oldest orders go first."""
+        n_repeated = sum(
+            engine.is_loading and engine.awaits_order for engine in self._engines
+        )
+        n_most = REPEATED_ORDERS_PER_LOAD * max_concurrent_loads(len(self._engines))
         engines = sorted(self._awaiting, key=lambda engine: -engine.since_order_s)
-        return engines[: max(0, n_free_loads)]
+        return engines[: max(0, n_most - n_repeated)]
 
     def _engines_to_rest(
         self, orders: list[EngineWeights], newly_emptying: list[EngineWeights]
--- a/packages/corianderlb-core/tests/test_weights_rollout.py
+++ b/packages/corianderlb-core/tests/test_weights_rollout.py
@@ -78,16 +78,16 @@
         plan = plan_rollout([again, *others], 2, n_needed=3)
         self.assertEqual((plan.orders, plan.emptying), (("a",), ("b",)))
         plan = plan_rollout([again, *others], 2, n_needed=1)
-        self.assertEqual((plan.orders, plan.emptying), ((), ("b", "c")))
+        self.assertEqual((plan.orders, plan.emptying), (("a",), ("b", "c")))
 
     def test_oldest_order_is_repeated_first(self) -> None:
         """Guards against an engine that is passed over since it is the busiest."""
+        fields = {"awaits_order": True, "n_requests": 9}
         engines = [
-            engine("a", 1, n_requests=1, since_order_s=2.0, awaits_order=True),
-            engine("b", 1, n_requests=9, since_order_s=6.0, awaits_order=True),
-            engine("c", 1, n_requests=2, since_order_s=4.0, awaits_order=True),
+            engine(name, 1, since_order_s=seconds, **fields)
+            for name, seconds in zip("abcde", (2.0, 6.0, 4.0, 5.0, 3.0), strict=True)
         ]
-        self.assertEqual(plan_rollout(engines, 2).orders, ("b", "c"))
+        self.assertEqual(plan_rollout(engines, 2).orders, tuple("bdce"))
 
     def test_engine_serves_while_its_order_is_repeated(self) -> None:
         """Guards against repeated orders that keep the other engines from loading."""
