--- a/packages/corianderlb-router/src/corianderlb_router/weights_load.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_load.py
@@ -207,7 +207,8 @@
         """
         n_unanswered = 0
         announced_at = busy_at = trio.current_time()
-        if self._table.weights.phase(engine) is not EnginePhase.LOADING:
+        phase = self._table.weights.phase(engine)
+        if phase is not EnginePhase.LOADING and self._coordinator.may_act():
             self._announce_load(engine, model)
         while n_unanswered < MAX_UNANSWERED_REPORTS and self._state.accepts_requests(
             engine
