Read the limit that an instance names, and log when it is named and ends

The adapter decodes the header into InstanceSignals; upstream:limit is logged when a limit is named, changes and ends, and the gauge limited_instances counts them. Nothing obeys it yet.

--- /dev/null
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_signals.py
@@ -0,0 +1,23 @@
+"""What upstream instances say of themselves in the heads of their answers."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class InstanceSignals:
+    """Signals in the head of one answer, decoded by the adapter.
+
+    For example ``InstanceSignals(limit_per_s=2.5)`` is the head of an instance that
+    takes five requests in two seconds from all routers together.
+    """
+
+    limit_per_s: float | None = math.inf
+    """Requests a second that it takes from all routers; infinite if it names no limit,
+    None if what it names can't be read."""
+
+
+NO_SIGNALS = InstanceSignals()
+"""Head of an instance that says nothing of itself."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -34,6 +34,7 @@
 from .forward_request import ForwardProtocol
 from .health_table import HealthTable
 from .in_flight import InFlightTable
+from .instance_limits import InstanceLimits
 from .lease_coordinator import LeaseCoordinator
 from .lease_holder import LeaseHolder
 from .log_writer import LogWriter
@@ -152,6 +153,7 @@
             peers=self._peers,
             metrics=ForwardMetrics(),
             usage=FleetUsage(self._peers, cfg.forward.usage, self._epoch, self._rng),
+            limits=InstanceLimits(),
             rng=self._rng,
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             copier=ports.copier,
@@ -348,6 +350,7 @@
         metrics.watch("routers", lambda: self._parts.n_routers)
         metrics.watch("holds_orders", lambda: float(self._controller.is_holder))
         metrics.watch("store_lost", lambda: float(state.is_store_lost))
+        metrics.watch("limited_instances", lambda: len(self._parts.limits))
         metrics.watch("known_parts", lambda: len(self._engines.index))
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
         metrics.watch(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -21,6 +21,7 @@
 from .forward_request import ForwardProtocol
 from .health_table import HealthTable
 from .in_flight import InFlightTable
+from .instance_limits import InstanceLimits
 from .interface import PeerNetwork
 from .memory_copier import MemoryCopier
 from .serving_state import ServingState
@@ -59,6 +60,7 @@
     peers: PeerNetwork
     metrics: ForwardMetrics
     usage: FleetUsage
+    limits: InstanceLimits
     rng: random.Random
     started_at: float = -math.inf
     """Start of this process, by the router's clock."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeAlias
 
 from corianderlb_core.forwarding import Prompt
+from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
@@ -90,6 +91,8 @@
     instance: str = ""
     load: InstanceLoadReport | None = None
     weights_version: int = 0
+    signals: InstanceSignals = NO_SIGNALS
+    """What the instance says of itself."""
 
 
 class ForwardProtocol(ABC):
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -26,6 +27,7 @@
     UpstreamShare,
     key_digest,
 )
+from corianderlb_core.instance_signals import InstanceSignals
 from corianderlb_core.message import SharedObject
 from corianderlb_core.usage_cap import UsageTerms
 from corianderlb_router.connection import Connector
@@ -46,6 +48,7 @@
 )
 from corianderlb_router.health_table import HealthTable
 from corianderlb_router.in_flight import InFlightTable
+from corianderlb_router.instance_limits import InstanceLimits
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -197,6 +200,7 @@
             is_leaving=False,
             is_encoded="content-encoding" in found,
             instance=found.get("x-instance", ""),
+            signals=InstanceSignals(limit_per_s=float(found.get("x-limit", math.inf))),
         )
 
 
@@ -324,17 +328,23 @@
 class ForwardRouter:
     """Forwarding router over scripted upstreams."""
 
-    def __init__(self, network: UpstreamNetwork, budget: BudgetTerms) -> None:
+    def __init__(
+        self,
+        network: UpstreamNetwork,
+        budget: BudgetTerms,
+        name: str = "r1",
+        fleet: list[FakePeers] | None = None,
+    ) -> None:
         self.network = network
         self.decoder = TableDecoder()
         self.state = a_state(self.decoder)
-        self.peers = FakePeers("r1", [])
+        self.peers = FakePeers(name, [] if fleet is None else fleet)
         rng = random.Random(1)
         self.health = HealthTable(rng)
         self.engine_table = EngineTable(self.state, self.health, self.peers, rng)
         self.exchanges = ExchangeRegistry()
         self.parts = ForwardParts(
-            cfg=ForwardSettings("r1", "zone-a", budget=budget),
+            cfg=ForwardSettings(name, "zone-a", budget=budget),
             state=self.state,
             protocol=PlainProtocol(),
             transport=UpstreamTransport(network),
@@ -345,6 +355,7 @@
             peers=self.peers,
             metrics=ForwardMetrics(),
             usage=FleetUsage(self.peers, UsageTerms(overshoot=0.0), 1, rng),
+            limits=InstanceLimits(),
             rng=rng,
         )
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
@@ -411,20 +422,43 @@
         await self.dispatcher.handle(exchange, scope)
 
 
+def a_router_in(
+    network: UpstreamNetwork,
+    budget: BudgetTerms | None = None,
+    name: str = "r1",
+    fleet: list[FakePeers] | None = None,
+) -> ForwardRouter:
+    """Build a router that knows the upstreams of a network as its instances."""
+    router = ForwardRouter(network, budget or BudgetTerms(), name, fleet)
+    router.configure(a_configuration())
+    router.list_instances(
+        *(
+            an_instance(instance, "llm" if instance.startswith("e") else "app")
+            for instance in network.upstreams
+        )
+    )
+    return router
+
+
 @asynccontextmanager
 async def a_router(
     budget: BudgetTerms | None = None, **upstreams: Upstream
 ) -> AsyncIterator[ForwardRouter]:
     """Run a router; upstreams named ``e...`` are engines, the others plain services."""
     async with trio.open_nursery() as nursery:
-        network = UpstreamNetwork(nursery, upstreams)
-        router = ForwardRouter(network, budget or BudgetTerms())
-        router.configure(a_configuration())
-        router.list_instances(
-            *(
-                an_instance(name, "llm" if name.startswith("e") else "app")
-                for name in upstreams
-            )
-        )
-        yield router
+        yield a_router_in(UpstreamNetwork(nursery, upstreams), budget)
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def a_fleet(
+    n_routers: int, **upstreams: Upstream
+) -> AsyncIterator[list[ForwardRouter]]:
+    """Run routers that hear each other, before the same upstreams."""
+    async with trio.open_nursery() as nursery:
+        network, fleet = UpstreamNetwork(nursery, upstreams), []
+        yield [
+            a_router_in(network, name=f"r{number}", fleet=fleet)
+            for number in range(n_routers)
+        ]
         nursery.cancel_scope.cancel()
