Keep the limits that instances name, over all routers and on every way to them

Class: what an instance says of itself is not part of what every way to it asks.

Now SendPermits is asked by placement of engines and plain services, by each attempt, by moved runs, and by reports, orders and copies; it never yields. The limit is a third use of the usage ledger: LimitLedger counts requests under the name of the incarnation and differs from caps of accounts in three things. A bucket never falls below one request, so a router that hears nobody saves up for it; nothing is overdrawn; and routers send from different levels, in an order that changes with each request, since 25 routers would else send together when a bucket of 1 a second has refilled. FleetLedger is what both announcers share.

A limit ends with an answer, to a request sent later, that names none. A value that can't be read changes nothing. Peers are told at once, with the age of the newest naming; older news brings nothing back. A caller whose instances all are full is refused at once (QUEUE_FULL, not run) unless there is room soon.

Weighed: an even split (4 routers may send 1 each in 4 s, 78 one in 78 s, and all hold a saved one), and grants of a primary (each request would wait for it, and a cut leaves even shares).

--- /dev/null
+++ b/packages/corianderlb-core/src/corianderlb_core/limit_ledger.py
@@ -0,0 +1,118 @@
+"""Share out the requests that an instance takes from a fleet of routers.
+
+The limits are far smaller than the caps of accounts: one request a second over many
+routers can't be divided among them. All routers count the same bucket, as the usage
+ledger does, and differ in the level from which they send: with a bucket that has just
+refilled, all of them would send at once, before they hear of each other. The order of
+the routers changes with each request that they know of.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+from ._usage_bucket import UsageBucket
+from .identity import InstanceId
+from .part_index import IncarnationKey
+from .usage_cap import ToleranceUse, UsageCap, UsageTerms, UsageUnit
+from .usage_ledger import Key, UsageLedger
+
+LIMIT_TERMS: Final = UsageTerms(window_s=4.0, overshoot=0.5, slack=5.0)
+"""How exactly limits have to be kept."""
+
+LIMIT_TOLERANCE_USE: Final = ToleranceUse(
+    debt_share=0.0, spare_share=0.0, min_pause_s=0.0, max_pause_s=0.05
+)
+"""The tolerance is left for what a bucket saves and for requests that cross
+announcements."""
+
+MIN_LIMIT_PER_S: Final = 0.1
+"""Lowest limit that is kept. Without any request to an instance that names less, no
+router would hear that the limit has ended."""
+
+SAVED_SHARE: Final = 0.4
+"""Share of the tolerance that a bucket saves while an instance gets less than its
+limit; the rest covers requests that cross announcements."""
+
+MAX_STAGGERED: Final = 16
+"""Most routers that are spread over the saved levels; the others wait for a full
+bucket. Among more, the distance would be shorter than announcements take."""
+
+ROUNDING: Final = 1e-9
+"""Tolerance of levels, in requests."""
+
+
+class LimitLedger(UsageLedger):
+    """Requests that a fleet has sent to instances with limits, as one router knows it.
+
+    For example::
+
+        ledger.set_limit(("i-7f3a", 1779616084136), 1.0, now)
+        if not ledger.charge(limit_name(("i-7f3a", 1779616084136)), 1.0, now):
+            ...
+    """
+
+    def __init__(self, router: InstanceId, epoch: int) -> None:
+        super().__init__(router, epoch, LIMIT_TERMS, LIMIT_TOLERANCE_USE)
+
+    def set_limit(self, incarnation: IncarnationKey, per_s: float, now: float) -> None:
+        """Apply a limit in force; what is known to have been sent is kept."""
+        name = limit_name(incarnation)
+        key = self._keys[name] = (name, UsageUnit.REQUESTS.value)
+        rate = max(MIN_LIMIT_PER_S, per_s)
+        tolerance = self._terms.tolerance(UsageCap(rate, 0.0))
+        cap = UsageCap(rate, 1.0 + SAVED_SHARE * tolerance)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            # Nothing is saved: the limit was named because of what had been sent.
+            self._buckets[key] = UsageBucket(cap, 0.0, now)
+        elif bucket.cap != cap:
+            self._refill(bucket, now)
+            bucket.cap = cap
+            bucket.level = min(bucket.level, cap.burst)
+
+    def restart(self, incarnation: IncarnationKey, now: float) -> None:
+        """Empty the bucket of a limit that is named again after it had ended.
+
+        Requests sent in between were not counted.
+        """
+        bucket = self._refilled(limit_name(incarnation), now)
+        if bucket is not None:
+            bucket.level = min(0.0, bucket.level)
+
+    def forget(self, incarnation: IncarnationKey) -> None:
+        """Forget an incarnation that has ended."""
+        key = self._keys.pop(limit_name(incarnation), None)
+        if key is not None:
+            del self._buckets[key]
+            self._due.pop(key, None)
+
+    def _level_needed(self, key: Key, bucket: UsageBucket, cost: float) -> float:
+        capacity = self._capacity(bucket)
+        needed = min(cost, capacity)
+        spread = max(1.0, self._n_routers / MAX_STAGGERED)
+        share = min(1.0, self._turn(key, bucket) * spread)
+        return needed + share * (capacity - needed) - ROUNDING
+
+    def _turn(self, key: Key, bucket: UsageBucket) -> float:
+        """Return this router's place among all, from 0 to 1, until the next request."""
+        if self._n_routers == 1:
+            return 0.0
+        n_known = bucket.total + sum(peer.total for peer in bucket.peers.values())
+        text = f"{key[0]} {self._router} {n_known:.0f}"
+        digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+        return int.from_bytes(digest) / 2**32
+
+    def _capacity(self, bucket: UsageBucket) -> float:
+        """Return the level of a full bucket, which holds one request at least."""
+        return max(1.0, super()._capacity(bucket))
+
+    def _lowest_level(self, bucket: UsageBucket) -> float:
+        return -bucket.cap.burst - self._terms.tolerance(bucket.cap)
+
+
+def limit_name(incarnation: IncarnationKey) -> str:
+    """Return the name under which an incarnation's requests are announced."""
+    instance, born_ms = incarnation
+    return f"{instance}/{born_ms}"
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -20,7 +20,7 @@
 PROTOCOL_VERSION: Final = 1
 """Incremented by changes that older routers cannot ignore."""
 
-LEVEL: Final = 2
+LEVEL: Final = 3
 """Level of the messages that this router understands, announced when a link opens.
 
 A router sends a message type above level 0 only over links whose peer has its level,
@@ -470,6 +470,31 @@
     usage: tuple[AccountUsage, ...] = ()
 
 
+@dataclass(frozen=True)
+class InstanceLimit:
+    """Limit that one incarnation of an upstream instance names in its answers."""
+
+    instance: str
+    born_ms: int
+    per_s: float
+    """Requests a second from all routers together."""
+    age_ms: int
+    """Time since the newest answer that named it, when this was sent."""
+
+
+@dataclass(frozen=True)
+class InstanceLimitUpdate:
+    """Limits that the sender knows, and requests to these instances.
+
+    The requests are of the sender, or passed on from other routers. An empty update
+    only shows that the sender is heard.
+    """
+
+    limits: tuple[InstanceLimit, ...] = ()
+    usage: tuple[AccountUsage, ...] = ()
+    """Under the name of the incarnation in place of an account."""
+
+
 Message: TypeAlias = (
     Challenge
     | Hello
@@ -500,6 +525,7 @@
     | LeaseCandidacy
     | LeaseHandover
     | UsageUpdate
+    | InstanceLimitUpdate
 )
 
 _TYPES: Final[dict[str, type]] = {
@@ -532,6 +558,7 @@
     "LeaseWish": LeaseCandidacy,
     "LeaseHandover": LeaseHandover,
     "UsageUpdate": UsageUpdate,
+    "InstanceLimitUpdate": InstanceLimitUpdate,
 }
 """Message classes by wire name. Classes may be renamed, but these names may not."""
 
@@ -539,7 +566,12 @@
 """Wire names by message class."""
 
 
-_LEVELS: Final[dict[type, int]] = {LinkClosing: 1, StateChanges: 1, UsageUpdate: 2}
+_LEVELS: Final[dict[type, int]] = {
+    LinkClosing: 1,
+    StateChanges: 1,
+    UsageUpdate: 2,
+    InstanceLimitUpdate: 3,
+}
 """Levels above 0, by message class."""
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/usage_cap.py
+++ b/packages/corianderlb-core/src/corianderlb_core/usage_cap.py
@@ -52,3 +52,21 @@
         return self.overshoot * (cap.rate_per_s * self.window_s + cap.burst) + (
             self.slack
         )
+
+
+@dataclass(frozen=True)
+class ToleranceUse:
+    """What routers use the tolerance of their terms for, and how soon they announce."""
+
+    debt_share: float = 0.25
+    """Share of the tolerance by which a bucket may be overdrawn. It lets requests
+    through that are larger than the bucket, and covers the delay of announcements the
+    other way: what a router wrongly believes used."""
+    spare_share: float = 0.4
+    """Share of the tolerance by which an account may exceed its rate in a window, while
+    the routers have heard each other for some time. A router that does not hear some of
+    them may instead save what it has not used, up to its part of this share."""
+    min_pause_s: float = 0.1
+    max_pause_s: float = 0.5
+    """Bounds of the time until something is announced; the more there is, the
+    sooner."""
--- a/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
+++ b/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
@@ -24,17 +24,7 @@
 from ._usage_bucket import AnnouncedUsage, UsageBucket
 from .identity import Incarnation, InstanceId
 from .message import AccountUsage
-from .usage_cap import UsageCap, UsageTerms
-
-DEBT_SHARE: Final = 0.25
-"""Share of the tolerance by which a bucket may be overdrawn. It lets requests through
-that are larger than the bucket, and covers the delay of announcements the other way:
-what a router wrongly believes used."""
-
-SPARE_SHARE: Final = 0.4
-"""Share of the tolerance by which an account may exceed its rate in a window, while the
-routers have heard each other for ``WHOLE_S``. A router that does not hear some of them
-may instead save what it has not used, up to its part of this share."""
+from .usage_cap import ToleranceUse, UsageCap, UsageTerms
 
 WHOLE_HEARD_SHARE: Final = 0.9
 """Fraction of the other routers that are heard from which a fleet counts as whole."""
@@ -52,10 +42,6 @@
 LOW_LEVEL_SHARE: Final = 0.25
 """Share of a bucket below which what others use of it is passed on sooner."""
 
-MIN_PAUSE_S: Final = 0.1
-MAX_PAUSE_S: Final = 0.5
-"""Bounds of the time until something is announced; the more there is, the sooner."""
-
 UNSTRETCHED_ROUTERS: Final = 32
 """Size of a fleet from which these times grow with it, so that a router receives no
 more announcements in a larger one."""
@@ -88,10 +74,17 @@
             retry_after_s = ledger.wait_s("acme", 1540, now)
     """
 
-    def __init__(self, router: InstanceId, epoch: int, terms: UsageTerms) -> None:
+    def __init__(
+        self,
+        router: InstanceId,
+        epoch: int,
+        terms: UsageTerms,
+        tolerance_use: ToleranceUse | None = None,
+    ) -> None:
         self._router = router
         self._epoch = epoch
         self._terms = terms
+        self._use = tolerance_use or ToleranceUse()
         self._buckets: dict[Key, UsageBucket] = {}
         self._keys: dict[str, Key] = {}
         """Key in force by account."""
@@ -109,6 +102,11 @@
         self._split_since = -math.inf
         """When it last ceased to be whole."""
 
+    @property
+    def max_pause_s(self) -> float:
+        """Longest time until an announcement, in a fleet of few routers."""
+        return self._use.max_pause_s
+
     # Configuration and fleet.
 
     def set_caps(self, caps: Mapping[str, UsageCap], now: float) -> None:
@@ -191,9 +189,10 @@
         bucket = self._refilled(account, now)
         if bucket is None:
             return True
-        if not self._has_room(bucket, cost):
+        key = self._keys[account]
+        if bucket.level < self._level_needed(key, bucket, cost):
             return False
-        self._spend(self._keys[account], bucket, cost, now)
+        self._spend(key, bucket, cost, now)
         return True
 
     def charge_always(self, account: str, cost: float, now: float) -> None:
@@ -211,9 +210,7 @@
         bucket = self._refilled(account, now)
         if bucket is None:
             return 0.0
-        if self._has_room(bucket, cost):
-            return 0.0
-        needed = min(cost - self._debt_allowed(bucket), self._capacity(bucket))
+        needed = self._level_needed(self._keys[account], bucket, cost)
         rate = bucket.cap.rate_per_s * self._own_share
         return max(0.0, needed - bucket.level) / rate
 
@@ -284,15 +281,15 @@
             unheard_s = math.inf if known is None else now - known.at
             if unheard_s > UNHEARD_S:
                 used -= self._take_reserve(bucket, used, unheard_s, now)
-            # A greater debt would only keep this router behind the others.
-            lowest = -bucket.cap.burst - self._max_debt(bucket.cap)
+            lowest = self._lowest_level(bucket)
             bucket.level = min(max(bucket.level - used, lowest), bucket.cap.burst)
             if known is None:
                 bucket.forget_earlier(entry.router, now)
             bucket.peers[incarnation] = AnnouncedUsage(entry.number, entry.total, now)
             self._learned[key, incarnation] = entry
             is_low = bucket.level < LOW_LEVEL_SHARE * bucket.cap.burst
-            pause_s = self._stretch * (MAX_PAUSE_S / 2 if is_low else MAX_PAUSE_S)
+            max_pause_s = self._use.max_pause_s
+            pause_s = self._stretch * (max_pause_s / 2 if is_low else max_pause_s)
             due_at = now + pause_s
             self._learned_due_at = min(self._learned_due_at, due_at)
 
@@ -307,10 +304,9 @@
         self._refill(bucket, now)
         return bucket
 
-    def _has_room(self, bucket: UsageBucket, cost: float) -> bool:
-        if bucket.level >= min(cost, self._capacity(bucket)):
-            return True
-        return bucket.level - cost >= -self._debt_allowed(bucket)
+    def _level_needed(self, key: Key, bucket: UsageBucket, cost: float) -> float:
+        """Return the level from which a request of a cost is charged."""
+        return min(cost - self._debt_allowed(bucket), self._capacity(bucket))
 
     def _spend(self, key: Key, bucket: UsageBucket, cost: float, now: float) -> None:
         bucket.level = min(bucket.level - cost, bucket.cap.burst)
@@ -329,18 +325,19 @@
         allowed = self._unannounced_allowed(bucket)
         if unannounced <= allowed / 2:
             return math.inf
-        pause_s = max(MIN_PAUSE_S, MAX_PAUSE_S * allowed / 2 / unannounced)
+        use = self._use
+        pause_s = max(use.min_pause_s, use.max_pause_s * allowed / 2 / unannounced)
         if self._stretch == 1.0:
             return pause_s
         # Short times would announce each request, at each of many routers.
-        return self._stretch * max(pause_s, MAX_PAUSE_S / 2)
+        return self._stretch * max(pause_s, use.max_pause_s / 2)
 
     @property
     def _stretch(self) -> float:
         return max(1.0, self._n_routers / UNSTRETCHED_ROUTERS)
 
     def _unannounced_allowed(self, bucket: UsageBucket) -> float:
-        """Return what one router may run unannounced for half of ``MAX_PAUSE_S``."""
+        """Return what one router may run unannounced for half of the longest pause."""
         of_tolerance = UNANNOUNCED_SHARE * self._terms.tolerance(bucket.cap)
         level = min(bucket.level, self._capacity(bucket))
         of_level = UNANNOUNCED_LEVEL_SHARE * max(0.0, level)
@@ -402,10 +399,17 @@
         return min(bucket.cap.burst, self._capacity(bucket) + saved)
 
     def _spare(self, cap: UsageCap) -> float:
-        return SPARE_SHARE * self._terms.tolerance(cap)
+        return self._use.spare_share * self._terms.tolerance(cap)
+
+    def _lowest_level(self, bucket: UsageBucket) -> float:
+        """Return the level below which the use of others is not charged any more.
+
+        A greater debt would only keep this router behind the others.
+        """
+        return -bucket.cap.burst - self._max_debt(bucket.cap)
 
     def _debt_allowed(self, bucket: UsageBucket) -> float:
         return self._max_debt(bucket.cap) * self._own_share
 
     def _max_debt(self, cap: UsageCap) -> float:
-        return DEBT_SHARE * self._terms.tolerance(cap)
+        return self._use.debt_share * self._terms.tolerance(cap)
--- a/packages/corianderlb-core/tests/usage_fleet.py
+++ b/packages/corianderlb-core/tests/usage_fleet.py
@@ -53,6 +53,7 @@
         delay_s: float = 0.02,
     ) -> None:
         self.cap = cap
+        self.account = ACCOUNT
         self.now = 0.0
         self.rng = random.Random(seed)
         self.delay_s = delay_s
@@ -76,7 +77,11 @@
 
     def _ledger(self, index: int) -> UsageLedger:
         self._epoch += 1
-        ledger = UsageLedger(InstanceId(f"r{index}"), self._epoch, TERMS)
+        return self.new_ledger(InstanceId(f"r{index}"), self._epoch)
+
+    def new_ledger(self, router: InstanceId, epoch: int) -> UsageLedger:
+        """Build the ledger of a router that starts."""
+        ledger = UsageLedger(router, epoch, TERMS)
         ledger.set_caps({ACCOUNT: self.cap}, self.now)
         return ledger
 
@@ -135,11 +140,12 @@
         if router.resumes_at > self.now:
             return
         self.asked.append((self.now, cost))
-        self._update_fleet(router)
-        if router.ledger.charge(ACCOUNT, cost, self.now):
+        self.update_fleet(router)
+        if router.ledger.charge(self.account, cost, self.now):
             self.runs.append((self.now, cost))
 
-    def _update_fleet(self, router: Router) -> None:
+    def update_fleet(self, router: Router) -> None:
+        """Tell a router's ledger how many of the others it hears."""
         heard = [
             peer
             for peer in router.links
@@ -151,7 +157,7 @@
             # The membership has settled, and links to others have replaced the lost.
             group = self._groups(router.index)
             n_members = sum(self._groups(peer.index) == group for peer in self.routers)
-            share = (n_members - 1) / n_others
+            share = (n_members - 1) / max(1, n_others)
         router.ledger.set_fleet(len(self.routers), share, HEARD_WITHIN_S, self.now)
 
     def _work(self, router: Router) -> None:
@@ -187,7 +193,7 @@
 
     def most_in_window(self) -> float:
         """Return the most that was run in any window of the terms."""
-        return _most_in_window(self.runs, TERMS.window_s)
+        return most_in_window(self.runs, TERMS.window_s)
 
     def allowed_in_window(self, cap: UsageCap | None = None) -> float:
         """Return what the terms allow to run in a window."""
@@ -209,7 +215,7 @@
         return max(0.0, 1.0 - run / owed) if owed else 0.0
 
 
-def _most_in_window(runs: list[tuple[float, float]], window_s: float) -> float:
+def most_in_window(runs: list[tuple[float, float]], window_s: float) -> float:
     inside: deque[tuple[float, float]] = deque()
     total = most = 0.0
     for moment, cost in runs:
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -36,6 +36,7 @@
 
 from .health_table import HealthTable
 from .interface import PeerNetwork
+from .send_permits import SendPermits
 from .serving_state import ServingState
 from .weights_table import WeightsTable
 
@@ -104,9 +105,11 @@
         state: ServingState,
         health: HealthTable,
         peers: PeerNetwork,
+        permits: SendPermits,
         rng: random.Random,
     ) -> None:
         self._rng = rng
+        self._permits = permits
         self._state = state
         self._peers = peers
         self._health = health
@@ -141,6 +144,7 @@
             for view in self._views(upstream, query.prompt.model)
             if view.instance.incarnation_key not in avoid
             and self.weights.phase(view.instance) is not EnginePhase.LOADING
+            and self._permits.may_send(view.instance)
         ]
         if not views:
             return None
@@ -223,6 +227,7 @@
             and self.weights.phase(view.instance) in FALLBACK_PHASES
             and self._health.may_send(view.instance.incarnation_key)
             and not self._is_in_backoff(view.instance, now)
+            and self._permits.may_send(view.instance)
             and view.estimator.n_reported_requests(now) < view.instance.slots
         ]
         return min(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -248,9 +248,7 @@
             parts.state.mark_leaving(self._placement.instance, "address_reused")
             raise NotRunError("another instance uses the address", sent=False)
         if not other:
-            parts.limits.observe(
-                self._placement.instance, head.signals.limit_per_s, self.sent_at
-            )
+            parts.permits.observe(self._placement.instance, head.signals, self.sent_at)
         self._target.head(self._placement, head)
         if head.not_run or head.is_misdirected:
             raise NotRunError(f"refused with status {head.status}", sent=False)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -42,6 +42,7 @@
 from .object_feed import ObjectFeed
 from .peer_network import OverlayNetwork
 from .router_registration import RouterRegistration
+from .send_permits import PermittedCopier, PermittedOrders, SendPermits
 from .serving_state import ServingState
 from .state_follower import StateFollower
 from .store import InstanceList, ObjectStore
@@ -138,7 +139,11 @@
         """Epoch of this process."""
         self._peers = self._make_peers()
         health = HealthTable(self._rng)
-        self._engines = EngineTable(ports.state, health, self._peers, self._rng)
+        self._limits = InstanceLimits(ports.state, self._peers, self._epoch)
+        self._permits = SendPermits(self._limits)
+        self._engines = EngineTable(
+            ports.state, health, self._peers, self._permits, self._rng
+        )
         self._follower = StateFollower(ports.feed, ports.state, self._peers, self._rng)
         self._controller = self._make_controller()
         self._parts = ForwardParts(
@@ -153,10 +158,12 @@
             peers=self._peers,
             metrics=ForwardMetrics(),
             usage=FleetUsage(self._peers, cfg.forward.usage, self._epoch, self._rng),
-            limits=InstanceLimits(),
+            permits=self._permits,
             rng=self._rng,
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
-            copier=ports.copier,
+            copier=PermittedCopier(ports.copier, self._permits)
+            if ports.copier
+            else None,
         )
         self._watch_gauges()
 
@@ -192,6 +199,7 @@
             self._become_ready,
             self._parts.metrics.run,
             self._parts.usage.run,
+            self._limits.run,
         ]
 
     async def _serve_all(self, nursery: trio.Nursery) -> None:
@@ -340,7 +348,7 @@
             node,
             state,
             self._engines,
-            self._ports.orders,
+            PermittedOrders(self._ports.orders, self._permits),
             cfg.forward.weights_limit_s,
         )
 
@@ -350,7 +358,7 @@
         metrics.watch("routers", lambda: self._parts.n_routers)
         metrics.watch("holds_orders", lambda: float(self._controller.is_holder))
         metrics.watch("store_lost", lambda: float(state.is_store_lost))
-        metrics.watch("limited_instances", lambda: len(self._parts.limits))
+        metrics.watch("limited_instances", lambda: len(self._limits))
         metrics.watch("known_parts", lambda: len(self._engines.index))
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
         metrics.watch(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -21,9 +21,9 @@
 from .forward_request import ForwardProtocol
 from .health_table import HealthTable
 from .in_flight import InFlightTable
-from .instance_limits import InstanceLimits
 from .interface import PeerNetwork
 from .memory_copier import MemoryCopier
+from .send_permits import SendPermits
 from .serving_state import ServingState
 from .transport import UpstreamTransport
 
@@ -60,7 +60,7 @@
     peers: PeerNetwork
     metrics: ForwardMetrics
     usage: FleetUsage
-    limits: InstanceLimits
+    permits: SendPermits
     rng: random.Random
     started_at: float = -math.inf
     """Start of this process, by the router's clock."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -29,7 +29,7 @@
 )
 from .forward_caller import StreamCutError
 from .forward_relay import WrongAnswerError
-from .forward_target import NO_INSTANCE_RETRY_S, NoPlacement, Placement
+from .forward_target import NO_INSTANCE_RETRY_S, WITHHELD, NoPlacement, Placement
 from .in_flight import InFlightAttempt
 from .run_mover import RunMovedError
 
@@ -179,7 +179,8 @@
                 self._avoid.clear()
                 await trio.sleep(POLL_S)
                 continue
-            if now >= waits_until:
+            is_withheld = found.reason == WITHHELD
+            if now + (found.retry_after_s if is_withheld else 0.0) >= waits_until:
                 raise self._no_placement_refusal(found)
             changed = self._parts.state.changed
             with trio.move_on_after(POLL_S):
@@ -203,15 +204,14 @@
     def _no_placement_refusal(self, found: NoPlacement) -> RequestRefusedError:
         if self.may_have_run:
             return refuse(ResultCode.UPSTREAM_FAILED, "No other instance has capacity.")
-        code = (
-            ResultCode.QUEUE_FULL if found.reason == "queue" else ResultCode.NO_UPSTREAM
-        )
+        is_full = found.reason in ("queue", WITHHELD)
+        code = ResultCode.QUEUE_FULL if is_full else ResultCode.NO_UPSTREAM
         detail = f"{found.reason}: {found.detail}" if found.detail else found.reason
         left_s = self._deadline - trio.current_time()
         estimate_s = self._parts.retry_delay_s(
             self._target.upstream,
             found.retry_after_s,
-            found.prefill_time_s,
+            found.spacing_s,
             left_s * MAX_RETRY_AFTER_SHARE,
         )
         return refuse(code, detail, self._retry_after_s(estimate_s))
@@ -230,6 +230,8 @@
         instance = placement.instance
         if not parts.state.accepts_requests(instance):
             raise NotRunError("the instance is leaving", sent=False)
+        if not parts.permits.take(instance):
+            raise NotRunError("the instance takes no request now", sent=False)
         self._n_sent += 1
         key = f"{self._job.req.request_id}.{self._n_sent}"
         started_at = trio.current_time()
@@ -255,6 +257,8 @@
                 has_ended = True
                 raise
             finally:
+                if not attempt.may_have_run:
+                    parts.permits.give_back(instance)
                 if not has_ended:
                     # Cancelled, because the caller left or the deadline passed, or
                     # failed otherwise: log which instance had the request.
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -31,6 +31,9 @@
 from .forward_parts import ForwardParts
 from .forward_request import ForwardRequest, SendTerms, UpstreamHead
 
+WITHHELD: Final = "withheld"
+"""Reason of ``NoPlacement`` if every instance has said that it takes nothing now."""
+
 WITHDRAW_MARGIN_S: Final = 0.5
 """Margin before the age limit of replaced weights at which a request is withdrawn. It
 covers scheduling delays and the time that the close takes to arrive."""
@@ -64,9 +67,9 @@
     """Estimated time until an instance can take it."""
     detail: str = ""
     """The deciding estimate, for the log."""
-    prefill_time_s: float = 0.0
-    """Prefill time of the request, divided by the number of engines. It spaces the
-    retries of refused callers."""
+    spacing_s: float = 0.0
+    """Time that the instances together take for a request: for an engine, its prefill
+    time divided by the number of engines. It spaces the retries of refused callers."""
 
 
 class Target(ABC):
@@ -94,7 +97,10 @@
 
     def may_take(self, placement: Placement) -> bool:
         """Return whether an instance still accepts new work."""
-        return self.parts.state.accepts_requests(placement.instance)
+        instance = placement.instance
+        return self.parts.state.accepts_requests(
+            instance
+        ) and self.parts.permits.may_send(instance)
 
     def begin_before(self, placement: Placement) -> float:
         """Return the time by which an instance must begin the request.
@@ -124,6 +130,13 @@
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Record that an attempt has ended."""
 
+    def _withheld(self, upstream: str) -> NoPlacement | None:
+        """Return the reason if no instance takes a request now, by their own word."""
+        found = self.parts.permits.withheld(self.parts.state.instances(upstream))
+        if found is None:
+            return None
+        return NoPlacement(WITHHELD, found.wait_s, found.detail, found.spacing_s)
+
 
 def pick_upstream(route: ForwardRoute, rng: random.Random) -> str:
     """Return a random upstream of a route, weighted by its shares."""
@@ -156,9 +169,11 @@
             instance
             for instance in parts.state.instances(self.upstream)
             if instance.incarnation_key not in avoid
+            and parts.permits.may_send(instance)
         ]
         if not known:
-            return NoPlacement("no_instance", NO_INSTANCE_RETRY_S)
+            no_instance = NoPlacement("no_instance", NO_INSTANCE_RETRY_S)
+            return self._withheld(self.upstream) or no_instance
         known = allowed_or_all(
             known, lambda item: parts.health.may_send(item.incarnation_key)
         )
@@ -222,7 +237,8 @@
             return NoPlacement("no_configuration", NO_INSTANCE_RETRY_S)
         choice = self.parts.engines.choose(query, self.upstream, tuple(avoid))
         if choice is None:
-            return NoPlacement("no_engine", NO_INSTANCE_RETRY_S)
+            no_engine = NoPlacement("no_engine", NO_INSTANCE_RETRY_S)
+            return self._withheld(self.upstream) or no_engine
         if not choice.in_time:
             detail = (
                 f"{choice.view.instance.instance} would start in "
@@ -230,10 +246,8 @@
             )
             estimator = choice.view.estimator
             n_engines = len(self.parts.state.instances(self.upstream))
-            prefill_time_s = estimator.prefill_time_s(choice.n_missing) / max(
-                1, n_engines
-            )
-            return NoPlacement("queue", choice.wait_s, detail, prefill_time_s)
+            spacing_s = estimator.prefill_time_s(choice.n_missing) / max(1, n_engines)
+            return NoPlacement("queue", choice.wait_s, detail, spacing_s)
         save_to = query.kv_cache_address if self._is_worth_saving(choice) else ""
         return Placement(
             choice.view.instance, choice.estimated_ttft_s, choice, save_to=save_to
--- a/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
@@ -1,16 +1,32 @@
-"""Limits that upstream instances name: requests a second from all routers together."""
+"""Limits that upstream instances name, kept with the other routers.
+
+The decisions are made by ``corianderlb_core.limit_ledger``; this module feeds it with
+the answers of instances and the announcements of peers.
+"""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass
+from typing import Final
 
 import eliot
 import trio
 
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.limit_ledger import LimitLedger, limit_name
+from corianderlb_core.message import AccountUsage, InstanceLimit, InstanceLimitUpdate
 from corianderlb_core.part_index import IncarnationKey
 
+from .fleet_ledger import FleetLedger
+from .interface import PeerNetwork
+from .serving_state import ServingState
+
+MAX_LIMITS: Final = 4096
+"""Incarnations whose limits are remembered; the oldest are dropped first."""
+
 
 @dataclass
 class _NamedLimit:
@@ -18,17 +34,73 @@
 
     per_s: float
     named_at: float
-    """When the newest answer that names it arrived."""
+    """When the newest answer that named it arrived, here or at a peer."""
+    is_ended: bool = False
+    """Whether a later answer named no limit."""
 
 
-class InstanceLimits:
-    """Limits in force, by incarnation."""
+class InstanceLimits(FleetLedger):
+    """Limits in force, and the requests that all routers send within them."""
 
-    def __init__(self) -> None:
+    ledger: LimitLedger
+
+    def __init__(self, state: ServingState, peers: PeerNetwork, epoch: int) -> None:
+        super().__init__(peers, LimitLedger(peers.own, epoch))
+        self._state = state
         self._limits: dict[IncarnationKey, _NamedLimit] = {}
+        peers.subscribe(InstanceLimitUpdate, self.on_limit_update)
 
     def __len__(self) -> int:
-        return len(self._limits)
+        """Return the number of listed instances whose limits are in force."""
+        listed = (self._state.instance(name) for name, _ in self._limits)
+        return sum(found is not None and self._is_in_force(found) for found in listed)
+
+    # Requests.
+
+    def per_s(self, instance: ForwardInstance) -> float:
+        """Return the limit of an instance, infinite without one."""
+        known = self._limits.get(instance.incarnation_key)
+        return math.inf if known is None or known.is_ended else known.per_s
+
+    def wait_s(self, instance: ForwardInstance) -> float:
+        """Return the time until an instance's limit has room for a request."""
+        if not self._is_in_force(instance):
+            return 0.0
+        now = trio.current_time()
+        self._refresh(now)
+        return self.ledger.wait_s(limit_name(instance.incarnation_key), 1.0, now)
+
+    def charge(self, instance: ForwardInstance) -> bool:
+        """Charge a request that is about to be sent; return False without room."""
+        if not self._is_in_force(instance):
+            return True
+        now = trio.current_time()
+        self._refresh(now)
+        name = limit_name(instance.incarnation_key)
+        if not self.ledger.charge(name, 1.0, now):
+            return False
+        self.wake()
+        return True
+
+    def charge_always(self, instance: ForwardInstance) -> None:
+        """Charge a call that can't wait."""
+        if self._is_in_force(instance):
+            name = limit_name(instance.incarnation_key)
+            self.ledger.charge_always(name, 1.0, trio.current_time())
+            self.wake()
+
+    def refund(self, instance: ForwardInstance) -> None:
+        """Return the charge of a request that never reached its instance."""
+        if self._is_in_force(instance):
+            name = limit_name(instance.incarnation_key)
+            self.ledger.refund(name, 1.0, trio.current_time())
+            self.wake()
+
+    def _is_in_force(self, instance: ForwardInstance) -> bool:
+        known = self._limits.get(instance.incarnation_key)
+        return known is not None and not known.is_ended
+
+    # What instances and peers say.
 
     def observe(
         self, instance: ForwardInstance, per_s: float | None, sent_at: float
@@ -43,18 +115,75 @@
         key, now = instance.incarnation_key, trio.current_time()
         known = self._limits.get(key)
         if math.isfinite(per_s):
-            self._limits[key] = _NamedLimit(per_s, now)
-            if known is None or known.per_s != per_s:
-                self._log(instance, per_s)
-        elif known is not None and sent_at >= known.named_at:
-            del self._limits[key]
-            self._log(instance, None)
+            is_news = known is None or known.is_ended or known.per_s != per_s
+            self._set(key, per_s, now, "answer")
+            if is_news:
+                update = InstanceLimitUpdate(self._named((key,)))
+                self._peers.broadcast(update)
+        elif known is not None and not known.is_ended and sent_at >= known.named_at:
+            known.is_ended, known.named_at = True, now
+            self._log(key, None, "answer")
+
+    async def on_limit_update(
+        self, sender: InstanceId, update: InstanceLimitUpdate
+    ) -> None:
+        """Apply what a peer knows of limits, and charge what it announces."""
+        now = trio.current_time()
+        news = []
+        for limit in update.limits:
+            key, named_at = (limit.instance, limit.born_ms), now - limit.age_ms / 1000
+            known = self._limits.get(key)
+            if known is not None and known.named_at >= named_at:
+                continue
+            if known is None or known.is_ended or known.per_s != limit.per_s:
+                news.append(key)
+            self._set(key, limit.per_s, named_at, "peer")
+        if news:
+            self._peers.forward_update(InstanceLimitUpdate(self._named(news)))
+        self._merge(update.usage)
+
+    def _set(
+        self, key: IncarnationKey, per_s: float, named_at: float, source: str
+    ) -> None:
+        now = trio.current_time()
+        known = self._limits.get(key)
+        self.ledger.set_limit(key, per_s, now)
+        if known is None:
+            known = self._limits[key] = _NamedLimit(per_s, named_at, is_ended=True)
+            self._drop_oldest()
+        if known.is_ended:
+            self.ledger.restart(key, now)
+        if known.is_ended or known.per_s != per_s:
+            self._log(key, per_s, source)
+        known.per_s, known.named_at, known.is_ended = per_s, named_at, False
+
+    def _drop_oldest(self) -> None:
+        if len(self._limits) <= MAX_LIMITS:
+            return
+        key = next(iter(self._limits))
+        del self._limits[key]
+        self.ledger.forget(key)
+
+    def _update(self, usage: tuple[AccountUsage, ...]) -> InstanceLimitUpdate:
+        names = {entry.account for entry in usage}
+        keys = [key for key in self._limits if limit_name(key) in names]
+        return InstanceLimitUpdate(self._named(keys), usage)
+
+    def _named(self, keys: Collection[IncarnationKey]) -> tuple[InstanceLimit, ...]:
+        """Return the limits in force of some incarnations, for peers."""
+        now = trio.current_time()
+        return tuple(
+            InstanceLimit(*key, limit.per_s, round((now - limit.named_at) * 1000))
+            for key, limit in self._limits.items()
+            if key in keys and not limit.is_ended
+        )
 
     @staticmethod
-    def _log(instance: ForwardInstance, per_s: float | None) -> None:
+    def _log(key: IncarnationKey, per_s: float | None, source: str) -> None:
         eliot.log_message(
             message_type="upstream:limit",
-            instance=instance.instance,
-            born_ms=instance.born_ms,
+            instance=key[0],
+            born_ms=key[1],
             per_s=per_s,
+            source=source,
         )
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -0,0 +1,123 @@
+"""Permits to send to upstream instances, as these say of themselves.
+
+Every way to an instance asks here: placement before it chooses, and each attempt and
+call before it is sent. Unlike health and load, what an instance says is obeyed even if
+it leaves no instance at all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+
+from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_signals import InstanceSignals
+
+from .engine_orders import EngineOrders, EngineReport, OrderAnswer, WeightsOrder
+from .instance_limits import InstanceLimits
+from .memory_copier import MemoryCopier, MemoryCopy
+
+REPORT_POLL_S: Final = 0.1
+"""Interval at which a report that waits for a permit asks again."""
+
+
+@dataclass(frozen=True)
+class Withheld:
+    """Why no instance of an upstream may be sent anything."""
+
+    wait_s: float
+    """Time until the first of them may be sent a request."""
+    spacing_s: float
+    """Mean time between two requests that all of them take; 0 if it is not limited."""
+    detail: str
+
+
+class SendPermits:
+    """Permits to send to instances, by what they have said in their answers."""
+
+    def __init__(self, limits: InstanceLimits) -> None:
+        self._limits = limits
+
+    def observe(
+        self, instance: ForwardInstance, signals: InstanceSignals, sent_at: float
+    ) -> None:
+        """Record what an instance answered to a request sent at ``sent_at``."""
+        self._limits.observe(instance, signals.limit_per_s, sent_at)
+
+    def wait_s(self, instance: ForwardInstance) -> float:
+        """Return the time until an instance may be sent a request; 0 for now."""
+        return self._limits.wait_s(instance)
+
+    def may_send(self, instance: ForwardInstance) -> bool:
+        """Return whether an instance may be sent a request now."""
+        return self.wait_s(instance) <= 0.0
+
+    def take(self, instance: ForwardInstance) -> bool:
+        """Take the permit for one request; return False without one."""
+        return self._limits.charge(instance)
+
+    def take_always(self, instance: ForwardInstance) -> None:
+        """Count a call that can't wait for a permit."""
+        self._limits.charge_always(instance)
+
+    def give_back(self, instance: ForwardInstance) -> None:
+        """Return the permit of a request that was never sent."""
+        self._limits.refund(instance)
+
+    def withheld(self, instances: Iterable[ForwardInstance]) -> Withheld | None:
+        """Return why instances may not be sent anything, or None if one may be."""
+        waits = [(self.wait_s(instance), instance) for instance in instances]
+        if not waits:
+            return None
+        wait_s, first = min(waits, key=lambda pair: pair[0])
+        if wait_s <= 0.0:
+            return None
+        per_s = sum(self._limits.per_s(instance) for _, instance in waits)
+        detail = f"{first.instance} takes a request in {wait_s * 1000:.0f} ms"
+        return Withheld(wait_s, 1 / per_s if per_s else 0.0, detail)
+
+
+class PermittedOrders(EngineOrders):
+    """Orders and reports, which count as requests to an engine.
+
+    Reports wait for a permit. Orders can't, since all engines have to come to new
+    weights in time.
+    """
+
+    def __init__(self, orders: EngineOrders, permits: SendPermits) -> None:
+        self._orders = orders
+        self._permits = permits
+
+    async def report(self, engine: ForwardInstance) -> EngineReport | None:
+        """Return the engine's report once it may be asked, or None without one."""
+        while not self._permits.take(engine):
+            await trio.sleep(REPORT_POLL_S)
+        return await self._orders.report(engine)
+
+    async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
+        """Send an order once, without retries."""
+        self._permits.take_always(engine)
+        return await self._orders.order(engine, order)
+
+
+class PermittedCopier(MemoryCopier):
+    """Copies of runs, whose calls count as requests to an engine."""
+
+    def __init__(self, copier: MemoryCopier, permits: SendPermits) -> None:
+        self._copier = copier
+        self._permits = permits
+
+    async def copy(
+        self, engine: ForwardInstance, request_id: str, to: ForwardInstance
+    ) -> MemoryCopy:
+        """Copy the memory of a run while the run continues."""
+        self._permits.take_always(engine)
+        return await self._copier.copy(engine, request_id, to)
+
+    async def drop(self, engine: ForwardInstance, handle: str) -> None:
+        """Free a copy that is no longer needed."""
+        self._permits.take_always(engine)
+        await self._copier.drop(engine, handle)
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -280,8 +280,13 @@
         self._name = InstanceId(name)
         self._others = others
         self._handlers: dict[type, Handler] = {}
+        self._is_cut_off = False
         others.append(self)
 
+    def cut_off(self) -> None:
+        """Neither send nor hear anything from now on."""
+        self._is_cut_off = True
+
     def subscribe(self, cls: type, handler: Handler) -> None:
         self._handlers[cls] = handler
 
@@ -290,7 +295,9 @@
 
     def broadcast(self, message: Message) -> int:
         for other in self._others:
-            if other is not self and type(message) in other._handlers:
+            if other is self or self._is_cut_off or other._is_cut_off:
+                continue
+            if type(message) in other._handlers:
                 trio.lowlevel.spawn_system_task(
                     other._handlers[type(message)], self._name, message
                 )
@@ -303,6 +310,12 @@
     def members(self) -> Sequence[MemberState]:
         return ()
 
+    def n_running(self) -> int:
+        return len(self._others)
+
+    def heard_share(self, within_s: float) -> float:
+        return 0.0 if self._is_cut_off else 1.0
+
 
 class FakeJournal(CallJournal):
     """In-memory call journal, shared by the routers of a test."""
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -49,6 +49,7 @@
 from corianderlb_router.health_table import HealthTable
 from corianderlb_router.in_flight import InFlightTable
 from corianderlb_router.instance_limits import InstanceLimits
+from corianderlb_router.interface import PeerNetwork
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
@@ -56,6 +57,7 @@
     NamedWeights,
     StateDecoder,
 )
+from corianderlb_router.send_permits import SendPermits
 from corianderlb_router.serving_state import ServingState
 from corianderlb_router.transport import UpstreamTransport
 from data_path_fakes import FakeCaller, FakePeers
@@ -152,6 +154,11 @@
     return ServingState(decoder, CONFIGURATION, INSTANCES, WEIGHTS)
 
 
+def send_permits(state: ServingState, peers: PeerNetwork) -> SendPermits:
+    """Build the permits of a router that has heard nothing of its instances."""
+    return SendPermits(InstanceLimits(state, peers, 1))
+
+
 class PlainProtocol(ForwardProtocol):
     """Protocol with short header names."""
 
@@ -341,7 +348,11 @@
         self.peers = FakePeers(name, [] if fleet is None else fleet)
         rng = random.Random(1)
         self.health = HealthTable(rng)
-        self.engine_table = EngineTable(self.state, self.health, self.peers, rng)
+        self.limits = InstanceLimits(self.state, self.peers, 1)
+        self.permits = SendPermits(self.limits)
+        self.engine_table = EngineTable(
+            self.state, self.health, self.peers, self.permits, rng
+        )
         self.exchanges = ExchangeRegistry()
         self.parts = ForwardParts(
             cfg=ForwardSettings(name, "zone-a", budget=budget),
@@ -355,7 +366,7 @@
             peers=self.peers,
             metrics=ForwardMetrics(),
             usage=FleetUsage(self.peers, UsageTerms(overshoot=0.0), 1, rng),
-            limits=InstanceLimits(),
+            permits=self.permits,
             rng=rng,
         )
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
@@ -457,8 +468,11 @@
     """Run routers that hear each other, before the same upstreams."""
     async with trio.open_nursery() as nursery:
         network, fleet = UpstreamNetwork(nursery, upstreams), []
-        yield [
+        routers = [
             a_router_in(network, name=f"r{number}", fleet=fleet)
             for number in range(n_routers)
         ]
+        for router in routers:
+            nursery.start_soon(router.limits.run)
+        yield routers
         nursery.cancel_scope.cancel()
--- a/packages/corianderlb-router/tests/test_engine_table.py
+++ b/packages/corianderlb-router/tests/test_engine_table.py
@@ -16,7 +16,14 @@
 from corianderlb_router.object_feed import FeedListing
 from corianderlb_standins.fake_network import FakeHub
 from corianderlb_standins.trio_case import TrioTestCase
-from forward_builders import INSTANCES, MODEL, TableDecoder, a_state, an_instance
+from forward_builders import (
+    INSTANCES,
+    MODEL,
+    TableDecoder,
+    a_state,
+    an_instance,
+    send_permits,
+)
 
 ENGINES = ("e1", "e2", "e3")
 PROMPT = Prompt(MODEL, (PromptPart("shared", 5000), PromptPart("own", 100)), 5100, 20)
@@ -32,7 +39,9 @@
         self.state = state
         rng = random.Random(1)
         self.health = HealthTable(rng)
-        return EngineTable(state, self.health, hub.join(name), rng)
+        peers = hub.join(name)
+        permits = send_permits(state, peers)
+        return EngineTable(state, self.health, peers, permits, rng)
 
     def chosen(self, table: EngineTable) -> str:
         """Return the engine that the table chooses for a prompt."""
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -185,6 +185,8 @@
 corianderlb_in_flight gauge
 corianderlb_known_parts
 corianderlb_known_parts gauge
+corianderlb_limited_instances
+corianderlb_limited_instances gauge
 corianderlb_log_lines_left_out
 corianderlb_log_lines_left_out gauge
 corianderlb_routers
@@ -297,6 +299,7 @@
 upstream:health instance state
 upstream:leaving born_ms instance reason
 upstream:leaving epoch instance
+upstream:limit born_ms instance per_s source
 upstream:listed address born_ms instance upstream
 upstream:new_life epoch instance
 upstream:removed instance
--- a/packages/corianderlb-router/tests/test_weights_controller.py
+++ b/packages/corianderlb-router/tests/test_weights_controller.py
@@ -37,6 +37,7 @@
     a_configuration,
     a_state,
     an_instance,
+    send_permits,
 )
 from test_lease_coordinator import CutStore
 
@@ -139,7 +140,11 @@
         self.state = a_state(self.decoder)
         peers = hub.join(name)
         table = EngineTable(
-            self.state, HealthTable(random.Random(1)), peers, random.Random(1)
+            self.state,
+            HealthTable(random.Random(1)),
+            peers,
+            send_permits(self.state, peers),
+            random.Random(1),
         )
         self.table = table
         lease = LeaseHolder(store, "weights", InstanceId(name), 0, TERMS)
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -179,6 +179,16 @@
 UsageUpdate usage[].epoch
 UsageUpdate usage[].number
 UsageUpdate usage[].total
+InstanceLimitUpdate limits[].instance
+InstanceLimitUpdate limits[].born_ms
+InstanceLimitUpdate limits[].per_s
+InstanceLimitUpdate limits[].age_ms
+InstanceLimitUpdate usage[].account
+InstanceLimitUpdate usage[].unit
+InstanceLimitUpdate usage[].router
+InstanceLimitUpdate usage[].epoch
+InstanceLimitUpdate usage[].number
+InstanceLimitUpdate usage[].total
 """
 
 FRAMES = {
@@ -417,6 +427,28 @@
             ),
         },
     ),
+    "InstanceLimitUpdate": (
+        "830173496e7374616e63654c696d6974557064617465a2666c696d69747381a4"
+        "68696e7374616e636562653167626f726e5f6d731903e8657065725f73fb4004"
+        "000000000000666167655f6d73182865757361676581a6676163636f756e7467"
+        "65312f3130303064756e697468726571756573747366726f7574657262723165"
+        "65706f636803666e756d6265720265746f74616cfb4010000000000000",
+        {
+            "limits": (
+                {"instance": "e1", "born_ms": 1000, "per_s": 2.5, "age_ms": 40},
+            ),
+            "usage": (
+                {
+                    "account": "e1/1000",
+                    "unit": "requests",
+                    "router": "r1",
+                    "epoch": 3,
+                    "number": 2,
+                    "total": 4.0,
+                },
+            ),
+        },
+    ),
     "EngineNews": (
         "83016a456e67696e654e657773a364776f726b81a668696e7374616e63656265"
         "3167626f726e5f6d731903e86f6e5f756e726561645f746f6b656e73146a6e5f"
@@ -725,19 +757,19 @@
 
 MAP_KEYS = """\
 CatalogueChanges CatalogueRequest Challenge CrashReport EngineNews Grant GrantRequest
-Heartbeat Hello HotPrefixes InstancesListed InstancesRequest LeaseHandover LeaseOffer
-LeaseRenewed LeaseWish LinkClosing LoadVector StateAnswer StateChanges StateObjects
-StateOffer StateRequest SuspectCleared UpstreamLeaving UpstreamLife UsageUpdate
-WeightsNews Welcome
-adapter after attempt_id authorization body changed_in chat.completion.chunk choices
-class code connect content data delta entries error etag gossip_bytes headers http id
-if-match if-none-match import_orders import_orders_late imported imported_pieces index
-keys kind limit listening load_read_bytes load_read_failures load_reads message
-message_type messages method model more_body n_lines name object order_id outcome
-owned_by path peer pool prefix prompt prompt_tokens_details put query_string ran
-raw_path read removed repeat result retry retry-after retry_after_s revision role salt
-source status stream text text_completion.chunk timeout timeout_s type usage
-vectors_of_another_list version weights_version write x-revision
+Heartbeat Hello HotPrefixes InstanceLimitUpdate InstancesListed InstancesRequest
+LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector StateAnswer
+StateChanges StateObjects StateOffer StateRequest SuspectCleared UpstreamLeaving
+UpstreamLife UsageUpdate WeightsNews Welcome adapter after attempt_id authorization body
+changed_in chat.completion.chunk choices class code connect content data delta entries
+error etag gossip_bytes headers http id if-match if-none-match import_orders
+import_orders_late imported imported_pieces index keys kind limit listening
+load_read_bytes load_read_failures load_reads message message_type messages method model
+more_body n_lines name object order_id outcome owned_by path peer pool prefix prompt
+prompt_tokens_details put query_string ran raw_path read removed repeat result retry
+retry-after retry_after_s revision role salt source status stream text
+text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
+weights_version write x-revision
 """
 
 BYTE_TEXTS = [
