--- a/packages/corianderlb-ctl/src/corianderlb_ctl/losses.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/losses.py
@@ -28,6 +28,7 @@
     LATE_PAUSE = "late: pause"
     LATE_MOVE = "late: pause of a move"
     REFUSED_QUEUE = "refused: queue"
+    REFUSED_WITHHELD = "refused: instances take no more"
     REFUSED_NO_ENGINE = "refused: no engine"
     REFUSED_CAP = "refused: over the account's cap"
     REFUSED_OTHER = "refused: other"
@@ -142,7 +143,8 @@
     if result == "CALLER_GONE":
         return Reason.CALLER_LEFT
     if result == "QUEUE_FULL":
-        return Reason.REFUSED_QUEUE
+        is_withheld = str(fields.get("detail")).startswith("withheld")
+        return Reason.REFUSED_WITHHELD if is_withheld else Reason.REFUSED_QUEUE
     if result == "NO_UPSTREAM":
         return Reason.REFUSED_NO_ENGINE
     if result == "RATE_LIMITED":
--- a/packages/corianderlb-ctl/tests/test_command_words.py
+++ b/packages/corianderlb-ctl/tests/test_command_words.py
@@ -150,6 +150,7 @@
 ENUMS = """\
 0|1|2|3|4|5|6|7|8|9
 in time|late: first event|late: pause|late: pause of a move|refused: queue|
+    refused: instances take no more|
     refused: no engine|refused: over the account's cap|refused: other|
     broken by an upstream|silent upstream|failed by an upstream|its time was over|
     its caller left
--- a/packages/corianderlb-ctl/tests/test_losses.py
+++ b/packages/corianderlb-ctl/tests/test_losses.py
@@ -51,6 +51,10 @@
             ),
             (Reason.IN_TIME, {"longest_pause_ms": 900, "pause_objective_ms": None}),
             (Reason.REFUSED_QUEUE, {"result": "QUEUE_FULL", "status": 503}),
+            (
+                Reason.REFUSED_WITHHELD,
+                {"result": "QUEUE_FULL", "detail": "withheld: e1 takes a request"},
+            ),
             (Reason.REFUSED_NO_ENGINE, {"result": "NO_UPSTREAM", "status": 503}),
             (Reason.REFUSED_CAP, {"result": "RATE_LIMITED", "status": 429}),
             (Reason.REFUSED_OTHER, {"result": "DRAINING", "status": 503}),
