Read that an instance leaves and the rest that it asks for, and log both

Nothing obeys either yet.

UpstreamHead.is_leaving was set from "Connection: close" and read by nothing.

The log test of limits drops what a process had logged before the destination was added: eliot hands it to the first one.

--- a/packages/corianderlb-core/src/corianderlb_core/instance_signals.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_signals.py
@@ -17,6 +17,10 @@
     limit_per_s: float | None = math.inf
     """Requests a second that it takes from all routers; infinite if it names no limit,
     None if what it names can't be read."""
+    is_leaving: bool = False
+    """Whether it is about to end; for good, for its incarnation."""
+    rest_s: float = 0.0
+    """Seconds for which it wants nothing from this router, after a refusal."""
 
 
 NO_SIGNALS = InstanceSignals()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -84,8 +84,6 @@
     """Whether another instance, or one with other weights, answered."""
     is_sealed: bool
     """Whether it carries the upstream's seal, the proof that the upstream sent it."""
-    is_leaving: bool
-    """Whether it indicates that the instance is leaving."""
     is_encoded: bool
     """Whether the body has a content encoding that the router did not request."""
     instance: str = ""
--- a/packages/corianderlb-router/src/corianderlb_router/send_permits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+import eliot
 import trio
 
 from corianderlb_core.forwarding import ForwardInstance
@@ -46,6 +47,19 @@
     ) -> None:
         """Record what an instance answered to a request sent at ``sent_at``."""
         self._limits.observe(instance, signals.limit_per_s, sent_at)
+        if signals.is_leaving:
+            eliot.log_message(
+                message_type="upstream:says_leaving",
+                instance=instance.instance,
+                born_ms=instance.born_ms,
+            )
+        if signals.rest_s:
+            eliot.log_message(
+                message_type="upstream:rest",
+                instance=instance.instance,
+                born_ms=instance.born_ms,
+                rest_ms=round(signals.rest_s * 1000),
+            )
 
     def wait_s(self, instance: ForwardInstance) -> float:
         """Return the time until an instance may be sent a request; 0 for now."""
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -204,10 +204,13 @@
             not_run="x-not-run" in found,
             is_misdirected=status == 421,
             is_sealed="x-seal" in found,
-            is_leaving=False,
             is_encoded="content-encoding" in found,
             instance=found.get("x-instance", ""),
-            signals=InstanceSignals(limit_per_s=float(found.get("x-limit", math.inf))),
+            signals=InstanceSignals(
+                limit_per_s=float(found.get("x-limit", math.inf)),
+                is_leaving="x-leaving" in found,
+                rest_s=float(found.get("retry-after", 0.0)) if status == 503 else 0.0,
+            ),
         )
 
 
--- a/packages/corianderlb-router/tests/test_instance_limits.py
+++ b/packages/corianderlb-router/tests/test_instance_limits.py
@@ -211,6 +211,8 @@
         async with a_router(s1=service) as router:
             eliot.add_destinations(lines.append)
             self.addCleanup(eliot.remove_destination, lines.append)
+            # The first destination of a process gets what was logged before.
+            lines.clear()
             await router.ask("/read/7")
             self.assertEqual(len(router.limits), 1)
             service.limit = ""
