Send nothing more to an instance whose answer says that it leaves

Cause: leaving was taken from the store's entry alone. Class, as with limits: what an instance says of itself is not part of what every way to it asks.

SendPermits marks the incarnation as leaving in ServingState, which places, retries, moves and orders already obey, for good: neither an older entry, nor a later one that says "ready", nor a list after a gap brings it back; the next incarnation is used. An answer by another instance at its address says nothing of it.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -140,7 +140,7 @@
         self._peers = self._make_peers()
         health = HealthTable(self._rng)
         self._limits = InstanceLimits(ports.state, self._peers, self._epoch)
-        self._permits = SendPermits(self._limits)
+        self._permits = SendPermits(ports.state, self._limits)
         self._engines = EngineTable(
             ports.state, health, self._peers, self._permits, self._rng
         )
--- a/packages/corianderlb-router/src/corianderlb_router/send_permits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -20,6 +20,7 @@
 from .engine_orders import EngineOrders, EngineReport, OrderAnswer, WeightsOrder
 from .instance_limits import InstanceLimits
 from .memory_copier import MemoryCopier, MemoryCopy
+from .serving_state import ServingState
 
 REPORT_POLL_S: Final = 0.1
 """Interval at which a report that waits for a permit asks again."""
@@ -39,7 +40,8 @@
 class SendPermits:
     """Permits to send to instances, by what they have said in their answers."""
 
-    def __init__(self, limits: InstanceLimits) -> None:
+    def __init__(self, state: ServingState, limits: InstanceLimits) -> None:
+        self._state = state
         self._limits = limits
 
     def observe(
@@ -48,11 +50,7 @@
         """Record what an instance answered to a request sent at ``sent_at``."""
         self._limits.observe(instance, signals.limit_per_s, sent_at)
         if signals.is_leaving:
-            eliot.log_message(
-                message_type="upstream:says_leaving",
-                instance=instance.instance,
-                born_ms=instance.born_ms,
-            )
+            self._state.mark_leaving(instance, "answer")
         if signals.rest_s:
             eliot.log_message(
                 message_type="upstream:rest",
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -156,7 +156,7 @@
 
 def send_permits(state: ServingState, peers: PeerNetwork) -> SendPermits:
     """Build the permits of a router that has heard nothing of its instances."""
-    return SendPermits(InstanceLimits(state, peers, 1))
+    return SendPermits(state, InstanceLimits(state, peers, 1))
 
 
 class PlainProtocol(ForwardProtocol):
@@ -352,7 +352,7 @@
         rng = random.Random(1)
         self.health = HealthTable(rng)
         self.limits = InstanceLimits(self.state, self.peers, 1)
-        self.permits = SendPermits(self.limits)
+        self.permits = SendPermits(self.state, self.limits)
         self.engine_table = EngineTable(
             self.state, self.health, self.peers, self.permits, rng
         )
