Send nothing to an instance in the rest that it has asked for

Cause: the header of a refusal was not read. An engine was avoided for a fixed 0.25 s while others were fit, a plain service not at all, and both were taken when none was. Class, as with limits and leaving: what an instance says of itself is not part of what every way to it asks.

RestTable holds rests by incarnation on the router's clock, 300 s at most; SendPermits asks it with the limits, so that placement, retries, moved runs and reports wait for the end. Orders can't wait for long: an engine that rests gets one urgent call, then counts as busy. Callers whose instances all rest are refused at once, with when the first of them takes requests again.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -359,6 +359,7 @@
         metrics.watch("holds_orders", lambda: float(self._controller.is_holder))
         metrics.watch("store_lost", lambda: float(state.is_store_lost))
         metrics.watch("limited_instances", lambda: len(self._limits))
+        metrics.watch("resting_instances", lambda: self._permits.n_resting)
         metrics.watch("known_parts", lambda: len(self._engines.index))
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
         metrics.watch(
--- a/packages/corianderlb-router/src/corianderlb_router/send_permits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -15,11 +15,12 @@
 import trio
 
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_rest import RestTable
 from corianderlb_core.instance_signals import InstanceSignals
 
 from .engine_orders import EngineOrders, EngineReport, OrderAnswer, WeightsOrder
 from .instance_limits import InstanceLimits
-from .memory_copier import MemoryCopier, MemoryCopy
+from .memory_copier import CopyOutcome, MemoryCopier, MemoryCopy
 from .serving_state import ServingState
 
 REPORT_POLL_S: Final = 0.1
@@ -43,6 +44,16 @@
     def __init__(self, state: ServingState, limits: InstanceLimits) -> None:
         self._state = state
         self._limits = limits
+        self._rests = RestTable()
+
+    @property
+    def n_resting(self) -> int:
+        """Number of listed instances that rest from this router."""
+        now = trio.current_time()
+        return sum(
+            self._rests.wait_s(instance.incarnation_key, now) > 0.0
+            for instance in self._state.all_instances()
+        )
 
     def observe(
         self, instance: ForwardInstance, signals: InstanceSignals, sent_at: float
@@ -52,6 +63,9 @@
         if signals.is_leaving:
             self._state.mark_leaving(instance, "answer")
         if signals.rest_s:
+            self._rests.record(
+                instance.incarnation_key, signals.rest_s, trio.current_time()
+            )
             eliot.log_message(
                 message_type="upstream:rest",
                 instance=instance.instance,
@@ -61,7 +75,9 @@
 
     def wait_s(self, instance: ForwardInstance) -> float:
         """Return the time until an instance may be sent a request; 0 for now."""
-        return self._limits.wait_s(instance)
+        now = trio.current_time()
+        rest_s = self._rests.wait_s(instance.incarnation_key, now)
+        return max(rest_s, self._limits.wait_s(instance))
 
     def may_send(self, instance: ForwardInstance) -> bool:
         """Return whether an instance may be sent a request now."""
@@ -69,11 +85,21 @@
 
     def take(self, instance: ForwardInstance) -> bool:
         """Take the permit for one request; return False without one."""
+        now = trio.current_time()
+        if self._rests.wait_s(instance.incarnation_key, now) > 0.0:
+            return False
         return self._limits.charge(instance)
 
-    def take_always(self, instance: ForwardInstance) -> None:
-        """Count a call that can't wait for a permit."""
+    def take_urgent(self, instance: ForwardInstance) -> bool:
+        """Take the permit for a call that can't wait, beyond a limit too.
+
+        An instance that rests gets one of them.
+        """
+        now = trio.current_time()
+        if not self._rests.take_urgent(instance.incarnation_key, now):
+            return False
         self._limits.charge_always(instance)
+        return True
 
     def give_back(self, instance: ForwardInstance) -> None:
         """Return the permit of a request that was never sent."""
@@ -96,7 +122,7 @@
     """Orders and reports, which count as requests to an engine.
 
     Reports wait for a permit. Orders can't, since all engines have to come to new
-    weights in time.
+    weights in time; an engine that rests counts as busy after the first.
     """
 
     def __init__(self, orders: EngineOrders, permits: SendPermits) -> None:
@@ -111,7 +137,8 @@
 
     async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
         """Send an order once, without retries."""
-        self._permits.take_always(engine)
+        if not self._permits.take_urgent(engine):
+            return OrderAnswer.BUSY
         return await self._orders.order(engine, order)
 
 
@@ -126,10 +153,11 @@
         self, engine: ForwardInstance, request_id: str, to: ForwardInstance
     ) -> MemoryCopy:
         """Copy the memory of a run while the run continues."""
-        self._permits.take_always(engine)
+        if not self._permits.take_urgent(engine):
+            return MemoryCopy(CopyOutcome.UNKNOWN)
         return await self._copier.copy(engine, request_id, to)
 
     async def drop(self, engine: ForwardInstance, handle: str) -> None:
-        """Free a copy that is no longer needed."""
-        self._permits.take_always(engine)
-        await self._copier.drop(engine, handle)
+        """Free a copy that is no longer needed; otherwise it expires."""
+        if self._permits.take_urgent(engine):
+            await self._copier.drop(engine, handle)
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -120,6 +120,10 @@
         """Return the instances of an upstream that accept new requests."""
         return self._by_upstream.get(upstream, ())
 
+    def all_instances(self) -> Collection[ForwardInstance]:
+        """Return the listed instances of all upstreams, leaving or not."""
+        return self._instances.values()
+
     def instance(self, name: str) -> ForwardInstance | None:
         """Return an instance by name, including one that is leaving."""
         return self._instances.get(name)
--- a/packages/corianderlb-router/tests/limit_builders.py
+++ b/packages/corianderlb-router/tests/limit_builders.py
@@ -1,4 +1,4 @@
-"""Builders for tests of limits that instances name: upstreams, traffic, windows."""
+"""Builders for tests of what instances say: upstreams, traffic, windows, calls."""
 
 from __future__ import annotations
 
@@ -7,8 +7,16 @@
 
 import trio
 
+from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_router.engine_orders import (
+    EngineOrders,
+    EngineReport,
+    OrderAnswer,
+    WeightsOrder,
+)
 from data_path_fakes import FakeCaller
 from forward_builders import (
+    MODEL,
     ForwardRouter,
     Upstream,
     a_stream,
@@ -58,6 +66,27 @@
         )
 
 
+class RecordedOrders(EngineOrders):
+    """Engines that take every order; counts the calls."""
+
+    def __init__(self) -> None:
+        self.n_orders = 0
+        self.n_reports = 0
+
+    async def report(self, engine: ForwardInstance) -> EngineReport:
+        self.n_reports += 1
+        return EngineReport({}, False, 0)
+
+    async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
+        self.n_orders += 1
+        return OrderAnswer.TAKEN
+
+
+def an_order() -> WeightsOrder:
+    """Build an order to load the next version."""
+    return WeightsOrder(MODEL, 2, "r1", 1, None)
+
+
 def allowed(per_s: float) -> float:
     """Return the arrivals that a limit allows in a window."""
     return 1.5 * per_s * WINDOW_S + 5
--- a/packages/corianderlb-router/tests/test_instance_limits.py
+++ b/packages/corianderlb-router/tests/test_instance_limits.py
@@ -11,16 +11,16 @@
 
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import InstanceLimit, InstanceLimitUpdate
-from corianderlb_router.engine_orders import (
-    EngineOrders,
-    EngineReport,
-    OrderAnswer,
-    WeightsOrder,
-)
 from corianderlb_router.send_permits import PermittedOrders
 from corianderlb_standins.trio_case import TrioTestCase
 from forward_builders import MODEL, Upstream, a_fleet, a_router, an_answer, an_instance
-from limit_builders import LimitedUpstream, allowed, send_traffic
+from limit_builders import (
+    LimitedUpstream,
+    RecordedOrders,
+    allowed,
+    an_order,
+    send_traffic,
+)
 
 PROMPT = "a:100,own:50"
 
@@ -112,22 +112,15 @@
             self.assertEqual(caller.status, 200)
 
     async def test_reports_wait_for_a_place_and_orders_take_one(self) -> None:
-        class Calls(EngineOrders):
-            async def report(self, engine):
-                return EngineReport({}, False, 0)
-
-            async def order(self, engine, order):
-                return OrderAnswer.TAKEN
-
         engine = an_instance("e1", "llm")
         async with a_router(e1=Upstream([b""])) as router:
             router.limits.observe(engine, 1.0, 0.0)
-            orders = PermittedOrders(Calls(), router.permits)
+            orders = PermittedOrders(RecordedOrders(), router.permits)
             start = trio.current_time()
             for _ in range(3):
                 await orders.report(engine)
             self.assertGreaterEqual(trio.current_time() - start, 2.9)
-            await orders.order(engine, WeightsOrder(MODEL, 2, "r1", 1, None))
+            await orders.order(engine, an_order())
             self.assertFalse(router.permits.may_send(engine))
 
 
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -189,6 +189,8 @@
 corianderlb_limited_instances gauge
 corianderlb_log_lines_left_out
 corianderlb_log_lines_left_out gauge
+corianderlb_resting_instances
+corianderlb_resting_instances gauge
 corianderlb_routers
 corianderlb_routers gauge
 corianderlb_store_lost
