Keep the rest that an instance asks for on the project's own interface too

The directory holds rests by incarnation in the same RestTable; an instance that rests is not usable, so placement, retries and resumes go elsewhere, and a caller without another instance is refused at once with the time until the rest ends. Leaving is heard there from load reports and flooded already. Limits over all routers are not in that protocol.

test_an_engine_gets_nothing_in_the_rest_that_it_asks_for failed before (209 after further requests to the engine, 204 at once expected).

--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -227,6 +227,10 @@
         if verdict is not None:
             self._parts.health.failed(attempt.upstream_instance, verdict)
         incarnation = attempt.candidate.incarnation
+        if failure.kind is FailureKind.REFUSED:
+            self._parts.directory.record_rest(
+                incarnation.instance, failure.retry_after_s
+            )
         self._record_attempt(
             attempt, AttemptOutcome(incarnation, code, at=trio.current_time())
         )
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -91,6 +91,10 @@
     def mark_leaving(self, instance: InstanceId, epoch: int) -> None:
         """Mark this incarnation as draining and announce it to the peers."""
 
+    @abstractmethod
+    def record_rest(self, instance: InstanceId, rest_s: float) -> None:
+        """Send an instance nothing for a time; 0 for none."""
+
     @abstractmethod
     def set_retired(self, instance: InstanceId, retired: bool) -> None:
         """Make an instance unusable after failures, or usable after passing probes."""
--- a/packages/corianderlb-router/src/corianderlb_router/placer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/placer.py
@@ -67,7 +67,7 @@
             return Refusal(
                 ResultCode.NO_UPSTREAM,
                 f"No instance of {facts.upstream} is usable; retry later.",
-                RETRY_AFTER_S,
+                self._directory.rest_left_s(facts.upstream) or RETRY_AFTER_S,
             )
         return Decision(
             request_id=facts.request_id,
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -24,8 +24,10 @@
     Role,
 )
 from corianderlb_core.instance_load import InstanceLoad, InstanceSet
+from corianderlb_core.instance_rest import RestTable
 from corianderlb_core.load import LoadReport
 from corianderlb_core.message import UpstreamLeaving, UpstreamRestarted
+from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.request import RequestFacts
 from corianderlb_core.service_class import ServiceClass
 
@@ -72,6 +74,9 @@
         self._sets: dict[str, InstanceSet] = {}
         self._stale_sets: set[str] = set()
         self._generation = 0
+        self._rests = RestTable()
+        self._rest_ends_at = math.inf
+        """When the next rest ends; infinite while no instance rests."""
 
     @property
     def revision(self) -> int:
@@ -118,6 +123,8 @@
 
     def usable(self, upstream: str) -> InstanceSet:
         """Return the instances that may receive new requests, for placement."""
+        if self._clock() >= self._rest_ends_at:
+            self._update_rests()
         found = self._sets.get(upstream)
         if found is not None and upstream not in self._stale_sets:
             return found
@@ -194,6 +201,33 @@
         if self._remember_leaving(Incarnation(instance, epoch)):
             self._announce(UpstreamLeaving(instance, epoch))
 
+    def record_rest(self, instance: InstanceId, rest_s: float) -> None:
+        """Send an instance nothing for the time that its refusal asked for."""
+        entry = self._entries.get(instance)
+        if entry is None or rest_s <= 0.0:
+            return
+        self._rests.record(_rest_key(entry), rest_s, self._clock())
+        self._update_rests()
+        eliot.log_message(
+            message_type="upstream:rest",
+            instance=instance,
+            epoch=entry.load.incarnation.epoch,
+            rest_ms=round(rest_s * 1000),
+        )
+
+    def rest_left_s(self, upstream: str) -> float:
+        """Return when the first of an upstream's resting instances is usable again.
+
+        It is 0 if none of them rests.
+        """
+        now = self._clock()
+        waits = (
+            self._rests.wait_s(_rest_key(entry), now)
+            for entry in self._entries.values()
+            if entry.record.upstream == upstream
+        )
+        return min((wait_s for wait_s in waits if wait_s > 0.0), default=0.0)
+
     async def on_upstream_leaving(
         self, sender: InstanceId, message: UpstreamLeaving
     ) -> None:
@@ -233,8 +267,19 @@
     def _is_usable(self, entry: _Entry) -> bool:
         if entry.retired or entry.record.presence is Presence.LEAVING:
             return False
+        if self._rests.wait_s(_rest_key(entry), self._clock()) > 0.0:
+            return False
         return entry.load.incarnation not in self._leaving
 
+    def _update_rests(self) -> None:
+        now = self._clock()
+        waits = (
+            self._rests.wait_s(_rest_key(entry), now)
+            for entry in self._entries.values()
+        )
+        self._rest_ends_at = now + min((s for s in waits if s > 0.0), default=math.inf)
+        self._invalidate_sets()
+
     def _invalidate_sets(self) -> None:
         """Mark all instance sets stale, so that the next read rebuilds them."""
         self._stale_sets.update(self._sets)
@@ -250,3 +295,8 @@
             report=entry.load.report,
             reported_at=entry.load.reported_at,
         )
+
+
+def _rest_key(entry: _Entry) -> IncarnationKey:
+    incarnation = entry.load.incarnation
+    return (incarnation.instance, incarnation.epoch)
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -86,6 +86,8 @@
     weights: str = "w1"
     adapter: str = ""
     not_run: bool = False
+    retry_after: str = ""
+    """Rest that a refusal asks for, in seconds."""
     status: int = 200
     wrong_id_index: int = -1
     """Index of an event with a wrong id; -1 for none."""
@@ -195,6 +197,8 @@
         expected = int(req.headers.get(header.EXPECT_INCARNATION, self.epoch))
         if fault.not_run or expected != self.epoch:
             headers.append((header.NOT_RUN, "true"))
+            if fault.retry_after:
+                headers.append(("retry-after", fault.retry_after))
             await self._send_whole(conn, stream, 409, headers, b"{}")
         elif req.path.startswith("/v1/"):
             await self._stream(req, fault, headers, conn, stream)
--- a/packages/corianderlb-router/tests/test_completion_run.py
+++ b/packages/corianderlb-router/tests/test_completion_run.py
@@ -250,6 +250,23 @@
 
         await with_router(check, engine)
 
+    async def test_an_engine_gets_nothing_in_the_rest_that_it_asks_for(self) -> None:
+        """Guards against other callers' requests, and repeats, in that time."""
+        faults = [Fault(not_run=True, retry_after="30") for _ in range(9)]
+        engine = FakeInstance("e0", faults=faults)
+
+        async def check(router: FakeRouter) -> None:
+            await router.ask()
+            n_received = len(engine.received)
+            for _ in range(3):
+                caller = await router.ask()
+                self.assertEqual(caller.error["code"], ResultCode.NO_UPSTREAM)
+                self.assertEqual(caller.error["ran"], "no")
+                self.assertGreaterEqual(int(caller.answer_headers["retry-after"]), 20)
+            self.assertEqual(len(engine.received), n_received)
+
+        await with_router(check, engine)
+
     async def test_a_break_before_the_answer_is_reported_as_unknown(self) -> None:
         """The connection breaks before the first event. Guards against reporting that
         the request did not run, which is unknown."""
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -306,6 +306,7 @@
 upstream:new_life epoch instance
 upstream:removed instance
 upstream:rest born_ms instance rest_ms
+upstream:rest epoch instance rest_ms
 usage:refused account burst cost heard_share rate_per_s retry_after_ms routers unit used
 weights:load_ended has_version instance is_timeout model took_ms version
 weights:named age_ms exact model source version
--- a/packages/corianderlb-router/tests/test_upstream_directory.py
+++ b/packages/corianderlb-router/tests/test_upstream_directory.py
@@ -27,10 +27,11 @@
     """State belongs to one incarnation, and a leaving one stays unusable."""
 
     def setUp(self):
+        self.now = 10.0
         self.announced = []
         self.ended = []
         self.directory = PlatformDirectory(
-            self.announced.append, self.ended.append, clock=lambda: 10.0
+            self.announced.append, self.ended.append, clock=lambda: self.now
         )
         self.directory.apply_instance_list(a_list(5, a_record("e1"), a_record("e2")))
 
@@ -77,3 +78,18 @@
         self.directory.apply_instance_list(a_list(6, a_record("e1", Presence.LEAVING)))
         self.directory.apply_instance_list(a_list(7, a_record("e1")))
         self.assertEqual(self.usable(), [])
+
+    def test_resting_instance_is_not_usable_until_its_rest_ends(self):
+        self.directory.record_rest("e1", 3.0)
+        self.assertEqual(self.usable(), ["e2"])
+        self.assertEqual(self.directory.rest_left_s("ember-llm"), 3.0)
+        self.now = 12.9
+        self.assertEqual(self.usable(), ["e2"])
+        self.now = 13.0
+        self.assertEqual(self.usable(), ["e1", "e2"])
+
+    def test_rest_is_of_one_incarnation(self):
+        self.directory.observe_epoch("e1", 3)
+        self.directory.record_rest("e1", 3.0)
+        self.directory.observe_epoch("e1", 4)
+        self.assertEqual(self.usable(), ["e1", "e2"])
