--- a/packages/corianderlb-router/src/corianderlb_router/engine_orders.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_orders.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 
 
 class OrderAnswer(Enum):
@@ -47,6 +48,8 @@
     is_busy: bool
     n_orders: int
     """Orders accepted by this incarnation."""
+    signals: InstanceSignals = NO_SIGNALS
+    """What the engine says of itself."""
 
 
 class EngineOrders(ABC):
--- a/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
@@ -55,6 +55,11 @@
         listed = (self._state.instance(name) for name, _ in self._limits)
         return sum(found is not None and self._is_in_force(found) for found in listed)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no instance has ever named a limit."""
+        return not self._limits
+
     # Requests.
 
     def per_s(self, instance: ForwardInstance) -> float:
--- a/packages/corianderlb-router/src/corianderlb_router/send_permits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -81,6 +83,9 @@
 
     def may_send(self, instance: ForwardInstance) -> bool:
         """Return whether an instance may be sent a request now."""
+        if not self._rests and self._limits.is_empty:
+            # Placement asks for every engine of every request.
+            return True
         return self.wait_s(instance) <= 0.0
 
     def take(self, instance: ForwardInstance) -> bool:
@@ -133,7 +138,15 @@
         """Return the engine's report once it may be asked, or None without one."""
         while not self._permits.take(engine):
             await trio.sleep(REPORT_POLL_S)
-        return await self._orders.report(engine)
+        sent_at = trio.current_time()
+        report = await self._orders.report(engine)
+        if report is not None:
+            signals = report.signals
+            if math.isinf(signals.limit_per_s or 0.0):
+                # Only requests tell that a limit has ended.
+                signals = dataclasses.replace(signals, limit_per_s=None)
+            self._permits.observe(engine, signals, sent_at)
+        return report
 
     async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
         """Send an order once, without retries."""
--- a/packages/corianderlb-router/tests/limit_builders.py
+++ b/packages/corianderlb-router/tests/limit_builders.py
@@ -8,6 +8,7 @@
 import trio
 
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 from corianderlb_router.engine_orders import (
     EngineOrders,
     EngineReport,
@@ -69,13 +70,15 @@
 class RecordedOrders(EngineOrders):
     """Engines that take every order; counts the calls."""
 
-    def __init__(self) -> None:
+    def __init__(self, signals: InstanceSignals = NO_SIGNALS) -> None:
+        self.signals = signals
+        """What the engines say of themselves in reports."""
         self.n_orders = 0
         self.n_reports = 0
 
     async def report(self, engine: ForwardInstance) -> EngineReport:
         self.n_reports += 1
-        return EngineReport({}, False, 0)
+        return EngineReport({}, False, 0, self.signals)
 
     async def order(self, engine: ForwardInstance, order: WeightsOrder) -> OrderAnswer:
         self.n_orders += 1
--- a/packages/corianderlb-router/tests/test_instance_limits.py
+++ b/packages/corianderlb-router/tests/test_instance_limits.py
@@ -10,6 +10,7 @@
 import trio
 
 from corianderlb_core.identity import InstanceId
+from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 from corianderlb_core.message import InstanceLimit, InstanceLimitUpdate
 from corianderlb_router.send_permits import PermittedOrders
 from corianderlb_standins.trio_case import TrioTestCase
@@ -125,6 +126,18 @@
 
 
 class HearingTest(TrioTestCase):
+    async def test_report_names_a_limit_and_does_not_end_it(self) -> None:
+        """Guards against a report that is answered without what answers carry."""
+        engine, calls = an_instance("e1", "llm"), RecordedOrders()
+        async with a_router(e1=Upstream([b""])) as router:
+            orders = PermittedOrders(calls, router.permits)
+            calls.signals = InstanceSignals(limit_per_s=5.0)
+            await orders.report(engine)
+            calls.signals = NO_SIGNALS
+            await trio.sleep(1.0)
+            await orders.report(engine)
+            self.assertEqual(router.limits.per_s(engine), 5.0)
+
     async def test_router_learns_a_limit_from_a_peer(self) -> None:
         """Guards against one request for each router that was not told yet."""
         service = LimitedUpstream("1")
