--- a/packages/corianderlb-router/tests/test_instance_leaving.py
+++ b/packages/corianderlb-router/tests/test_instance_leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from corianderlb_core.instance_signals import InstanceSignals
+from corianderlb_router.send_permits import PermittedOrders
 from corianderlb_standins.trio_case import TrioTestCase
 from forward_builders import (
     MODEL,
@@ -12,6 +13,7 @@
     an_answer,
     an_instance,
 )
+from limit_builders import RecordedOrders
 
 PROMPT = "a:100,own:50"
 LEAVING_ANSWER = an_answer(x_leaving="1")
@@ -87,3 +89,10 @@
         async with a_router(s1=Upstream([other])) as router:
             await router.ask("/book/7")
             self.assertEqual(len(router.limits), 0)
+
+    async def test_report_that_says_so_counts_too(self) -> None:
+        engine = an_instance("e1", "llm")
+        async with a_router(e1=Upstream([b""])) as router:
+            calls = RecordedOrders(InstanceSignals(is_leaving=True))
+            await PermittedOrders(calls, router.permits).report(engine)
+            self.assertFalse(router.state.accepts_requests(engine))
