Let the routers of a large fleet send to a limited instance in turn

Cause: beyond 16 routers the levels from which they send were all that of a full bucket. Now a router without its turn waits; turns change with each request that is known and each second. Under larger limits the tolerance covers one request of more routers, and so many have their turn.

test_full_bucket_of_many_routers failed before; 24 and 4 routers as before.

--- a/packages/corianderlb-core/src/corianderlb_core/limit_ledger.py
+++ b/packages/corianderlb-core/src/corianderlb_core/limit_ledger.py
@@ -3,13 +3,15 @@
 The limits are far smaller than the caps of accounts: one request a second over many
 routers can't be divided among them. All routers count the same bucket, as the usage
 ledger does, and differ in the level from which they send: with a bucket that has just
-refilled, all of them would send at once, before they hear of each other. The order of
-the routers changes with each request that they know of.
+refilled, all of them would send at once, before they hear of each other. In a large
+fleet some have their turn and the others wait. Turns and order change with each request
+that is known, and with time.
 """
 
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import Final
 
 from ._usage_bucket import UsageBucket
@@ -35,9 +37,14 @@
 """Share of the tolerance that a bucket saves while an instance gets less than its
 limit; the rest covers requests that cross announcements."""
 
-MAX_STAGGERED: Final = 16
-"""Most routers that are spread over the saved levels; the others wait for a full
-bucket. Among more, the distance would be shorter than announcements take."""
+MIN_IN_TURN: Final = 16
+"""Routers, on the mean, that may send at a time under the smallest limits. Spread over
+the saved levels, more would be closer than announcements take, and all would spend a
+full bucket. Under larger limits it is the tolerance, which covers one request of
+each."""
+
+TURN_S: Final = 1.0
+"""Time after which other routers have their turn although no request was sent."""
 
 ROUNDING: Final = 1e-9
 """Tolerance of levels, in requests."""
@@ -91,18 +98,26 @@
     def _level_needed(self, key: Key, bucket: UsageBucket, cost: float) -> float:
         capacity = self._capacity(bucket)
         needed = min(cost, capacity)
-        spread = max(1.0, self._n_routers / MAX_STAGGERED)
-        share = min(1.0, self._turn(key, bucket) * spread)
-        return needed + share * (capacity - needed) - ROUNDING
+        place = self._place(key, bucket)
+        if place > 1.0:
+            # Not this router's turn: no level suffices.
+            return capacity + bucket.cap.rate_per_s * TURN_S
+        return needed + place * (capacity - needed) - ROUNDING
+
+    def _place(self, key: Key, bucket: UsageBucket) -> float:
+        """Return this router's place among all, from 0; beyond 1 it has no turn.
 
-    def _turn(self, key: Key, bucket: UsageBucket) -> float:
-        """Return this router's place among all, from 0 to 1, until the next request."""
+        It changes with each request that is known, and after ``TURN_S``.
+        """
         if self._n_routers == 1:
             return 0.0
         n_known = bucket.total + sum(peer.total for peer in bucket.peers.values())
-        text = f"{key[0]} {self._router} {n_known:.0f}"
+        turn = math.floor(bucket.refilled_at / TURN_S)
+        text = f"{key[0]} {self._router} {n_known:.0f} {turn}"
         digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
-        return int.from_bytes(digest) / 2**32
+        share = int.from_bytes(digest) / 2**32
+        n_in_turn = max(MIN_IN_TURN, self._terms.tolerance(bucket.cap))
+        return share * max(1.0, self._n_routers / n_in_turn)
 
     def _capacity(self, bucket: UsageBucket) -> float:
         """Return the level of a full bucket, which holds one request at least."""
--- a/packages/corianderlb-core/tests/test_limit_ledger.py
+++ b/packages/corianderlb-core/tests/test_limit_ledger.py
@@ -35,7 +35,7 @@
 
     def test_full_bucket_is_not_spent_by_all_routers_at_once(self) -> None:
         """Guards against routers that each take what has been saved."""
-        for n_routers in (4, 25):
+        for n_routers in (4, 25, 78):
             for seed in (1, 2, 3):
                 with self.subTest(n_routers=n_routers, seed=seed):
                     fleet = LimitFleet(1.0, n_routers, seed=seed)
--- a/packages/corianderlb-router/tests/test_limit_network.py
+++ b/packages/corianderlb-router/tests/test_limit_network.py
@@ -14,7 +14,7 @@
 
 ENGINE = an_instance("e1", "llm")
 PER_S = 1.0
-TRAFFIC_PER_S = 40.0
+TRAFFIC_PER_S = 60.0
 
 
 class LimitedFleet:
@@ -74,3 +74,16 @@
     async def test_many_routers_with_few_links_and_two_halves(self) -> None:
         """Guards against announcements that reach only the linked routers in time."""
         await self.play(24)
+
+    async def test_full_bucket_of_many_routers(self) -> None:
+        """Guards against routers that all find a request saved at the same time."""
+        limited = LimitedFleet(78)
+        async with limited.fleet.running() as nursery:
+            for limits in limited.limits:
+                nursery.start_soon(limits.run)
+            await trio.sleep(15)
+            limited.limits[0].observe(ENGINE, PER_S, trio.current_time())
+            await trio.sleep(10)
+            await limited.send(8)
+        self.assertGreaterEqual(len(limited.arrivals), 8)
+        self.assertLessEqual(limited.most_in_window(), allowed(PER_S))
