Name what is in force, and say once whether a limit is news

Read as a newcomer: the length of an object with limits was 0 while it knew some that had ended; whether a limit is news was decided in two places.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -161,9 +161,7 @@
             permits=self._permits,
             rng=self._rng,
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
-            copier=PermittedCopier(ports.copier, self._permits)
-            if ports.copier
-            else None,
+            copier=self._make_copier(),
         )
         self._watch_gauges()
 
@@ -325,6 +323,10 @@
         transport = WebSocketTransport(host, int(port))
         return OverlayNetwork(own, cfg.peer_key, transport, cfg.peers, self._rng)
 
+    def _make_copier(self) -> MemoryCopier | None:
+        copier = self._ports.copier
+        return PermittedCopier(copier, self._permits) if copier else None
+
     def _make_controller(self) -> WeightsController:
         cfg = self._cfg
         node = cfg.forward.node
@@ -358,7 +360,7 @@
         metrics.watch("routers", lambda: self._parts.n_routers)
         metrics.watch("holds_orders", lambda: float(self._controller.is_holder))
         metrics.watch("store_lost", lambda: float(state.is_store_lost))
-        metrics.watch("limited_instances", lambda: len(self._limits))
+        metrics.watch("limited_instances", lambda: self._limits.n_in_force)
         metrics.watch("resting_instances", lambda: self._permits.n_resting)
         metrics.watch("known_parts", lambda: len(self._engines.index))
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -179,8 +179,8 @@
                 self._avoid.clear()
                 await trio.sleep(POLL_S)
                 continue
-            is_withheld = found.reason == WITHHELD
-            if now + (found.retry_after_s if is_withheld else 0.0) >= waits_until:
+            ready_at = now + (found.retry_after_s if found.reason == WITHHELD else 0.0)
+            if ready_at >= waits_until:
                 raise self._no_placement_refusal(found)
             changed = self._parts.state.changed
             with trio.move_on_after(POLL_S):
--- a/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
@@ -50,8 +50,9 @@
         self._limits: dict[IncarnationKey, _NamedLimit] = {}
         peers.subscribe(InstanceLimitUpdate, self.on_limit_update)
 
-    def __len__(self) -> int:
-        """Return the number of listed instances whose limits are in force."""
+    @property
+    def n_in_force(self) -> int:
+        """Number of listed instances whose limits are in force."""
         listed = (self._state.instance(name) for name, _ in self._limits)
         return sum(found is not None and self._is_in_force(found) for found in listed)
 
@@ -120,11 +121,8 @@
         key, now = instance.incarnation_key, trio.current_time()
         known = self._limits.get(key)
         if math.isfinite(per_s):
-            is_news = known is None or known.is_ended or known.per_s != per_s
-            self._set(key, per_s, now, "answer")
-            if is_news:
-                update = InstanceLimitUpdate(self._named((key,)))
-                self._peers.broadcast(update)
+            if self._set(key, per_s, now, "answer"):
+                self._peers.broadcast(InstanceLimitUpdate(self._named((key,))))
         elif known is not None and not known.is_ended and sent_at >= known.named_at:
             known.is_ended, known.named_at = True, now
             self._log(key, None, "answer")
@@ -140,27 +138,29 @@
             known = self._limits.get(key)
             if known is not None and known.named_at >= named_at:
                 continue
-            if known is None or known.is_ended or known.per_s != limit.per_s:
+            if self._set(key, limit.per_s, named_at, "peer"):
                 news.append(key)
-            self._set(key, limit.per_s, named_at, "peer")
         if news:
             self._peers.forward_update(InstanceLimitUpdate(self._named(news)))
         self._merge(update.usage)
 
     def _set(
         self, key: IncarnationKey, per_s: float, named_at: float, source: str
-    ) -> None:
+    ) -> bool:
+        """Apply a limit; return whether it differs from what was in force."""
         now = trio.current_time()
         known = self._limits.get(key)
         self.ledger.set_limit(key, per_s, now)
         if known is None:
             known = self._limits[key] = _NamedLimit(per_s, named_at, is_ended=True)
             self._drop_oldest()
+        is_news = known.is_ended or known.per_s != per_s
         if known.is_ended:
             self.ledger.restart(key, now)
-        if known.is_ended or known.per_s != per_s:
-            self._log(key, per_s, source)
         known.per_s, known.named_at, known.is_ended = per_s, named_at, False
+        if is_news:
+            self._log(key, per_s, source)
+        return is_news
 
     def _drop_oldest(self) -> None:
         if len(self._limits) <= MAX_LIMITS:
--- a/packages/corianderlb-router/tests/test_instance_leaving.py
+++ b/packages/corianderlb-router/tests/test_instance_leaving.py
@@ -88,7 +88,7 @@
         other = an_answer(b"", 421, x_instance="x9", x_limit="1")
         async with a_router(s1=Upstream([other])) as router:
             await router.ask("/book/7")
-            self.assertEqual(len(router.limits), 0)
+            self.assertEqual(router.limits.n_in_force, 0)
 
     async def test_report_that_says_so_counts_too(self) -> None:
         engine = an_instance("e1", "llm")
--- a/packages/corianderlb-router/tests/test_instance_limits.py
+++ b/packages/corianderlb-router/tests/test_instance_limits.py
@@ -173,7 +173,7 @@
             await trio.sleep(1.0)
             router.limits.observe(service, 1.0, 0.9)
             router.limits.observe(service, math.inf, 0.5)
-            self.assertEqual(len(router.limits), 1)
+            self.assertEqual(router.limits.n_in_force, 1)
 
     async def test_malformed_value_does_not_end_a_limit(self) -> None:
         service = an_instance("s1", "app")
@@ -199,7 +199,7 @@
             await trio.sleep(1.0)
             old = InstanceLimitUpdate((InstanceLimit("s1", 1, 1.0, 3000),))
             await router.limits.on_limit_update(InstanceId("r2"), old)
-            self.assertEqual(len(router.limits), 0)
+            self.assertEqual(router.limits.n_in_force, 0)
 
     async def test_stepped_clock_changes_nothing(self) -> None:
         """Guards against limits that are counted by the time of day."""
@@ -220,7 +220,7 @@
             # The first destination of a process gets what was logged before.
             lines.clear()
             await router.ask("/read/7")
-            self.assertEqual(len(router.limits), 1)
+            self.assertEqual(router.limits.n_in_force, 1)
             service.limit = ""
             await trio.sleep(1.0)
             await router.ask("/read/7", x_id="q2")
@@ -228,4 +228,4 @@
             line["per_s"] for line in lines if line["message_type"] == "upstream:limit"
         ]
         self.assertEqual(limits, [2.5, None])
-        self.assertEqual(len(router.limits), 0)
+        self.assertEqual(router.limits.n_in_force, 0)
