--- a/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
@@ -179,8 +179,8 @@
         now = trio.current_time()
         return tuple(
             InstanceLimit(*key, limit.per_s, round((now - limit.named_at) * 1000))
-            for key, limit in self._limits.items()
-            if key in keys and not limit.is_ended
+            for key in keys
+            if (limit := self._limits.get(key)) is not None and not limit.is_ended
         )
 
     @staticmethod
