Log how long an attempt had been silent, its events and the time left

Three fields of each attempt tell them apart:

- silent_ms, the time since the last bytes from the instance: 1200 for the stall timeout, far less for a move, a caller that stops reading or a shutdown
- left_ms, the time until the deadline: about 0 for a route's timeout
- n_events: whether the attempt had added to the answer

No logic is changed.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -106,6 +106,22 @@
         """Time of sending, by the router's clock."""
         self._head_received_at: float | None = None
         """Time at which the response head arrived."""
+        self.received_at: float | None = None
+        """Time at which bytes of the body last arrived."""
+        self._n_events_before = job.relay.n_events
+
+    @property
+    def n_events(self) -> int:
+        """Events that this attempt has added to the answer."""
+        return self._relay.n_events - self._n_events_before
+
+    @property
+    def silent_ms(self) -> int | None:
+        """Milliseconds since the instance last sent anything; None if it never did."""
+        heard_at = self.received_at or self._head_received_at
+        if heard_at is None:
+            return None
+        return round((trio.current_time() - heard_at) * 1000)
 
     @property
     def began_ms(self) -> int | None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -46,6 +46,9 @@
     longest_pause_s: float = 0.0
     """Longest pause between two writes to the caller."""
 
+    n_events: int = 0
+    """Events sent to the caller, over all attempts."""
+
     has_retry: bool = True
     """Whether another attempt may follow if this answer stalls."""
 
@@ -95,10 +98,6 @@
         super().__init__(caller)
         self._last_number = resume_after
         self._stall_s = stall_s
-        self.n_events = 0
-        """Events sent to the caller in this answer."""
-        self.longest_pause_s = 0.0
-        """Longest pause between two writes to the caller."""
         self._last_write_at: float | None = None
         self._is_interrupted = False
         self._wait_scope = trio.CancelScope()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -83,6 +83,12 @@
     began_ms: int | None = None
     """Time until the response head; None without one."""
     fetch_from: str = ""
+    n_events: int = 0
+    """Events of a stream that this attempt added to the answer."""
+    silent_ms: int | None = None
+    """Time since the last bytes from the instance; None without any."""
+    left_ms: int = 0
+    """Time until the deadline of the request."""
 
 
 class ForwardRun:
@@ -236,17 +242,18 @@
         key = f"{self._job.req.request_id}.{self._n_sent}"
         started_at = trio.current_time()
         first_at: list[float] = []
+        attempt = ForwardAttempt(
+            self._job, placement, not self._has_attempt_left(1), self._charge_budget
+        )
 
         def on_data() -> None:
             parts.health.record_data(instance.incarnation_key)
+            attempt.received_at = trio.current_time()
             if not first_at:
-                first_at.append(trio.current_time())
-                seconds = first_at[0] - started_at
+                first_at.append(attempt.received_at)
+                seconds = attempt.received_at - started_at
                 self._target.first_byte(key, placement, seconds)
 
-        attempt = ForwardAttempt(
-            self._job, placement, not self._has_attempt_left(1), self._charge_budget
-        )
         self._current_attempt = attempt
         has_ended = False
         with self._track_in_flight(key, placement, first_at):
@@ -459,6 +466,9 @@
                 record,
                 weights_age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
                 began_ms=attempt.began_ms,
+                n_events=attempt.n_events,
+                silent_ms=attempt.silent_ms,
+                left_ms=round((self._deadline - trio.current_time()) * 1000),
             )
         self.attempt_records.append(record)
         self._parts.metrics.attempt_ended(outcome, len(self.attempt_records) > 1)
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -326,6 +326,9 @@
 weights_age_ms
 began_ms
 fetch_from
+n_events
+silent_ms
+left_ms
 """
 
 CHARTS = {
