End a silent attempt only once another one is reserved

Whether another attempt really follows was decided later and by others, so answers were still ended for silence although nothing could follow.

Change: at the moment of giving up, the run reserves the next attempt (attempts, quarantine, an instance that can begin before the deadline, budget and account). Without one the attempt goes on, and asks again each 0.25 s. The same for the head of a stream, for the pause in an answer, for a copied run that has moved, and for calls that may be repeated.

Tests: ten in test_silent_attempt.py. Nine failed before (cut or 504).

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -17,7 +17,13 @@
 from .fleet_usage import UsageCharge
 from .forward_caller import ForwardCaller
 from .forward_parts import ForwardParts
-from .forward_relay import Relay, WholeRelay, WrongAnswerError, read_whole
+from .forward_relay import (
+    RESERVE_INTERVAL_S,
+    Relay,
+    WholeRelay,
+    WrongAnswerError,
+    read_whole,
+)
 from .forward_request import ForwardRequest, UpstreamHead
 from .forward_target import WITHDRAW_MARGIN_S, Placement, Target
 from .run_mover import RunMover
@@ -89,9 +95,11 @@
         placement: Placement,
         is_last: bool,
         charge_repeat: Callable[[], bool],
+        reserve_retry: Callable[[], bool],
     ) -> None:
         self._job = job
         self._charge_repeat = charge_repeat
+        self._reserve_retry = reserve_retry
         self._parts = job.parts
         self._req = job.req
         self._route = job.route
@@ -181,10 +189,14 @@
         return self._req.resumed(after)
 
     async def _wait_for_head(self, request: httpx.Request) -> httpx.Response:
-        """Wait for the response head; stop at a timeout or if the engine is lost."""
+        """Wait for the response head, or until another attempt takes over.
+
+        That may happen after a timeout or if the engine is unresponsive.
+        """
         incarnation_key = self._placement.instance.incarnation_key
         self.sent_at = sent_at = trio.current_time()
         limit_s = self._head_timeout_s()
+        wait_s = min(limit_s, UNRESPONSIVE_S)
         result: list[httpx.Response] = []
         errors: list[UpstreamError] = []
         is_withdrawn = False
@@ -198,14 +210,17 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send, nursery.cancel_scope)
-            while trio.current_time() - sent_at < limit_s:
+            while True:
                 left_s = self._withdraws_at() - trio.current_time()
                 if left_s <= 0:
                     is_withdrawn = True
                     break
-                await trio.sleep(min(limit_s, UNRESPONSIVE_S, left_s))
-                if self._is_unresponsive(incarnation_key, sent_at):
-                    break
+                await trio.sleep(min(wait_s, left_s))
+                is_late = trio.current_time() - sent_at >= limit_s
+                if is_late or self._is_unresponsive(incarnation_key, sent_at):
+                    if self._reserve_retry():
+                        break
+                    wait_s = RESERVE_INTERVAL_S
             nursery.cancel_scope.cancel()
         if result:
             self._head_received_at = trio.current_time()
@@ -226,16 +241,13 @@
         return self._target.begin_before(self._placement) - WITHDRAW_MARGIN_S
 
     def _head_timeout_s(self) -> float:
-        """Return the timeout for the response head."""
-        left_s = max(0.01, self._deadline - trio.current_time())
-        may_repeat = self._route.is_repeatable and not self._is_last
-        if not may_repeat:
-            return left_s
-        retry_s = max(
+        """Return the time after which another attempt may take over a call."""
+        if not self._route.is_repeatable:
+            return math.inf
+        return max(
             RETRY_SHARE * self._route.objective_s,
             RETRY_LATENCY_FACTOR * self._placement.estimate_s,
         )
-        return min(left_s, retry_s)
 
     def _is_unresponsive(self, incarnation_key: IncarnationKey, sent_at: float) -> bool:
         """Return whether the engine is unresponsive and the request may be resumed."""
@@ -301,7 +313,7 @@
     ) -> None:
         """Relay an answer, or raise ``ServerFailureError`` for a server error."""
         if head.status < 300:
-            self._relay.has_retry = not self._is_last
+            self._relay.reserve_retry = self._reserve_retry
             await self._relay.relay_answer(head, exchange, on_data)
             return
         relay = WholeRelay(self._job.caller)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -52,8 +52,8 @@
 """How long a write to a caller may block."""
 
 STREAM_STALL_TIMEOUT_S: Final = 1.2
-"""Longest pause between two events of a stream before its engine counts as
-unresponsive. Pauses due to the prefill of long prompts are far shorter."""
+"""Pause between two events of a stream after which another engine may take over. An
+engine without memory for all its streams may preempt the newest for longer."""
 
 DEADLINE_MARGIN_S: Final = 0.02
 """Margin before the deadline at which a request ends, so that the caller receives the
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -19,6 +19,9 @@
 MAX_ANSWER_BYTES: Final = 16 << 20
 """Longest answer that is buffered until it is complete."""
 
+RESERVE_INTERVAL_S: Final = 0.25
+"""Interval at which a silent attempt tries again to reserve another one."""
+
 
 class WrongAnswerError(BrokenError):
     """Raised when an answer cannot be the upstream's own answer to this request."""
@@ -33,6 +36,8 @@
 
     def __init__(self, caller: ForwardCaller) -> None:
         self.caller = caller
+        self.reserve_retry: Callable[[], bool] = lambda: False
+        """Reserves an attempt in place of a silent one; False if none can follow."""
 
     @abstractmethod
     async def relay_answer(
@@ -49,9 +54,6 @@
     n_events: int = 0
     """Events sent to the caller, over all attempts."""
 
-    has_retry: bool = True
-    """Whether another attempt may follow if this answer stalls."""
-
     def interrupt(self) -> None:
         """Make ``relay_answer`` raise ``TakenOffError`` at the next event boundary.
 
@@ -136,17 +138,18 @@
     async def _receive(self, exchange: Exchange) -> bytes:
         # Only the wait is cancelled: cancelling a write could lose an event that is
         # already counted as sent.
-        # The last attempt goes on waiting: nothing better is left for the caller.
-        may_stall = self.has_retry and self.n_events
-        stall_s = self._stall_s if may_stall else math.inf
-        deadline = trio.current_time() + stall_s
-        with trio.CancelScope(deadline=deadline) as self._wait_scope:
+        limit_s = self._stall_s if self.n_events else math.inf
+        while True:
+            deadline = trio.current_time() + limit_s
+            with trio.CancelScope(deadline=deadline) as self._wait_scope:
+                if self._is_interrupted:
+                    self._wait_scope.cancel()
+                return await exchange.receive_chunk()
             if self._is_interrupted:
-                self._wait_scope.cancel()
-            return await exchange.receive_chunk()
-        if self._is_interrupted:
-            raise TakenOffError("interrupted for a weights load", sent=True)
-        raise SilentError(f"no event for {self._stall_s} s", sent=True)
+                raise TakenOffError("interrupted for a weights load", sent=True)
+            if self.reserve_retry():
+                raise SilentError(f"no event for {self._stall_s} s", sent=True)
+            limit_s = RESERVE_INTERVAL_S
 
     def _new_events(self, splitter: EventSplitter, chunk: bytes) -> list[bytes]:
         try:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -114,7 +114,8 @@
         """Whether an attempt that has ended may have run the request."""
         self._current_attempt: ForwardAttempt | None = None
         self._next_placement: Placement | None = None
-        """Placement of a moved run that continues from a copy of its KV cache."""
+        """Placement that is already chosen: where a moved run continues from a copy of
+        its KV cache, or what a silent attempt has reserved."""
         self.attempt_records: list[AttemptRecord] = []
         """One record per attempt, for the log."""
 
@@ -192,7 +193,7 @@
             with trio.move_on_after(POLL_S):
                 await changed.wait()
 
-    def _objective_left_s(self, now: float) -> float:
+    def _objective_left_s(self, now: float, is_retry: bool = False) -> float:
         """Return the time left until the first byte of the next attempt is due.
 
         It is infinite for a stream that has already started, since giving up would
@@ -203,9 +204,8 @@
         if self._caller.started:
             return math.inf
         left_s = self._caller.arrived_at + objective_s - now
-        return max(
-            left_s, MIN_RETRY_SHARE * objective_s if self.attempt_records else 0.0
-        )
+        is_retry = is_retry or bool(self.attempt_records)
+        return max(left_s, MIN_RETRY_SHARE * objective_s if is_retry else 0.0)
 
     def _no_placement_refusal(self, found: NoPlacement) -> RequestRefusedError:
         if self.may_have_run:
@@ -243,7 +243,11 @@
         started_at = trio.current_time()
         first_at: list[float] = []
         attempt = ForwardAttempt(
-            self._job, placement, not self._has_attempt_left(1), self._charge_budget
+            self._job,
+            placement,
+            not self._has_attempt_left(1),
+            self._charge_budget,
+            lambda: self._reserve_retry(placement),
         )
 
         def on_data() -> None:
@@ -340,18 +344,63 @@
                 self._refuse_not_run(ResultCode.NO_UPSTREAM, exc)
             return False
         self._n_runs += 1
+        if self._next_placement is not None:
+            # A silent attempt has reserved it.
+            return False
         if isinstance(exc, ServerFailureError):
             self._last_failure = exc
         if isinstance(exc, BrokenError) and not isinstance(exc, WrongAnswerError):
             await self._check_for_crash(placement)
-        refusal = self._parts.quarantine.refusal(self._digest)
-        may_repeat = self._may_run_again and self._has_attempt_left()
-        if self._caller.started and self._relay.resume_after is None:
-            may_repeat = False
-        if refusal is None and may_repeat and self._charge_repeat():
+        if self._may_repeat() and self._charge_repeat():
             return False
         return await self._fail_request(exc)
 
+    def _may_repeat(self, n_more: int = 0) -> bool:
+        """Return whether another run may follow, after ``n_more`` that still count."""
+        return (
+            self._may_run_again
+            and self._has_attempt_left(n_more)
+            and not (self._caller.started and self._relay.resume_after is None)
+            and self._parts.quarantine.refusal(self._digest) is None
+        )
+
+    def _reserve_retry(self, silent: Placement) -> bool:
+        """Reserve and charge another attempt; return False if none can follow.
+
+        A silent attempt ends only once this has returned True. Its engine may have
+        preempted it, and with no other attempt to follow, what it still sends is the
+        best that the caller can get.
+        """
+        if self._next_placement is not None:
+            # Reserved before, at the moment at which the attempt went on.
+            return True
+        # A run that continues from a copy counts once it has failed, as its retry does.
+        n_runs = 2 if silent.continue_from else 1
+        if not self._may_repeat(n_runs):
+            return False
+        placement = self._choose_other(silent)
+        if placement is None or not self._charge_repeat():
+            return False
+        self._next_placement = placement
+        return True
+
+    def _choose_other(self, silent: Placement) -> Placement | None:
+        """Return a placement that can begin in place of a silent one, or None."""
+        now = trio.current_time()
+        objective_left_s = self._objective_left_s(now, is_retry=True)
+        silent_key = silent.instance.incarnation_key
+        choices = [{*self._avoid, silent_key}, {silent_key}]
+        if self._route.is_repeatable:
+            # A call can hang on an instance that answers the next one.
+            choices.append(set())
+        for avoid in choices:
+            found = self._target.choose(avoid, objective_left_s)
+            if isinstance(found, Placement):
+                begins_at = now + found.estimate_s
+                may_begin = begins_at < self._deadline and self._target.may_take(found)
+                return found if may_begin else None
+        return None
+
     def _charge_or_refuse(self, exc: UpstreamError) -> None:
         """Charge the retry budget for a retry after a "not run" refusal, or refuse."""
         if self._n_not_run > MAX_NOT_RUN or not self._charge_budget():
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -236,6 +236,9 @@
     return b"id: %d\ndata: word\n\n" % number
 
 
+Answer = Callable[[trio.abc.Stream], Awaitable[None]]
+"""Function that answers one request on its connection."""
+
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-seal: s\r\n\r\n"
 STREAM_END = b"0\r\n\r\n"
 NOT_RUN = an_answer(b"", 503, x_not_run="1")
@@ -252,6 +255,34 @@
     return STREAM_HEAD + events + (STREAM_END if ends else b"")
 
 
+def a_pausing_stream(first: int, last: int, after: int, pause_s: float) -> Answer:
+    """Build a stream that is silent for a while after the event ``after``."""
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        await stream.send_all(a_stream(first, after, ends=False))
+        await trio.sleep(pause_s)
+        rest = a_stream(after + 1, last).removeprefix(STREAM_HEAD)
+        await stream.send_all(rest)
+
+    return answer
+
+
+def a_late_answer(answer: bytes, after_s: float) -> Answer:
+    """Build an answer whose head comes after ``after_s`` seconds."""
+
+    async def answer_late(stream: trio.abc.Stream) -> None:
+        await trio.sleep(after_s)
+        await stream.send_all(answer)
+
+    return answer_late
+
+
+async def break_off(stream: trio.abc.Stream) -> None:
+    """Send the first two events of a stream and close the connection."""
+    await stream.send_all(a_stream(1, 2, ends=False))
+    await stream.aclose()
+
+
 @dataclass
 class Upstream:
     """Upstream that answers each request with the next scripted answer.
@@ -260,7 +291,7 @@
     that gets the connection. After the script the last answer repeats.
     """
 
-    script: list[bytes | Callable[[trio.abc.Stream], Awaitable[None]]]
+    script: list[bytes | Answer]
     closes: bool = False
     """Whether the connection ends after an answer."""
     alive: bool = True
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_silent_attempt.py
@@ -0,0 +1,153 @@
+"""Tests of attempts that are silent for longer than a timeout and go on later."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from corianderlb_core.fleet_retry_budget import BudgetTerms
+from corianderlb_core.forwarding import ForwardAccount, key_digest
+from corianderlb_core.usage_cap import UsageCap
+from corianderlb_core.weights_rollout import EnginePhase
+from corianderlb_router.memory_copier import CopyOutcome
+from corianderlb_standins.trio_case import TrioTestCase
+from data_path_fakes import FakeCaller
+from forward_builders import (
+    ROUTES,
+    ForwardRouter,
+    Upstream,
+    a_configuration,
+    a_late_answer,
+    a_pausing_stream,
+    a_router,
+    a_stream,
+    an_answer,
+    an_event,
+    an_instance,
+    break_off,
+    never_answer,
+)
+from test_run_mover import Copier, begin_and_stall
+
+PROMPT = "a:100,own:50"
+
+NO_BUDGET = BudgetTerms(ratio=0.0, fixed=0.0)
+"""Terms that allow no retry."""
+
+
+class SilentAttemptTest(TrioTestCase):
+    def assert_whole(self, caller: FakeCaller, n_events: int) -> None:
+        """Assert that a caller got each event of a stream once, and its end."""
+        events = b"".join(an_event(n) for n in range(1, n_events + 1))
+        self.assertEqual((caller.answer, caller.finished), (events, True))
+
+    async def test_last_attempt_pauses_beside_a_change_of_the_configuration(
+        self,
+    ) -> None:
+        """Guards against a cut at a pause after an engine that never began."""
+        engine = Upstream([never_answer, a_pausing_stream(1, 4, 1, 2.0)])
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(1.5)
+                routes = tuple(
+                    dataclasses.replace(route, timeout_s=4.0) for route in ROUTES
+                )
+                router.configure(a_configuration(routes=routes, revision=11))
+            self.assert_whole(caller, 4)
+            self.assertEqual(len(engine.requests), 2)
+
+    async def test_pause_without_retry_budget(self) -> None:
+        """Guards against a cut answer when the retry budget allows no attempt."""
+        engine = Upstream([a_pausing_stream(1, 6, 4, 2.0)])
+        async with a_router(NO_BUDGET, e1=engine, e2=engine) as router:
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 6)
+
+    async def test_pause_after_a_move_to_another_engine(self) -> None:
+        """Guards against a cut answer whose copied run may not be run again."""
+        engine = Upstream([begin_and_stall, a_pausing_stream(3, 5, 3, 2.0)])
+        async with a_router(e1=engine, e2=engine) as router:
+            router.use_copier(Copier())
+            self.assert_whole(await self.ask_and_empty(router), 5)
+
+    async def test_late_head_after_a_restart_on_another_engine(self) -> None:
+        """Guards against a cut answer when its last attempt begins late."""
+        late = a_late_answer(a_stream(3, 4), 3.5)
+        engine = Upstream([begin_and_stall, late])
+        async with a_router(e1=engine, e2=engine) as router:
+            router.use_copier(Copier(CopyOutcome.NO_CAPACITY))
+            self.assert_whole(await self.ask_and_empty(router), 4)
+
+    async def ask_and_empty(self, router: ForwardRouter) -> FakeCaller:
+        """Request a stream and empty its engine for a load in the middle of it."""
+        caller = router.a_caller("/long/7", x_prompt=PROMPT)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            (engine,) = (
+                router.state.instance(name)
+                for name in ("e1", "e2")
+                if router.parts.in_flight.n_on(name)
+            )
+            router.engine_table.weights.set_phase(engine, EnginePhase.CLEARING)
+        return caller
+
+    async def test_late_head_after_an_engine_broke_off(self) -> None:
+        """Guards against a cut answer when its last attempt begins late."""
+        engine = Upstream([break_off, a_late_answer(a_stream(3, 4), 3.5)])
+        async with a_router(e1=engine, e2=engine) as router:
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 4)
+
+    async def test_late_head_without_retry_budget(self) -> None:
+        """Guards against a timeout of the only attempt long before the deadline."""
+        engine = Upstream([a_late_answer(a_stream(1, 3), 3.5)])
+        async with a_router(NO_BUDGET, e1=engine, e2=engine) as router:
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 3)
+
+    async def test_late_head_of_an_account_over_its_cap(self) -> None:
+        """Guards against a timeout when the account has no room for a second run."""
+        engine = Upstream([a_late_answer(a_stream(1, 3), 3.5)])
+        cap = UsageCap(0.01, 1.0)
+        account = ForwardAccount("acme", (key_digest("key"),), cap=cap)
+        async with a_router(e1=engine, e2=engine) as router:
+            router.configure(a_configuration(accounts=(account,), revision=11))
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 3)
+
+    async def test_late_head_without_another_engine(self) -> None:
+        """Guards against giving up the only engine that takes requests."""
+        engine = Upstream([a_late_answer(a_stream(1, 3), 4.5)])
+        async with a_router(e1=engine, e2=engine) as router:
+            leaving = an_instance("e2", "llm", is_leaving=True)
+            router.list_instances(an_instance("e1", "llm"), leaving, revision=30)
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 3)
+            self.assertEqual(len(engine.requests), 1)
+
+    async def test_late_read_without_retry_budget(self) -> None:
+        """Guards against a timeout of the only attempt long before the deadline."""
+        service = Upstream([a_late_answer(an_answer(), 2.0)])
+        async with a_router(NO_BUDGET, s1=service, s2=service) as router:
+            caller = await router.ask("/read/7")
+            self.assertEqual((caller.status, caller.answer), (200, b"done"))
+
+    async def test_silent_engine_is_left_once_the_budget_allows_it(self) -> None:
+        """Guards against waiting for a dead engine when a retry has become possible."""
+        budget = BudgetTerms(ratio=0.2, fixed=0.0)
+        dead, sound = Upstream([never_answer]), Upstream([a_stream(1, 3)])
+        async with a_router(budget, e1=dead) as router:
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.1)
+                router.network.upstreams["e2"] = sound
+                e1, e2 = router.state.instance("e1"), an_instance("e2", "llm")
+                router.list_instances(e1, e2, revision=30)
+                await trio.sleep(2.0)
+                self.assertEqual(len(sound.requests), 0)
+                llm = router.parts.budget("llm")
+                for _ in range(10):
+                    llm.record_request(trio.current_time(), 1)
+                await trio.sleep(0.5)
+                self.assertTrue(caller.finished)
+            self.assert_whole(caller, 3)
