Wait for the rest of a begun answer instead of cutting it when it is refused

What callers saw: a begun answer whose engine was given up, broke off or was emptied was cut as soon as nine refusals, an empty retry budget or a rest of all engines met its next attempt, with seconds of its time left.

Cause: the rest of a begun answer was refused like a request that had got nothing: after eight "not run" answers, at once without budget, and after an eighth of the objective when all instances rest. A refused caller of a new request comes back; a cut answer is lost.

Change: the rest of a begun answer is asked for until its deadline, at most each 0.25 s after eight refusals and only as the budget allows. A rest that ends after the deadline still cuts at once. Failed connections cut it as before, since the router itself may be cut off and the caller can resume elsewhere.

Tests: test_rest_of_an_answer_is_refused_for_a_while and test_no_engine_takes_the_rest_of_an_answer_for_a_while failed before; test_all_others_refuse_the_rest_of_an_answer passed.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -28,7 +28,7 @@
     WithdrawnError,
 )
 from .forward_caller import StreamCutError
-from .forward_relay import WrongAnswerError
+from .forward_relay import RESERVE_INTERVAL_S, WrongAnswerError
 from .forward_target import NO_INSTANCE_RETRY_S, WITHHELD, NoPlacement, Placement
 from .in_flight import InFlightAttempt
 from .run_mover import RunMovedError
@@ -50,7 +50,8 @@
 """Upper bound for the retry-after time, as a share of the time until the deadline."""
 
 MAX_NOT_RUN: Final = 8
-"""Maximum number of "not run" refusals by instances before a request is refused."""
+"""Maximum number of "not run" refusals by instances before a request is refused. The
+rest of an answer that has begun is asked for less often from then on."""
 
 MAX_UNREACHED: Final = 6
 """Maximum number of failed connections before a request is refused. Without it, a
@@ -186,8 +187,10 @@
                 self._avoid.clear()
                 await trio.sleep(POLL_S)
                 continue
-            ready_at = now + (found.retry_after_s if found.reason == WITHHELD else 0.0)
-            if ready_at >= waits_until:
+            is_withheld = found.reason == WITHHELD
+            ready_at = now + (found.retry_after_s if is_withheld else 0.0)
+            may_wait = is_withheld and self._caller.started
+            if ready_at >= (self._deadline if may_wait else waits_until):
                 raise self._no_placement_refusal(found)
             changed = self._parts.state.changed
             with trio.move_on_after(POLL_S):
@@ -336,7 +339,10 @@
             self._n_runs += 1
         if isinstance(exc, NotRunError):
             self._n_not_run += 1
-            self._charge_or_refuse(exc)
+            if self._caller.started:
+                await self._charge_rest()
+            else:
+                self._charge_or_refuse(exc)
             return False
         if isinstance(exc, ConnectFailedError):
             self._n_unreached += 1
@@ -401,6 +407,17 @@
                 return found if may_begin else None
         return None
 
+    async def _charge_rest(self) -> None:
+        """Wait until the rest of an answer that has begun may be asked for again.
+
+        Refusals cost the caller nothing but time, and without the rest all of the
+        answer is lost.
+        """
+        if self._n_not_run > MAX_NOT_RUN:
+            await trio.sleep(RESERVE_INTERVAL_S)
+        while not self._charge_budget():
+            await trio.sleep(RESERVE_INTERVAL_S)
+
     def _charge_or_refuse(self, exc: UpstreamError) -> None:
         """Charge the retry budget for a retry after a "not run" refusal, or refuse."""
         if self._n_not_run > MAX_NOT_RUN or not self._charge_budget():
--- a/packages/corianderlb-router/tests/test_silent_attempt.py
+++ b/packages/corianderlb-router/tests/test_silent_attempt.py
@@ -14,6 +14,7 @@
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
+    NOT_RUN,
     ROUTES,
     ForwardRouter,
     Upstream,
@@ -151,3 +152,32 @@
                 await trio.sleep(0.5)
                 self.assertTrue(caller.finished)
             self.assert_whole(caller, 3)
+
+    async def test_rest_of_an_answer_is_refused_for_a_while(self) -> None:
+        """Guards against a cut answer when all engines are full for a moment."""
+        refusals = [NOT_RUN] * 12
+        engine = Upstream([begin_and_stall, *refusals, a_stream(3, 4)])
+        budget = BudgetTerms(ratio=0.0, fixed=50.0)
+        async with a_router(budget, e1=engine, e2=engine) as router:
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 4)
+
+    async def test_all_others_refuse_the_rest_of_an_answer(self) -> None:
+        """Guards against a cut answer that only its first engine goes on with."""
+        first = Upstream([a_pausing_stream(1, 6, 4, 3.0), a_stream(5, 6)])
+        async with a_router(e1=first) as router:
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.1)
+                full = Upstream([NOT_RUN])
+                router.network.upstreams.update(e2=full, e3=full)
+                engines = [an_instance(name, "llm") for name in ("e1", "e2", "e3")]
+                router.list_instances(*engines, revision=30)
+            self.assert_whole(caller, 6)
+
+    async def test_no_engine_takes_the_rest_of_an_answer_for_a_while(self) -> None:
+        """Guards against a cut answer when all engines rest for a moment."""
+        rest = an_answer(b"", 503, x_not_run="1", retry_after="1")
+        engine = Upstream([break_off, rest, rest, a_stream(3, 4)])
+        async with a_router(e1=engine, e2=engine) as router:
+            self.assert_whole(await router.ask("/long/7", x_prompt=PROMPT), 4)
