Charge a reserved retry once if the silent attempt was never sent

A read whose connection was still being opened when its retry was reserved ended as "not run", which charged the retry budget again: with one retry left it was refused (503), though that retry was reserved.

Test: test_retry_of_a_read_that_was_never_sent_is_charged_once, 503 before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -339,6 +339,9 @@
             self._n_runs += 1
         if isinstance(exc, NotRunError):
             self._n_not_run += 1
+            if self._next_placement is not None:
+                # Charged when it was reserved.
+                return False
             if self._caller.started:
                 await self._charge_rest()
             else:
@@ -351,7 +354,7 @@
             return False
         self._n_runs += 1
         if self._next_placement is not None:
-            # A silent attempt has reserved it.
+            # Checked and charged when it was reserved.
             return False
         if isinstance(exc, ServerFailureError):
             self._last_failure = exc
--- a/packages/corianderlb-router/tests/test_silent_attempt.py
+++ b/packages/corianderlb-router/tests/test_silent_attempt.py
@@ -36,6 +36,9 @@
 NO_BUDGET = BudgetTerms(ratio=0.0, fixed=0.0)
 """Terms that allow no retry."""
 
+ONE_RETRY = BudgetTerms(ratio=0.0, fixed=1.25)
+"""Terms that allow one retry in a window."""
+
 
 class SilentAttemptTest(TrioTestCase):
     def assert_whole(self, caller: FakeCaller, n_events: int) -> None:
@@ -132,6 +135,21 @@
             caller = await router.ask("/read/7")
             self.assertEqual((caller.status, caller.answer), (200, b"done"))
 
+    async def test_retry_of_a_read_that_was_never_sent_is_charged_once(self) -> None:
+        """Guards against a refusal by the budget after its last retry is reserved."""
+        routes = tuple(dataclasses.replace(route, objective_s=0.2) for route in ROUTES)
+        lost, sound = Upstream([an_answer()], accepts=False), Upstream([an_answer()])
+        async with a_router(ONE_RETRY, s1=lost) as router:
+            router.configure(a_configuration(routes=routes, revision=11))
+            caller = router.a_caller("/read/7")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.05)
+                router.network.upstreams["s2"] = sound
+                s1, s2 = router.state.instance("s1"), an_instance("s2", "app")
+                router.list_instances(s1, s2, revision=30)
+            self.assertEqual(caller.status, 200)
+
     async def test_silent_engine_is_left_once_the_budget_allows_it(self) -> None:
         """Guards against waiting for a dead engine when a retry has become possible."""
         budget = BudgetTerms(ratio=0.2, fixed=0.0)
