Don't count an attempt that was withdrawn before it began as a run

Cause: a withdrawn attempt used up one of the route's attempts, though an engine begins a request with its first token, and it is withdrawn because none came.

Change: it counts as no run; its repeat is charged to budget and account, and for a begun answer waits for the budget. "Not run" is still never claimed after it.

Tests: test_last_attempt_is_withdrawn_from_expiring_weights (cut before) and test_last_attempt_that_never_began_is_withdrawn (504 before); test_refusals_after_a_withdrawal_claim_no_not_run fails (503) without the change of _earlier_may_have_run.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -329,10 +329,8 @@
             return False
         self._avoid.add(placement.instance.incarnation_key)
         self._report_health(placement, exc)
-        has_not_run = isinstance(exc, NotRunError)
-        self._earlier_may_have_run = (
-            self._n_runs > 0 if has_not_run else self.may_have_run
-        )
+        if not isinstance(exc, NotRunError):
+            self._earlier_may_have_run = self.may_have_run
         self._current_attempt = None
         if placement.continue_from:
             # The copy could not be used, so the next attempt is another run.
@@ -352,6 +350,9 @@
             if self._n_unreached > MAX_UNREACHED:
                 self._refuse_not_run(ResultCode.NO_UPSTREAM, exc)
             return False
+        if isinstance(exc, WithdrawnError) and self._may_repeat():
+            # An engine begins a request with its first token, so this was no run.
+            return await self._repeat_withdrawn(exc)
         self._n_runs += 1
         if self._next_placement is not None:
             # Checked and charged when it was reserved.
@@ -364,6 +365,14 @@
             return False
         return await self._fail_request(exc)
 
+    async def _repeat_withdrawn(self, exc: WithdrawnError) -> bool:
+        """Charge another attempt in place of one that this router has ended itself."""
+        if self._caller.started:
+            await self._charge_rest()
+            self._job.usage.repeat_always()
+            return False
+        return not self._charge_repeat() and await self._fail_request(exc)
+
     def _may_repeat(self, n_more: int = 0) -> bool:
         """Return whether another run may follow, after ``n_more`` that still count."""
         return (
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -277,6 +277,11 @@
     return answer_late
 
 
+async def break_early(stream: trio.abc.Stream) -> None:
+    """Close the connection without an answer."""
+    await stream.aclose()
+
+
 async def break_off(stream: trio.abc.Stream) -> None:
     """Send the first two events of a stream and close the connection."""
     await stream.send_all(a_stream(1, 2, ends=False))
--- a/packages/corianderlb-router/tests/test_silent_attempt.py
+++ b/packages/corianderlb-router/tests/test_silent_attempt.py
@@ -14,6 +14,7 @@
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
+    MODEL,
     NOT_RUN,
     ROUTES,
     ForwardRouter,
@@ -26,13 +27,18 @@
     an_answer,
     an_event,
     an_instance,
+    break_early,
     break_off,
     never_answer,
 )
+from test_forward_run import keep_engine_responsive
 from test_run_mover import Copier, begin_and_stall
 
 PROMPT = "a:100,own:50"
 
+MAX_WEIGHTS_AGE_S = 10.0
+"""Age of replaced weights from which no request may begin on them."""
+
 NO_BUDGET = BudgetTerms(ratio=0.0, fixed=0.0)
 """Terms that allow no retry."""
 
@@ -171,6 +177,51 @@
                 self.assertTrue(caller.finished)
             self.assert_whole(caller, 3)
 
+    async def test_last_attempt_is_withdrawn_from_expiring_weights(self) -> None:
+        """Guards against a cut answer when its last attempt has not begun in time."""
+        old = Upstream([break_off, never_answer])
+        async with a_router(e1=old) as router:
+            caller = await self.ask_before_expiry(router, a_stream(3, 4))
+            self.assert_whole(caller, 4)
+
+    async def test_last_attempt_that_never_began_is_withdrawn(self) -> None:
+        """Guards against a timeout of a request that no engine has begun."""
+        old = Upstream([break_early, never_answer])
+        async with a_router(e1=old) as router:
+            caller = await self.ask_before_expiry(router, a_stream(1, 4))
+            self.assert_whole(caller, 4)
+
+    async def test_refusals_after_a_withdrawal_claim_no_not_run(self) -> None:
+        """Guards against "not run" for a request that its engine may have begun."""
+        old = Upstream([never_answer])
+        async with a_router(e1=old) as router, trio.open_nursery() as nursery:
+            e1 = router.state.instance("e1")
+            nursery.start_soon(keep_engine_responsive, router, e1)
+            caller = await self.ask_before_expiry(router, NOT_RUN)
+            self.assertEqual(caller.status, 502)
+            nursery.cancel_scope.cancel()
+
+    async def ask_before_expiry(
+        self, router: ForwardRouter, newer_answer: bytes
+    ) -> FakeCaller:
+        """Request a stream 2.5 s before its engine's weights are too old to begin on.
+
+        Another engine, with newer weights, appears right after its second attempt.
+        """
+        router.limit_weights(MAX_WEIGHTS_AGE_S)
+        router.name_weights(1)
+        router.name_weights(2)
+        await trio.sleep(MAX_WEIGHTS_AGE_S - 2.5)
+        caller = router.a_caller("/long/7", x_prompt=PROMPT)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.2)
+            router.network.upstreams["e2"] = Upstream([newer_answer])
+            e1 = router.state.instance("e1")
+            e2 = an_instance("e2", "llm", weights=((MODEL, 2),))
+            router.list_instances(e1, e2, revision=40)
+        return caller
+
     async def test_rest_of_an_answer_is_refused_for_a_while(self) -> None:
         """Guards against a cut answer when all engines are full for a moment."""
         refusals = [NOT_RUN] * 12
