--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -374,7 +374,7 @@
         return not self._charge_repeat() and await self._fail_request(exc)
 
     def _may_repeat(self, n_more: int = 0) -> bool:
-        """Return whether another run may follow, after ``n_more`` that still count."""
+        """Return whether another run may follow ``n_more`` that are not counted yet."""
         return (
             self._may_run_again
             and self._has_attempt_left(n_more)
@@ -390,9 +390,9 @@
         best that the caller can get.
         """
         if self._next_placement is not None:
-            # Reserved before, at the moment at which the attempt went on.
+            # Reserved when the attempt went on at the same moment.
             return True
-        # A run that continues from a copy counts once it has failed, as its retry does.
+        # Once it has failed, a run that continued from a copy counts as two.
         n_runs = 2 if silent.continue_from else 1
         if not self._may_repeat(n_runs):
             return False
