Set up the environment again if its set-up was interrupted

An interrupted make setup left an environment with python and without pip, and each later make failed (".venv/bin/pip: No such file", exit 127). The check is on pip now, which venv installs last; creating the environment over an incomplete one completes it.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 setup: $(VENV)/.ready
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	test -x $(BIN)/pip || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt ruff hypothesis \
 		$(foreach f,$(FOLDERS),-e ./$(f))
 	touch $@
