--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -20,7 +20,8 @@
 """Longest answer that is buffered until it is complete."""
 
 RESERVE_INTERVAL_S: Final = 0.25
-"""Interval at which a silent attempt tries again to reserve another one."""
+"""Interval at which a silent attempt tries again to reserve another one, and at which
+the rest of a begun answer is asked for again after many refusals."""
 
 
 class WrongAnswerError(BrokenError):
