--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import random
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -23,6 +24,8 @@
 PREFILL_S = 0.5
 EVENT_INTERVAL_S = 0.1
 WORK_S = 0.03
+STOP_EARLY_S = 0.003
+"""Longest time by which a runner stops before a time budget, so as to keep it."""
 
 
 @dataclass
@@ -242,6 +245,8 @@
         self.state = "ready"
         self.is_registered = True
         self.version = 1
+        self.hang_share = 0.0
+        """Share of the requests that it works on until their time budget is over."""
         self._service = service
         self._store = store
         self._runs = runs
@@ -359,6 +364,9 @@
         request_id = headers["X-Corianderlb-Request-Id"]
         self._runs.append(Run(request_id, self.name, time.monotonic()))
         headers["X-Corianderlb-Response-Seal"] = f"seal.{self.name}"
+        if random.random() < self.hang_share:
+            await self._hang(call, writer, headers)
+            return
         if not self.is_engine:
             await asyncio.sleep(WORK_S)
             await answer(writer, 200, request_id.encode(), headers)
@@ -382,6 +390,18 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    async def _hang(
+        self, call: Call, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> None:
+        """Answer 504 at the time budget, in two writes: the head and the body."""
+        budget_s = int(call.headers["x-corianderlb-deadline-ms"]) / 1000
+        await asyncio.sleep(budget_s - random.uniform(0.0, STOP_EARLY_S))
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["HTTP/1.1 504 X", "Content-Length: 4", *lines, "", ""])
+        writer.write(head.encode())
+        writer.write(b"late")
+        await writer.drain()
+
 
 @dataclass
 class Result:
@@ -397,6 +417,8 @@
     """Whether the complete answer arrived."""
     is_kept: bool = False
     """Whether the channel had carried a whole answer before."""
+    is_closed: bool = False
+    """Whether the other side closed the channel before the answer was whole."""
     ended_at: float = 0.0
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
@@ -427,7 +449,10 @@
         try:
             async with asyncio.timeout(deadline_s):
                 await self._exchange(result, deadline_s, n_events)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+        except TimeoutError:
+            self.close()
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            result.is_closed = True
             self.close()
         result.ended_at = time.monotonic()
         return result
