--- a/review/1/run.py
+++ b/review/1/run.py
@@ -15,6 +15,7 @@
     DRAIN_S,
     RECOVERY_S,
     Fleet,
+    check_calm,
     play,
     served_share,
 )
@@ -49,8 +50,7 @@
         fleet.note("another writer has written an entry that cannot be read")
     await asyncio.sleep(1)
     await ask(fleet, 3)
-    before = served_share(fleet.results)
-    fleet.note(f"served before the final fault: {before:.3f}")
+    before = check_calm(fleet)
 
     leaving = fleet.runners["a1"]
     leaving.state = "draining"
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -31,6 +31,7 @@
 N_ROUTERS = 4
 ZONES = ("pnw-a", "pnw-a", "pnw-b", "pnw-c")
 RESTART_S = 0.5
+MIN_CALM_SHARE = 0.9
 
 BOUNDS = """\
 bounds.seed-lag-s=3
@@ -59,6 +60,7 @@
 bounds.version-all-ms=14000
 """
 
+LONGEST_S = 110
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 RECOVERY_S = 12.0
@@ -179,6 +181,11 @@
                 stderr=log,
             )
 
+    def was_restarted_before(self, moment: float) -> bool:
+        """Return whether an earlier end than the one at ``moment`` is too recent."""
+        oldest = moment - CONTACT_S - RESTART_S
+        return any(oldest < at < moment - RESTART_S for at in self.own_ends)
+
     def kill(self) -> None:
         """Kill the process."""
         if self.process and self.process.returncode is None:
@@ -300,6 +307,33 @@
         self._record.close()
 
 
+def check_calm(fleet: Fleet) -> float:
+    """Return the share served so far; without most of it, the case can't be judged."""
+    share = served_share(fleet.results)
+    fleet.note(f"served before: {share:.3f}")
+    if share < MIN_CALM_SHARE:
+        raise NotRunnableError("too few requests were served before the case began")
+    return share
+
+
+def closed_without_answer(fleet: Fleet, runners: tuple[str, ...]) -> list[Result]:
+    """Return the requests from kept channels that were closed without an answer.
+
+    Only requests that one of these runners has run count, and only those of routers
+    that had not ended, and been started again, in the ``contact-ms`` before.
+    """
+    ran = {run.request_id for run in fleet.runs if run.runner in runners}
+    return [
+        result
+        for result in fleet.results
+        if result.is_kept
+        and result.is_closed
+        and not result.status
+        and result.request_id in ran
+        and not fleet.routers[result.router].was_restarted_before(result.ended_at)
+    ]
+
+
 def served_share(results: list[Result]) -> float:
     """Return the share of requests that were served."""
     return sum(result.served for result in results) / max(1, len(results))
@@ -339,17 +373,23 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             fleet = Fleet(Path(folder), case / "record.txt")
             try:
-                async with asyncio.timeout(110):
+                async with asyncio.timeout(LONGEST_S):
                     await fleet.start()
                     held = await scenario(fleet, has_trouble)
-            except (NotRunnableError, TimeoutError) as exc:
-                fleet.note(f"could not run: {exc!r}")
-                return COULD_NOT_RUN
             finally:
                 await fleet.stop()
         return HELD if held else BROKEN
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except BaseException as exc:
+        # Any failure of the script itself says nothing about the rule.
+        sys.stderr.write(f"could not run: {exc!r}\n")
+        code = COULD_NOT_RUN
+    sys.exit(code)
