--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -314,6 +314,7 @@
     name: str
     revision: int
     value: bytes
+    """The content as JSON; empty if the stored content cannot be read."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -24,6 +24,16 @@
 """Rate limit of lines about single requests, so that a surge of requests can't displace
 lines about changes of state. A router of the planned size has 14 requests a second."""
 
+MAX_ENTRY_LINES_PER_S: Final = 20.0
+"""Rate limit of lines about single objects of the store, whose writers are not limited
+otherwise."""
+
+_RATE_LIMITS: Final = {
+    "request": MAX_REQUEST_LINES_PER_S,
+    "entry": MAX_ENTRY_LINES_PER_S,
+}
+"""Lines per second by the first part of the message type; others are not limited."""
+
 FLUSH_INTERVAL_S: Final = 0.05
 """Interval between writes, so that one write carries many lines."""
 
@@ -34,7 +44,7 @@
 class LogWriter:
     """Destination for eliot that writes messages as JSON lines.
 
-    Messages whose type begins with ``request:`` are rate-limited.
+    Messages whose type begins with ``request:`` or ``entry:`` are rate-limited.
     """
 
     def __init__(
@@ -47,7 +57,8 @@
         self._unwritten = b""
         self._write_requested = trio.Event()
         """Set when there is something to write."""
-        self._allowance = MAX_REQUEST_LINES_PER_S
+        self._allowances = dict(_RATE_LIMITS)
+        """Lines that may be written now, by the first part of the message type."""
         self._refilled_at = clock()
         self.n_dropped_lines = 0
         """Lines dropped since the start."""
@@ -104,18 +115,24 @@
             n_bytes += len(parts[-1])
         self._unwritten = b"".join(parts)
 
-    def _is_within_rate(self, kind: str) -> bool:
-        if not kind.startswith("request:"):
+    def _is_within_rate(self, message_type: str) -> bool:
+        area, _, _ = message_type.partition(":")
+        if area not in _RATE_LIMITS:
             return True
-        now = self._clock()
-        earned = max(0.0, now - self._refilled_at) * MAX_REQUEST_LINES_PER_S
-        self._allowance = min(MAX_REQUEST_LINES_PER_S, self._allowance + earned)
-        self._refilled_at = now
-        if self._allowance < 1:
+        self._refill()
+        if self._allowances[area] < 1:
             return False
-        self._allowance -= 1
+        self._allowances[area] -= 1
         return True
 
+    def _refill(self) -> None:
+        now = self._clock()
+        elapsed_s = max(0.0, now - self._refilled_at)
+        self._refilled_at = now
+        for area, rate in _RATE_LIMITS.items():
+            earned = elapsed_s * rate
+            self._allowances[area] = min(rate, self._allowances[area] + earned)
+
     def _log_dropped(self) -> None:
         n_new = self.n_dropped_lines - self._n_reported
         if n_new and len(self._lines) < MAX_LINES:
--- a/packages/corianderlb-router/tests/test_log_writer.py
+++ b/packages/corianderlb-router/tests/test_log_writer.py
@@ -10,6 +10,7 @@
 import trio
 
 from corianderlb_router.log_writer import (
+    MAX_ENTRY_LINES_PER_S,
     MAX_LINES,
     MAX_REQUEST_LINES_PER_S,
     LibraryLogHandler,
@@ -65,6 +66,20 @@
         writer({"message_type": "upstream:removed"})
         self.assertEqual(writer.n_dropped_lines, n_dropped_lines)
 
+    async def test_lines_about_entries_are_dropped_before_state_changes(self) -> None:
+        """Guards against a writer of unusable entries that fills the log."""
+        writer, _ = self.open()
+        for n in range(2 * int(MAX_ENTRY_LINES_PER_S)):
+            writer({"message_type": "entry:unusable", "n": n})
+        self.assertEqual(writer.n_dropped_lines, int(MAX_ENTRY_LINES_PER_S))
+        writer({"message_type": "upstream:removed"})
+        self.assertEqual(writer.n_dropped_lines, int(MAX_ENTRY_LINES_PER_S))
+        await trio.sleep(0.5)
+        for n in range(int(MAX_ENTRY_LINES_PER_S)):
+            writer({"message_type": "entry:unusable", "n": n})
+        n_dropped = writer.n_dropped_lines
+        self.assertEqual(n_dropped, int(1.5 * MAX_ENTRY_LINES_PER_S))
+
     def test_library_records_become_log_lines(self) -> None:
         # Errors logged by a library become log lines instead of tracebacks on stderr.
         lines: list[dict] = []
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -762,12 +762,12 @@
 StateChanges StateObjects StateOffer StateRequest SuspectCleared UpstreamLeaving
 UpstreamLife UsageUpdate WeightsNews Welcome adapter after attempt_id authorization body
 changed_in chat.completion.chunk choices class code connect content data delta entries
-error etag gossip_bytes headers http id if-match if-none-match import_orders
+entry error etag gossip_bytes headers http id if-match if-none-match import_orders
 import_orders_late imported imported_pieces index keys kind limit listening
 load_read_bytes load_read_failures load_reads message message_type messages method model
 more_body n_lines name object order_id outcome owned_by path peer pool prefix prompt
-prompt_tokens_details put query_string ran raw_path read removed repeat result retry
-retry-after retry_after_s revision role salt source status stream text
+prompt_tokens_details put query_string ran raw_path read removed repeat request result
+retry retry-after retry_after_s revision role salt source status stream text
 text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
 weights_version write x-revision
 """
