Calls to instances: an address that is none ends no process

Cause: the decoder accepted any text and digits as an address, and EngineCalls.send did not expect httpx.InvalidURL, which is no httpx.HTTPError. Evidence: the traceback of each end. Found beside it: OverflowError for a port above 65535, h11.LocalProtocolError for a name that fits no header, and on the way of callers' requests a 500 for the same entry.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -194,6 +194,19 @@
 
     async def send_request(self, request: OutgoingRequest) -> None:
         """Send a request in one write."""
+        try:
+            data = self._encode(request)
+        except h11.LocalProtocolError as exc:
+            message = f"{self.address}: the request cannot be encoded: {exc}"
+            raise BrokenError(message, sent=False) from exc
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise BrokenError(
+                f"{self.address}: connection closed during send", sent=True
+            ) from exc
+
+    def _encode(self, request: OutgoingRequest) -> bytes:
         self._is_head = request.method == b"HEAD"
         event = h11.Request(
             method=request.method, target=request.target, headers=request.headers
@@ -205,12 +218,7 @@
         if request.body:
             parts.append(self._h11.send(h11.Data(data=request.body)) or b"")
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
-        try:
-            await self._stream.send_all(b"".join(parts))
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise BrokenError(
-                f"{self.address}: connection closed during send", sent=True
-            ) from exc
+        return b"".join(parts)
 
     async def receive_head(self) -> h11.Response:
         """Return the head of the response, skipping informational ones."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -13,7 +13,7 @@
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 from corianderlb_core.part_index import IncarnationKey
 
-from .connection import SilentError, UpstreamError
+from .connection import ConnectFailedError, SilentError, UpstreamError
 from .fleet_usage import UsageCharge
 from .forward_caller import ForwardCaller
 from .forward_parts import ForwardParts
@@ -156,9 +156,13 @@
         terms = self._target.terms(self._placement, left_s)
         headers = parts.protocol.upstream_headers(self._resumed_request(), terms)
         address = self._placement.instance.address
+        try:
+            url = httpx.URL(f"http://{address}/")
+        except httpx.InvalidURL as exc:
+            raise ConnectFailedError(f"{address!r}: {exc}", refused=True) from exc
         request = httpx.Request(
             self._req.method,
-            f"http://{address}/",
+            url,
             headers=headers,
             content=self._job.body or None,
             extensions={
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -40,6 +40,20 @@
             self.assertEqual((caller.status, caller.answer), (200, b"status"))
             self.assertEqual(caller.answer_headers["x-seal"], "s")
 
+    async def test_instance_at_an_address_that_is_none(self) -> None:
+        """Guards against an error without an answer of the router's own."""
+        good = Upstream([an_answer()])
+        async with a_router(s2=good) as router:
+            for address in ("10.1.0.300:8080", "a\x00:80", "\ufffd:80", "::1:80"):
+                router.list_instances(
+                    an_instance("s1", "app", address=address), an_instance("s2", "app")
+                )
+                for path in ("/read/7", "/book/7"):
+                    for _ in range(4):
+                        good.script = [an_answer()]
+                        caller = await router.ask(path)
+                        self.assertEqual(caller.status, 200, address)
+
     async def test_booking_is_not_retried_after_a_broken_connection(self) -> None:
         # The booking may have run, so a retry could book twice.
         service = Upstream([b""], closes=True)
