Lease on orders: a record that cannot be decoded is replaced

Cause: LeaseHolder refused to replace a record that it cannot decode, as the fencing token in it must not be lost, and waited for an operator.

Change: on the platform an unreadable record counts as the lease of an unknown router. It is taken over once it has stayed unchanged for the duration of a lease, after the usual wait for orders in flight, with a token above the revision of its last change. Each token is written with a change of its own and the store's revision grows with each change, so no earlier token reaches it. The project's own interface keeps waiting for an operator: its records carry the order in progress and the newest catalogue version.

The two new tests of test_lease_coordinator fail without the change.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -333,7 +333,12 @@
         # Epoch 0: a restarted process takes over its own lease with a greater fencing
         # token, instead of waiting until it expires.
         lease = LeaseHolder(
-            self._ports.store, LEASE_NAME, InstanceId(node), 0, cfg.orders
+            self._ports.store,
+            LEASE_NAME,
+            InstanceId(node),
+            0,
+            cfg.orders,
+            replaces_unreadable=True,
         )
         state = self._ports.state
         coordinator = LeaseCoordinator(
--- a/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
@@ -39,6 +39,9 @@
 LEASE_PREFIX: Final = "leases/orders/"
 """Key prefix of the leases in the store."""
 
+UNREADABLE_HOLDER: Final = InstanceId("(unreadable)")
+"""Holder of a lease whose record cannot be decoded; never the name of a router."""
+
 
 class LeaseHolder:
     """Acquire, renew and release one lease, and report at any time whether it is held.
@@ -46,6 +49,12 @@
     A router can be paused at any line, so an earlier check proves nothing:
     ``send_before`` is compared with the clock where the bytes are written to the
     socket.
+
+    With ``replaces_unreadable``, a record that cannot be decoded counts as the lease of
+    an unknown router: it is taken over once it has stayed unchanged for the duration of
+    a lease. Its fencing token is taken to be the revision of its last change, which no
+    earlier token reaches, since each was written with a change of its own. Only for
+    leases whose records carry no orders, as these would be lost.
     """
 
     def __init__(
@@ -55,8 +64,11 @@
         router: InstanceId,
         epoch: int,
         terms: OrderSettings | None = None,
+        *,
+        replaces_unreadable: bool = False,
     ) -> None:
         self.terms = terms or OrderSettings()
+        self._replaces_unreadable = replaces_unreadable
         self.upstream = upstream
         self._store = store
         self._key = LEASE_PREFIX + upstream
@@ -304,12 +316,27 @@
         try:
             self._record = from_cbor(LeaseRecord, stored.value)
         except DecodeError as exc:
-            raise StoreUnavailableError(
-                f"{self._key} cannot be decoded ({exc}); no orders are sent until an "
-                "operator repairs it, since its fencing token must not be lost"
-            ) from exc
+            if not self._replaces_unreadable:
+                raise StoreUnavailableError(
+                    f"{self._key} cannot be decoded ({exc}); no orders are sent until "
+                    "an operator repairs it, since its fencing token must not be lost"
+                ) from exc
+            self._record = self._unreadable_record(stored, str(exc))
         return stored
 
+    def _unreadable_record(self, stored: StoredObject, reason: str) -> LeaseRecord:
+        """Return the record that stands for one that cannot be decoded."""
+        known = self._record
+        record = LeaseRecord(max(known.token, stored.revision), UNREADABLE_HOLDER)
+        if record != known:
+            eliot.log_message(
+                message_type="lease:unreadable",
+                upstream=self.upstream,
+                token=record.token,
+                reason=reason,
+            )
+        return record
+
     def _apply_write(
         self, record: LeaseRecord, version: str, started_at: float
     ) -> None:
--- a/packages/corianderlb-router/tests/test_lease_coordinator.py
+++ b/packages/corianderlb-router/tests/test_lease_coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from itertools import pairwise
 
 import trio
 
@@ -61,7 +62,14 @@
         self.scope = trio.CancelScope()
         self.orders: list[float] = []
         self.gives_orders = True
-        self.lease = LeaseHolder(self.store, "weights", InstanceId(name), 0, TERMS)
+        self.lease = LeaseHolder(
+            self.store,
+            "weights",
+            InstanceId(name),
+            0,
+            TERMS,
+            replaces_unreadable=True,
+        )
         self.coordinator = LeaseCoordinator(
             self.lease,
             name,
@@ -156,6 +164,65 @@
             self.assertIs(self.holder(), first)
             nursery.cancel_scope.cancel()
 
+    async def damage(self, value: bytes = b"") -> None:
+        """Overwrite the record of the lease, as another writer would."""
+        shared = self.routers[0].store.shared
+        (stored,) = shared.objects.values()
+        await shared.update(stored.key, value, stored.version)
+
+    def orders(self) -> list[tuple[float, str]]:
+        """Return the time and router of all orders, in order."""
+        found = [(at, r.name) for r in self.routers for at in r.orders]
+        return sorted(found)
+
+    async def test_lease_whose_record_becomes_unreadable(self) -> None:
+        """Guards against engines that get no orders until an operator repairs it."""
+        for value in (b"", b"\x00", b"\xf6"):
+            async with trio.open_nursery() as nursery:
+                self.start(nursery)
+                await trio.sleep(6)
+                token = self.holder().coordinator.token
+                damaged_at = trio.current_time()
+                await self.damage(value)
+                await trio.sleep(12)
+                self.assertGreater(self.holder().coordinator.token, token)
+                orders = self.orders()
+                resumed_at = next(at for at, _ in orders if at > damaged_at + 3.0)
+                self.assertLess(resumed_at - damaged_at, 10.0)
+                for (at, name), (next_at, next_name) in pairwise(orders):
+                    if name != next_name:
+                        self.assertGreaterEqual(next_at - at, MIN_PAUSE_S)
+                nursery.cancel_scope.cancel()
+
+    async def test_tokens_grow_over_records_that_cannot_be_read(self) -> None:
+        """Guards against a fencing token that another router has used."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery)
+            tokens = []
+            for n in range(6):
+                await trio.sleep(12)
+                holder = self.holder()
+                tokens.append(holder.coordinator.token)
+                await self.damage()
+                if n % 2:
+                    # The next one has never seen a record that can be read.
+                    for router in routers:
+                        router.scope.cancel()
+                        self.hub.dead.add(router.name)
+                    shared = routers[0].store.shared
+                    name = f"n{n}"
+                    routers[:] = [Router(name, self.hub, shared)]
+                    nursery.start_soon(routers[0].run)
+            self.assertEqual(tokens, sorted(set(tokens)))
+            nursery.cancel_scope.cancel()
+
+    async def test_record_with_orders_is_not_replaced(self) -> None:
+        store = FakeStore()
+        await store.create("leases/orders/e", b"")
+        lease = LeaseHolder(store, "e", InstanceId("r0"), 1, TERMS)
+        with self.assertRaises(StoreUnavailableError):
+            await lease.acquire(must_await_earlier_orders=True)
+
     async def test_renewal_answered_after_a_handover_is_ignored(self) -> None:
         # The response to a renewal arrives after the handover. Reviving the lease would
         # let two routers send orders at once.
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -268,6 +268,7 @@
 lease:interrupted reason
 lease:not_released reason
 lease:state state token upstream
+lease:unreadable reason token upstream
 library:log exception level library text
 limits:home_silent entry
 log:left_out n_lines
