Callers: a message to the HTTP server is written whole or not at all

Cause: a request is cancelled at its deadline, or when its caller leaves, wherever it waits. The server's protocol counts a message as sent, waits for the lock of the connection and then writes. A cancellation that arrives in the same turn of the event loop as the answer is delivered at that lock. The head is counted and not written, the server answers 500 in place of what it takes for a missing answer, its parser refuses, and the error ends the process. Evidence: the tracebacks end in h11 LocalProtocolError with state=SEND_BODY; and a request that is cancelled before it starts its answer ends a real server on loopback each time (test_head_cancelled_at_the_servers_lock). In the body or at the end the same cancellation would lose bytes that are counted.

Change: CallerExchange looks for a cancellation before each message and then passes the message on uncancelled; only a caller that does not read ends it, after the same time as before. So does the whole of a complete answer, which is delivered even if its deadline passes meanwhile. All ways that end a run (deadline, caller gone, stop) pass through this.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -6,6 +6,7 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any, Final, TypeAlias
 
 import trio
@@ -151,9 +152,10 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the response head, including the headers common to all answers."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         self.first_byte_at = trio.current_time()
-        await self._send(
+        await self._send_uncancelled(
             {
                 "type": "http.response.start",
                 "status": status,
@@ -163,29 +165,46 @@
 
     async def write(self, data: bytes) -> None:
         """Send part of the body; block while the caller does not read."""
-        await self._send(
+        await trio.lowlevel.checkpoint_if_cancelled()
+        await self._send_uncancelled(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
     async def finish(self, data: bytes = b"") -> None:
         """Send the last part of the body."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.finished = True
-        await self._send({"type": "http.response.body", "body": data})
+        await self._send_uncancelled({"type": "http.response.body", "body": data})
+
+    async def _send_uncancelled(self, message: dict[str, Any]) -> None:
+        """Pass a message to the server; only a caller that does not read ends this.
+
+        The server counts a message as sent before it writes the bytes. Cancelled in
+        between, it would go on as if the caller had them: after a head it answers a
+        second time, which ends the process.
+        """
+        with trio.CancelScope(shield=True) as scope:
+            scope.deadline = trio.current_time() + self.stall_s
+            await self._send(message)
+        if scope.cancelled_caught:
+            raise CallerStalledError("the caller stopped reading its answer")
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer; raise ``CallerStalledError`` when it is not read."""
-        with trio.move_on_after(self.stall_s) as scope:
+        """Send a complete answer; raise ``CallerStalledError`` when it is not read.
+
+        Once begun it is sent to its end, even if the deadline passes meanwhile.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        with trio.CancelScope(shield=True):
             await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
             await self.finish(body)
-        if scope.cancelled_caught:
-            raise CallerStalledError("the caller stopped reading its answer")
 
     async def fail(self, refusal: Refusal) -> None:
         """Send an error: a complete answer, or an event when a stream has started."""
         self.result = refusal.code
         body = error_body(refusal)
         if self.started:
-            with trio.move_on_after(self.stall_s):
+            with suppress(CallerStalledError):
                 await self.finish(b"event: error\ndata: " + body + b"\n\n")
             return
         headers = [JSON_TYPE]
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final
 
 import eliot
@@ -42,6 +43,9 @@
 NOT_READY_RETRY_S: Final = 1.0
 """Retry-after of a router without a current catalogue."""
 
+SHUTDOWN_ERROR_S: Final = 0.5
+"""Longest time that the error of a request cut by a shutdown may take to send."""
+
 
 class Dispatcher:
     """Check, admit, run and answer each request of a caller."""
@@ -205,7 +209,7 @@
         run: Callable[[], Awaitable[None]],
     ) -> None:
         """Run a request until its caller disconnects or its deadline passes."""
-        if await run_for_caller(caller, facts.deadline, run):
+        if await run_for_caller(caller, facts.deadline, run) and not caller.finished:
             code = ResultCode.DEADLINE_EXCEEDED
             raise refuse(
                 code, "The deadline passed before the answer was complete.", 1.0
@@ -213,5 +217,6 @@
 
     async def _send_shutdown_error(self, caller: CallerExchange) -> None:
         detail = "This router is shutting down immediately."
-        with trio.CancelScope(shield=True), trio.move_on_after(0.5):
+        caller.stall_s = SHUTDOWN_ERROR_S
+        with trio.CancelScope(shield=True), suppress(CallerStalledError):
             await caller.fail(Refusal(ResultCode.CUT_BY_SHUTDOWN, detail, 1.0))
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -162,12 +162,12 @@
         self, caller: ForwardCaller, run: ForwardRun, deadline: float
     ) -> None:
         """Run until the deadline or until the caller disconnects."""
-        if await run_for_caller(caller, deadline, run.run, run.may_abandon):
+        is_late = await run_for_caller(caller, deadline, run.run, run.may_abandon)
+        if caller.finished:
+            return
+        if is_late:
             self._fail_at_deadline(caller, run)
-        if not caller.finished:
-            raise CallerGoneError(
-                "the caller disconnected before its answer was complete"
-            )
+        raise CallerGoneError("the caller disconnected before its answer was complete")
 
     @staticmethod
     def _fail_at_deadline(caller: ForwardCaller, run: ForwardRun) -> None:
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_cancelled_write.py
@@ -0,0 +1,137 @@
+"""Tests of answers whose request is cancelled while the server writes them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from corianderlb_router.caller import CallerExchange, CallerStalledError
+from corianderlb_router.caller_run import run_for_caller
+from corianderlb_router.forward_caller import ForwardCaller
+from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
+
+SCOPE = {"type": "http", "method": "GET", "path": "/", "headers": []}
+
+Step = Callable[[CallerExchange], Awaitable[None]]
+
+
+class CountingServer:
+    """Server that counts a message as sent and is then cancelled before it writes."""
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.counted: list[str] = []
+        self.written: list[str] = []
+
+    async def receive(self) -> dict[str, Any]:
+        await trio.sleep_forever()
+
+    async def send(self, message: dict[str, Any]) -> None:
+        self.counted.append(message["type"])
+        self.scope.cancel()
+        await trio.lowlevel.checkpoint()
+        self.written.append(message["type"])
+
+
+async def begin(caller: CallerExchange) -> None:
+    await caller.start(200, [])
+
+
+async def write(caller: CallerExchange) -> None:
+    await caller.write(b"x")
+
+
+async def finish(caller: CallerExchange) -> None:
+    await caller.finish(b"x")
+
+
+async def answer(caller: CallerExchange) -> None:
+    await caller.answer(200, [], b"x")
+
+
+class CancelledWriteTest(TrioTestCase):
+    async def test_message_that_the_server_has_counted_is_written(self) -> None:
+        """Guards against a head that is counted and not sent, which ends the process
+        with the next answer on the connection."""
+        for step in (begin, write, finish, answer):
+            with self.subTest(step.__name__):
+                server = CountingServer()
+                caller = ForwardCaller(SCOPE, server.receive, server.send)
+                with server.scope:
+                    await step(caller)
+                self.assertTrue(server.counted)
+                self.assertEqual(server.counted, server.written)
+                if step is answer:
+                    self.assertEqual(len(server.written), 2)
+
+    async def test_nothing_is_sent_after_a_cancellation(self) -> None:
+        for step in (begin, write, finish, answer):
+            with self.subTest(step.__name__):
+                server = CountingServer()
+                caller = ForwardCaller(SCOPE, server.receive, server.send)
+                server.scope.cancel()
+                with server.scope:
+                    await step(caller)
+                self.assertEqual(server.counted, [])
+                self.assertEqual((caller.started, caller.finished), (False, False))
+
+    async def test_caller_that_does_not_read_ends_a_write(self) -> None:
+        async def send(message: dict[str, Any]) -> None:
+            await trio.sleep_forever()
+
+        for step in (begin, write, finish, answer):
+            caller = ForwardCaller(SCOPE, CountingServer().receive, send)
+            caller.stall_s = 2.0
+            with trio.fail_after(5.0), self.assertRaises(CallerStalledError):
+                await step(caller)
+
+    async def test_answer_that_is_ready_at_the_deadline_is_whole(self) -> None:
+        server = CountingServer()
+        caller = ForwardCaller(SCOPE, server.receive, server.send)
+
+        async def run() -> None:
+            await trio.sleep(0.9999)
+            await answer(caller)
+
+        async def send(message: dict[str, Any]) -> None:
+            await trio.sleep(0.01)
+            server.written.append(message["type"])
+
+        caller._send = send
+        await run_for_caller(caller, trio.current_time() + 1.0, run)
+        self.assertEqual(len(server.written), 2)
+        self.assertTrue(caller.finished)
+
+
+class ServerTest(RealTimeTestCase):
+    async def test_head_cancelled_at_the_servers_lock(self) -> None:
+        """Guards against a request that ends the process when its deadline passes as
+        its answer begins."""
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] == "lifespan":
+                message = await receive()
+                await send({"type": f"{message['type']}.complete"})
+                return
+            caller = ForwardCaller(scope, receive, send)
+            await caller.read_body(100, trio.current_time() + 1)
+            with trio.CancelScope() as cancelled:
+                cancelled.cancel()
+                await caller.start(200, [])
+
+        config = hypercorn.config.Config()
+        config.bind = ["127.0.0.1:0"]
+        config.loglevel = "CRITICAL"
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                bound = await nursery.start(hypercorn.trio.serve, app, config)
+                port = int(bound[0].rpartition(":")[2])
+                for _ in range(2):
+                    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                        await stream.send_all(b"GET / HTTP/1.1\r\nhost: r\r\n\r\n")
+                        self.assertIn(b" 500 ", await stream.receive_some())
+                nursery.cancel_scope.cancel()
