Peers: a dial to an address that is none is a link that cannot be opened

Cause: WebSocketTransport.dial expected OSError and the library's own errors; a host or port that is none raises ValueError, which left the task that dials.

--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -70,8 +70,15 @@
                     stream, ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
                 )
                 await websocket.open_as_client()
-        except (OSError, InvalidHandshake, InvalidURI, trio.TooSlowError) as exc:
-            raise LinkClosedError(f"{address}: {exc!r}") from exc
+        except (
+            OSError,
+            # For a host or port that is none, which a registration may name.
+            ValueError,
+            InvalidHandshake,
+            InvalidURI,
+            trio.TooSlowError,
+        ) as exc:
+            raise LinkClosedError(f"{address!r}: {exc!r}") from exc
         try:
             yield websocket
         finally:
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -451,6 +451,22 @@
                 self.assertGreater(networks[1].counters.n_bytes_in, 0)
                 nursery.cancel_scope.cancel()
 
+    async def test_dial_of_an_address_that_is_none(self) -> None:
+        """Guards against a registration that ends every router."""
+        transport = WebSocketTransport("127.0.0.1", 0)
+        for address in (
+            "127.0.0.1:99999",
+            "127.0.0.1:-1",
+            "127.0.0.1:\uff11",
+            "[::1:80",
+            "\ufffd:80",
+            "..:80",
+            "a" * 70 + ":80",
+        ):
+            with self.subTest(address), self.assertRaises(LinkClosedError):
+                async with transport.dial(address):
+                    pass
+
     async def test_oversize_frame_is_refused(self) -> None:
         """A frame above the size limit is refused, which bounds memory use."""
         fleet = Fleet(1)
