Callers: no cancel scope for each event of a stream

A part needs only the check before it: nothing else holds the server's lock in mid-body, and after a part that is cut the server closes the connection, so that no other answer follows it. Heads and ends stay uncancelled.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -164,9 +164,14 @@
         )
 
     async def write(self, data: bytes) -> None:
-        """Send part of the body; block while the caller does not read."""
+        """Send part of the body; block while the caller does not read.
+
+        A cancellation is looked for here alone, as a scope for each event of a stream
+        would be costly. Cancelled later, the server closes the connection, so that no
+        other answer follows the part.
+        """
         await trio.lowlevel.checkpoint_if_cancelled()
-        await self._send_uncancelled(
+        await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
