--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -79,7 +79,7 @@
             message = f"{address}: no connection within {connect_s} s"
             raise ConnectFailedError(message, refused=False) from exc
         except (OSError, ValueError, OverflowError) as exc:
-            # The last two are raised for what is no address or port.
+            # The last two are raised for an invalid address or port.
             message = f"{address}: {exc}"
             raise ConnectFailedError(message, refused=True) from exc
         return Connection(stream, address, self._generation.get(address, 0))
--- a/packages/corianderlb-router/tests/test_cancelled_write.py
+++ b/packages/corianderlb-router/tests/test_cancelled_write.py
@@ -55,8 +55,7 @@
 
 class CancelledWriteTest(TrioTestCase):
     async def test_message_that_the_server_has_counted_is_written(self) -> None:
-        """Guards against a head or an end that is counted and not sent: the next answer
-        on the connection ends the process, or stands where the end is due."""
+        """Guards against a head or an end that is counted as sent and lost."""
         for step in (begin, finish, answer):
             with self.subTest(step.__name__):
                 server = CountingServer()
@@ -108,8 +107,8 @@
 
 
 class ServerTest(RealTimeTestCase):
-    async def test_part_of_a_body_is_whole_after_a_cancellation(self) -> None:
-        """Guards against a part that is counted and not sent behind a real server."""
+    async def ask(self, step: Step) -> bytes:
+        """Return all that a server answers to a request that is handled by a step."""
 
         async def app(scope: Any, receive: Any, send: Any) -> None:
             if scope["type"] == "lifespan":
@@ -118,17 +117,8 @@
                 return
             caller = ForwardCaller(scope, receive, send)
             await caller.read_body(100, trio.current_time() + 1)
-            with trio.CancelScope() as cancelled:
-                await caller.start(200, [])
-                await caller.write(b"first")
-                cancelled.cancel()
-                await caller.write(b"second")
+            await step(caller)
 
-        answer = await self.ask(app)
-        self.assertTrue(answer.endswith(b"5\r\nfirst\r\n"), answer)
-
-    async def ask(self, app: Any) -> bytes:
-        """Return all that a server with this application answers to one request."""
         config = hypercorn.config.Config()
         config.bind = ["127.0.0.1:0"]
         config.loglevel = "CRITICAL"
@@ -142,19 +132,25 @@
                 nursery.cancel_scope.cancel()
         return answer
 
+    async def test_part_of_a_body_is_whole_after_a_cancellation(self) -> None:
+        """Guards against a part that is counted and not sent behind a real server."""
+
+        async def step(caller: CallerExchange) -> None:
+            with trio.CancelScope() as cancelled:
+                await caller.start(200, [])
+                await caller.write(b"first")
+                cancelled.cancel()
+                await caller.write(b"second")
+
+        answer = await self.ask(step)
+        self.assertTrue(answer.endswith(b"5\r\nfirst\r\n"), answer)
+
     async def test_head_cancelled_at_the_servers_lock(self) -> None:
-        """Guards against a request that ends the process when its deadline passes as
-        its answer begins."""
+        """Guards against a process that ends as a deadline passes at a head."""
 
-        async def app(scope: Any, receive: Any, send: Any) -> None:
-            if scope["type"] == "lifespan":
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                return
-            caller = ForwardCaller(scope, receive, send)
-            await caller.read_body(100, trio.current_time() + 1)
+        async def step(caller: CallerExchange) -> None:
             with trio.CancelScope() as cancelled:
                 cancelled.cancel()
                 await caller.start(200, [])
 
-        self.assertIn(b" 500 ", await self.ask(app))
+        self.assertIn(b" 500 ", await self.ask(step))
