Servers: an error on one connection closes that connection alone

What callers saw: one connection that sends a broken HTTP/2 upgrade, or a websocket upgrade with garbage behind it, to the callers', the readiness or the metrics port ended the router (exit code 1).

Cause: the HTTP library serves all connections in one nursery and catches a few errors only, so that any other error of its protocol code, h11, h2 or wsproto cancels all connections and leaves `serve`. Ruled out: timeouts, size limits and limits of HTTP/2 do not touch it, and texts cannot be listed.

Change: `HttpServer` accepts connections and reads and writes their sockets; the protocol stays the library's. Each connection runs in a `ConnectionGuard`, which closes, counts and logs one that fails (`connection:failed`, 20 lines a second). Cancellation, exits, MemoryError, SystemError and errors of trio itself pass and end the process as before; lines of libraries are limited too. Both kinds of router use it. The socket is closed without a wait, so that an end of the stream is never sent beside a write.

`test_http_server` raises an error in the library for one of several connections. The tests of callers' connections and of cancelled writes use `HttpServer` in place of the library's server, with the same checks, as that is what runs. `http://` is no longer cut off an address, so it leaves the list of texts with slashes.

--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -0,0 +1,102 @@
+"""One connection of the HTTP server.
+
+The protocol is the library's; the reading and writing of the socket stands here.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import trio
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.worker_context import TrioSingleTask, WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
+from hypercorn.utils import parse_socket_addr
+
+READ_BYTES: Final = 1 << 16
+"""Most bytes taken from a socket at once."""
+
+
+class HttpConnection:
+    """Serves the requests of one connection until either side closes it."""
+
+    def __init__(
+        self, stream: trio.SocketStream, config: Config, context: WorkerContext
+    ) -> None:
+        self._stream = stream
+        self._config = config
+        self._context = context
+        self._send_lock = trio.Lock()
+        self._idle_task = TrioSingleTask()
+        self._tasks: TaskGroup
+        self._protocol: H11Protocol
+
+    async def run(self, app: AppWrapper) -> None:
+        """Serve requests; any exception may be raised for what the caller sends."""
+        sock = self._stream.socket
+        try:
+            async with TaskGroup() as tasks:
+                self._tasks = tasks
+                self._protocol = H11Protocol(
+                    app,
+                    self._config,
+                    self._context,
+                    tasks,
+                    ConnectionState({}),
+                    False,
+                    parse_socket_addr(sock.family, sock.getpeername()),
+                    parse_socket_addr(sock.family, sock.getsockname()),
+                    self._handle_event,
+                )
+                await self._idle_task.restart(tasks, self._close_when_idle)
+                await self._read()
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the socket, which ends a write that waits for the caller to read."""
+        self._stream.socket.close()
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                break
+            await self._protocol.handle(RawData(bytes(data)))
+            if not data:
+                break
+        await self._protocol.handle(Closed())
+
+    async def _handle_event(self, event: Event) -> None:
+        """Act on an event of the protocol."""
+        if isinstance(event, RawData):
+            await self._write(event.data)
+        elif isinstance(event, Closed):
+            self.close()
+            await self._protocol.handle(Closed())
+        elif isinstance(event, Updated):
+            if event.idle:
+                await self._idle_task.restart(self._tasks, self._close_when_idle)
+            else:
+                await self._idle_task.stop()
+
+    async def _write(self, data: bytes) -> None:
+        async with self._send_lock:
+            try:
+                # Part of a message may be out once the write begins.
+                with trio.CancelScope(shield=True):
+                    await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                await self._protocol.handle(Closed())
+
+    async def _close_when_idle(self) -> None:
+        """Close after the keep-alive timeout, or once the server stops listening."""
+        with trio.move_on_after(self._config.keep_alive_timeout):
+            await self._context.terminated.wait()
+        with trio.CancelScope(shield=True):
+            await self._protocol.handle(Closed())
+            self.close()
--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -23,6 +23,7 @@
 from .catalogue_follower import CatalogueFollower
 from .catalogue_reader import CatalogueReader
 from .connection import TcpConnector
+from .connection_guard import ConnectionGuard
 from .decision_log import DecisionLog
 from .dispatcher import Dispatcher
 from .engine_control import HttpEngineControl
@@ -57,6 +58,7 @@
         self.rng = random.Random()
         self.store = HttpObjectStore(settings.store.url, settings.store.timeout_s)
         self.exchanges = ExchangeRegistry()
+        self.guard = ConnectionGuard()
         self.client = UpstreamClient(TcpConnector())
         self.peers = self._make_peers()
         self.tasks: list[Callable[[], Awaitable[None]]] = []
@@ -206,6 +208,7 @@
         self.counters = NodeCounters(
             store=self.store,
             peers=self.peers,
+            guard=self.guard,
             exchanges=self.exchanges,
             catalogue=self.catalogue,
             reader=self.reader,
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -11,8 +11,6 @@
 from typing import Any, Final
 
 import eliot
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from corianderlb_core.chart import LifeCycle
@@ -22,6 +20,7 @@
 
 from ._websocket_transport import WebSocketTransport
 from .connection import TcpConnector
+from .connection_guard import ConnectionGuard
 from .engine_orders import EngineOrders
 from .engine_table import EngineTable
 from .exchange_registry import ExchangeRegistry
@@ -33,6 +32,7 @@
 from .forward_parts import ForwardParts, ForwardSettings
 from .forward_request import ForwardProtocol
 from .health_table import HealthTable
+from .http_server import HttpServer, HttpServerSettings
 from .in_flight import InFlightTable
 from .instance_limits import InstanceLimits
 from .lease_coordinator import LeaseCoordinator
@@ -74,8 +74,9 @@
 RELEASE_TIMEOUT_S: Final = 0.2
 """Timeout for releasing the lease, which otherwise expires."""
 
-NO_TIMEOUT_S: Final = 10.0**9
-"""Server timeout that never expires: the node itself waits for open exchanges."""
+MAX_HEAD_BYTES: Final = 1 << 17
+"""Longest request head that the server reads; the configured limit is lower, so that
+the router answers oversized heads itself."""
 
 
 @dataclass(frozen=True)
@@ -134,9 +135,9 @@
         self._exchanges = ExchangeRegistry()
         self._stop_listening = trio.Event()
         self._terminate = trio.Event()
-        self._front_config = self._server_config(cfg.listen.front)
         self._epoch = time.time_ns() // 1_000_000
         """Epoch of this process."""
+        self._guard = ConnectionGuard()
         self._peers = self._make_peers()
         health = HealthTable(self._rng)
         self._limits = InstanceLimits(ports.state, self._peers, self._epoch)
@@ -174,6 +175,8 @@
         """Serve until a termination signal; return once the router has drained."""
         eliot.log_message(message_type="router:start", listen=self._cfg.listen.front)
         self._parts = dataclasses.replace(self._parts, started_at=trio.current_time())
+        front_app = ForwardApp(ForwardDispatcher(self._parts, self._exchanges))
+        front = self._make_server("callers", self._cfg.listen.front, front_app)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._log.run)
             nursery.start_soon(self._handle_signals)
@@ -181,7 +184,9 @@
             self._peers.set_addresses(self._cfg.listen.front, self._cfg.listen.peer)
             for task in self._tasks():
                 nursery.start_soon(task)
-            await self._serve_all(nursery)
+            nursery.start_soon(self._apply_limits, front)
+            nursery.start_soon(front.run, self._stop_listening.wait)
+            self._serve_status(nursery)
             await self._drain_on_terminate()
             nursery.cancel_scope.cancel()
         eliot.log_message(message_type="router:stop")
@@ -193,45 +198,27 @@
             self._engines.run,
             self._controller.run,
             self._keep_registered,
-            self._apply_limits,
             self._become_ready,
             self._parts.metrics.run,
             self._parts.usage.run,
             self._limits.run,
         ]
 
-    async def _serve_all(self, nursery: trio.Nursery) -> None:
-        front_app = ForwardApp(ForwardDispatcher(self._parts, self._exchanges))
-        nursery.start_soon(
-            self._serve, front_app, self._front_config, self._stop_listening.wait
-        )
-        listen = self._cfg.listen
-        status_app = StatusApp(
+    def _serve_status(self, nursery: trio.Nursery) -> None:
+        """Serve readiness checks and metrics until the nursery is cancelled."""
+        app = StatusApp(
             self._cfg.readiness_path, lambda: self.is_ready, self._parts.metrics
         )
-        for address in dict.fromkeys((listen.status, listen.metrics)):
+        listen = self._cfg.listen
+        names = {listen.metrics: "metrics", listen.status: "status"}
+        for address, name in names.items():
             if address:
-                server = self._server_config(address)
-                nursery.start_soon(self._serve, status_app, server, trio.sleep_forever)
-
-    @staticmethod
-    def _server_config(address: str) -> hypercorn.config.Config:
-        config = hypercorn.config.Config()
-        config.bind = [address]
-        config.graceful_timeout = NO_TIMEOUT_S
-        config.shutdown_timeout = NO_TIMEOUT_S
-        config.include_server_header = False
-        config.include_date_header = False
-        config.loglevel = "WARNING"
-        config.backlog = 1024
-        config.h11_max_incomplete_size = 1 << 17
-        return config
-
-    @staticmethod
-    async def _serve(
-        app: Any, config: hypercorn.config.Config, until: Callable[[], Awaitable[None]]
-    ) -> None:
-        await hypercorn.trio.serve(app, config, shutdown_trigger=until, mode="asgi")
+                server = self._make_server(name, address, app)
+                nursery.start_soon(server.run, trio.sleep_forever)
+
+    def _make_server(self, name: str, address: str, app: Any) -> HttpServer:
+        cfg = HttpServerSettings(name, address, MAX_HEAD_BYTES)
+        return HttpServer(app, cfg, self._guard)
 
     # Tasks.
 
@@ -241,14 +228,13 @@
             await changed.wait()
         self._send("catalogue_ready")
 
-    async def _apply_limits(self) -> None:
+    async def _apply_limits(self, front: HttpServer) -> None:
         """Apply the configured limits whenever the configuration changes."""
         while True:
             changed = self._ports.state.changed
             cfg = self._ports.state.configuration
             if cfg is not None:
-                keep_s = KEEP_ALIVE_FACTOR * cfg.limits.idle_timeout_s
-                self._front_config.keep_alive_timeout = keep_s
+                front.keep_alive_s = KEEP_ALIVE_FACTOR * cfg.limits.idle_timeout_s
                 self._parts.usage.apply(cfg)
             await changed.wait()
 
@@ -368,6 +354,7 @@
         metrics.watch("limited_instances", lambda: self._limits.n_in_force)
         metrics.watch("resting_instances", lambda: self._permits.n_resting)
         metrics.watch("known_parts", lambda: len(self._engines.index))
+        metrics.watch("failed_connections", lambda: self._guard.n_failed.total())
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
         metrics.watch(
             "configuration_version",
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -0,0 +1,121 @@
+"""HTTP server of one ASGI application on one address."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Final
+
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.lifespan import Lifespan
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.utils import repr_socket_addr
+
+from ._http_connection import HttpConnection
+from .connection_guard import ConnectionGuard
+
+BACKLOG: Final = 1024
+"""Connections that may wait until they are accepted."""
+
+
+@dataclass(frozen=True)
+class HttpServerSettings:
+    """Settings of one HTTP server."""
+
+    name: str
+    """Name in the log and the metrics."""
+    address: str
+    """``host:port`` to listen on; port 0 lets the kernel choose a port."""
+    max_head_bytes: int
+    """Longest request head; a longer one is answered with 431."""
+    keep_alive_s: float = 5.0
+    """Longest idle time of a connection."""
+    sends_date: bool = False
+    """Whether answers have a ``date`` header."""
+
+
+class HttpServer:
+    """Serves an application; the failure of a connection closes that connection alone.
+
+    For example ``await HttpServer(app, cfg, guard).run(stop.wait)``.
+    """
+
+    def __init__(
+        self, app: Any, cfg: HttpServerSettings, guard: ConnectionGuard
+    ) -> None:
+        self._app = ASGIWrapper(app)
+        self._name = cfg.name
+        self._guard = guard
+        self._context = WorkerContext(max_requests=None)
+        self._config = Config()
+        self._config.bind = [cfg.address]
+        self._config.backlog = BACKLOG
+        self._config.include_server_header = False
+        self._config.include_date_header = cfg.sends_date
+        self._config.loglevel = "WARNING"
+        self._config.h11_max_incomplete_size = cfg.max_head_bytes
+        self.keep_alive_s = cfg.keep_alive_s
+
+    @property
+    def keep_alive_s(self) -> float:
+        """Longest idle time of a connection; applies from its next request on."""
+        return self._config.keep_alive_timeout
+
+    @keep_alive_s.setter
+    def keep_alive_s(self, seconds: float) -> None:
+        self._config.keep_alive_timeout = seconds
+
+    async def run(
+        self,
+        until: Callable[[], Awaitable[None]],
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen until ``until`` returns, then serve the open connections to their end.
+
+        Starts with the bound ``host:port``; raises ``OSError`` if it cannot be bound.
+        """
+        lifespan = Lifespan(self._app, self._config, {})
+        async with trio.open_nursery() as nursery:
+            await nursery.start(lifespan.handle_lifespan)
+            await lifespan.wait_for_startup()
+            await self._serve(until, task_status)
+            await lifespan.wait_for_shutdown()
+            nursery.cancel_scope.cancel()
+
+    async def _serve(
+        self, until: Callable[[], Awaitable[None]], task_status: trio.TaskStatus[str]
+    ) -> None:
+        async with trio.open_nursery() as connections:
+            listeners = []
+            for sock in self._config.create_sockets().insecure_sockets:
+                sock.listen(BACKLOG)
+                task_status.started(repr_socket_addr(sock.family, sock.getsockname()))
+                listeners.append(
+                    trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+                )
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(
+                        trio.serve_listeners,
+                        self._serve_connection,
+                        listeners,
+                        handler_nursery=connections,
+                    )
+                )
+                await until()
+                accepting.cancel_scope.cancel()
+            await self._context.terminated.set()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        sock = stream.socket
+        try:
+            peer = repr_socket_addr(sock.family, sock.getpeername())
+        except OSError:
+            # The caller has left meanwhile.
+            sock.close()
+            return
+        with self._guard.confine(self._name, peer):
+            await HttpConnection(stream, self._config, self._context).run(self._app)
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -28,9 +28,15 @@
 """Rate limit of lines about single objects of the store, whose writers are not limited
 otherwise."""
 
+MAX_CONNECTION_LINES_PER_S: Final = 20.0
+"""Rate limit of lines about connections that failed, and of what libraries log: remote
+hosts cause both, and need no credential to do so."""
+
 _RATE_LIMITS: Final = {
     "request": MAX_REQUEST_LINES_PER_S,
     "entry": MAX_ENTRY_LINES_PER_S,
+    "connection": MAX_CONNECTION_LINES_PER_S,
+    "library": MAX_CONNECTION_LINES_PER_S,
 }
 """Lines per second by the first part of the message type; others are not limited."""
 
@@ -44,7 +50,7 @@
 class LogWriter:
     """Destination for eliot that writes messages as JSON lines.
 
-    Messages whose type begins with ``request:`` or ``entry:`` are rate-limited.
+    Messages about requests, objects, connections and libraries are rate-limited.
     """
 
     def __init__(
--- a/packages/corianderlb-router/src/corianderlb_router/metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/metric.py
@@ -39,6 +39,8 @@
     STORE_FAILURES = "corianderlb_store_call_failures_total"
     PEERS = "corianderlb_peer_traffic_total"
     """Bytes, messages, refused frames and links, by kind."""
+    CONNECTIONS = "corianderlb_failed_connections_total"
+    """Connections that were closed because of an error, by server."""
     CATALOGUE = "corianderlb_catalogue_events_total"
     JOURNAL = "corianderlb_journal_events_total"
     ADMISSION = "corianderlb_admission_events_total"
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -10,8 +10,6 @@
 from typing import Final
 
 import eliot
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from corianderlb_core.settings import RouterSettings
@@ -19,6 +17,7 @@
 
 from .app import make_app
 from .composition import Composition
+from .http_server import HttpServer, HttpServerSettings
 
 READY_POLL_INTERVAL_S: Final = 0.02
 """Poll interval of a starting router for the catalogue and the instance list."""
@@ -32,9 +31,6 @@
 KEEP_ALIVE_TIMEOUT_S: Final = 60.0
 """Longest idle time of a caller's connection."""
 
-UNLIMITED_S: Final = 10.0**9
-"""Disables the server's shutdown timeouts: the node itself waits for the exchanges."""
-
 
 class Node:
     """Starts and stops the components of one router."""
@@ -57,8 +53,8 @@
             peer_address = await nursery.start(parts.peers.run)
             for task in parts.tasks:
                 nursery.start_soon(task)
-            bound = await nursery.start(self._serve, app)
-            address = bound[0].removeprefix("http://")
+            server = HttpServer(app, self._server_settings(), parts.guard)
+            address = await nursery.start(server.run, self._stop_listening.wait)
             parts.peers.set_addresses(address, peer_address)
             self._print_listening(address, peer_address)
             nursery.start_soon(self._become_ready)
@@ -67,24 +63,15 @@
             nursery.cancel_scope.cancel()
         await parts.close()
 
-    async def _serve(
-        self, app: object, task_status: trio.TaskStatus[list[str]]
-    ) -> None:
-        config = hypercorn.config.Config()
+    def _server_settings(self) -> HttpServerSettings:
         listen = self._settings.listen
-        config.bind = [f"{listen.host}:{listen.port}"]
-        config.graceful_timeout = UNLIMITED_S
-        config.shutdown_timeout = UNLIMITED_S
-        config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
-        config.include_server_header = False
-        config.loglevel = "WARNING"
-        # Above the router's own limit, so that the router answers oversized headers.
-        config.h11_max_incomplete_size = 2 * self._settings.data_path.max_header_bytes
-        await hypercorn.trio.serve(
-            app,
-            config,
-            shutdown_trigger=self._stop_listening.wait,
-            task_status=task_status,
+        return HttpServerSettings(
+            name="callers",
+            address=f"{listen.host}:{listen.port}",
+            # Above the router's own limit, so that the router answers oversized heads.
+            max_head_bytes=2 * self._settings.data_path.max_header_bytes,
+            keep_alive_s=KEEP_ALIVE_TIMEOUT_S,
+            sends_date=True,
         )
 
     def _print_listening(self, address: str, peer_address: str) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -14,6 +14,7 @@
 from .call_journal import StoreCallJournal
 from .catalogue_follower import CatalogueFollower
 from .catalogue_reader import CatalogueReader
+from .connection_guard import ConnectionGuard
 from .exchange_registry import ExchangeRegistry
 from .fleet_quarantine import FleetQuarantine
 from .http_store import HttpObjectStore
@@ -31,6 +32,7 @@
 
     store: HttpObjectStore
     peers: OverlayNetwork
+    guard: ConnectionGuard
     exchanges: ExchangeRegistry
     catalogue: CatalogueFollower
     reader: CatalogueReader
@@ -65,6 +67,7 @@
             CounterGroup.STORE_CALLS: self.store_calls,
             CounterGroup.STORE_FAILURES: self.store_failures,
             CounterGroup.PEERS: self.peer_counts,
+            CounterGroup.CONNECTIONS: lambda: self.guard.n_failed,
             CounterGroup.CATALOGUE: self.catalogue_counts,
             CounterGroup.JOURNAL: self.journal_counts,
             CounterGroup.ADMISSION: self.admission_counts,
--- a/packages/corianderlb-router/tests/test_caller_connection.py
+++ b/packages/corianderlb-router/tests/test_caller_connection.py
@@ -3,11 +3,11 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from corianderlb_router.app import DataPathMiddleware
+from corianderlb_router.connection_guard import ConnectionGuard
+from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins.trio_case import RealTimeTestCase
 from data_path_fakes import FakeInstance, FakeNetwork, FakeRouter
 
@@ -38,16 +38,15 @@
         test: Callable[[FakeRouter, trio.SocketStream], Awaitable[None]],
         *instances: FakeInstance,
     ) -> None:
-        config = hypercorn.config.Config()
-        config.bind = ["127.0.0.1:0"]
-        config.loglevel = "WARNING"
+        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
         with trio.fail_after(BOUND_S):
             async with trio.open_nursery() as nursery:
                 router = FakeRouter(FakeNetwork(nursery, *instances))
                 router.start(nursery)
                 app = DataPathMiddleware(_answer_lifespan, router.dispatcher)
-                bound = await nursery.start(hypercorn.trio.serve, app, config)
-                port = int(bound[0].rpartition(":")[2])
+                server = HttpServer(app, cfg, ConnectionGuard())
+                address = await nursery.start(server.run, trio.sleep_forever)
+                port = int(address.rpartition(":")[2])
                 async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
                     await test(router, stream)
                 nursery.cancel_scope.cancel()
--- a/packages/corianderlb-router/tests/test_cancelled_write.py
+++ b/packages/corianderlb-router/tests/test_cancelled_write.py
@@ -5,13 +5,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from corianderlb_router.caller import CallerExchange, CallerStalledError
 from corianderlb_router.caller_run import run_for_caller
+from corianderlb_router.connection_guard import ConnectionGuard
 from corianderlb_router.forward_caller import ForwardCaller
+from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 
 SCOPE = {"type": "http", "method": "GET", "path": "/", "headers": []}
@@ -119,17 +119,18 @@
             await caller.read_body(100, trio.current_time() + 1)
             await step(caller)
 
-        config = hypercorn.config.Config()
-        config.bind = ["127.0.0.1:0"]
-        config.loglevel = "CRITICAL"
+        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
+        guard = ConnectionGuard()
         with trio.fail_after(10):
             async with trio.open_nursery() as nursery:
-                bound = await nursery.start(hypercorn.trio.serve, app, config)
-                port = int(bound[0].rpartition(":")[2])
+                server = HttpServer(app, cfg, guard)
+                address = await nursery.start(server.run, trio.sleep_forever)
+                port = int(address.rpartition(":")[2])
                 async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
                     await stream.send_all(b"GET / HTTP/1.1\r\nhost: r\r\n\r\n")
                     answer = b"".join([part async for part in stream])
                 nursery.cancel_scope.cancel()
+        self.assertEqual(guard.n_failed, {})
         return answer
 
     async def test_part_of_a_body_is_whole_after_a_cancellation(self) -> None:
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -0,0 +1,177 @@
+"""Tests of the HTTP server with connections that fail, over loopback."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+import eliot
+import trio
+from hypercorn.protocol.h11 import H11Protocol
+
+from corianderlb_router.connection_guard import PROCESS_FAULTS, ConnectionGuard
+from corianderlb_router.http_server import HttpServer, HttpServerSettings
+from corianderlb_standins.connection_texts import bad_texts, random_text
+from corianderlb_standins.trio_case import RealTimeTestCase
+
+BOUND_S = 20.0
+"""Timeout of a test."""
+
+N_RANDOM = 300
+"""Random texts that are sent in one test."""
+
+GET = b"GET / HTTP/1.1\r\nhost: r\r\n\r\n"
+
+
+class Application:
+    """Begins each answer at once and ends it when told to."""
+
+    def __init__(self) -> None:
+        self.may_end = trio.Event()
+        self.n_begun = 0
+        self.n_left = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "lifespan":
+            while True:
+                kind = (await receive())["type"]
+                await send({"type": f"{kind}.complete"})
+                if kind == "lifespan.shutdown":
+                    return
+        self.n_begun += 1
+        try:
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await self.may_end.wait()
+            await send({"type": "http.response.body", "body": b"whole"})
+        finally:
+            self.n_left += 1
+
+
+class FailingProtocol:
+    """Raises an error on each connection that brings the bytes "fail"."""
+
+    def __init__(self, exc: BaseException) -> None:
+        self._exc = exc
+        self._handle = H11Protocol.handle
+
+    def patch(self) -> Any:
+        """Return the patch of the library's protocol."""
+
+        async def handle(protocol: H11Protocol, event: Any) -> None:
+            if b"fail" in getattr(event, "data", b""):
+                raise self._exc
+            await self._handle(protocol, event)
+
+        return mock.patch.object(H11Protocol, "handle", handle)
+
+
+class HttpServerTest(RealTimeTestCase):
+    def setUp(self) -> None:
+        self.guard = ConnectionGuard()
+        self.lines: list[dict[str, Any]] = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+
+    async def serve(self, test: Callable[[Application, str], Awaitable[None]]) -> None:
+        """Run a test with an application and its address."""
+        app = Application()
+        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
+        server = HttpServer(app, cfg, self.guard)
+        with trio.fail_after(BOUND_S):
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(server.run, trio.sleep_forever)
+                await test(app, address)
+                nursery.cancel_scope.cancel()
+
+    @staticmethod
+    async def connect(address: str) -> trio.SocketStream:
+        host, _, port = address.rpartition(":")
+        return await trio.open_tcp_stream(host, int(port))
+
+    async def begin(self, app: Application, address: str) -> trio.SocketStream:
+        """Return a connection whose answer has begun."""
+        n_begun = app.n_begun
+        conn = await self.connect(address)
+        await conn.send_all(GET)
+        while app.n_begun == n_begun:
+            await trio.sleep(0.001)
+        return conn
+
+    async def check_whole(self, app: Application, conn: trio.SocketStream) -> None:
+        """Check that the answer on a connection can be read to its end."""
+        app.may_end.set()
+        answer = b""
+        while not answer.endswith(b"\r\n0\r\n\r\n"):
+            data = await conn.receive_some()
+            self.assertTrue(data, "the connection was closed before its answer ended")
+            answer += data
+        self.assertIn(b"whole", answer)
+
+    def failures(self) -> list[dict[str, Any]]:
+        """Return the log lines of failed connections."""
+        kind = "connection:failed"
+        return [line for line in self.lines if line["message_type"] == kind]
+
+    async def test_error_of_the_library_on_one_connection(self) -> None:
+        """Guards against an error on one connection that ends the others."""
+
+        async def check(app: Application, address: str) -> None:
+            conn = await self.begin(app, address)
+            for number in range(3):
+                failing = await self.begin(app, address)
+                host, port = failing.socket.getsockname()
+                await failing.send_all(b"fail")
+                while await failing.receive_some():
+                    pass
+                self.assertEqual(app.n_left, number + 1)
+                line = self.failures()[-1]
+                self.assertEqual(line["peer"], f"{host}:{port}")
+                self.assertEqual(line["error"], "KeyError")
+                self.assertEqual(line["server"], "callers")
+                self.assertTrue(line["raised_at"].startswith("FailingProtocol."))
+            self.assertEqual(self.guard.n_failed, {"callers": 3})
+            await self.check_whole(app, conn)
+            await self.check_whole(app, await self.begin(app, address))
+
+        with FailingProtocol(KeyError("x" * 1000)).patch():
+            await self.serve(check)
+        self.assertTrue(all(len(line["detail"]) <= 200 for line in self.failures()))
+
+    async def test_fault_of_the_process_ends_the_server(self) -> None:
+        """Guards against a process without memory that goes on."""
+
+        async def check(app: Application, address: str) -> None:
+            conn = await self.connect(address)
+            await conn.send_all(b"fail")
+            await trio.sleep_forever()
+
+        for kind in (*PROCESS_FAULTS, KeyboardInterrupt, SystemExit):
+            with self.subTest(kind.__name__), FailingProtocol(kind("x")).patch():
+                with self.assertRaises(BaseExceptionGroup) as caught:
+                    await self.serve(check)
+                self.assertIsNotNone(caught.exception.subgroup(kind))
+        self.assertEqual(self.failures(), [])
+
+    async def test_cancelled_server_counts_no_failure(self) -> None:
+        async def check(app: Application, address: str) -> None:
+            await self.begin(app, address)
+
+        await self.serve(check)
+        self.assertEqual(self.guard.n_failed.total(), 0)
+
+    async def test_bad_texts(self) -> None:
+        """Guards against a text that ends the answers of other connections."""
+        rng = random.Random(49)
+        texts = [*bad_texts().values(), *(random_text(rng) for _ in range(N_RANDOM))]
+
+        async def check(app: Application, address: str) -> None:
+            conn = await self.begin(app, address)
+            for text in texts:
+                async with await self.connect(address) as bad:
+                    await bad.send_all(text)
+            await self.check_whole(app, conn)
+            await self.check_whole(app, await self.begin(app, address))
+
+        await self.serve(check)
--- a/packages/corianderlb-router/tests/test_log_writer.py
+++ b/packages/corianderlb-router/tests/test_log_writer.py
@@ -10,6 +10,7 @@
 import trio
 
 from corianderlb_router.log_writer import (
+    MAX_CONNECTION_LINES_PER_S,
     MAX_ENTRY_LINES_PER_S,
     MAX_LINES,
     MAX_REQUEST_LINES_PER_S,
@@ -80,6 +81,18 @@
         n_dropped = writer.n_dropped_lines
         self.assertEqual(n_dropped, int(1.5 * MAX_ENTRY_LINES_PER_S))
 
+    async def test_lines_about_connections_are_dropped_before_state_changes(
+        self,
+    ) -> None:
+        """Guards against remote hosts that fill the log without a credential."""
+        for kind in ("connection:failed", "library:log"):
+            writer, _ = self.open()
+            for n in range(2 * int(MAX_CONNECTION_LINES_PER_S)):
+                writer({"message_type": kind, "n": n})
+            self.assertEqual(writer.n_dropped_lines, int(MAX_CONNECTION_LINES_PER_S))
+            writer({"message_type": "upstream:removed"})
+            self.assertEqual(writer.n_dropped_lines, int(MAX_CONNECTION_LINES_PER_S))
+
     def test_library_records_become_log_lines(self) -> None:
         # Errors logged by a library become log lines instead of tracebacks on stderr.
         lines: list[dict] = []
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -4,6 +4,7 @@
 
 import re
 import unittest
+from collections import Counter
 from types import SimpleNamespace
 from unittest import mock
 
@@ -132,6 +133,8 @@
 corianderlb_catalogue_events_total kind
 corianderlb_catalogue_version
 corianderlb_catalogue_version gauge
+corianderlb_failed_connections_total counter
+corianderlb_failed_connections_total kind
 corianderlb_journal_events_total counter
 corianderlb_journal_events_total kind
 corianderlb_peer_traffic_total counter
@@ -165,6 +168,8 @@
 FORWARD_METRICS = """\
 corianderlb_configuration_version
 corianderlb_configuration_version gauge
+corianderlb_failed_connections
+corianderlb_failed_connections gauge
 corianderlb_forward_attempts_total counter
 corianderlb_forward_attempts_total outcome repeat
 corianderlb_forward_first_seconds histogram
@@ -222,6 +227,7 @@
 peers.messages_out
 peers.refused
 peers.strangers
+connections.callers
 catalogue.answered
 catalogue.asked
 catalogue.bad_offers
@@ -261,6 +267,7 @@
 catalogue:waiting for_s
 catalogue:{store_failing|store_read_again} reason
 configuration:in_force n_accounts n_routes revision version
+connection:failed detail error peer raised_at server
 instance_list:{failing|read_again} detail
 journal:sealed shard
 journal:store_failing shard
@@ -426,6 +433,7 @@
     node._parts = SimpleNamespace(metrics=metrics, n_routers=1)
     node._ports.state.configuration = None
     node._log.n_dropped_lines = 0
+    node._guard.n_failed = Counter()
     ForwardNode._watch_gauges(node)
     return trio.run(metrics.exposition)
 
@@ -437,6 +445,7 @@
     parts.journal.shards = [SimpleNamespace(counts=ShardCounts())]
     parts.limiter.gates = {"a": SimpleNamespace(counts=GateCounts())}
     parts.peers.counters = PeerCounters()
+    parts.guard.n_failed = Counter(callers=1)
     parts.catalogue.counters = FollowerCounters()
     parts.reader.counters = ReaderCounters()
     parts.store.n_calls = parts.store.n_failed = calls
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -704,7 +704,8 @@
     corianderlb_quarantined_requests|corianderlb_peers_connected|
     corianderlb_requests_waiting
 corianderlb_store_calls_total|corianderlb_store_call_failures_total|
-    corianderlb_peer_traffic_total|corianderlb_catalogue_events_total|
+    corianderlb_peer_traffic_total|corianderlb_failed_connections_total|
+    corianderlb_catalogue_events_total|
     corianderlb_journal_events_total|corianderlb_admission_events_total|
     corianderlb_placement_events_total
 get|list|create|update|delete|watch|instances
@@ -738,7 +739,6 @@
 account/{}
 application/json
 changes/
-http://
 http://{}/
 http://{}{}
 journal/answers/{}/{}
@@ -761,14 +761,14 @@
 LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector StateAnswer
 StateChanges StateObjects StateOffer StateRequest SuspectCleared UpstreamLeaving
 UpstreamLife UsageUpdate WeightsNews Welcome adapter after attempt_id authorization body
-changed_in chat.completion.chunk choices class code connect content data delta entries
-entry error etag gossip_bytes headers http id if-match if-none-match import_orders
-import_orders_late imported imported_pieces index keys kind limit listening
-load_read_bytes load_read_failures load_reads message message_type messages method model
-more_body n_lines name object order_id outcome owned_by path peer pool prefix prompt
-prompt_tokens_details put query_string ran raw_path read removed repeat request result
-retry retry-after retry_after_s revision role salt source status stream text
-text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
+changed_in chat.completion.chunk choices class code connect connection content data
+delta entries entry error etag gossip_bytes headers http id if-match if-none-match
+import_orders import_orders_late imported imported_pieces index keys kind library limit
+listening load_read_bytes load_read_failures load_reads message message_type messages
+method model more_body n_lines name object order_id outcome owned_by path peer pool
+prefix prompt prompt_tokens_details put query_string ran raw_path read removed repeat
+request result retry retry-after retry_after_s revision role salt source status stream
+text text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
 weights_version write x-revision
 """
 
--- /dev/null
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -0,0 +1,66 @@
+"""Builders of bytes that a connection to a router may bring and no client should send.
+
+For example ``bad_texts()["h2c settings without padding"]`` offers a change to HTTP/2
+whose settings cannot be decoded.
+"""
+
+from __future__ import annotations
+
+import base64
+import random
+
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+SETTINGS_FRAME = bytes.fromhex("000000040000000000")
+"""Empty settings of HTTP/2, which follow the preface."""
+
+
+def h2c_upgrade(settings: bytes) -> bytes:
+    """Build a request that offers a change to HTTP/2."""
+    return (
+        b"GET / HTTP/1.1\r\nhost: r\r\nconnection: Upgrade, HTTP2-Settings\r\n"
+        b"upgrade: h2c\r\nhttp2-settings: " + settings + b"\r\n\r\n"
+    )
+
+
+def window_out_of_range() -> bytes:
+    """Build well-formed settings of HTTP/2 with an initial window that is too large."""
+    return base64.urlsafe_b64encode((4).to_bytes(2, "big") + b"\xff" * 4)
+
+
+def priority_of_itself() -> bytes:
+    """Build an HTTP/2 stream that depends on itself."""
+    head = bytes.fromhex("000005020000000001")
+    return HTTP2_PREFACE + SETTINGS_FRAME + head + (1).to_bytes(4, "big") + b"\x10"
+
+
+def websocket_upgrade() -> bytes:
+    """Build a request that offers a change to a websocket."""
+    return (
+        b"GET / HTTP/1.1\r\nhost: r\r\nconnection: Upgrade\r\nupgrade: websocket\r\n"
+        b"sec-websocket-version: 13\r\n"
+        b"sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+    )
+
+
+def bad_texts() -> dict[str, bytes]:
+    """Return texts by name, each for one write."""
+    plain = b"GET /other HTTP/1.1\r\nhost: r\r\n\r\n"
+    return {
+        "plain request": plain,
+        "plain request and bytes": plain + b"bytes",
+        "h2c settings without padding": h2c_upgrade(b"AAA"),
+        "h2c settings out of range": h2c_upgrade(window_out_of_range()),
+        "h2 stream that depends on itself": priority_of_itself(),
+        "websocket and no frame": websocket_upgrade() + b"\xff" * 40,
+        "no text": bytes(range(256)),
+    }
+
+
+def random_text(rng: random.Random) -> bytes:
+    """Build a text from up to three of ``bad_texts``, changed and cut at random."""
+    texts = list(bad_texts().values())
+    text = bytearray(b"".join(rng.choices(texts, k=rng.randint(1, 3))))
+    for _ in range(rng.randint(0, 4)):
+        text[rng.randrange(len(text))] = rng.randrange(256)
+    return bytes(text[: rng.randint(1, len(text))])
