Servers: offer neither HTTP/2 nor a change to another protocol

Cause: the HTTP library offers a change to HTTP/2, HTTP/2 without one, and websockets, and has no setting against them.

Change: the state of a connection leaves `Upgrade` out of a request, which a server may ignore, so that the request is answered over HTTP/1, and refuses other versions with 505.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
-from typing import Final
+from http import HTTPStatus
+from typing import Any, Final
 
+import h11
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
@@ -20,6 +22,34 @@
 """Most bytes taken from a socket at once."""
 
 
+class Http1Connection(h11.Connection):
+    """State of an HTTP/1 connection that offers no change to another protocol.
+
+    A server may ignore ``Upgrade``; the request is then answered over HTTP/1.
+    """
+
+    def next_event(self) -> Any:
+        """Return the next event; an unsupported version is a protocol error."""
+        event = super().next_event()
+        if not isinstance(event, h11.Request):
+            return event
+        if not event.http_version.startswith(b"1."):
+            version = event.http_version.decode()
+            raise h11.RemoteProtocolError(
+                f"HTTP/{version} is not supported, only HTTP/1",
+                error_status_hint=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            )
+        headers = [header for header in event.headers if header[0] != b"upgrade"]
+        if len(headers) == len(event.headers):
+            return event
+        return h11.Request(
+            method=event.method,
+            target=event.target,
+            headers=headers,
+            http_version=event.http_version,
+        )
+
+
 class HttpConnection:
     """Serves the requests of one connection until either side closes it."""
 
@@ -51,6 +81,10 @@
                     parse_socket_addr(sock.family, sock.getsockname()),
                     self._handle_event,
                 )
+                self._protocol.connection = Http1Connection(
+                    h11.SERVER,
+                    max_incomplete_event_size=self._config.h11_max_incomplete_size,
+                )
                 await self._idle_task.restart(tasks, self._close_when_idle)
                 await self._read()
         finally:
--- a/packages/corianderlb-router/tests/test_http_server.py
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -13,7 +13,13 @@
 
 from corianderlb_router.connection_guard import PROCESS_FAULTS, ConnectionGuard
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
-from corianderlb_standins.connection_texts import bad_texts, random_text
+from corianderlb_standins.connection_texts import (
+    HTTP2_PREFACE,
+    bad_texts,
+    h2c_upgrade,
+    random_text,
+    websocket_upgrade,
+)
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 BOUND_S = 20.0
@@ -161,6 +167,34 @@
         await self.serve(check)
         self.assertEqual(self.guard.n_failed.total(), 0)
 
+    async def test_no_other_protocol_is_offered(self) -> None:
+        """Guards against protocols that no caller needs and whose errors are many."""
+        offers = {
+            h2c_upgrade(b"AAMAAABkAAQAAP__"): b"HTTP/1.1 200",
+            websocket_upgrade(): b"HTTP/1.1 200",
+            HTTP2_PREFACE: b"HTTP/1.1 505",
+        }
+
+        async def check(app: Application, address: str) -> None:
+            app.may_end.set()
+            for offer, status in offers.items():
+                async with await self.connect(address) as conn:
+                    await conn.send_all(offer)
+                    answer = await conn.receive_some()
+                    self.assertTrue(answer.startswith(status), answer)
+
+        await self.serve(check)
+        self.assertEqual(self.guard.n_failed, {})
+
+    async def test_answer_to_an_offer_keeps_the_connection(self) -> None:
+        async def check(app: Application, address: str) -> None:
+            conn = await self.connect(address)
+            for request in (websocket_upgrade(), GET):
+                await conn.send_all(request)
+                await self.check_whole(app, conn)
+
+        await self.serve(check)
+
     async def test_bad_texts(self) -> None:
         """Guards against a text that ends the answers of other connections."""
         rng = random.Random(49)
