Peers: an error on one link closes that link alone

What callers saw: a plain HTTP request to the peers' port whose end is read with its head (a port check, an aborted scrape) ended the router, without the peer key. So did a message whose handling fails, on the routers that received it.

Cause: links are served in one nursery too, and opening one catches three kinds of errors of the websocket library; here it raises AssertionError (`send_eof`). Links that the router dials run in the nursery of the network itself.

Change: accepted and dialled links run in the `ConnectionGuard`. A dialled link that fails counts as a failed dial, so that it is tried again after a wait.

Tests: `test_platform_connections.test_bad_connections_of_peers` failed before with exit code 1. `test_peer_network.test_message_whose_handling_fails` fails with a guard that suppresses nothing (KeyError out of the network), in both directions. `test_dialled_host_that_is_no_router` passes without the change too.

--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -27,6 +27,7 @@
 
 from corianderlb_core.message import MAX_MESSAGE_BYTES
 
+from .connection_guard import ConnectionGuard
 from .peer_link import (
     FrameRefusedError,
     LinkClosedError,
@@ -55,9 +56,12 @@
     tests control.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self, host: str, port: int, guard: ConnectionGuard | None = None
+    ) -> None:
         self._host = host
         self._port = port
+        self._guard = guard or ConnectionGuard()
 
     @asynccontextmanager
     async def dial(self, address: str) -> AsyncIterator[PeerLink]:
@@ -89,26 +93,37 @@
         handler: LinkHandler,
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept links until cancelled."""
+        """Accept links until cancelled; a link that fails ends no other."""
 
         async def handle(stream: trio.SocketStream) -> None:
-            websocket = _WebSocketLink(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
-            try:
-                with trio.fail_after(OPEN_TIMEOUT_S):
-                    await websocket.open_as_server()
-            except (LinkClosedError, InvalidHandshake, trio.TooSlowError):
-                await trio.aclose_forcefully(stream)
-                return
             try:
-                await handler(websocket)
+                host, port = stream.socket.getpeername()[:2]
+                with self._guard.confine("peers", f"{host}:{port}"):
+                    await self._serve_link(stream, handler)
+            except OSError:
+                # The peer has left meanwhile.
+                pass
             finally:
-                await websocket.aclose()
+                stream.socket.close()
 
         listeners = await trio.open_tcp_listeners(self._port, host=self._host)
         host, port = listeners[0].socket.getsockname()[:2]
         task_status.started(f"{host}:{port}")
         await trio.serve_listeners(handle, listeners)
 
+    @staticmethod
+    async def _serve_link(stream: trio.SocketStream, handler: LinkHandler) -> None:
+        websocket = _WebSocketLink(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
+        try:
+            with trio.fail_after(OPEN_TIMEOUT_S):
+                await websocket.open_as_server()
+        except (LinkClosedError, InvalidHandshake, trio.TooSlowError):
+            return
+        try:
+            await handler(websocket)
+        finally:
+            await websocket.aclose()
+
 
 class _WebSocketLink(PeerLink):
     """Link over one websocket."""
--- a/packages/corianderlb-router/src/corianderlb_router/composition.py
+++ b/packages/corianderlb-router/src/corianderlb_router/composition.py
@@ -114,9 +114,10 @@
             peer_address="",
             catalogue_version=0,
         )
-        transport = WebSocketTransport(cfg.listen.peer_host, cfg.listen.peer_port)
+        listen = cfg.listen
+        transport = WebSocketTransport(listen.peer_host, listen.peer_port, self.guard)
         key = read_secret(cfg.peer.key_file)
-        return OverlayNetwork(own, key, transport, cfg.peer, self.rng)
+        return OverlayNetwork(own, key, transport, cfg.peer, self.rng, self.guard)
 
     def _make_upstreams(self) -> None:
         """Create the directory, load readers and placement of upstream instances."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -306,8 +306,10 @@
             catalogue_version=0,
         )
         host, _, port = cfg.listen.peer.rpartition(":")
-        transport = WebSocketTransport(host, int(port))
-        return OverlayNetwork(own, cfg.peer_key, transport, cfg.peers, self._rng)
+        transport = WebSocketTransport(host, int(port), self._guard)
+        return OverlayNetwork(
+            own, cfg.peer_key, transport, cfg.peers, self._rng, self._guard
+        )
 
     def _make_copier(self) -> MemoryCopier | None:
         copier = self._ports.copier
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -46,6 +46,7 @@
 from ._link_choice import LinkChoice
 from ._link_table import LinkTable
 from ._peer_connection import PeerConnection, PeerCounters
+from .connection_guard import ConnectionGuard
 from .interface import N_FORWARDS, Handler, PeerNetwork
 from .peer_link import FrameRefusedError, LinkClosedError, PeerLink, PeerTransport
 from .store import InstanceList
@@ -112,6 +113,7 @@
         transport: PeerTransport,
         cfg: PeerSettings,
         rng: random.Random,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         self.counters = PeerCounters()
         """Traffic over the links."""
@@ -124,6 +126,7 @@
         self._transport = transport
         self._cfg = cfg
         self._rng = rng
+        self._guard = guard or ConnectionGuard()
         self._links = LinkTable(own.instance)
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
@@ -393,21 +396,27 @@
 
     async def _dial(self, state: MemberState) -> None:
         """Dial a router once, and run the link until it closes."""
-        is_authenticated = False
-        try:
-            async with self._transport.dial(state.peer_address) as link:
-                auth_link = await self._authenticate(link, partial(initiate, link))
-                if auth_link is not None:
-                    is_authenticated = True
-                    await self._run_link(auth_link, dialled=True)
-        except LinkClosedError:
-            pass
-        if not is_authenticated and state.instance not in self._links:
+        has_run = False
+        with self._guard.confine("peers", state.peer_address):
+            has_run = await self._run_dialled_link(state.peer_address)
+        if not has_run and state.instance not in self._links:
             self.counters.n_dials_failed += 1
             self._membership.record_unreachable(state.instance, trio.current_time())
             await trio.sleep(self._jittered_s(DIAL_RETRY_S))
         self._dialling.discard(state.instance)
 
+    async def _run_dialled_link(self, address: str) -> bool:
+        """Dial an address; return whether an authenticated link has run."""
+        try:
+            async with self._transport.dial(address) as link:
+                auth_link = await self._authenticate(link, partial(initiate, link))
+                if auth_link is None:
+                    return False
+                await self._run_link(auth_link, dialled=True)
+        except LinkClosedError:
+            return False
+        return True
+
     async def _accept_link(self, link: PeerLink) -> None:
         """Authenticate and run a link that another router opened."""
         if self._n_unauthenticated >= MAX_UNAUTHENTICATED:
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from unittest import mock
 
 import trio
@@ -25,6 +25,7 @@
 from corianderlb_router.peer_link import LinkClosedError, PeerLink
 from corianderlb_router.peer_network import OverlayNetwork
 from corianderlb_router.store import InstanceList
+from corianderlb_standins.connection_texts import bad_texts
 from corianderlb_standins.memory_transport import MemoryFabric
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 
@@ -451,6 +452,65 @@
                 self.assertGreater(networks[1].counters.n_bytes_in, 0)
                 nursery.cancel_scope.cancel()
 
+    async def test_dialled_host_that_is_no_router(self) -> None:
+        """Guards against an answer to a dial that ends the router."""
+        answers = [*bad_texts().values(), b"HTTP/1.1 101 \r\n\r\n", b""]
+
+        async def answer(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(answers[0])
+            await stream.aclose()
+
+        fleet = Fleet(1)
+        network = fleet.networks["r00"]
+        network._transport = WebSocketTransport("127.0.0.1", 0)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                await nursery.start(network.run)
+                while answers:
+                    ended = await network._run_dialled_link(f"127.0.0.1:{port}")
+                    self.assertFalse(ended)
+                    answers.pop(0)
+                nursery.cancel_scope.cancel()
+
+    async def test_message_whose_handling_fails(self) -> None:
+        """Guards against a peer whose message ends the routers that receive it."""
+
+        async def fail(sender: InstanceId, message: object) -> None:
+            raise KeyError("unknown")
+
+        for sender, receiver in (("r00", "r01"), ("r01", "r00")):
+            fleet = Fleet(2, listed=False)
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    records = []
+                    for record in fleet.records:
+                        network = fleet.networks[record.instance]
+                        network._transport = WebSocketTransport(
+                            "127.0.0.1", 0, network._guard
+                        )
+                        address = await nursery.start(network.run)
+                        records.append(
+                            dataclasses.replace(record, peer_address=address)
+                        )
+                    for network in fleet.networks.values():
+                        network.merge_list(InstanceList(2, tuple(records)))
+                    fleet.networks[receiver].subscribe(UpstreamLeaving, fail)
+                    while not fleet.networks[sender].linked():
+                        await trio.sleep(0.05)
+                    message = UpstreamLeaving(InstanceId("e1"), 7)
+                    fleet.networks[sender].broadcast(message)
+                    guard = fleet.networks[receiver]._guard
+                    while not guard.n_failed["peers"]:
+                        await trio.sleep(0.05)
+                    while fleet.networks[sender].linked():
+                        await trio.sleep(0.05)
+                    nursery.cancel_scope.cancel()
+
     async def test_dial_of_an_address_that_is_none(self) -> None:
         """Guards against a registration that ends every router."""
         transport = WebSocketTransport("127.0.0.1", 0)
