Servers: a write to a caller ends whole, with its connection, or with the server

What callers saw: nothing by themselves.

Cause: the write of the server is shielded and has no timeout, so that the router's own timeout of a caller (10 s, or `data_path.caller_stall_timeout_s`) cancels nothing there; and the wait for the connection's lock before it is not shielded.

Change: the wait and the write are shielded together and have the router's timeout, after which the connection closes. A server that is cancelled closes its connections, which ends their writes.

Tests: `test_http_server.test_caller_that_does_not_read` never ended before (stopped after 100 s); `test_message_that_is_cancelled_is_whole` failed before (no byte of the answer).

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -54,11 +54,16 @@
     """Serves the requests of one connection until either side closes it."""
 
     def __init__(
-        self, stream: trio.SocketStream, config: Config, context: WorkerContext
+        self,
+        stream: trio.SocketStream,
+        config: Config,
+        context: WorkerContext,
+        write_timeout_s: float,
     ) -> None:
         self._stream = stream
         self._config = config
         self._context = context
+        self._write_timeout_s = write_timeout_s
         self._send_lock = trio.Lock()
         self._idle_task = TrioSingleTask()
         self._tasks: TaskGroup
@@ -119,13 +124,21 @@
                 await self._idle_task.stop()
 
     async def _write(self, data: bytes) -> None:
-        async with self._send_lock:
-            try:
-                # Part of a message may be out once the write begins.
-                with trio.CancelScope(shield=True):
+        """Write data whole, or close the connection.
+
+        The protocol has counted the data as sent, so a cancellation ends neither the
+        wait for the lock nor the write; ``close`` and the timeout do.
+        """
+        deadline = trio.current_time() + self._write_timeout_s
+        with trio.CancelScope(shield=True, deadline=deadline) as scope:
+            async with self._send_lock:
+                try:
                     await self._stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                await self._protocol.handle(Closed())
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    await self._protocol.handle(Closed())
+        if scope.cancelled_caught:
+            self.close()
+            await self._protocol.handle(Closed())
 
     async def _close_when_idle(self) -> None:
         """Close after the keep-alive timeout, or once the server stops listening."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -27,7 +27,7 @@
 from .fleet_quarantine import FleetQuarantine
 from .fleet_usage import FleetUsage
 from .forward_app import ForwardApp, StatusApp
-from .forward_dispatcher import ForwardDispatcher
+from .forward_dispatcher import CALLER_STALL_TIMEOUT_S, ForwardDispatcher
 from .forward_metric import ForwardMetrics
 from .forward_parts import ForwardParts, ForwardSettings
 from .forward_request import ForwardProtocol
@@ -217,7 +217,9 @@
                 nursery.start_soon(server.run, trio.sleep_forever)
 
     def _make_server(self, name: str, address: str, app: Any) -> HttpServer:
-        cfg = HttpServerSettings(name, address, MAX_HEAD_BYTES)
+        cfg = HttpServerSettings(
+            name, address, MAX_HEAD_BYTES, write_timeout_s=CALLER_STALL_TIMEOUT_S
+        )
         return HttpServer(app, cfg, self._guard)
 
     # Tasks.
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -33,6 +33,8 @@
     """Longest request head; a longer one is answered with 431."""
     keep_alive_s: float = 5.0
     """Longest idle time of a connection."""
+    write_timeout_s: float = 10.0
+    """Longest time that a caller may not read what is written to it."""
     sends_date: bool = False
     """Whether answers have a ``date`` header."""
 
@@ -49,6 +51,8 @@
         self._app = ASGIWrapper(app)
         self._name = cfg.name
         self._guard = guard
+        self._write_timeout_s = cfg.write_timeout_s
+        self._open: set[HttpConnection] = set()
         self._context = WorkerContext(max_requests=None)
         self._config = Config()
         self._config.bind = [cfg.address]
@@ -81,6 +85,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(lifespan.handle_lifespan)
             await lifespan.wait_for_startup()
+            nursery.start_soon(self._close_all_when_cancelled)
             await self._serve(until, task_status)
             await lifespan.wait_for_shutdown()
             nursery.cancel_scope.cancel()
@@ -117,5 +122,20 @@
             # The caller has left meanwhile.
             sock.close()
             return
-        with self._guard.confine(self._name, peer):
-            await HttpConnection(stream, self._config, self._context).run(self._app)
+        conn = HttpConnection(
+            stream, self._config, self._context, self._write_timeout_s
+        )
+        self._open.add(conn)
+        try:
+            with self._guard.confine(self._name, peer):
+                await conn.run(self._app)
+        finally:
+            self._open.discard(conn)
+
+    async def _close_all_when_cancelled(self) -> None:
+        """Close the open connections, whose writes a cancellation does not end."""
+        try:
+            await trio.sleep_forever()
+        finally:
+            for conn in self._open:
+                conn.close()
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -71,6 +71,7 @@
             # Above the router's own limit, so that the router answers oversized heads.
             max_head_bytes=2 * self._settings.data_path.max_header_bytes,
             keep_alive_s=KEEP_ALIVE_TIMEOUT_S,
+            write_timeout_s=self._settings.data_path.caller_stall_timeout_s,
             sends_date=True,
         )
 
--- a/packages/corianderlb-router/tests/test_http_server.py
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -55,6 +55,24 @@
             self.n_left += 1
 
 
+class LargeAnswer(Application):
+    """Answers with more than the buffers of a connection hold."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.begun = trio.Event()
+        self.ended = trio.Event()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "lifespan":
+            await super().__call__(scope, receive, send)
+            return
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        self.begun.set()
+        await send({"type": "http.response.body", "body": bytes(1 << 26)})
+        self.ended.set()
+
+
 class FailingProtocol:
     """Raises an error on each connection that brings the bytes "fail"."""
 
@@ -80,10 +98,17 @@
         eliot.add_destinations(self.lines.append)
         self.addCleanup(eliot.remove_destination, self.lines.append)
 
-    async def serve(self, test: Callable[[Application, str], Awaitable[None]]) -> None:
+    async def serve(
+        self,
+        test: Callable[[Any, str], Awaitable[None]],
+        app: Any = None,
+        write_timeout_s: float = 10.0,
+    ) -> None:
         """Run a test with an application and its address."""
-        app = Application()
-        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
+        app = app or Application()
+        cfg = HttpServerSettings(
+            "callers", "127.0.0.1:0", 1 << 16, write_timeout_s=write_timeout_s
+        )
         server = HttpServer(app, cfg, self.guard)
         with trio.fail_after(BOUND_S):
             async with trio.open_nursery() as nursery:
@@ -167,6 +192,60 @@
         await self.serve(check)
         self.assertEqual(self.guard.n_failed.total(), 0)
 
+    async def test_caller_that_does_not_read(self) -> None:
+        """Guards against a write that no timeout and no cancellation ends."""
+        for ends_by in ("timeout", "cancellation"):
+            app = LargeAnswer()
+
+            async def check(
+                app: LargeAnswer, address: str, ends_by: str = ends_by
+            ) -> None:
+                conn = await self.connect(address)
+                await conn.send_all(GET)
+                await app.begun.wait()
+                await trio.sleep(0.1)
+                self.assertFalse(app.ended.is_set())
+                if ends_by == "timeout":
+                    await app.ended.wait()
+                    with self.assertRaises(trio.BrokenResourceError):
+                        while True:
+                            await conn.send_all(GET)
+
+            started_at = trio.current_time()
+            write_timeout_s = 0.5 if ends_by == "timeout" else 2 * BOUND_S
+            await self.serve(check, app, write_timeout_s)
+            self.assertLess(trio.current_time() - started_at, BOUND_S / 2, ends_by)
+
+    async def test_message_that_is_cancelled_is_whole(self) -> None:
+        """Guards against a head that is counted as sent and not written."""
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] == "lifespan":
+                await Application()(scope, receive, send)
+                return
+            for message in (
+                {"type": "http.response.start", "status": 200, "headers": []},
+                {"type": "http.response.body", "body": b"whole", "more_body": True},
+                {"type": "http.response.body", "body": b""},
+            ):
+                with trio.CancelScope() as cancelled:
+                    cancelled.cancel()
+                    await send(message)
+
+        async def check(app: Any, address: str) -> None:
+            conn = await self.connect(address)
+            await conn.send_all(GET)
+            answer = b""
+            while not answer.endswith(b"\r\n0\r\n\r\n"):
+                data = await conn.receive_some()
+                self.assertTrue(data, answer)
+                answer += data
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertIn(b"whole", answer)
+
+        await self.serve(check, app)
+        self.assertEqual(self.guard.n_failed, {})
+
     async def test_no_other_protocol_is_offered(self) -> None:
         """Guards against protocols that no caller needs and whose errors are many."""
         offers = {
