--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -51,16 +51,21 @@
 
 
 class HttpConnection:
-    """Serves the requests of one connection until either side closes it."""
+    """Serves the requests of one connection until either side closes it.
+
+    ``caller`` is the remote address of the stream.
+    """
 
     def __init__(
         self,
         stream: trio.SocketStream,
+        caller: tuple[Any, ...],
         config: Config,
         context: WorkerContext,
         write_timeout_s: float,
     ) -> None:
         self._stream = stream
+        self._caller = caller
         self._config = config
         self._context = context
         self._write_timeout_s = write_timeout_s
@@ -82,7 +87,7 @@
                     tasks,
                     ConnectionState({}),
                     False,
-                    parse_socket_addr(sock.family, sock.getpeername()),
+                    parse_socket_addr(sock.family, self._caller),
                     parse_socket_addr(sock.family, sock.getsockname()),
                     self._handle_event,
                 )
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -117,17 +117,17 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         sock = stream.socket
         try:
-            peer = repr_socket_addr(sock.family, sock.getpeername())
+            caller = sock.getpeername()
         except OSError:
             # The caller has left meanwhile.
             sock.close()
             return
         conn = HttpConnection(
-            stream, self._config, self._context, self._write_timeout_s
+            stream, caller, self._config, self._context, self._write_timeout_s
         )
         self._open.add(conn)
         try:
-            with self._guard.confine(self._name, peer):
+            with self._guard.confine(self._name, repr_socket_addr(sock.family, caller)):
                 await conn.run(self._app)
         finally:
             self._open.discard(conn)
