--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -185,8 +185,8 @@
         """Pass a message to the server; only a caller that does not read ends this.
 
         The server counts a message as sent before it writes the bytes. Cancelled in
-        between, it would go on as if the caller had them: after a head it answers a
-        second time, which ends the process.
+        between, it would go on as if the caller had them, and after a head it would
+        answer a second time.
         """
         with trio.CancelScope(shield=True) as scope:
             scope.deadline = trio.current_time() + self.stall_s
--- a/packages/corianderlb-router/tests/test_cancelled_write.py
+++ b/packages/corianderlb-router/tests/test_cancelled_write.py
@@ -147,7 +147,7 @@
         self.assertTrue(answer.endswith(b"5\r\nfirst\r\n"), answer)
 
     async def test_head_cancelled_at_the_servers_lock(self) -> None:
-        """Guards against a process that ends as a deadline passes at a head."""
+        """Guards against a second answer as a deadline passes at a head."""
 
         async def step(caller: CallerExchange) -> None:
             with trio.CancelScope() as cancelled:
