--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -807,6 +807,7 @@
     "text/event-stream",
     "transfer-encoding",
     "true",
+    "upgrade",
     '{"id":"%s"',
 ]
 
