Calls to the store: an answer that the library cannot read is a failed call

What callers saw: an answer of the store, or of what stands in for it on the way, whose `Content-Encoding` does not fit its body ended each router that got it.

A call catches the transport's errors; `httpx.DecodingError` is none, and the tasks that follow the store run in the nursery of the router.

Change: any error but a fault of the process fails the call. A read had no effect; a write may have taken effect, as before for a lost answer.

Test: `test_store_connection` failed before for bodies that are no gzip and not deflated, reads and writes alike.

--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -15,6 +15,7 @@
 import httpx
 import trio
 
+from .connection_guard import PROCESS_FAULTS
 from .store import StoreUnavailableError, StoreUnknownError
 
 CONNECT_TIMEOUT_SHARE: Final = 0.5
@@ -135,7 +136,10 @@
                 )
         except _NOT_SENT_ERRORS as exc:
             raise self.unavailable(kind, exc) from exc
-        except (httpx.TransportError, trio.TooSlowError) as exc:
+        except PROCESS_FAULTS:
+            raise
+        except Exception as exc:
+            # The library has more kinds of errors for an answer than can be listed.
             self._retire_if_unresponsive(pool, exc)
             raise self.lost(kind, exc) from exc
         finally:
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -64,3 +64,18 @@
     for _ in range(rng.randint(0, 4)):
         text[rng.randrange(len(text))] = rng.randrange(256)
     return bytes(text[: rng.randint(1, len(text))])
+
+
+def bad_answers() -> dict[str, bytes]:
+    """Return answers by name that no HTTP client can read to their end."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    encoded = head + b"content-length: 4\r\ncontent-encoding: "
+    return {
+        "nothing": b"",
+        "no text": bytes(range(256)),
+        "cut body": head + b"content-length: 5\r\n\r\nab",
+        "chunk without a size": head + b"transfer-encoding: chunked\r\n\r\nzz\r\nab",
+        "two lengths": head + b"content-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        "body that is not gzip": encoded + b"gzip\r\n\r\nabcd",
+        "body that is not deflated": encoded + b"deflate\r\n\r\n\xff\xff\xff\xff",
+    }
