--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -22,8 +22,8 @@
 """Most bytes taken from a socket at once."""
 
 
-class Http1Connection(h11.Connection):
-    """State of an HTTP/1 connection that offers no change to another protocol.
+class Http1State(h11.Connection):
+    """Protocol state of a connection that offers nothing but HTTP/1.
 
     A server may ignore ``Upgrade``; the request is then answered over HTTP/1.
     """
@@ -91,7 +91,7 @@
                     parse_socket_addr(sock.family, sock.getsockname()),
                     self._handle_event,
                 )
-                self._protocol.connection = Http1Connection(
+                self._protocol.connection = Http1State(
                     h11.SERVER,
                     max_incomplete_event_size=self._config.h11_max_incomplete_size,
                 )
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -16,6 +16,7 @@
 from corianderlb_core.result import ResultCode
 
 from .connection import Connector, UpstreamError
+from .http_client import make_client
 from .transport import FRESH, SEND_BEFORE, UNTIL_CLOSE, UpstreamTransport
 
 WRITE_TIMEOUT_S: Final = 10.0
@@ -85,7 +86,7 @@
 
     def __init__(self, connector: Connector) -> None:
         self._transport = UpstreamTransport(connector)
-        self._http = httpx.AsyncClient(transport=self._transport, trust_env=False)
+        self._http = make_client(transport=self._transport)
 
     async def open(
         self, outbound: Outbound, timeouts: ExchangeTimeouts
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -79,3 +79,10 @@
         "body that is not gzip": encoded + b"gzip\r\n\r\nabcd",
         "body that is not deflated": encoded + b"deflate\r\n\r\n\xff\xff\xff\xff",
     }
+
+
+def cookie_answer(cookie: bytes) -> bytes:
+    """Build an empty answer that sets a cookie."""
+    return (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nset-cookie: " + cookie + b"\r\n\r\n"
+    )
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -1,10 +1,13 @@
-"""HTTP client for calls between the processes of one machine."""
+"""HTTP client and host for calls between the processes of one machine."""
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import httpx
+import trio
 
 
 def loopback_client(**options: Any) -> httpx.AsyncClient:
@@ -18,3 +21,31 @@
             await http.get("http://127.0.0.1:8080/healthz")
     """
     return httpx.AsyncClient(verify=False, trust_env=False, **options)
+
+
+class RawHost:
+    """Host that answers each request with the same bytes and closes the connection."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.address = ""
+        """``host:port``, once it listens."""
+        self.requests: list[bytes] = []
+        """What was received first on each connection."""
+        self._answer = answer
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[RawHost]:
+        """Listen while the context is open."""
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            host, port = listeners[0].socket.getsockname()
+            self.address = f"{host}:{port}"
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            yield self
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            self.requests.append(await stream.receive_some())
+            await stream.send_all(self._answer)
+        await trio.aclose_forcefully(stream)
