--- a/packages/corianderlb-core/src/corianderlb_core/forwarding.py
+++ b/packages/corianderlb-core/src/corianderlb_core/forwarding.py
@@ -244,6 +244,9 @@
     """The store's revision of the entry."""
     weights: tuple[tuple[str, int], ...] = ()
     """Weights version by model, as the instance last reported."""
+    software_version: str = ""
+    """Version of the instance's software. What two versions write to one stream does
+    not fit together."""
 
     @cached_property
     def incarnation_key(self) -> tuple[str, int]:
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -21,7 +21,7 @@
 PROTOCOL_VERSION: Final = 1
 """Incremented by changes that older routers cannot ignore."""
 
-LEVEL: Final = 4
+LEVEL: Final = 5
 """Level of the messages that this router understands, announced when a link opens.
 
 A router sends a message type above level 0 only over links whose peer has its level,
@@ -545,6 +545,49 @@
     outcome: TunnelOutcome
 
 
+@dataclass(frozen=True)
+class StreamOrigin:
+    """The software version of the instance that began a stream."""
+
+    key: bytes
+    """Digest of the client account and of the request id that names the stream."""
+    upstream: str
+    version: str
+    left_ms: int
+    """How much longer a caller may resume the stream, when this was sent."""
+
+
+@dataclass(frozen=True)
+class StreamOriginsUpdate:
+    """Origins of streams that the sender has begun, to be kept for other routers."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclass(frozen=True)
+class StreamOriginRequest:
+    """Request to a peer for the origin of a stream, if it knows it."""
+
+    ask: int
+    """Number of the request; returned in the answer."""
+    key: bytes
+    upstreams: tuple[str, ...]
+    """The upstreams that may have begun the stream."""
+
+
+@dataclass(frozen=True)
+class StreamOriginAnswer:
+    """Answer to a ``StreamOriginRequest``."""
+
+    ask: int
+    origins: tuple[StreamOrigin, ...] = ()
+    """The origin; empty if the sender does not know it."""
+    versions: tuple[tuple[str, str], ...] = ()
+    """Upstream and software version of the instances that the sender has seen."""
+    observed_ms: int = 0
+    """How far back ``versions`` reaches."""
+
+
 Message: TypeAlias = (
     Challenge
     | Hello
@@ -579,6 +622,9 @@
     | RefusalLimitUpdate
     | TunnelRequest
     | TunnelAnswer
+    | StreamOriginsUpdate
+    | StreamOriginRequest
+    | StreamOriginAnswer
 )
 
 _TYPES: Final[dict[str, type]] = {
@@ -615,6 +661,9 @@
     "RefusalLimitUpdate": RefusalLimitUpdate,
     "TunnelRequest": TunnelRequest,
     "TunnelAnswer": TunnelAnswer,
+    "StreamOriginsUpdate": StreamOriginsUpdate,
+    "StreamOriginRequest": StreamOriginRequest,
+    "StreamOriginAnswer": StreamOriginAnswer,
 }
 """Message classes by wire name. Classes may be renamed, but these names may not."""
 
@@ -630,6 +679,9 @@
     RefusalLimitUpdate: 4,
     TunnelRequest: 4,
     TunnelAnswer: 4,
+    StreamOriginsUpdate: 5,
+    StreamOriginRequest: 5,
+    StreamOriginAnswer: 5,
 }
 """Levels above 0, by message class."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -42,6 +42,8 @@
     QUARANTINED = 208
     UPSTREAM_REFUSED = 209
     STALE_CONFIGURATION = 210
+    STREAM_ORIGIN_UNKNOWN = 211
+    STREAM_VERSION_GONE = 212
     # 3xx: the request may have run.
     OUTCOME_UNKNOWN = 300
     CALL_IN_PROGRESS = 301
@@ -155,6 +157,12 @@
     ),
     ResultCode.UPSTREAM_REFUSED: _info(503, _NOT_RUN, True, _RETRY_LATER),
     ResultCode.STALE_CONFIGURATION: _info(503, _NOT_RUN, True, "Try another instance."),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: _info(
+        503, _NOT_RUN, True, "Resume at another instance, or begin the stream anew."
+    ),
+    ResultCode.STREAM_VERSION_GONE: _info(
+        503, _NOT_RUN, True, "Resume after Retry-After, or begin the stream anew."
+    ),
     ResultCode.OUTCOME_UNKNOWN: _info(
         502,
         _MAY_HAVE_RUN,
--- /dev/null
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -0,0 +1,157 @@
+"""Software versions that began streams, and those that upstreams have had lately.
+
+A stream may only go on at an instance of the software version that began it. A router
+that is asked for the rest of a stream may not have begun it; these tables tell what it
+knows of the stream, and which versions can have begun one that it does not know.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, replace
+from typing import Final
+
+from .message import StreamOrigin
+from .part_index import IncarnationKey
+
+KEY_BYTES: Final = 12
+"""Bytes of a stream's key; 96 bits make collisions negligible."""
+
+MAX_STREAMS: Final = 20_000
+"""Maximum number of streams to remember; the oldest are dropped first."""
+
+MAX_ADVANCE_MS: Final = 500
+"""Largest difference between the clocks of two machines. An instance takes longer to
+restart."""
+
+
+def stream_key(account: str, request_id: str) -> bytes:
+    """Return the key of a stream, which only its own account can name.
+
+    For example ``stream_key("acme", "q1") != stream_key("other", "q1")``.
+    """
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for text in (account, request_id):
+        data = text.encode("utf-8", "surrogatepass")
+        digest.update(b"%d:" % len(data) + data)
+    return digest.digest()
+
+
+@dataclass(frozen=True)
+class KnownOrigin:
+    """Origin of a stream as known to one router."""
+
+    key: bytes
+    upstream: str
+    version: str
+    expires_at: float
+    """When no caller can resume it any more, on the router's clock."""
+    incarnation: IncarnationKey | None = None
+    """The incarnation that began it; None if another router began it."""
+    began_ms: int = 0
+    """Unix milliseconds at which this router sent the request."""
+
+    def announcement(self, now: float) -> StreamOrigin:
+        """Return the announcement for other routers."""
+        left_ms = round((self.expires_at - now) * 1000)
+        return StreamOrigin(self.key, self.upstream, self.version, left_ms)
+
+
+class OriginTable:
+    """Origins of streams by key, bounded in number and time."""
+
+    def __init__(self) -> None:
+        self._origins: OrderedDict[bytes, KnownOrigin] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._origins)
+
+    def record(self, origin: KnownOrigin, now: float) -> None:
+        """Record an origin; it replaces what was known of its stream."""
+        self._origins[origin.key] = origin
+        self._origins.move_to_end(origin.key)
+        while len(self._origins) > MAX_STREAMS or self._is_oldest_expired(now):
+            self._origins.popitem(last=False)
+
+    def find(self, key: bytes, now: float) -> KnownOrigin | None:
+        """Return the origin of a stream, or None if it is unknown or expired."""
+        origin = self._origins.get(key)
+        return origin if origin is not None and origin.expires_at > now else None
+
+    def own(self, upstream: str, now: float) -> tuple[KnownOrigin, ...]:
+        """Return the streams of an upstream that this router has begun."""
+        return tuple(
+            origin
+            for origin in self._origins.values()
+            if origin.upstream == upstream
+            and origin.incarnation is not None
+            and origin.expires_at > now
+        )
+
+    def correct(
+        self, old: IncarnationKey, new: IncarnationKey, version: str, now: float
+    ) -> tuple[KnownOrigin, ...]:
+        """Correct the streams begun before the newest entry of an instance was known.
+
+        An instance can restart with another software version before its new entry
+        arrives. Returns the corrected origins.
+        """
+        corrected = tuple(
+            replace(origin, incarnation=new, version=version)
+            for origin in self._streams_of(old)
+            if old == new or origin.began_ms >= new[1] - MAX_ADVANCE_MS
+        )
+        for origin in corrected:
+            self.record(origin, now)
+        return corrected
+
+    def _streams_of(self, incarnation: IncarnationKey) -> Iterator[KnownOrigin]:
+        return (o for o in self._origins.values() if o.incarnation == incarnation)
+
+    def _is_oldest_expired(self, now: float) -> bool:
+        oldest = next(iter(self._origins.values()), None)
+        return oldest is not None and oldest.expires_at <= now
+
+
+class VersionHistory:
+    """Software versions of one upstream's instances, as one router has seen them."""
+
+    def __init__(self, now: float) -> None:
+        self.since = now
+        """From when on the versions are known."""
+        self._seen_at: dict[str, float] = {}
+        """Time at which each version was last seen; infinite while it is present."""
+        self._sole = ""
+        self.mixed_since: float = -math.inf
+        """When another version last joined."""
+
+    def observe(self, versions: Collection[str], now: float, keep_s: float) -> bool:
+        """Record the present versions; return whether one has joined others.
+
+        Versions that were last seen more than ``keep_s`` ago are forgotten.
+        """
+        for version in [v for v, at in self._seen_at.items() if at < now - keep_s]:
+            del self._seen_at[version]
+        for version, seen_at in self._seen_at.items():
+            if seen_at == math.inf and version not in versions:
+                self._seen_at[version] = now
+        before = set(self._seen_at)
+        self._seen_at.update(dict.fromkeys(versions, math.inf))
+        has_joined = bool(before) and not before.issuperset(versions)
+        if has_joined:
+            self.mixed_since = now
+            self._sole = before.pop() if len(before) == 1 else ""
+        return has_joined
+
+    def recent(self, now: float, within_s: float) -> frozenset[str]:
+        """Return the versions that were present within the last ``within_s``."""
+        return frozenset(
+            version for version, at in self._seen_at.items() if at >= now - within_s
+        )
+
+    def sole_before_mix(self, now: float, within_s: float) -> str:
+        """Return the version that was alone until ``within_s`` ago; empty if none."""
+        return self._sole if now - self.mixed_since < within_s else ""
--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -35,6 +35,7 @@
                 "corianderlb_forwarded_total",
                 "corianderlb_forward_attempts_total",
                 "corianderlb_forward_prompt_tokens_total",
+                "corianderlb_streams_resumed_total",
             )
         }
         for name in (
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -211,9 +211,10 @@
     ) -> EngineView | None:
         """Return the engine that a run may move to, or None when there is none.
 
-        It must have the same weights version. The engine with the fewest requests is
-        preferred; another availability zone counts as one request more. No run moves
-        later than ``FALLBACK_MARGIN_S`` before its weights exceed the age ``limit_s``.
+        It must have the same weights and software version. The engine with the fewest
+        requests is preferred; another availability zone counts as one request more. No
+        run moves later than ``FALLBACK_MARGIN_S`` before its weights exceed the age
+        ``limit_s``.
         """
         now = trio.current_time()
         version = source.weights_version
@@ -223,6 +224,7 @@
             view
             for view in self._views(upstream, model)
             if view.weights_version == version
+            and view.instance.software_version == source.instance.software_version
             and view.instance.incarnation_key != source.instance.incarnation_key
             and self.weights.phase(view.instance) in FALLBACK_PHASES
             and self._health.may_send(view.instance.incarnation_key)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -18,6 +18,7 @@
 from corianderlb_core.identity import RequestId
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
+from corianderlb_core.stream_origin import stream_key
 
 from .caller import (
     LATE_RETRY_S,
@@ -34,9 +35,16 @@
 from .forward_relay import EventRelay, Relay, WholeRelay
 from .forward_request import ForwardRequest
 from .forward_run import ForwardRun
-from .forward_target import EngineTarget, ServiceTarget, Target, pick_upstream
+from .forward_target import (
+    VERSION_RETRY_S,
+    EngineTarget,
+    ServiceTarget,
+    Target,
+    pick_upstream,
+)
 from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
+from .stream_origins import ResumedOrigin
 
 UNCONFIRMED_S: Final = WATCH_S + 1.5
 """Age from which the configuration is unconfirmed, so that an unknown route or key may
@@ -48,6 +56,10 @@
 DRAINING_RETRY_S: Final = 0.05
 """Retry-after time of a draining router: short, since another router can take it."""
 
+UNKNOWN_RETRY_S: Final = 0.3
+"""Retry-after time of a resumed stream that is unknown here: another router may know
+it."""
+
 CALLER_STALL_TIMEOUT_S: Final = 10.0
 """How long a write to a caller may block."""
 
@@ -131,11 +143,17 @@
         refusal = self._parts.quarantine.refusal(digest)
         if refusal is not None:
             raise RequestRefusedError(refusal)
+        origin = await self._resumed_origin(req, route, account)
+        request_log.origin = origin
         self._parts.usage.apply(cfg)
         usage = self._parts.usage.charge(account, req.prompt, left_s)
-        upstream = pick_upstream(route, self._parts.rng)
+        upstream = origin.upstream if origin else pick_upstream(route, self._parts.rng)
         self._parts.record_request(upstream)
         target = self._target(req, route, account, upstream)
+        if route.kind is RepeatKind.STREAM and route.may_resume:
+            target.stream_key = _stream_key(account, req.resumes or req.request_id)
+        if origin is not None:
+            target.bind(origin.version)
         relay = self._relay(req, route, caller)
         job = ForwardJob(
             self._parts,
@@ -157,6 +175,29 @@
             if not run.may_have_run:
                 usage.refund()
 
+    async def _resumed_origin(
+        self, req: ForwardRequest, route: ForwardRoute, account: ForwardAccount | None
+    ) -> ResumedOrigin | None:
+        """Return where a resumed stream has to go on; None for a new request.
+
+        Refuse it if that is unknown: its events would not fit those of another version.
+        """
+        if route.kind is not RepeatKind.STREAM or req.resume_after is None:
+            return None
+        key = _stream_key(account, req.resumes) if req.resumes else None
+        origin = await self._parts.origins.resolve(key, route)
+        shares = [share.upstream for share in route.shares]
+        is_gone = origin is not None and origin.upstream not in shares
+        source = "gone" if is_gone else origin.source if origin else "unknown"
+        self._parts.metrics.stream_resumed(source)
+        if is_gone:
+            detail = "The route no longer leads to the service that began the stream."
+            raise refuse(ResultCode.STREAM_VERSION_GONE, detail, VERSION_RETRY_S)
+        if origin is None:
+            detail = "No router knows which software version began the stream."
+            raise refuse(ResultCode.STREAM_ORIGIN_UNKNOWN, detail, UNKNOWN_RETRY_S)
+        return origin
+
     async def _run_until_deadline(
         self, caller: ForwardCaller, run: ForwardRun, deadline: float
     ) -> None:
@@ -228,6 +269,10 @@
         return WholeRelay(caller)
 
 
+def _stream_key(account: ForwardAccount | None, request_id: str) -> bytes:
+    return stream_key(account.name if account else "", request_id)
+
+
 class _RequestLog:
     """Collects the fields of a request's log line, written when the request ends."""
 
@@ -238,6 +283,7 @@
         self.route: ForwardRoute | None = None
         self.account: ForwardAccount | None = None
         self.run: ForwardRun | None = None
+        self.origin: ResumedOrigin | None = None
         self.read_at: float | None = None
         """When the whole request had been read, on the router's clock."""
         self.detail = ""
@@ -271,6 +317,9 @@
             configuration_age_ms=round((now - parts.state.configuration_since) * 1000),
             confirmed=parts.state.is_confirmed(UNCONFIRMED_S),
             attempts=list(self.run.attempt_records) if self.run else [],
+            resumes=self.req.resumes if self.req else "",
+            stream_version=self.origin.version if self.origin else "",
+            version_source=self.origin.source if self.origin else "",
             detail=self.detail,
         )
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -59,6 +59,10 @@
         self._record(name, n_missing, {"source": "read"})
         self._record(name, max(0, n_prompt - n_missing), {"source": "cached"})
 
+    def stream_resumed(self, source: str) -> None:
+        """Count a resumed stream by how its software version was learnt."""
+        self._record("corianderlb_streams_resumed_total", 1, {"source": source})
+
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Register a gauge that is read at each scrape."""
         self._gauges[f"corianderlb_{name}"] = read
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -48,6 +48,7 @@
 from .serving_state import ServingState
 from .state_follower import StateFollower
 from .store import InstanceList, ObjectStore
+from .stream_origins import StreamOrigins
 from .transport import UpstreamTransport
 from .weights_controller import WeightsController
 
@@ -175,6 +176,7 @@
             permits=self._permits,
             rng=self._rng,
             paths=self._paths,
+            origins=StreamOrigins(ports.state, self._peers),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             copier=self._make_copier(),
@@ -224,6 +226,7 @@
             self._limits.run,
             self._refusals.run,
             self._paths.run,
+            self._parts.origins.run,
         ]
 
     def _serve_status(self, nursery: trio.Nursery) -> None:
@@ -387,6 +390,7 @@
         metrics.watch("resting_instances", lambda: self._permits.n_resting)
         metrics.watch("doubted_instances", lambda: self._paths.n_doubted)
         metrics.watch("carried_tunnels", lambda: self._tunnel_server.n_open)
+        metrics.watch("known_streams", lambda: len(self._parts.origins))
         metrics.watch("known_parts", lambda: len(self._engines.index))
         metrics.watch("failed_connections", lambda: self._guard.n_failed.total())
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -28,6 +28,7 @@
 from .peer_tunnel import Tunnels
 from .send_permits import SendPermits
 from .serving_state import ServingState
+from .stream_origins import StreamOrigins
 from .transport import UpstreamTransport
 
 
@@ -66,6 +67,7 @@
     permits: SendPermits
     rng: random.Random
     paths: PathWatch
+    origins: StreamOrigins
     tunnels: Tunnels | None = None
     """Connections to instances through other routers; None without any."""
     started_at: float = -math.inf
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -39,6 +39,8 @@
         self.caller = caller
         self.reserve_retry: Callable[[], bool] = lambda: False
         """Reserves an attempt in place of a silent one; False if none can follow."""
+        self.on_begin: Callable[[], None] = lambda: None
+        """Called before the first event is sent to the caller."""
 
     @abstractmethod
     async def relay_answer(
@@ -186,6 +188,7 @@
         # One scope for all writes: entering one for each event costs more.
         scope.deadline = now + caller.stall_s
         if not caller.started:
+            self.on_begin()
             await caller.start(head.status, list(head.headers))
         await caller.write(data)
         scope.deadline = math.inf
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -33,6 +33,8 @@
     prompt: Prompt | None = None
     resume_after: int | None = None
     """Number of the last event of this stream that the caller has received."""
+    resumes: str = ""
+    """Id of the request that brought the first event of a resumed stream."""
 
     def resumed(self, after: int | None) -> ForwardRequest:
         """Return the request for the rest of its stream."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -29,7 +29,13 @@
 )
 from .forward_caller import StreamCutError
 from .forward_relay import RESERVE_INTERVAL_S, WrongAnswerError
-from .forward_target import NO_INSTANCE_RETRY_S, WITHHELD, NoPlacement, Placement
+from .forward_target import (
+    NO_INSTANCE_RETRY_S,
+    VERSION_GONE,
+    WITHHELD,
+    NoPlacement,
+    Placement,
+)
 from .in_flight import InFlightAttempt
 from .run_mover import RunMovedError
 
@@ -57,6 +63,10 @@
 """Maximum number of failed connections before a request is refused. Without it, a
 request would reconnect in a tight loop until its deadline."""
 
+VERSION_WAIT_S: Final = 3.0
+"""How long a begun answer waits for an instance of its software version: as long as one
+that crashed takes to come back."""
+
 LIVENESS_CHECK_TIMEOUT_S: Final = 0.3
 """Timeout of the connection that checks whether an instance still listens."""
 
@@ -92,6 +102,8 @@
     """Time until the deadline of the request."""
     via: str = ""
     """The router that carried the connection; empty for a direct one."""
+    software: str = ""
+    """Software version of the instance, by its entry."""
 
 
 class ForwardRun:
@@ -184,7 +196,10 @@
 
     async def _choose_placement(self) -> Placement:
         """Return a placement, waiting briefly for one; refuse if there is none."""
-        waits_until = trio.current_time() + MAX_WAIT_SHARE * self._route.objective_s
+        wait_s = MAX_WAIT_SHARE * self._route.objective_s
+        if self._caller.started and self._target.is_bound:
+            wait_s = max(wait_s, VERSION_WAIT_S)
+        waits_until = trio.current_time() + wait_s
         while True:
             now = trio.current_time()
             found = self._target.choose(self._avoid, self._objective_left_s(now))
@@ -195,6 +210,8 @@
                 self._avoid.clear()
                 await trio.sleep(POLL_S)
                 continue
+            if found.reason == VERSION_GONE and not self._caller.started:
+                raise self._no_placement_refusal(found)
             is_withheld = found.reason == WITHHELD
             ready_at = now + (found.retry_after_s if is_withheld else 0.0)
             may_wait = is_withheld and self._caller.started
@@ -214,6 +231,9 @@
         objective_s = self._route.objective_s
         if self._caller.started:
             return math.inf
+        if self._job.req.resume_after is not None:
+            # Its caller has the first events already; the rest is of use until the end.
+            return max(0.0, self._deadline - now)
         left_s = self._caller.arrived_at + objective_s - now
         is_retry = is_retry or bool(self.attempt_records)
         return max(left_s, MIN_RETRY_SHARE * objective_s if is_retry else 0.0)
@@ -221,8 +241,12 @@
     def _no_placement_refusal(self, found: NoPlacement) -> RequestRefusedError:
         if self.may_have_run:
             return refuse(ResultCode.UPSTREAM_FAILED, "No other instance has capacity.")
-        is_full = found.reason in ("queue", WITHHELD)
-        code = ResultCode.QUEUE_FULL if is_full else ResultCode.NO_UPSTREAM
+        if found.reason == VERSION_GONE:
+            code = ResultCode.STREAM_VERSION_GONE
+        elif found.reason in ("queue", WITHHELD):
+            code = ResultCode.QUEUE_FULL
+        else:
+            code = ResultCode.NO_UPSTREAM
         detail = f"{found.reason}: {found.detail}" if found.detail else found.reason
         left_s = self._deadline - trio.current_time()
         estimate_s = self._parts.retry_delay_s(
@@ -247,8 +271,11 @@
         instance = placement.instance
         if not parts.state.accepts_requests(instance):
             raise NotRunError("the instance is leaving", sent=False)
+        if not self._target.may_run(instance):
+            raise NotRunError("not the stream's software version", sent=False)
         if not parts.permits.take(instance):
             raise NotRunError("the instance takes no request now", sent=False)
+        self._begin_stream(placement)
         self._n_sent += 1
         key = f"{self._job.req.request_id}.{self._n_sent}"
         started_at = trio.current_time()
@@ -290,6 +317,19 @@
         parts.quarantine.clear(self._digest)
         self._record_attempt(placement, "ok", started_at)
 
+    def _begin_stream(self, placement: Placement) -> None:
+        """Make known which software version is about to run the stream.
+
+        Its first event binds it to that version; until then another one may run it.
+        """
+        target = self._target
+        if target.stream_key is None or target.is_bound:
+            return
+
+        version = placement.instance.software_version
+        self._relay.on_begin = lambda: target.bind(version)
+        self._parts.origins.began(target.stream_key, placement.instance, self._route)
+
     @contextmanager
     def _track_in_flight(
         self, key: str, placement: Placement, first_at: list[float]
@@ -543,6 +583,7 @@
             round(took_s * 1000),
             round(placement.estimate_s * 1000),
             detail,
+            software=placement.instance.software_version,
         )
         choice = placement.choice
         if choice is not None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -34,6 +34,12 @@
 WITHHELD: Final = "withheld"
 """Reason of ``NoPlacement`` if every instance has said that it takes nothing now."""
 
+VERSION_GONE: Final = "version_gone"
+"""Reason of ``NoPlacement`` if no instance has the software version of the stream."""
+
+VERSION_RETRY_S: Final = 2.0
+"""Retry-after time then: about what an instance that crashed takes to come back."""
+
 WITHDRAW_MARGIN_S: Final = 0.5
 """Margin before the age limit of replaced weights at which a request is withdrawn. It
 covers scheduling delays and the time that the close takes to arrive."""
@@ -86,11 +92,60 @@
         self.req = req
         self.route = route
         self.account = account
+        self.stream_key: bytes | None = None
+        """Key of the stream; None for a request whose answer can't be resumed."""
+        self._software_version: str | None = None
 
     @abstractmethod
     def choose(self, avoid: Collection[IncarnationKey], objective_left_s: float):
         """Return a ``Placement``, or ``NoPlacement`` with the reason."""
 
+    def bind(self, version: str) -> None:
+        """Allow only one software version from now on, since the stream has begun."""
+        self._software_version = version
+
+    @property
+    def is_bound(self) -> bool:
+        """Whether only one software version may go on."""
+        return self._software_version is not None
+
+    @property
+    def software_version(self) -> str | None:
+        """The only software version that may run the request; None for any.
+
+        It can be corrected when an instance turns out to have restarted.
+        """
+        if self.is_bound and self.stream_key is not None:
+            known = self.parts.origins.version_of(self.stream_key)
+            if known is not None:
+                self._software_version = known
+        return self._software_version
+
+    def may_run(self, instance: ForwardInstance) -> bool:
+        """Return whether an instance has the software version of the stream."""
+        version = self.software_version
+        return version is None or self.parts.origins.runs_version(instance, version)
+
+    def _other_versions(self, upstream: str) -> list[IncarnationKey]:
+        """Return the instances that may not go on with the stream."""
+        if not self.is_bound:
+            return []
+        return [
+            instance.incarnation_key
+            for instance in self.parts.state.instances(upstream)
+            if not self.may_run(instance)
+        ]
+
+    def _gone(self, upstream: str) -> NoPlacement | None:
+        """Return the reason if no instance has the software version of the stream."""
+        version = self.software_version
+        others = self.parts.state.instances(upstream)
+        if version is None or not others:
+            return None
+        if any(instance.software_version == version for instance in others):
+            return None
+        return NoPlacement(VERSION_GONE, VERSION_RETRY_S, version)
+
     def fallback(self, placement: Placement) -> Placement | None:
         """Return a placement to move a run to, or None."""
         return None
@@ -98,9 +153,11 @@
     def may_take(self, placement: Placement) -> bool:
         """Return whether an instance still accepts new work."""
         instance = placement.instance
-        return self.parts.state.accepts_requests(
-            instance
-        ) and self.parts.permits.may_send(instance)
+        return (
+            self.may_run(instance)
+            and self.parts.state.accepts_requests(instance)
+            and self.parts.permits.may_send(instance)
+        )
 
     def begin_before(self, placement: Placement) -> float:
         """Return the time by which an instance must begin the request.
@@ -126,6 +183,7 @@
 
     def unreached(self, placement: Placement) -> None:
         """Record that a connection to the instance failed."""
+        self.parts.origins.record_refused(placement.instance)
 
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Record that an attempt has ended."""
@@ -165,6 +223,7 @@
         """
         parts = self.parts
         now = trio.current_time()
+        avoid = {*avoid, *self._other_versions(self.upstream)}
         known = [
             instance
             for instance in parts.state.instances(self.upstream)
@@ -173,7 +232,8 @@
         ]
         if not known:
             no_instance = NoPlacement("no_instance", NO_INSTANCE_RETRY_S)
-            return self._withheld(self.upstream) or no_instance
+            withheld = self._withheld(self.upstream)
+            return self._gone(self.upstream) or withheld or no_instance
         known = allowed_or_all(
             known, lambda item: parts.health.may_send(item.incarnation_key)
         )
@@ -235,10 +295,12 @@
         query = self._query(objective_left_s)
         if query is None:
             return NoPlacement("no_configuration", NO_INSTANCE_RETRY_S)
-        choice = self.parts.engines.choose(query, self.upstream, tuple(avoid))
+        avoid = (*avoid, *self._other_versions(self.upstream))
+        choice = self.parts.engines.choose(query, self.upstream, avoid)
         if choice is None:
             no_engine = NoPlacement("no_engine", NO_INSTANCE_RETRY_S)
-            return self._withheld(self.upstream) or no_engine
+            withheld = self._withheld(self.upstream)
+            return self._gone(self.upstream) or withheld or no_engine
         if not choice.in_time:
             detail = (
                 f"{choice.view.instance.instance} would start in "
@@ -351,6 +413,7 @@
 
     def unreached(self, placement: Placement) -> None:
         """Back off from the engine, and announce to peers that it is unreachable."""
+        super().unreached(placement)
         self.parts.engines.unreached(placement.instance)
 
     def _query(self, objective_left_s: float) -> EngineQuery | None:
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -0,0 +1,396 @@
+"""Keep streams at the software version that began them, over all routers.
+
+While an upstream has instances of several software versions, a router announces the
+version of each stream to some peers before it sends the request. A router that is asked
+for the rest of a stream asks its peers. While there has been one version for as long as
+a stream can last, nothing is announced: it is the one that began all streams.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+import eliot
+import trio
+
+from corianderlb_core.forwarding import (
+    ForwardConfiguration,
+    ForwardInstance,
+    ForwardRoute,
+    RepeatKind,
+)
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.message import (
+    StreamOrigin,
+    StreamOriginAnswer,
+    StreamOriginRequest,
+    StreamOriginsUpdate,
+)
+from corianderlb_core.part_index import IncarnationKey
+from corianderlb_core.stream_origin import KnownOrigin, OriginTable, VersionHistory
+
+from .interface import PeerNetwork
+from .serving_state import ServingState
+
+N_KEEPERS: Final = 8
+"""Peers to which the origin of a stream is announced. Of 78 routers with 16 links each,
+five in six then have a link to one of them; of 9 routers, all."""
+
+ASK_TIMEOUT_S: Final = 0.25
+"""Longest wait for the answers of peers. A peer that hangs must not hold a stream up
+for longer than its caller notices."""
+
+MIN_LIFETIME_S: Final = 15.0
+"""Shortest time for which streams are remembered, whatever the route's timeout."""
+
+MAX_LIFETIME_S: Final = 600.0
+"""Longest time for which streams are remembered; bounds the memory of unread ones."""
+
+UNANNOUNCED_S: Final = 2.0
+"""Time after a second version appeared in which a stream that no peer knows is one that
+was begun before. Its router may have ended before it could announce it."""
+
+MAX_ORIGINS_PER_MESSAGE: Final = 500
+"""Maximum number of streams in one message."""
+
+MAX_ASKS: Final = 1000
+"""Maximum number of requests to the peers at the same time."""
+
+
+@dataclass(frozen=True)
+class ResumedOrigin:
+    """Where a resumed stream has to go on."""
+
+    upstream: str
+    version: str
+    source: str
+    """How it was learnt: ``own``, ``peer``, ``only`` version, or alone ``before``."""
+
+
+@dataclass
+class _Ask:
+    """A request to the peers and the answers received so far."""
+
+    n_expected: int
+    answers: list[StreamOriginAnswer] = field(default_factory=list)
+    done: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        return next(
+            (answer.origins[0] for answer in self.answers if answer.origins), None
+        )
+
+
+class StreamOrigins:
+    """Knows the software version that began each stream, or asks the peers for it."""
+
+    def __init__(
+        self,
+        state: ServingState,
+        peers: PeerNetwork,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._wall_clock = wall_clock
+        self._table = OriginTable()
+        self._histories: dict[str, VersionHistory] = {}
+        self._entries: dict[str, ForwardInstance] = {}
+        self._observed_change = -1
+        self._lifetime_of: ForwardConfiguration | None = None
+        self._kept_lifetime_s = MIN_LIFETIME_S
+        self._asks: dict[int, _Ask] = {}
+        self._n_asks = 0
+        self._refused_revisions: dict[IncarnationKey, int] = {}
+        peers.subscribe(StreamOriginsUpdate, self.on_update)
+        peers.subscribe(StreamOriginRequest, self.on_request)
+        peers.subscribe(StreamOriginAnswer, self.on_answer)
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    async def run(self) -> None:
+        """Watch the software versions of the instances until cancelled."""
+        while True:
+            changed = self._state.changed
+            self._observe()
+            await changed.wait()
+
+    # Streams that this router begins.
+
+    def began(self, key: bytes, instance: ForwardInstance, route: ForwardRoute) -> None:
+        """Record the version of a stream whose request is about to be sent.
+
+        Peers have to know it before the first event reaches the caller, since this
+        router may be killed right after it.
+        """
+        self._observe()
+        now = trio.current_time()
+        origin = KnownOrigin(
+            key,
+            instance.upstream,
+            instance.software_version,
+            now + self._lifetime_s,
+            instance.incarnation_key,
+            round(self._wall_clock() * 1000),
+        )
+        known = self._table.find(key, now)
+        self._table.record(origin, now)
+        if known is not None and known.version == origin.version:
+            return
+        is_covered = self._observed_s(route, now) >= self._lifetime_s
+        if not is_covered or len(self._recent(route, now)) > 1:
+            self._announce([origin])
+
+    def version_of(self, key: bytes) -> str | None:
+        """Return the version that began a stream; None if it is not known here."""
+        origin = self._table.find(key, trio.current_time())
+        return origin.version if origin else None
+
+    # Instances.
+
+    def record_refused(self, instance: ForwardInstance) -> None:
+        """Record that an instance refused a connection, so that it may have restarted.
+
+        Its version is not known then before it renews its entry.
+        """
+        known = self._state.instance(instance.instance)
+        if known is not None and known.incarnation_key == instance.incarnation_key:
+            self._refused_revisions[known.incarnation_key] = known.revision
+
+    def runs_version(self, instance: ForwardInstance, version: str) -> bool:
+        """Return whether an instance is known to run a software version now."""
+        known = self._state.instance(instance.instance)
+        if known is None or known.incarnation_key != instance.incarnation_key:
+            return False
+        refused_revision = self._refused_revisions.get(known.incarnation_key, -1)
+        return known.software_version == version and known.revision > refused_revision
+
+    # Streams that a caller resumes.
+
+    async def resolve(
+        self, key: bytes | None, route: ForwardRoute
+    ) -> ResumedOrigin | None:
+        """Return where a stream has to go on, or None if that cannot be known.
+
+        ``key`` is None for a caller that does not name the stream.
+        """
+        self._observe()
+        now = trio.current_time()
+        known = self._table.find(key, now) if key else None
+        if known is not None:
+            return ResumedOrigin(known.upstream, known.version, "own")
+        versions = self._recent(route, now)
+        is_covered = self._observed_s(route, now) >= self._lifetime_s
+        if len(versions) == 1 and is_covered:
+            return ResumedOrigin(*next(iter(versions)), "only")
+        answers: Sequence[StreamOriginAnswer] = ()
+        if key:
+            ask = await self._ask(key, route)
+            if ask.origin is not None:
+                return self._learn(ask.origin)
+            answers = ask.answers
+        return self._exclude(route, answers)
+
+    def _exclude(
+        self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
+    ) -> ResumedOrigin | None:
+        """Return the only version that can have begun a stream that nobody knows."""
+        now = trio.current_time()
+        versions = set(self._recent(route, now))
+        observed_s = self._observed_s(route, now)
+        for answer in answers:
+            versions.update(answer.versions)
+            observed_s = max(observed_s, answer.observed_ms / 1000)
+        if len(versions) == 1:
+            is_covered = observed_s >= self._lifetime_s
+            if is_covered or not self._has_newcomer(route):
+                return ResumedOrigin(*versions.pop(), "only")
+            return None
+        sole = {
+            (name, history.sole_before_mix(now, UNANNOUNCED_S))
+            for name, history in self._histories_of(route)
+        }
+        if len(sole) == 1 and next(iter(sole))[1]:
+            return ResumedOrigin(*sole.pop(), "before")
+        return None
+
+    def _has_newcomer(self, route: ForwardRoute) -> bool:
+        """Return whether an instance of the route started lately.
+
+        It may have replaced one of another version. Without a newcomer, the versions of
+        now are those of before.
+        """
+        oldest_ms = (self._wall_clock() - self._lifetime_s) * 1000
+        names = {share.upstream for share in route.shares}
+        return any(
+            instance.upstream in names
+            and (not instance.born_ms or instance.born_ms > oldest_ms)
+            for instance in self._state.all_instances()
+        )
+
+    async def _ask(self, key: bytes, route: ForwardRoute) -> _Ask:
+        """Ask the peers for a stream; return once one knows it or all have answered."""
+        ask = _Ask(0)
+        if len(self._asks) >= MAX_ASKS:
+            return ask
+        self._n_asks += 1
+        number = self._n_asks
+        names = tuple(share.upstream for share in route.shares)
+        self._asks[number] = ask
+        try:
+            request = StreamOriginRequest(number, key, names)
+            ask.n_expected = self._peers.broadcast(request)
+            if ask.n_expected:
+                with trio.move_on_after(ASK_TIMEOUT_S):
+                    await ask.done.wait()
+        finally:
+            del self._asks[number]
+        return ask
+
+    def _learn(self, announced: StreamOrigin) -> ResumedOrigin:
+        """Record an origin that a peer has named, and keep it known."""
+        origin = self._record_announced(announced)
+        return ResumedOrigin(origin.upstream, origin.version, "peer")
+
+    # Messages of peers.
+
+    async def on_update(self, sender: InstanceId, update: StreamOriginsUpdate) -> None:
+        """Keep origins that a peer announces."""
+        for announced in update.origins:
+            self._record_announced(announced)
+
+    async def on_request(self, sender: InstanceId, req: StreamOriginRequest) -> None:
+        """Answer a peer that was asked for the rest of a stream."""
+        self._observe()
+        now = trio.current_time()
+        known = self._table.find(req.key, now)
+        found = [(name, self._histories.get(name)) for name in req.upstreams]
+        versions = tuple(
+            (name, version)
+            for name, history in found
+            if history
+            for version in sorted(history.recent(now, self._lifetime_s))
+        )
+        observed_s = min((now - h.since if h else 0.0 for _, h in found), default=0.0)
+        origins = (known.announcement(now),) if known else ()
+        answer = StreamOriginAnswer(
+            req.ask, origins, versions, max(0, round(observed_s * 1000))
+        )
+        self._peers.send(sender, answer)
+
+    async def on_answer(self, sender: InstanceId, answer: StreamOriginAnswer) -> None:
+        """Record the answer of a peer."""
+        ask = self._asks.get(answer.ask)
+        if ask is None:
+            return
+        ask.answers.append(answer)
+        if answer.origins or len(ask.answers) >= ask.n_expected:
+            ask.done.set()
+
+    def _record_announced(self, announced: StreamOrigin) -> KnownOrigin:
+        now = trio.current_time()
+        left_s = min(announced.left_ms / 1000, MAX_LIFETIME_S)
+        origin = KnownOrigin(
+            announced.key, announced.upstream, announced.version, now + left_s
+        )
+        self._table.record(origin, now)
+        return origin
+
+    def _announce(self, origins: Sequence[KnownOrigin]) -> None:
+        now = trio.current_time()
+        for start in range(0, len(origins), MAX_ORIGINS_PER_MESSAGE):
+            part = origins[start : start + MAX_ORIGINS_PER_MESSAGE]
+            update = StreamOriginsUpdate(tuple(o.announcement(now) for o in part))
+            self._peers.forward_update(update, N_KEEPERS)
+
+    # Software versions of the instances.
+
+    @property
+    def _lifetime_s(self) -> float:
+        """How long callers may resume a stream: as long as their routes let them wait.
+
+        One time for all routes: a version has to stay known for the longest of them.
+        """
+        cfg = self._state.configuration
+        if cfg is not self._lifetime_of:
+            self._lifetime_of = cfg
+            routes = cfg.routes if cfg else ()
+            timeouts = [r.timeout_s for r in routes if r.kind is RepeatKind.STREAM]
+            longest_s = max((MIN_LIFETIME_S, *timeouts))
+            self._kept_lifetime_s = min(longest_s, MAX_LIFETIME_S)
+        return self._kept_lifetime_s
+
+    def _histories_of(self, route: ForwardRoute) -> list[tuple[str, VersionHistory]]:
+        now = trio.current_time()
+        names = dict.fromkeys(share.upstream for share in route.shares)
+        return [
+            (name, self._histories.get(name) or VersionHistory(now)) for name in names
+        ]
+
+    def _recent(self, route: ForwardRoute, now: float) -> set[tuple[str, str]]:
+        """Return the upstreams and versions that can have begun a stream of a route."""
+        return {
+            (name, version)
+            for name, history in self._histories_of(route)
+            for version in history.recent(now, self._lifetime_s)
+        }
+
+    def _observed_s(self, route: ForwardRoute, now: float) -> float:
+        """Return for how long this router has known the versions of a route."""
+        return min(now - history.since for _, history in self._histories_of(route))
+
+    def _observe(self) -> None:
+        """Record the present versions if the instances have changed."""
+        if self._observed_change == self._state.n_engine_changes:
+            return
+        self._observed_change = self._state.n_engine_changes
+        now = trio.current_time()
+        present: dict[str, set[str]] = {name: set() for name in self._histories}
+        for instance in self._state.all_instances():
+            versions = present.setdefault(instance.upstream, set())
+            versions.add(instance.software_version)
+            self._compare_entry(instance)
+        for name, versions in present.items():
+            history = self._histories.get(name)
+            if history is None:
+                history = self._histories[name] = VersionHistory(now)
+            if history.observe(versions, now, self._lifetime_s):
+                self._log_mix(name, sorted(history.recent(now, self._lifetime_s)))
+                # Those begun while there was one version were not announced.
+                self._announce(self._table.own(name, now))
+        self._drop_stale()
+
+    @staticmethod
+    def _log_mix(upstream: str, versions: Sequence[str]) -> None:
+        eliot.log_message(
+            message_type="upstream:software", upstream=upstream, versions=versions
+        )
+
+    def _compare_entry(self, instance: ForwardInstance) -> None:
+        """Correct the streams of an instance that restarted with another version."""
+        before = self._entries.get(instance.instance)
+        self._entries[instance.instance] = instance
+        if before is None or before.software_version == instance.software_version:
+            return
+        if not (before.born_ms and instance.born_ms):
+            return
+        corrected = self._table.correct(
+            before.incarnation_key,
+            instance.incarnation_key,
+            instance.software_version,
+            trio.current_time(),
+        )
+        if corrected:
+            self._announce(corrected)
+
+    def _drop_stale(self) -> None:
+        """Drop entries of instances that are gone."""
+        names = {instance.instance for instance in self._state.all_instances()}
+        for name in [name for name in self._entries if name not in names]:
+            gone = self._entries.pop(name)
+            self._refused_revisions.pop(gone.incarnation_key, None)
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -295,6 +295,12 @@
         self._handlers[cls] = handler
 
     def send(self, peer: InstanceId, message: Message) -> bool:
+        for other in self._others:
+            if other._name == peer and not (self._is_cut_off or other._is_cut_off):
+                handler = other._handlers.get(type(message))
+                if handler is not None:
+                    trio.lowlevel.spawn_system_task(handler, self._name, message)
+                    return True
         return False
 
     def broadcast(self, message: Message) -> int:
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -60,6 +60,7 @@
 from corianderlb_router.path_watch import PathWatch
 from corianderlb_router.send_permits import SendPermits
 from corianderlb_router.serving_state import ServingState
+from corianderlb_router.stream_origins import StreamOrigins
 from corianderlb_router.transport import UpstreamTransport
 from data_path_fakes import FakeCaller, FakePeers
 
@@ -180,6 +181,8 @@
             api_key=headers.get("x-key", ""),
             deadline_s=float(left) if left else float("inf"),
             prompt=prompt,
+            resume_after=int(headers["x-after"]) if "x-after" in headers else None,
+            resumes=headers.get("x-resumes", ""),
         )
 
     def upstream_headers(self, req: ForwardRequest, terms: SendTerms) -> Headers:
@@ -412,6 +415,7 @@
             permits=self.permits,
             rng=rng,
             paths=PathWatch(self.state, self.permits),
+            origins=StreamOrigins(self.state, self.peers),
         )
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
 
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -196,6 +196,8 @@
 corianderlb_in_flight gauge
 corianderlb_known_parts
 corianderlb_known_parts gauge
+corianderlb_known_streams
+corianderlb_known_streams gauge
 corianderlb_limited_instances
 corianderlb_limited_instances gauge
 corianderlb_log_lines_left_out
@@ -206,6 +208,8 @@
 corianderlb_routers gauge
 corianderlb_store_lost
 corianderlb_store_lost gauge
+corianderlb_streams_resumed_total counter
+corianderlb_streams_resumed_total source
 """
 
 COUNTERS = """\
@@ -297,7 +301,7 @@
 quarantine:crash crash n_suspects
 request:ended account attempts configuration configuration_age_ms confirmed detail
     first_ms longest_pause_ms objective_ms pause_objective_ms read_ms request result
-    route status took_ms whole
+    resumes route status stream_version took_ms version_source whole
 retry:charged live_routers request requests retries routers upstream
 roster:not_entered reason
 roster:unreadable key reason
@@ -326,6 +330,7 @@
 upstream:removed instance
 upstream:rest born_ms instance rest_ms
 upstream:rest epoch instance rest_ms
+upstream:software upstream versions
 usage:refused account burst cost heard_share rate_per_s retry_after_ms routers unit used
 weights:load_ended has_version instance is_timeout model took_ms version
 weights:named age_ms exact model source version
@@ -349,6 +354,7 @@
 silent_ms
 left_ms
 via
+software
 """
 
 CHARTS = {
@@ -441,8 +447,9 @@
     metrics.request_ended("OK", "stream", 0.2, 0.1)
     metrics.attempt_ended("ok", is_repeat=False)
     metrics.prompt_sent(1, 3)
+    metrics.stream_resumed("peer")
     node = mock.MagicMock()
-    node._parts = SimpleNamespace(metrics=metrics, n_routers=1)
+    node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=())
     node._ports.state.configuration = None
     node._log.n_dropped_lines = 0
     node._guard.n_failed = Counter()
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -0,0 +1,172 @@
+"""Tests of streams that may only go on at the software version that began them."""
+
+from __future__ import annotations
+
+import trio
+
+from corianderlb_standins.trio_case import TrioTestCase
+from data_path_fakes import FakeCaller
+from forward_builders import (
+    ForwardRouter,
+    Upstream,
+    a_fleet,
+    a_router,
+    a_stream,
+    an_instance,
+    break_off,
+)
+
+PROMPT = "a:100,own:50"
+
+
+def list_versions(router: ForwardRouter, revision: int = 30, **software: str) -> None:
+    """List engines with a software version each."""
+    engines = [
+        an_instance(name, "llm", software_version=version, revision=revision)
+        for name, version in software.items()
+    ]
+    router.list_instances(*engines, revision=revision)
+
+
+async def resume(
+    router: ForwardRouter, after: int = 2, resumes: str = "q1", **headers: str
+) -> FakeCaller:
+    """Take up a stream after some events."""
+    named = {"x_id": "q2", "x_after": str(after), "x_prompt": PROMPT, **headers}
+    if resumes:
+        named["x_resumes"] = resumes
+    caller = await router.ask("/long/7", **named)
+    await trio.sleep(0)
+    return caller
+
+
+def n_requests(upstreams: dict[str, Upstream]) -> dict[str, int]:
+    """Return the number of requests that reached each upstream."""
+    return {name: len(known.requests) for name, known in upstreams.items()}
+
+
+class RepeatTest(TrioTestCase):
+    async def test_repeat_within_an_answer_keeps_the_version(self) -> None:
+        """Guards against an answer with events of two software versions."""
+        for _ in range(5):
+            upstreams = {f"e{n}": Upstream([break_off], closes=True) for n in (1, 2, 3)}
+            async with a_router(**upstreams) as router:
+                list_versions(router, e1="v1", e2="v2", e3="v2")
+                await router.ask("/long/7", x_prompt=PROMPT)
+                software = {"e1": "v1", "e2": "v2", "e3": "v2"}
+                sent = [name for name, n in n_requests(upstreams).items() if n]
+                self.assertEqual(len({software[name] for name in sent}), 1)
+
+    async def test_stream_without_an_event_is_free(self) -> None:
+        """Guards against a stream that is kept from engines before it has begun."""
+        refuses = Upstream([b""], closes=True)
+        async with a_router(e1=refuses, e2=Upstream([a_stream(1, 3)])) as router:
+            list_versions(router, e1="v1", e2="v2")
+            for number in range(6):
+                caller = await router.ask("/long/7", x_prompt=PROMPT, x_id=f"q{number}")
+                self.assertEqual(caller.status, 200)
+
+
+class ResumeTest(TrioTestCase):
+    async def test_resumed_stream_goes_to_its_version(self) -> None:
+        upstreams = {f"e{n}": Upstream([a_stream(1, 2)]) for n in (1, 2, 3, 4)}
+        async with a_fleet(2, **upstreams) as (first, second):
+            for router in (first, second):
+                list_versions(router, e1="v1", e2="v1", e3="v2", e4="v2")
+            for number in range(8):
+                request_id = f"s{number}"
+                before = n_requests(upstreams)
+                await first.ask("/long/7", x_prompt=PROMPT, x_id=request_id)
+                await trio.testing.wait_all_tasks_blocked()
+                between = n_requests(upstreams)
+                began = [name for name in before if between[name] > before[name]]
+                for engine in upstreams.values():
+                    engine.script = [a_stream(3, 4)]
+                caller = await resume(second, resumes=request_id, x_id=f"r{number}")
+                after = n_requests(upstreams)
+                went_on = [name for name in before if after[name] > between[name]]
+                self.assertEqual(caller.status, 200)
+                versions = {"e1": "v1", "e2": "v1", "e3": "v2", "e4": "v2"}
+                self.assertEqual(versions[began[0]], versions[went_on[0]])
+                for engine in upstreams.values():
+                    engine.script = [a_stream(1, 2)]
+
+    async def test_unknown_stream_is_refused_among_several_versions(self) -> None:
+        """Guards against taking up a stream that no reachable router knows."""
+        upstreams = {"e1": Upstream([a_stream(3, 4)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1", e2="v2")
+            for resumes in ("never", ""):
+                caller = await resume(router, resumes=resumes)
+                self.assertEqual(caller.status, 503)
+                self.assertIn("retry-after", caller.answer_headers)
+            self.assertEqual(n_requests(upstreams), {"e1": 0, "e2": 0})
+
+    async def test_unknown_stream_goes_on_where_one_version_serves(self) -> None:
+        upstreams = {"e1": Upstream([a_stream(3, 4)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1", e2="v1")
+            for resumes in ("never", ""):
+                caller = await resume(router, resumes=resumes)
+                self.assertEqual(caller.status, 200)
+
+    async def test_stream_of_another_account_is_unknown(self) -> None:
+        """Guards against learning of another account's streams by their ids."""
+        upstreams = {"e1": Upstream([a_stream(1, 2)]), "e2": Upstream([a_stream(1, 2)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1", e2="v2")
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            self.assertEqual((await resume(router, x_key="key-w")).status, 503)
+            self.assertEqual((await resume(router)).status, 200)
+
+    async def test_version_is_gone(self) -> None:
+        """Guards against callers that wait for an engine that will not come."""
+        upstreams = {"e1": Upstream([a_stream(1, 2)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1")
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            list_versions(router, revision=40, e2="v2")
+            began_at = trio.current_time()
+            caller = await resume(router)
+            self.assertEqual(caller.status, 503)
+            self.assertLess(trio.current_time() - began_at, 0.05)
+            self.assertEqual(n_requests(upstreams)["e2"], 0)
+
+    async def test_version_replaced_just_now(self) -> None:
+        """Guards against streams begun before there was a second version to tell."""
+        upstreams = {"e1": Upstream([a_stream(3, 4)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1")
+            # The first observation; the router that began the stream is gone.
+            router.parts.origins._observe()
+            list_versions(router, revision=40, e1="v1", e2="v2")
+            self.assertEqual((await resume(router)).status, 200)
+            self.assertEqual(n_requests(upstreams), {"e1": 1, "e2": 0})
+            await trio.sleep(3.0)
+            self.assertEqual((await resume(router, resumes="q9")).status, 503)
+
+    async def test_peer_that_does_not_answer(self) -> None:
+        """Guards against a resumed stream that waits for a peer until its deadline."""
+        upstreams = {"e1": Upstream([a_stream(3, 4)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_fleet(2, **upstreams) as (first, second):
+            for router in (first, second):
+                list_versions(router, e1="v1", e2="v2")
+            second.peers.cut_off()
+            began_at = trio.current_time()
+            caller = await resume(first)
+            self.assertEqual(caller.status, 503)
+            self.assertLess(trio.current_time() - began_at, 0.5)
+
+    async def test_refused_connection_until_the_entry_is_renewed(self) -> None:
+        """Guards against an instance that may have restarted with other software."""
+        engine = Upstream([a_stream(1, 2)])
+        async with a_router(e1=engine, e2=Upstream([a_stream(1, 2)])) as router:
+            list_versions(router, e1="v1", e2="v2")
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            began = "e1" if engine.requests else "e2"
+            versions = {"e1": "v1", "e2": "v2"}
+            instance = router.state.instance(began)
+            router.parts.origins.record_refused(instance)
+            self.assertEqual((await resume(router)).status, 503)
+            list_versions(router, revision=40, **versions)
+            self.assertEqual((await resume(router)).status, 200)
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -203,6 +203,20 @@
 TunnelRequest instance
 TunnelRequest born_ms
 TunnelAnswer outcome = open|refused|silent|unknown|cut_off|busy
+StreamOriginsUpdate origins[].key
+StreamOriginsUpdate origins[].upstream
+StreamOriginsUpdate origins[].version
+StreamOriginsUpdate origins[].left_ms
+StreamOriginRequest ask
+StreamOriginRequest key
+StreamOriginRequest upstreams[]
+StreamOriginAnswer ask
+StreamOriginAnswer origins[].key
+StreamOriginAnswer origins[].upstream
+StreamOriginAnswer origins[].version
+StreamOriginAnswer origins[].left_ms
+StreamOriginAnswer versions[](2)
+StreamOriginAnswer observed_ms
 """
 
 FRAMES = {
@@ -494,6 +508,31 @@
         "83016c54756e6e656c416e73776572a1676f7574636f6d65676375745f6f6666",
         {"outcome": "cut_off"},
     ),
+    "StreamOriginsUpdate": (
+        "83017353747265616d4f726967696e73557064617465a1676f726967696e7381"
+        "a4636b65794c01010101010101010101010168757073747265616d636c6c6d67"
+        "76657273696f6e627631676c6566745f6d73192328",
+        {
+            "origins": (
+                {
+                    "key": b"\x01" * 12,
+                    "upstream": "llm",
+                    "version": "v1",
+                    "left_ms": 9000,
+                },
+            )
+        },
+    ),
+    "StreamOriginRequest": (
+        "83017353747265616d4f726967696e52657175657374a36361736b07636b6579"
+        "4c01010101010101010101010169757073747265616d7381636c6c6d",
+        {"ask": 7, "key": b"\x01" * 12, "upstreams": ("llm",)},
+    ),
+    "StreamOriginAnswer": (
+        "83017253747265616d4f726967696e416e73776572a36361736b076876657273"
+        "696f6e738182636c6c6d6276316b6f627365727665645f6d73190fa0",
+        {"ask": 7, "versions": (("llm", "v1"),), "observed_ms": 4000},
+    ),
     "EngineNews": (
         "83016a456e67696e654e657773a364776f726b81a668696e7374616e63656265"
         "3167626f726e5f6d731903e86f6e5f756e726561645f746f6b656e73146a6e5f"
@@ -590,6 +629,8 @@
 QUARANTINED 208 503 no
 UPSTREAM_REFUSED 209 503 no
 STALE_CONFIGURATION 210 503 no
+STREAM_ORIGIN_UNKNOWN 211 503 no
+STREAM_VERSION_GONE 212 503 no
 OUTCOME_UNKNOWN 300 502 unknown
 CALL_IN_PROGRESS 301 409 unknown
 STREAM_BROKEN 302 502 yes
@@ -806,7 +847,8 @@
 Heartbeat Hello HotPrefixes InstanceLimitUpdate InstancesListed InstancesRequest
 LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector
 RefusalLimitUpdate StateAnswer
-StateChanges StateObjects StateOffer StateRequest SuspectCleared TunnelAnswer
+StateChanges StateObjects StateOffer StateRequest StreamOriginAnswer
+StreamOriginRequest StreamOriginsUpdate SuspectCleared TunnelAnswer
 TunnelRequest UpstreamLeaving
 UpstreamLife UsageUpdate WeightsNews Welcome adapter after attempt_id authorization body
 changed_in chat.completion.chunk choices class code connect connection content data
