Quarantine: learn the prompt part that crashes instances, over the fleet

Cause: the quarantine knew whole requests only, by account, target and body. No two requests with the part are alike, so that nothing was ever counted twice. The class of fault: evidence is kept under a key that holds more than the cause, and never adds up.

Change: crash reports carry the shared parts of the requests that the instance had just begun, with their number and how long ago the newest was sent. Requests that wait are checked before each send. Broadcasts are kept for routers that start by type, so that clearances push out no crash reports.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -259,6 +259,22 @@
     """Seconds until the primary router has capacity again; 0 if it still has some."""
 
 
+@dataclass(frozen=True)
+class SuspectPart:
+    """A shared prompt part of requests that had hardly begun when an instance crashed.
+
+    An instance that a part crashes does so soon after it begins an answer on it.
+    """
+
+    digest: bytes
+    n_requests: int
+    """Such requests of the sender with this part."""
+    sent_ms: int
+    """Time from sending the newest of them until the crash was detected."""
+    depth: int
+    """Parts before it in the prompt."""
+
+
 @dataclass(frozen=True)
 class CrashReport:
     """Report of the requests in flight on an upstream instance when it crashed."""
@@ -269,13 +285,17 @@
     """Body digests of the requests in flight."""
     age_s: float = 0.0
     """Seconds since the crash was detected."""
+    reporter: str = ""
+    """The router whose requests these are."""
+    parts: tuple[SuspectPart, ...] = ()
 
 
 @dataclass(frozen=True)
 class SuspectCleared:
-    """Announcement that a suspect request completed without crashing an instance."""
+    """Announcement that a suspect request, or one with a suspect part, completed."""
 
     body_digest: bytes
+    """Digest of the request, or of the part."""
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -96,6 +96,8 @@
     """What the request was charged to its account."""
     digest: bytes
     """Digest of account, method, target and body, equal for repeats of a request."""
+    part_digests: tuple[bytes, ...] = ()
+    """Digests of the shared parts of its prompt."""
 
 
 class ForwardAttempt:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -16,6 +16,7 @@
     RepeatKind,
 )
 from corianderlb_core.identity import RequestId
+from corianderlb_core.quarantine import part_digest
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
 from corianderlb_core.stream_origin import stream_key
@@ -140,7 +141,15 @@
             account.name if account else "",
             req.method.encode() + b" " + req.target + b"\n" + body,
         )
-        refusal = self._parts.quarantine.refusal(digest)
+        prompt = req.prompt
+        part_digests = (
+            tuple(
+                part_digest(prompt.model, part.part_id) for part in prompt.shared_parts
+            )
+            if prompt
+            else ()
+        )
+        refusal = self._parts.quarantine.admit(digest, part_digests)
         if refusal is not None:
             raise RequestRefusedError(refusal)
         origin = await self._resumed_origin(req, route, account)
@@ -166,6 +175,7 @@
             body,
             usage,
             digest,
+            part_digests,
         )
         run = ForwardRun(job)
         request_log.run = run
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -15,6 +15,7 @@
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
 from corianderlb_core.part_index import IncarnationKey
+from corianderlb_core.quarantine import PartRequest, suspect_parts
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
 
@@ -118,7 +119,10 @@
         self._caller = job.caller
         self._deadline = job.deadline
         self._digest = job.digest
+        self._part_digests = job.part_digests
         self._avoid: set[IncarnationKey] = set()
+        self._last_sent: PartRequest | None = None
+        """The last attempt that has ended, for the parts of its prompt."""
         self._n_sent = 0
         self._n_runs = 0
         """Runs counted against the route's ``max_attempts``."""
@@ -273,6 +277,7 @@
             raise NotRunError("the instance is leaving", sent=False)
         if not self._target.may_run(instance):
             raise NotRunError("not the stream's software version", sent=False)
+        self._check_quarantine()
         if not parts.permits.take(instance):
             raise NotRunError("the instance takes no request now", sent=False)
         self._begin_stream(placement)
@@ -293,6 +298,7 @@
             attempt.received_at = trio.current_time()
             if not first_at:
                 first_at.append(attempt.received_at)
+                parts.in_flight.begun(AttemptId(key), attempt.received_at)
                 seconds = attempt.received_at - started_at
                 self._target.first_byte(key, placement, seconds)
 
@@ -314,9 +320,20 @@
                     # failed otherwise: log which instance had the request.
                     self._record_attempt(placement, "abandoned", started_at)
         parts.health.succeeded(instance.incarnation_key)
-        parts.quarantine.clear(self._digest)
+        parts.quarantine.clear(self._digest, self._part_digests)
         self._record_attempt(placement, "ok", started_at)
 
+    def _check_quarantine(self) -> None:
+        """Refuse a request that was quarantined while it waited."""
+        refusal = self._quarantine_refusal()
+        if refusal is None:
+            return
+        if self._caller.started:
+            raise StreamCutError(refusal.detail)
+        if self.may_have_run:
+            raise refuse(ResultCode.UPSTREAM_FAILED, refusal.detail)
+        raise RequestRefusedError(refusal)
+
     def _begin_stream(self, placement: Placement) -> None:
         """Make known which software version is about to run the stream.
 
@@ -338,13 +355,22 @@
         parts = self._parts
         instance = placement.instance
         incarnation = Incarnation(InstanceId(instance.instance), instance.born_ms)
-        tracked = InFlightAttempt(AttemptId(key), incarnation, self._digest)
+        sent_at = trio.current_time()
+        tracked = InFlightAttempt(
+            AttemptId(key),
+            incarnation,
+            self._digest,
+            part_digests=self._part_digests,
+            sent_at=sent_at,
+        )
         parts.in_flight.begin(tracked)
         parts.health.started(instance.incarnation_key)
         self._target.sent(key, placement)
         try:
             yield
         finally:
+            begun_at = first_at[0] if first_at else None
+            self._last_sent = PartRequest(self._part_digests, sent_at, begun_at)
             parts.in_flight.end(AttemptId(key))
             parts.health.ended(instance.incarnation_key)
             self._target.ended(key, placement, has_first_token=bool(first_at))
@@ -428,7 +454,14 @@
             self._may_run_again
             and self._has_attempt_left(n_more)
             and not (self._caller.started and self._relay.resume_after is None)
-            and self._parts.quarantine.refusal(self._digest) is None
+            and self._quarantine_refusal() is None
+        )
+
+    def _quarantine_refusal(self) -> Refusal | None:
+        """Return a refusal if the request, or a part of its prompt, is quarantined."""
+        quarantine = self._parts.quarantine
+        return quarantine.refusal(self._digest) or quarantine.part_refusal(
+            self._part_digests
         )
 
     def _reserve_retry(self, silent: Placement) -> bool:
@@ -556,6 +589,10 @@
         instance = placement.instance
         name = InstanceId(instance.instance)
         suspects = (*parts.in_flight.suspects(name), self._digest)
+        begun = parts.in_flight.part_requests(name)
+        if self._last_sent is not None:
+            begun.append(self._last_sent)
+        suspected_parts = suspect_parts(begun, trio.current_time())
         try:
             conn = await parts.transport.pool.take(
                 instance.address, fresh=True, connect_s=LIVENESS_CHECK_TIMEOUT_S
@@ -565,7 +602,9 @@
                 return
             tunnels = parts.tunnels
             if tunnels is None or not await tunnels.reaches(instance):
-                parts.quarantine.report_crash(name, instance.born_ms, suspects)
+                parts.quarantine.report_crash(
+                    name, instance.born_ms, suspects, suspected_parts
+                )
             return
         await conn.close()
 
--- a/packages/corianderlb-router/src/corianderlb_router/in_flight.py
+++ b/packages/corianderlb-router/src/corianderlb_router/in_flight.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
+from corianderlb_core.quarantine import PartRequest
 
 
 @dataclass(frozen=True)
@@ -16,6 +17,10 @@
     body_digest: bytes
     is_exclusive: bool = False
     """True for a suspect: no other suspect is sent to its instance meanwhile."""
+    part_digests: tuple[bytes, ...] = ()
+    """Digests of the shared parts of its prompt."""
+    sent_at: float = 0.0
+    """When it was sent, on the router's clock."""
 
 
 class InFlightTable:
@@ -30,6 +35,7 @@
         self._attempts: dict[AttemptId, InFlightAttempt] = {}
         self._n_on: dict[InstanceId, int] = {}
         self._reserved: dict[InstanceId, AttemptId] = {}
+        self._begun_at: dict[AttemptId, float] = {}
 
     def begin(self, attempt: InFlightAttempt) -> None:
         """Add an attempt to the table."""
@@ -39,9 +45,14 @@
         if attempt.is_exclusive:
             self._reserved[instance] = attempt.attempt_id
 
+    def begun(self, attempt_id: AttemptId, at: float) -> None:
+        """Record when the first event of an attempt arrived."""
+        self._begun_at.setdefault(attempt_id, at)
+
     def end(self, attempt_id: AttemptId) -> None:
         """Remove an attempt from the table."""
         attempt = self._attempts.pop(attempt_id)
+        self._begun_at.pop(attempt_id, None)
         instance = attempt.incarnation.instance
         self._n_on[instance] -= 1
         if not self._n_on[instance]:
@@ -65,5 +76,13 @@
             if attempt.incarnation.instance == instance
         )
 
+    def part_requests(self, instance: InstanceId) -> list[PartRequest]:
+        """Return the attempts in flight on an instance, for the parts of prompts."""
+        return [
+            PartRequest(attempt.part_digests, attempt.sent_at, self._begun_at.get(key))
+            for key, attempt in self._attempts.items()
+            if attempt.incarnation.instance == instance and attempt.part_digests
+        ]
+
     def __len__(self) -> int:
         return len(self._attempts)
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -15,6 +15,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from functools import partial
+from itertools import chain
+from operator import itemgetter
 from typing import Final, TypeAlias
 
 import eliot
@@ -68,8 +70,9 @@
 )
 """Broadcasts that are replayed to routers that link later."""
 
-MAX_REPLAYED: Final = 128
-"""Maximum number of broadcasts stored for replay."""
+MAX_REPLAYED: Final = 256
+"""Maximum number of broadcasts of each type stored for replay: a crash is reported by
+each router that had requests on the instance."""
 
 REPLAY_S: Final = DEFAULT_QUARANTINE_S
 """How long broadcasts are replayed: as long as a quarantine, so that a starting router
@@ -136,7 +139,9 @@
         self._links = LinkTable(own.instance)
         self._dialling: set[InstanceId] = set()
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
-        self._replayable: deque[tuple[float, Message]] = deque(maxlen=MAX_REPLAYED)
+        self._replayable: dict[type, deque[tuple[float, Message]]] = defaultdict(
+            lambda: deque(maxlen=MAX_REPLAYED)
+        )
         self._link_choice = LinkChoice(self._membership, self._links, cfg.n_peers)
         self._n_heartbeats = 0
         self._n_unauthenticated = 0
@@ -170,7 +175,7 @@
         frame = encode(message)
         self._last_broadcast_at = trio.current_time()
         if isinstance(message, REPLAYED_TYPES):
-            self._replayable.append((self._last_broadcast_at, message))
+            self._replayable[type(message)].append((self._last_broadcast_at, message))
         return sum(conn.post(frame) for conn in self._links_for(message))
 
     @property
@@ -538,7 +543,8 @@
         """Send the full membership and the recent broadcasts to a new peer."""
         self._post_full_state(conn, self._membership.beat(*self.version()))
         oldest = trio.current_time() - REPLAY_S
-        for sent_at, message in self._replayable:
+        kept = chain.from_iterable(self._replayable.values())
+        for sent_at, message in sorted(kept, key=itemgetter(0)):
             if sent_at >= oldest:
                 conn.post(encode(_add_age(message, trio.current_time() - sent_at)))
 
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -115,6 +115,11 @@
 CrashReport crash_id
 CrashReport suspects[]
 CrashReport age_s
+CrashReport reporter
+CrashReport parts[].digest
+CrashReport parts[].n_requests
+CrashReport parts[].sent_ms
+CrashReport parts[].depth
 SuspectCleared body_digest
 StateOffer revisions[](2)
 StateOffer ask
