Servers: close new connections unread while the event loop cannot keep up

Cause: each connection was accepted, one each pass of the event loop, read and begun, and every answer came after its caller had left. The class of fault: work is taken in by arrival, not by what can be done in time. The waiting itself was unseen, in the kernel and in the queue of runnable tasks.

Change: an instrument measures how long a pass over the runnable tasks takes. All waiting connections are accepted in one pass. Open connections, peers and the store go on. `server:shed` and `corianderlb_shed_connections` tell operators.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -38,6 +38,7 @@
 from .lease_coordinator import LeaseCoordinator
 from .lease_holder import LeaseHolder
 from .log_writer import LogWriter
+from .loop_load import LoopLoad
 from .memory_copier import MemoryCopier
 from .object_feed import ObjectFeed
 from .path_watch import InstanceProbe, PathWatch
@@ -198,7 +199,12 @@
         eliot.log_message(message_type="router:start", listen=self._cfg.listen.front)
         self._parts = dataclasses.replace(self._parts, started_at=trio.current_time())
         front_app = ForwardApp(ForwardDispatcher(self._parts, self._exchanges))
-        front = self._make_server("callers", self._cfg.listen.front, front_app)
+        load = LoopLoad()
+        trio.lowlevel.add_instrument(load)
+        front = self._make_server(
+            "callers", self._cfg.listen.front, front_app, lambda: load.is_overloaded
+        )
+        self._parts.metrics.watch("shed_connections", lambda: front.n_shed)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._log.run)
             nursery.start_soon(self._handle_signals)
@@ -241,11 +247,17 @@
                 server = self._make_server(name, address, app)
                 nursery.start_soon(server.run, trio.sleep_forever)
 
-    def _make_server(self, name: str, address: str, app: Any) -> HttpServer:
+    def _make_server(
+        self,
+        name: str,
+        address: str,
+        app: Any,
+        is_overloaded: Callable[[], bool] = lambda: False,
+    ) -> HttpServer:
         cfg = HttpServerSettings(
             name, address, MAX_HEAD_BYTES, write_timeout_s=CALLER_STALL_TIMEOUT_S
         )
-        return HttpServer(app, cfg, self._guard)
+        return HttpServer(app, cfg, self._guard, is_overloaded)
 
     # Tasks.
 
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from functools import partial
 from typing import Any, Final
 
+import eliot
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
@@ -20,6 +22,20 @@
 BACKLOG: Final = 1024
 """Connections that may wait until they are accepted."""
 
+MAX_ACCEPTED: Final = 256
+"""Most connections accepted in one pass of the event loop, so that the tasks of those
+that are served get their turn."""
+
+EXHAUSTED_ERRNOS: Final = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
+)
+"""Errors of ``accept`` that end once other connections are closed."""
+
+EXHAUSTED_PAUSE_S: Final = 0.1
+
+SHED_LOG_INTERVAL_S: Final = 1.0
+"""Shortest time between two log lines about connections that were closed unread."""
+
 
 @dataclass(frozen=True)
 class HttpServerSettings:
@@ -46,9 +62,19 @@
     """
 
     def __init__(
-        self, app: Any, cfg: HttpServerSettings, guard: ConnectionGuard
+        self,
+        app: Any,
+        cfg: HttpServerSettings,
+        guard: ConnectionGuard,
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Serve ``app``; while ``is_overloaded``, close new connections unread."""
         self._app = ASGIWrapper(app)
+        self._is_overloaded = is_overloaded
+        self.n_shed = 0
+        """Connections that were closed unread."""
+        self._n_shed_logged = 0
+        self._shed_logged_at = float("-inf")
         self._name = cfg.name
         self._guard = guard
         self._write_timeout_s = cfg.write_timeout_s
@@ -94,27 +120,65 @@
         self, until: Callable[[], Awaitable[None]], task_status: trio.TaskStatus[str]
     ) -> None:
         async with trio.open_nursery() as connections:
-            listeners = []
-            for sock in self._config.create_sockets().insecure_sockets:
-                sock.listen(BACKLOG)
-                task_status.started(repr_socket_addr(sock.family, sock.getsockname()))
-                listeners.append(
-                    trio.SocketListener(trio.socket.from_stdlib_socket(sock))
-                )
             async with trio.open_nursery() as accepting:
-                accepting.start_soon(
-                    partial(
-                        trio.serve_listeners,
-                        self._serve_connection,
-                        listeners,
-                        handler_nursery=connections,
-                    )
-                )
+                for sock in self._config.create_sockets().insecure_sockets:
+                    sock.listen(BACKLOG)
+                    sock.setblocking(False)
+                    address = repr_socket_addr(sock.family, sock.getsockname())
+                    task_status.started(address)
+                    accepting.start_soon(self._accept, sock, connections)
                 await until()
                 accepting.cancel_scope.cancel()
             await self._context.terminated.set()
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
+        """Accept connections until cancelled, then close the listener.
+
+        All that wait are accepted in one pass. One each pass would leave them waiting
+        unseen in the kernel while passes are long.
+        """
+        with listener:
+            while True:
+                await trio.lowlevel.wait_readable(listener)
+                try:
+                    self._accept_waiting(listener, nursery)
+                except OSError as exc:
+                    if exc.errno not in EXHAUSTED_ERRNOS:
+                        raise
+                    eliot.log_message(
+                        message_type="server:exhausted",
+                        server=self._name,
+                        detail=str(exc),
+                    )
+                    await trio.sleep(EXHAUSTED_PAUSE_S)
+
+    def _accept_waiting(self, listener: socket.socket, nursery: trio.Nursery) -> None:
+        for _ in range(MAX_ACCEPTED):
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                break
+            except ConnectionError:
+                # The caller has left meanwhile.
+                continue
+            if self._is_overloaded():
+                sock.close()
+                self.n_shed += 1
+            else:
+                nursery.start_soon(self._serve_connection, sock)
+        self._log_shed()
+
+    def _log_shed(self) -> None:
+        n_new, now = self.n_shed - self._n_shed_logged, trio.current_time()
+        if not n_new or now - self._shed_logged_at < SHED_LOG_INTERVAL_S:
+            return
+        self._n_shed_logged, self._shed_logged_at = self.n_shed, now
+        eliot.log_message(
+            message_type="server:shed", server=self._name, n_connections=n_new
+        )
+
+    async def _serve_connection(self, accepted: socket.socket) -> None:
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
         sock = stream.socket
         try:
             caller = sock.getpeername()
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -313,6 +313,8 @@
 router:state state
 router:stop
 run:copied instance outcome request to took_ms
+server:exhausted detail server
+server:shed n_connections server
 state:from_peer kind peer revision
 store:history_gone kind
 store:lost
