Streams: check for a restarted instance before its first events go on

Callers got events of the next version after an engine had been replaced.

Cause: an engine came back under its id with other software, and took requests some 80 ms before the routers had its new entry; a proxy before it hid that it had been down. The router took the version of the old entry for that of the instance.

Change: before the first events of an attempt that goes on with a stream are sent, its instance's entry must still be that of the same incarnation or version, else the attempt counts as broken. An instance that breaks a connection before any answer is doubted like one that refuses it, until it renews its entry. What stays: first events that arrive before the entry does.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -41,6 +41,9 @@
         """Reserves an attempt in place of a silent one; False if none can follow."""
         self.on_begin: Callable[[], None] = lambda: None
         """Called before the first event is sent to the caller."""
+        self.check_source: Callable[[], None] = lambda: None
+        """Called before the first events of an answer are sent to the caller; raises
+        ``BrokenError`` if they must not be."""
 
     @abstractmethod
     async def relay_answer(
@@ -118,11 +121,15 @@
     ) -> None:
         """Relay the events that the caller has not received yet."""
         self._is_interrupted = False
+        is_checked = False
         splitter = EventSplitter()
         with trio.CancelScope() as write_scope:
             while chunk := await self._receive(exchange):
                 on_data()
                 ready = b"".join(self._new_events(splitter, chunk))
+                if ready and not is_checked:
+                    self.check_source()
+                    is_checked = True
                 if ready:
                     await self._write(head, ready, write_scope)
         if write_scope.cancelled_caught:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -7,11 +7,12 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import trio
 
-from corianderlb_core.forwarding import RepeatKind
+from corianderlb_core.forwarding import ForwardInstance, RepeatKind
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
 from corianderlb_core.part_index import IncarnationKey
@@ -339,13 +340,22 @@
 
         Its first event binds it to that version; until then another one may run it.
         """
-        target = self._target
-        if target.stream_key is None or target.is_bound:
+        target, origins = self._target, self._parts.origins
+        if target.stream_key is None:
             return
+        instance = placement.instance
+        version = target.software_version
+        if version is not None:
+            # An event of another version, once sent, can't be taken back.
+            self._relay.check_source = partial(self._check_source, instance, version)
+            return
+        self._relay.on_begin = partial(target.bind, instance.software_version)
+        origins.began(target.stream_key, instance, self._route)
 
-        version = placement.instance.software_version
-        self._relay.on_begin = lambda: target.bind(version)
-        self._parts.origins.began(target.stream_key, placement.instance, self._route)
+    def _check_source(self, instance: ForwardInstance, version: str) -> None:
+        if self._parts.origins.has_changed(instance, version):
+            detail = f"{instance.instance} restarted with another software version"
+            raise BrokenError(detail, sent=True)
 
     @contextmanager
     def _track_in_flight(
@@ -561,6 +571,10 @@
 
     def _report_health(self, placement: Placement, exc: UpstreamError) -> None:
         """Report a failed attempt to the health table, and record it for the log."""
+        attempt = self._current_attempt
+        is_unanswered = attempt is None or attempt.began_ms is None
+        if isinstance(exc, ConnectFailedError | BrokenError) and is_unanswered:
+            self._parts.origins.record_doubt(placement.instance)
         health = self._parts.health
         incarnation_key = placement.instance.incarnation_key
         outcome = type(exc).__name__.removesuffix("Error").lower()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -183,7 +183,6 @@
 
     def unreached(self, placement: Placement) -> None:
         """Record that a connection to the instance failed."""
-        self.parts.origins.record_refused(placement.instance)
 
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Record that an attempt has ended."""
@@ -413,7 +412,6 @@
 
     def unreached(self, placement: Placement) -> None:
         """Back off from the engine, and announce to peers that it is unreachable."""
-        super().unreached(placement)
         self.parts.engines.unreached(placement.instance)
 
     def _query(self, objective_left_s: float) -> EngineQuery | None:
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -105,7 +105,7 @@
         self._kept_lifetime_s = MIN_LIFETIME_S
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
-        self._refused_revisions: dict[IncarnationKey, int] = {}
+        self._doubted_revisions: dict[IncarnationKey, int] = {}
         peers.subscribe(StreamOriginsUpdate, self.on_update)
         peers.subscribe(StreamOriginRequest, self.on_request)
         peers.subscribe(StreamOriginAnswer, self.on_answer)
@@ -153,22 +153,34 @@
 
     # Instances.
 
-    def record_refused(self, instance: ForwardInstance) -> None:
-        """Record that an instance refused a connection, so that it may have restarted.
+    def record_doubt(self, instance: ForwardInstance) -> None:
+        """Record that an instance gave no answer, so that it may have restarted.
 
         Its version is not known then before it renews its entry.
         """
         known = self._state.instance(instance.instance)
         if known is not None and known.incarnation_key == instance.incarnation_key:
-            self._refused_revisions[known.incarnation_key] = known.revision
+            self._doubted_revisions[known.incarnation_key] = known.revision
 
     def runs_version(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance is known to run a software version now."""
         known = self._state.instance(instance.instance)
         if known is None or known.incarnation_key != instance.incarnation_key:
             return False
-        refused_revision = self._refused_revisions.get(known.incarnation_key, -1)
-        return known.software_version == version and known.revision > refused_revision
+        doubted_revision = self._doubted_revisions.get(known.incarnation_key, -1)
+        return known.software_version == version and known.revision > doubted_revision
+
+    def has_changed(self, instance: ForwardInstance, version: str) -> bool:
+        """Return whether an instance turned out to have restarted with other software.
+
+        Its entry can arrive after a request was sent to it, and before the first event.
+        """
+        known = self._state.instance(instance.instance)
+        return (
+            known is not None
+            and known.incarnation_key != instance.incarnation_key
+            and known.software_version != version
+        )
 
     # Streams that a caller resumes.
 
@@ -393,4 +405,4 @@
         names = {instance.instance for instance in self._state.all_instances()}
         for name in [name for name in self._entries if name not in names]:
             gone = self._entries.pop(name)
-            self._refused_revisions.pop(gone.incarnation_key, None)
+            self._doubted_revisions.pop(gone.incarnation_key, None)
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
     ForwardRouter,
     Upstream,
     a_fleet,
+    a_late_answer,
     a_router,
     a_stream,
     an_instance,
@@ -157,6 +158,30 @@
             self.assertEqual(caller.status, 503)
             self.assertLess(trio.current_time() - began_at, 0.5)
 
+    async def test_entry_that_arrives_before_the_first_event(self) -> None:
+        """Guards against events of an instance that has just restarted."""
+        late = a_late_answer(a_stream(3, 4), 0.2)
+        upstreams = {"e1": Upstream([a_stream(1, 2)]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1")
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            list_versions(router, revision=40, e1="v1", e2="v2")
+            upstreams["e1"].script = [late]
+            callers: list[FakeCaller] = []
+
+            async def resume_late() -> None:
+                callers.append(await resume(router))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(resume_late)
+                await trio.sleep(0.1)
+                reborn = an_instance(
+                    "e1", "llm", software_version="v2", born_ms=9, revision=50
+                )
+                router.list_instances(reborn, revision=50)
+            self.assertEqual(callers[0].answer.count(b"id: "), 0)
+            self.assertEqual(n_requests(upstreams), {"e1": 2, "e2": 0})
+
     async def test_refused_connection_until_the_entry_is_renewed(self) -> None:
         """Guards against an instance that may have restarted with other software."""
         engine = Upstream([a_stream(1, 2)])
@@ -166,7 +191,7 @@
             began = "e1" if engine.requests else "e2"
             versions = {"e1": "v1", "e2": "v2"}
             instance = router.state.instance(began)
-            router.parts.origins.record_refused(instance)
+            router.parts.origins.record_doubt(instance)
             self.assertEqual((await resume(router)).status, 503)
             list_versions(router, revision=40, **versions)
             self.assertEqual((await resume(router)).status, 200)
