Stream versions: look only at entries that are new

Each renewed entry of any instance made a router look at all of them several times; in a large fleet these are hundreds of entries, some hundred times a second. Now only those that are new objects are compared, counts by version tell whether anything has changed, and without a request the instances are looked at twenty times a second at most.

--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -53,6 +54,9 @@
 """Time after a second version appeared in which a stream that no peer knows is one that
 was begun before. Its router may have ended before it could announce it."""
 
+OBSERVE_INTERVAL_S: Final = 0.05
+"""Shortest interval at which the instances are looked at without a request."""
+
 MAX_ORIGINS_PER_MESSAGE: Final = 500
 """Maximum number of streams in one message."""
 
@@ -80,9 +84,8 @@
 
     @property
     def origin(self) -> StreamOrigin | None:
-        return next(
-            (answer.origins[0] for answer in self.answers if answer.origins), None
-        )
+        found = (answer.origins[0] for answer in self.answers if answer.origins)
+        return next(found, None)
 
 
 class StreamOrigins:
@@ -100,6 +103,8 @@
         self._table = OriginTable()
         self._histories: dict[str, VersionHistory] = {}
         self._entries: dict[str, ForwardInstance] = {}
+        self._present: Counter[tuple[str, str]] = Counter()
+        """Number of instances by upstream and software version."""
         self._observed_change = -1
         self._lifetime_of: ForwardConfiguration | None = None
         self._kept_lifetime_s = MIN_LIFETIME_S
@@ -119,6 +124,7 @@
             changed = self._state.changed
             self._observe()
             await changed.wait()
+            await trio.sleep(OBSERVE_INTERVAL_S)
 
     # Streams that this router begins.
 
@@ -357,38 +363,40 @@
         return min(now - history.since for _, history in self._histories_of(route))
 
     def _observe(self) -> None:
-        """Record the present versions if the instances have changed."""
+        """Record the present versions if the instances have changed.
+
+        Entries are renewed all the time, so only those that are new objects are looked
+        at.
+        """
         if self._observed_change == self._state.n_engine_changes:
             return
         self._observed_change = self._state.n_engine_changes
-        now = trio.current_time()
-        present: dict[str, set[str]] = {name: set() for name in self._histories}
-        for instance in self._state.all_instances():
-            versions = present.setdefault(instance.upstream, set())
-            versions.add(instance.software_version)
-            self._compare_entry(instance)
-        for name, versions in present.items():
-            history = self._histories.get(name)
-            if history is None:
-                history = self._histories[name] = VersionHistory(now)
-            if history.observe(versions, now, self._lifetime_s):
-                self._log_mix(name, sorted(history.recent(now, self._lifetime_s)))
-                # Those begun while there was one version were not announced.
-                self._announce(self._table.own(name, now))
-        self._drop_stale()
-
-    @staticmethod
-    def _log_mix(upstream: str, versions: Sequence[str]) -> None:
-        eliot.log_message(
-            message_type="upstream:software", upstream=upstream, versions=versions
-        )
-
-    def _compare_entry(self, instance: ForwardInstance) -> None:
-        """Correct the streams of an instance that restarted with another version."""
-        before = self._entries.get(instance.instance)
+        instances = self._state.all_instances()
+        present = self._present.copy()
+        for instance in instances:
+            before = self._entries.get(instance.instance)
+            if before is not instance:
+                self._replace_entry(before, instance)
+        if len(self._entries) > len(instances):
+            self._drop_entries_except({instance.instance for instance in instances})
+        if +self._present != +present:
+            self._observe_versions()
+
+    def _replace_entry(
+        self, before: ForwardInstance | None, instance: ForwardInstance
+    ) -> None:
         self._entries[instance.instance] = instance
-        if before is None or before.software_version == instance.software_version:
+        self._present[instance.upstream, instance.software_version] += 1
+        if before is None:
             return
+        self._present[before.upstream, before.software_version] -= 1
+        if before.software_version != instance.software_version:
+            self._correct_streams(before, instance)
+
+    def _correct_streams(
+        self, before: ForwardInstance, instance: ForwardInstance
+    ) -> None:
+        """Correct the streams of an instance that restarted with another version."""
         if not (before.born_ms and instance.born_ms):
             return
         corrected = self._table.correct(
@@ -400,9 +408,28 @@
         if corrected:
             self._announce(corrected)
 
-    def _drop_stale(self) -> None:
-        """Drop entries of instances that are gone."""
-        names = {instance.instance for instance in self._state.all_instances()}
+    def _drop_entries_except(self, names: set[str]) -> None:
+        """Drop the entries of instances that are gone."""
         for name in [name for name in self._entries if name not in names]:
             gone = self._entries.pop(name)
+            self._present[gone.upstream, gone.software_version] -= 1
             self._doubted_revisions.pop(gone.incarnation_key, None)
+
+    def _observe_versions(self) -> None:
+        """Record the present versions; announce own streams if they are mixed now."""
+        now = trio.current_time()
+        present: dict[str, set[str]] = {name: set() for name in self._histories}
+        for upstream, version in +self._present:
+            present.setdefault(upstream, set()).add(version)
+        for name, versions in present.items():
+            history = self._histories.get(name)
+            if history is None:
+                history = self._histories[name] = VersionHistory(now)
+            if history.observe(versions, now, self._lifetime_s):
+                eliot.log_message(
+                    message_type="upstream:software",
+                    upstream=name,
+                    versions=sorted(history.recent(now, self._lifetime_s)),
+                )
+                # Those begun while there was one version were not announced.
+                self._announce(self._table.own(name, now))
