--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -13,6 +13,7 @@
     ForwardAccount,
     ForwardConfiguration,
     ForwardRoute,
+    Prompt,
     RepeatKind,
 )
 from corianderlb_core.identity import RequestId
@@ -141,14 +142,7 @@
             account.name if account else "",
             req.method.encode() + b" " + req.target + b"\n" + body,
         )
-        prompt = req.prompt
-        part_digests = (
-            tuple(
-                part_digest(prompt.model, part.part_id) for part in prompt.shared_parts
-            )
-            if prompt
-            else ()
-        )
+        part_digests = _part_digests(req.prompt)
         refusal = self._parts.quarantine.admit(digest, part_digests)
         if refusal is not None:
             raise RequestRefusedError(refusal)
@@ -279,6 +273,15 @@
         return WholeRelay(caller)
 
 
+def _part_digests(prompt: Prompt | None) -> tuple[bytes, ...]:
+    """Return the digests by which all routers know the shared parts of a prompt."""
+    if prompt is None:
+        return ()
+    return tuple(
+        part_digest(prompt.model, part.part_id) for part in prompt.shared_parts
+    )
+
+
 def _stream_key(account: ForwardAccount | None, request_id: str) -> bytes:
     return stream_key(account.name if account else "", request_id)
 
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -217,7 +217,10 @@
     def _exclude(
         self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
     ) -> ResumedOrigin | None:
-        """Return the only version that can have begun a stream that nobody knows."""
+        """Return where a stream that no router knows must have begun, if that is clear.
+
+        ``answers`` are those of the peers, none of which knows it.
+        """
         now = trio.current_time()
         versions = set(self._recent(route, now))
         observed_s = self._observed_s(route, now)
