--- a/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import Final
 
+from .reported_load import ReportedLoad
+
 INITIAL_TOKENS_PER_S: Final = 40_000.0
 """Assumed prefill rate of an engine before the first observation."""
 
@@ -49,30 +52,6 @@
 memory."""
 
 
-RATE_WINDOW_S: Final = 2.0
-"""Time constant over which the rate of tokens to prefill is averaged."""
-
-
-class PrefillDemand:
-    """Track the rate of tokens that are sent to engines for prefill."""
-
-    def __init__(self) -> None:
-        self._n_recent = 0.0
-        self._at = 0.0
-
-    def add(self, n_tokens: float, now: float) -> None:
-        """Count tokens that were sent for prefill."""
-        self._n_recent = self._decayed(now) + n_tokens
-        self._at = now
-
-    def per_s(self, now: float) -> float:
-        """Return the mean rate over the recent seconds."""
-        return self._decayed(now) / RATE_WINDOW_S
-
-    def _decayed(self, now: float) -> float:
-        return self._n_recent * math.exp(min(0.0, self._at - now) / RATE_WINDOW_S)
-
-
 @dataclass
 class _SentRequest:
     """A request that was sent to the engine and has not left it."""
@@ -83,9 +62,11 @@
     sent_at: float
     n_held: int
     """Tokens of engine memory that it occupies."""
+    slowdown: float
+    """Slowdown of the engine when it was sent."""
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class PeerWork:
     """Work of another router at an engine, as it last reported."""
 
@@ -127,6 +108,19 @@
         self.run_s += weight * (took_s - self.run_s)
 
 
+class FleetSpeed(ABC):
+    """Prefill rate of one engine at a slowdown of 1, as the fleet has observed it."""
+
+    @property
+    @abstractmethod
+    def tokens_per_s(self) -> float | None:
+        """The rate; None if nothing is known of any engine of the upstream."""
+
+    @abstractmethod
+    def observe(self, n_tokens: float, usual_s: float, now: float) -> None:
+        """Record how long the prefill of some tokens would take at a slowdown of 1."""
+
+
 class PrefillEstimator:
     """Track the queued tokens and the prefill rate of one incarnation of an engine."""
 
@@ -135,7 +129,10 @@
         slots: int,
         common: CommonEstimates | None = None,
         capacity: float = math.inf,
+        speed: FleetSpeed | None = None,
+        reported: ReportedLoad | None = None,
     ) -> None:
+        self._speed = speed
         self._slots = max(1, slots)
         self._capacity = capacity
         self._common = common or CommonEstimates()
@@ -147,13 +144,30 @@
         self._running: dict[str, _SentRequest] = {}
         self.peers: dict[str, PeerWork] = {}
         """By router."""
+        self.reported = reported or ReportedLoad()
+        """What the engine last reported of itself."""
         self._sums: _PeerSums | None = None
 
     @property
     def tokens_per_s(self) -> float:
-        """Learned prefill rate."""
+        """Learned prefill rate, at the usual slowdown if the engine reports it.
+
+        Until the fleet has observed any engine of the upstream, it is the own estimate.
+        """
+        fleet = self._fleet_tokens_per_s()
+        if fleet is not None:
+            return fleet
         return math.exp(self._common.log_tokens_per_s + self._log_relative_rate)
 
+    def _fleet_tokens_per_s(self) -> float | None:
+        rate = self._speed.tokens_per_s if self._speed is not None else None
+        return None if rate is None else rate / self.reported.usual_slowdown
+
+    @property
+    def is_uneven(self) -> bool:
+        """Whether the rate is learned over the fleet."""
+        return self._fleet_tokens_per_s() is not None
+
     @property
     def queued_tokens(self) -> int:
         """Tokens that this router sent to the engine and that are not prefilled yet."""
@@ -172,7 +186,18 @@
 
     def n_reported_requests(self, now: float) -> int:
         """Return the requests in flight at the engine from all routers, as reported."""
-        return self.n_requests + self._peer_sums(now).n_requests
+        if self.reported.is_told:
+            n_busy = self.reported.n_busy(now)
+            if n_busy is not None:
+                return n_busy + self._n_sent_since(self.reported.counted_at)
+        n_known = self.n_requests + self._peer_sums(now).n_requests
+        if not self.reported.has_slowdown:
+            return n_known
+        return max(n_known, self.reported.n_busy(now) or 0)
+
+    def _n_sent_since(self, moment: float) -> int:
+        requests = (*self._prefills.values(), *self._running.values())
+        return sum(request.sent_at > moment for request in requests)
 
     def _peer_sums(self, now: float) -> _PeerSums:
         """Return the sums over the recent reports of other routers.
@@ -196,7 +221,7 @@
         It has ``n_tokens`` to prefill and occupies ``n_held`` tokens of engine memory.
         """
         self._prefills[key] = _SentRequest(
-            n_tokens, self._tokens_ahead(now), now, n_held
+            n_tokens, self._tokens_ahead(now), now, n_held, self.reported.slowdown(now)
         )
 
     def first_token(self, key: str, now: float) -> None:
@@ -209,6 +234,11 @@
         took_s = now - prefill.sent_at - OVERHEAD_S
         if prefill.n_tokens < MIN_LEARN_TOKENS or took_s <= 0:
             return
+        if self._speed is not None and self.reported.has_slowdown:
+            slowdown = (prefill.slowdown + self.reported.slowdown(now)) / 2
+            # What was queued before is only estimated, so count the own share.
+            own_s = took_s * prefill.n_tokens / n_tokens
+            self._speed.observe(prefill.n_tokens, own_s / slowdown, now)
         observed = min(MAX_TOKENS_PER_S, max(MIN_TOKENS_PER_S, n_tokens / took_s))
         ratio = math.log(observed / self.tokens_per_s)
         # Bound the effect of an outlier, such as a request that waited for weights to
@@ -224,14 +254,20 @@
         if run is not None:
             self._common.record_run(run.n_held, now - run.sent_at)
 
-    def wait_s(self, now: float, n_held: int = 0) -> float:
+    def wait_s(self, now: float, n_held: int = 0, own_share: float = 0.0) -> float:
         """Return the estimated wait until the prefill of a new request begins.
 
-        ``n_held`` is the engine memory that the request occupies, in tokens.
+        ``n_held`` is the engine memory that the request occupies, in tokens. With
+        ``own_share``, this router's part of all work, only what this router has sent
+        counts, until it is answered, as a sample of all.
         """
+        if own_share:
+            prefill_s = self.prefill_time_s(self.queued_tokens / own_share, True)
+            return self._stretched_s(prefill_s, now)
         n_excess = max(0, self.n_reported_requests(now) + 1 - self._slots)
         slot_s = n_excess * self._common.run_s / self._slots
         prefill_s = self._tokens_ahead(now) / self.tokens_per_s
+        prefill_s = self._stretched_s(prefill_s, now)
         return prefill_s + slot_s + self.memory_wait_s(now, n_held)
 
     def memory_wait_s(self, now: float, n_held: int) -> float:
@@ -254,10 +290,32 @@
         """Record a transfer to the engine."""
         self._transfers_until = max(now, self._transfers_until) + seconds
 
-    def prefill_time_s(self, n_tokens: float) -> float:
-        """Return how long the prefill of some tokens takes."""
+    def prefill_time_s(self, n_tokens: float, own_only: bool = False) -> float:
+        """Return how long the prefill of some tokens takes at usual speed.
+
+        With ``own_only`` it is that of all engines, unless the fleet has learned this
+        one's: what a router learns alone depends on the others' reports.
+        """
+        if own_only and not self.is_uneven:
+            return n_tokens / math.exp(self._common.log_tokens_per_s)
         return n_tokens / self.tokens_per_s
 
+    def start_to_token_s(
+        self, wait_s: float, n_tokens: float, now: float, own_only: bool = False
+    ) -> float:
+        """Return the time until a prefill that begins after a wait is complete.
+
+        A slowdown has decayed by the time that the prefill begins.
+        """
+        usual_s = self.prefill_time_s(n_tokens, own_only)
+        return wait_s + self._stretched_s(usual_s, now, wait_s)
+
+    def _stretched_s(self, usual_s: float, now: float, after_s: float = 0.0) -> float:
+        """Return how long prefill takes if the engine reports a slowdown."""
+        if not self.reported.has_slowdown:
+            return usual_s
+        return self.reported.stretched_s(usual_s, now + after_s)
+
     def merge(self, router: str, work: PeerWork) -> None:
         """Record another router's report of its work at the engine."""
         self._sums = None
