--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import xxhash
+
 MAX_PARTS: Final = 20_000
 """Bounds the memory of the index; the least recently used part is evicted. At about 300
 bytes a part it stays below 6 MB."""
@@ -30,7 +32,7 @@
 """Name of an instance and the time of its start."""
 
 
-@dataclass
+@dataclass(slots=True)
 class _Holder:
     is_ready: bool
     """False while the engine is still prefilling the part."""
@@ -40,7 +42,7 @@
     """That count when a use was last reported as news."""
 
 
-@dataclass
+@dataclass(slots=True)
 class _Part:
     holders: dict[IncarnationKey, _Holder] = field(default_factory=dict)
     is_saved: bool = False
@@ -55,17 +57,30 @@
     """Tokens that it holds now."""
     n_expected: int
     """Tokens that it holds or is prefilling now."""
+    n_known: int = 0
+    """Tokens that it holds, is prefilling, or has held and may have evicted."""
+    n_since_use: float = 0.0
+    """Tokens that it has prefilled since the first part was last used."""
 
 
 NO_COVERAGE: Final = Coverage(0, 0)
 """Coverage of an engine that holds nothing of a prompt."""
 
 
+def part_key(scope: str, part_id: str) -> int:
+    """Return the digest of a part in a scope, 48 bits.
+
+    Two parts with equal digests only make a wrong hint.
+    """
+    return xxhash.xxh3_64_intdigest(f"{scope}/{part_id}".encode()) >> 16
+
+
 class PartIndex:
     """Index from prompt parts to the engines that hold them."""
 
     def __init__(self) -> None:
-        self._parts: OrderedDict[tuple[str, str], _Part] = OrderedDict()
+        self._parts: OrderedDict[int, _Part] = OrderedDict()
+        """By digest of scope and part."""
         self._n_prefilled: dict[IncarnationKey, float] = {}
 
     def record_parts(
@@ -81,27 +96,67 @@
         Return whether that is news: whether a part was not known to be held, or to be
         ready, or was last used long ago for an engine memory of ``capacity`` tokens.
         """
+        news = [
+            self.record_key(part_key(scope, part_id), incarnation, is_ready, capacity)
+            for part_id in part_ids
+        ]
+        return any(news)
+
+    def record_key(
+        self,
+        key: int,
+        incarnation: IncarnationKey,
+        is_ready: bool,
+        capacity: float = math.inf,
+    ) -> bool:
+        """Record one part by its digest, as ``record_parts`` does."""
+        return self._record_holder(self._part(key), incarnation, is_ready, capacity)
+
+    def hear_key(
+        self, key: int, incarnation: IncarnationKey, is_ready: bool, is_saved: bool
+    ) -> int | None:
+        """Record one part that a peer told; return how many holders were known.
+
+        Return None if that is no news.
+        """
+        part = self._part(key)
+        part.is_saved = part.is_saved or is_saved
+        n_holders = len(part.holders)
+        if not self._record_holder(part, incarnation, is_ready, math.inf):
+            return None
+        return n_holders
+
+    def _record_holder(
+        self, part: _Part, incarnation: IncarnationKey, is_ready: bool, capacity: float
+    ) -> bool:
         n_prefilled = self._n_prefilled.get(incarnation, 0.0)
-        is_news = False
-        for part_id in part_ids:
-            part = self._part(scope, part_id)
-            known = part.holders.get(incarnation)
-            if known is None:
-                part.holders[incarnation] = _Holder(is_ready, n_prefilled, n_prefilled)
-                is_news = True
-                continue
-            n_since = n_prefilled - known.n_prefilled_at_news
-            if (is_ready and not known.is_ready) or n_since >= REFRESH_SHARE * capacity:
-                known.n_prefilled_at_news = n_prefilled
-                is_news = True
-            known.is_ready = known.is_ready or is_ready
-            known.n_prefilled_at_use = n_prefilled
+        known = part.holders.get(incarnation)
+        if known is None:
+            part.holders[incarnation] = _Holder(is_ready, n_prefilled, n_prefilled)
+            return True
+        known.n_prefilled_at_use = n_prefilled
+        is_news = is_ready and not known.is_ready
+        if is_news:
+            known.is_ready = True
+        elif n_prefilled - known.n_prefilled_at_news >= REFRESH_SHARE * capacity:
+            is_news = True
+        if is_news:
+            known.n_prefilled_at_news = n_prefilled
         return is_news
 
+    def n_holders(self, key: int) -> int:
+        """Return how many engines are known to hold, or to be prefilling, a part."""
+        part = self._parts.get(key)
+        return len(part.holders) if part else 0
+
     def record_saved(self, scope: str, part_ids: Sequence[str]) -> None:
         """Record that parts were sent to the KV cache store."""
         for part_id in part_ids:
-            self._part(scope, part_id).is_saved = True
+            self.record_saved_key(part_key(scope, part_id))
+
+    def record_saved_key(self, key: int) -> None:
+        """Record that a part, by its digest, was sent to the KV cache store."""
+        self._part(key).is_saved = True
 
     def count_prefilled(self, incarnation: IncarnationKey, n_tokens: float) -> None:
         """Count tokens that an engine has prefilled, which evict older parts."""
@@ -120,7 +175,7 @@
     ) -> None:
         """Remove the pending entries of a run that was aborted during prefill."""
         for part_id in part_ids:
-            part = self._parts.get((scope, part_id))
+            part = self._parts.get(part_key(scope, part_id))
             holder = part.holders.get(incarnation) if part else None
             if part is not None and holder is not None and not holder.is_ready:
                 del part.holders[incarnation]
@@ -143,46 +198,57 @@
         parts: Sequence[tuple[str, int]],
         incarnations: Iterable[IncarnationKey],
         capacity: int,
+        implies_earlier: bool = False,
     ) -> dict[IncarnationKey, Coverage]:
         """Return the coverage of each engine that holds any of a prompt.
 
         Looks up each part once for all engines. Engines that lack the first part,
-        which are most of them, are left out.
+        which are most of them, are left out. With ``implies_earlier``, an engine that
+        holds a part counts as holding all parts before it, which it needed to read it.
         """
-        known = [self._parts.get((scope, part_id)) for part_id, _ in parts]
-        if not known or known[0] is None:
+        known = [self._parts.get(part_key(scope, part_id)) for part_id, _ in parts]
+        holders = [part.holders if part else {} for part in known]
+        if implies_earlier:
+            for n in reversed(range(len(holders) - 1)):
+                holders[n] = holders[n + 1] | holders[n]
+        if not holders or not holders[0]:
             return {}
-        first = known[0].holders
         return {
-            incarnation: self._coverage_of(incarnation, parts, known, capacity)
+            incarnation: self._coverage_of(incarnation, parts, holders, capacity)
             for incarnation in incarnations
-            if incarnation in first
+            if incarnation in holders[0]
         }
 
     def _coverage_of(
         self,
         incarnation: IncarnationKey,
         parts: Sequence[tuple[str, int]],
-        known: Sequence[_Part | None],
+        holders: Sequence[dict[IncarnationKey, _Holder]],
         capacity: int,
     ) -> Coverage:
-        n_held = n_expected = 0
-        is_prefix_ready = True
-        oldest = self._n_prefilled.get(incarnation, 0.0) - RETAINED_SHARE * capacity
-        for (_, n_tokens), part in zip(parts, known, strict=True):
-            holder = part.holders.get(incarnation) if part else None
-            if holder is None or holder.n_prefilled_at_use < oldest:
+        n_held = n_expected = n_known = 0
+        is_prefix_ready = is_retained = True
+        n_prefilled = self._n_prefilled.get(incarnation, 0.0)
+        oldest = n_prefilled - RETAINED_SHARE * capacity
+        n_since_use = 0.0
+        for (_, n_tokens), of_part in zip(parts, holders, strict=True):
+            holder = of_part.get(incarnation)
+            if holder is None:
                 break
+            n_since_use = max(n_since_use, n_prefilled - holder.n_prefilled_at_use)
+            is_retained = is_retained and holder.n_prefilled_at_use >= oldest
             is_prefix_ready = is_prefix_ready and holder.is_ready
-            n_expected += n_tokens
-            if is_prefix_ready:
+            n_known += n_tokens
+            if is_retained:
+                n_expected += n_tokens
+            if is_retained and is_prefix_ready:
                 n_held += n_tokens
-        return Coverage(n_held, n_expected)
+        return Coverage(n_held, n_expected, n_known, n_since_use)
 
     def is_saved(self, scope: str, part_ids: Sequence[str]) -> bool:
         """Return whether all parts were sent to the KV cache store."""
         for part_id in part_ids:
-            part = self._parts.get((scope, part_id))
+            part = self._parts.get(part_key(scope, part_id))
             if part is None or not part.is_saved:
                 return False
         return True
@@ -190,8 +256,7 @@
     def __len__(self) -> int:
         return len(self._parts)
 
-    def _part(self, scope: str, part_id: str) -> _Part:
-        key = (scope, part_id)
+    def _part(self, key: int) -> _Part:
         part = self._parts.get(key)
         if part is None:
             part = self._parts[key] = _Part()
