--- /dev/null
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -0,0 +1,189 @@
+"""What a router holds for callers that read slowly, send much, or ask for much."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import trio
+
+from corianderlb_core.held_memory import SLOW_AFTER_S
+from corianderlb_core.result import ResultCode
+from corianderlb_router.caller import CallerStalledError
+from corianderlb_router.caller_memory import STREAM_BYTES, CallerMemory
+from corianderlb_router.connection_guard import ConnectionGuard
+from corianderlb_router.forward_caller import ForwardCaller
+from corianderlb_router.forward_dispatcher import ForwardDispatcher
+from corianderlb_router.http_server import HttpServer, HttpServerSettings
+from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
+from forward_builders import (
+    ForwardRouter,
+    Upstream,
+    a_router,
+    a_stream,
+    an_answer,
+)
+
+ANSWER_BYTES = 8 << 20
+"""More than the buffers of a connection hold."""
+
+
+def bound(router: ForwardRouter, limit: float) -> CallerMemory:
+    """Bound what a router may hold, and return its account."""
+    memory = CallerMemory(limit)
+    router.parts = dataclasses.replace(router.parts, memory=memory)
+    router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+    return memory
+
+
+def code_of(answer: bytes) -> int:
+    """Return the result code in the body of a refusal."""
+    return int(answer.partition(b'"code": ')[2].partition(b",")[0])
+
+
+class BoundedRequestsTest(TrioTestCase):
+    async def test_body_of_an_account_that_holds_too_much(self) -> None:
+        """Guards against uploads that end the process, and against a false promise."""
+        async with a_router(a1=Upstream([an_answer()])) as router:
+            memory = bound(router, 100_000)
+            refused = await router.ask("/book/x", b"b" * 60_000)
+            self.assertEqual(refused.status, 503)
+            self.assertEqual(code_of(refused.answer), ResultCode.MEMORY_FULL)
+            self.assertIn("retry-after", refused.answer_headers)
+            self.assertEqual(router.network.upstreams["a1"].requests, [])
+            served = await router.ask("/book/x", b"b" * 40_000)
+            self.assertEqual(served.status, 200)
+            self.assertEqual(memory.n_bytes, 0)
+
+    async def test_answer_that_may_not_be_held(self) -> None:
+        """Guards against a promise that a request has not run although it has."""
+        large = an_answer(b"a" * 80_000)
+        async with a_router(a1=Upstream([large])) as router:
+            memory = bound(router, 100_000)
+            failed = await router.ask("/book/x")
+            self.assertEqual(failed.status, 502)
+            self.assertEqual(code_of(failed.answer), ResultCode.ANSWER_NOT_HELD)
+            self.assertEqual(memory.n_bytes, 0)
+
+    async def test_other_account_is_served(self) -> None:
+        """Guards against accounts that pay for what another one holds."""
+        async with (
+            a_router(a1=Upstream([an_answer()])) as router,
+            trio.open_nursery() as nursery,
+        ):
+            memory = bound(router, 100_000)
+            stalled = [
+                router.a_caller("/book/x", b"b" * 20_000, x_id=f"q{n}")
+                for n in range(4)
+            ]
+            for caller in stalled:
+                caller.reading = trio.Event()
+                nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            self.assertGreater(memory.n_bytes, 30_000)
+            served = await router.ask(
+                "/book/x", b"b" * 20_000, x_key="key-w", x_id="other"
+            )
+            self.assertEqual((served.status, served.answer), (200, b"done"))
+            nursery.cancel_scope.cancel()
+
+    async def test_streams_count(self) -> None:
+        async with a_router(e1=Upstream([a_stream(1, 3)])) as router:
+            memory = bound(router, STREAM_BYTES)
+            refused = await router.ask("/quick/x", x_prompt="p:500,own:10")
+            self.assertEqual(code_of(refused.answer), ResultCode.MEMORY_FULL)
+            memory = bound(router, 4 * STREAM_BYTES)
+            served = await router.ask("/quick/x", x_prompt="p:500,own:10")
+            self.assertEqual(served.status, 200)
+            self.assertEqual(memory.n_bytes, 0)
+
+    async def test_off_unless_set(self) -> None:
+        async with a_router(a1=Upstream([an_answer()])) as router:
+            self.assertIsNone(router.parts.memory)
+            served = await router.ask("/book/x", b"b" * 60_000)
+            self.assertEqual(served.status, 200)
+
+
+class SlowCallerTest(RealTimeTestCase):
+    """Callers of the real server, over loopback."""
+
+    async def asgi(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer with much, accounted for by the path."""
+        if scope["type"] == "lifespan":
+            while True:
+                kind = (await receive())["type"]
+                await send({"type": f"{kind}.complete"})
+                if kind == "lifespan.shutdown":
+                    return
+        caller = ForwardCaller(scope, receive, send)
+        self.callers.append(caller)
+        caller.account_for(self.memory, caller.path, False)
+        try:
+            caller.hold_answer(ANSWER_BYTES)
+            await caller.answer(200, [], bytes(ANSWER_BYTES))
+        except CallerStalledError:
+            self.n_stalled += 1
+        finally:
+            caller.release()
+
+    async def serve(self, nursery: trio.Nursery, limit: float) -> tuple[str, int]:
+        """Start a server and return its host and port."""
+        self.callers: list[ForwardCaller] = []
+        self.n_stalled = 0
+        self.memory = CallerMemory(limit)
+        cfg = HttpServerSettings("t", "127.0.0.1:0", 1 << 16, write_timeout_s=3.0)
+        server = HttpServer(self.asgi, cfg, ConnectionGuard())
+        address = await nursery.start(server.run, trio.sleep_forever)
+        host, _, port = address.removeprefix("http://").rpartition(":")
+        return host, int(port)
+
+    async def ask(self, address: tuple[str, int], path: str) -> trio.SocketStream:
+        """Send a request and read nothing of its answer."""
+        stream = await trio.open_tcp_stream(*address)
+        await stream.send_all(f"GET /{path} HTTP/1.1\r\nhost: h\r\n\r\n".encode())
+        return stream
+
+    async def test_caller_that_reads_slowly_gets_all(self) -> None:
+        """Guards against a timeout for the whole answer, which cuts slow readers."""
+        async with trio.open_nursery() as nursery:
+            address = await self.serve(nursery, 1e9)
+            stream = await self.ask(address, "a")
+            n_read, started_at = 0, trio.current_time()
+            while n_read < ANSWER_BYTES:
+                n_read += len(await stream.receive_some(1 << 17))
+                await trio.sleep(0.08)
+            self.assertGreater(trio.current_time() - started_at, 3.5)
+            nursery.cancel_scope.cancel()
+
+    async def test_caller_that_reads_nothing(self) -> None:
+        """Guards against an answer recorded as sent whose caller was cut off."""
+        async with trio.open_nursery() as nursery:
+            address = await self.serve(nursery, 1e9)
+            stream = await self.ask(address, "a")
+            with trio.fail_after(10):
+                while not self.n_stalled:
+                    await trio.sleep(0.1)
+            self.assertEqual(self.memory.n_bytes, 0)
+            await stream.aclose()
+            nursery.cancel_scope.cancel()
+
+    async def test_callers_that_do_not_read_make_room(self) -> None:
+        """Guards against a router that is full of answers that nobody reads."""
+        async with trio.open_nursery() as nursery:
+            address = await self.serve(nursery, 6 * ANSWER_BYTES)
+            idle = [await self.ask(address, "a") for _ in range(2)]
+            other = await self.ask(address, "b")
+            await trio.sleep(SLOW_AFTER_S + 0.3)
+            self.assertFalse(any(caller.is_cut for caller in self.callers))
+            third = await self.ask(address, "a")
+            with trio.fail_after(5):
+                while not self.callers[0].is_cut:
+                    await trio.sleep(0.05)
+            self.assertEqual(
+                [caller.is_cut for caller in self.callers], [True, False, False, False]
+            )
+            self.assertLessEqual(self.memory.n_bytes, self.memory._memory.limit)
+            self.assertEqual(self.memory.n_cut, 1)
+            for stream in (*idle, other, third):
+                await stream.aclose()
+            nursery.cancel_scope.cancel()
