--- a/packages/corianderlb-core/src/corianderlb_core/limit_ledger.py
+++ b/packages/corianderlb-core/src/corianderlb_core/limit_ledger.py
@@ -135,6 +135,22 @@
         """Return the level of a full bucket, which holds one request at least."""
         return max(1.0, super()._capacity(bucket))
 
+    def _level_of_part(
+        self, bucket: UsageBucket, share_before: float, unheard_s: float, now: float
+    ) -> float:
+        """Return the level of a bucket once some routers have been silent for a time.
+
+        The buckets of the parts hold a request each, together more than the whole one.
+        So a part begins without what the others may have refilled meanwhile.
+        """
+        lost_share = share_before - self._own_share
+        level = bucket.level - max(0.0, bucket.level) * lost_share / share_before
+        return level - lost_share * bucket.cap.rate_per_s * unheard_s
+
+    def _crossing_wait_s(self, bucket: UsageBucket, now: float) -> float:
+        # Turns spread the requests that cross announcements.
+        return 0.0
+
     def _lowest_level(self, bucket: UsageBucket) -> float:
         return -bucket.cap.burst - self._terms.tolerance(bucket.cap)
 
--- a/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
+++ b/packages/corianderlb-core/src/corianderlb_core/usage_ledger.py
@@ -24,7 +24,7 @@
 from ._usage_bucket import AnnouncedUsage, UsageBucket
 from .identity import Incarnation, InstanceId
 from .message import AccountUsage
-from .usage_cap import ToleranceUse, UsageCap, UsageTerms
+from .usage_cap import ToleranceUse, UsageCap, UsageTerms, UsageUnit
 
 WHOLE_HEARD_SHARE: Final = 0.9
 """Fraction of the other routers that are heard from which a fleet counts as whole."""
@@ -46,16 +46,25 @@
 """Size of a fleet from which these times grow with it, so that a router receives no
 more announcements in a larger one."""
 
+MAX_BEHIND_SHARE: Final = 0.4
+"""Share of the burst, beyond the debt, by which a router may believe more used than
+others do, whose requests are run meanwhile, unless all have long been heard. It is more
+where the debt is, since one prompt then exceeds the burst."""
+
 MAX_SPLIT: Final = 64
 """Most routers among which the unannounced amount is split. Among more, each request
 would have to be announced; an account's traffic does not arrive at all of them."""
 
-SETTLE_S: Final = 2.0
+SETTLE_S: Final = 1.0
 """How long after routers are heard again the reserve pays for what they announce."""
 
 UNHEARD_S: Final = 1.0
-"""Age of a router's newest announcement from which the reserve pays for the next. A
-router that uses much of an account announces that more often while it is heard."""
+"""Silence of a router, before others are heard again, from which the reserve pays for
+its next announcement. A router that uses much of an account announces that more often
+while it is heard."""
+
+CROSSING_S: Final = 0.5
+"""Time within which the others have heard of a request, also on a busy machine."""
 
 MAX_ACCOUNTS_ANNOUNCED: Final = 256
 """Most entries in one announcement; further ones follow in the next."""
@@ -96,7 +105,10 @@
         self._has_caps = False
         self._n_routers = 1
         self._heard_share = 1.0
-        self._settles_until = -math.inf
+        self._risen_at = -math.inf
+        """When more routers were last heard than before."""
+        self._rejoined_at = -math.inf
+        """When the first of several such moments was."""
         self._whole_since = math.inf
         """Since when the fleet counts as whole; infinite while it does not."""
         self._split_since = -math.inf
@@ -115,8 +127,8 @@
         for name, cap in caps.items():
             bucket = self._buckets.get(keys[name])
             if bucket is None:
-                # After a start, what was used before is not known.
-                level = cap.burst if self._has_caps else 0.0
+                # After a start, what was used before is not known, nor what crossed.
+                level = cap.burst if self._has_caps else -self._crossing(cap)
                 self._buckets[keys[name]] = UsageBucket(cap, level, now)
             elif bucket.cap != cap:
                 self._refill(bucket, now)
@@ -140,6 +152,11 @@
         n_routers = max(1, n_routers)
         if (n_routers, heard_share) == (self._n_routers, self._heard_share):
             return
+        if heard_share > self._heard_share:
+            if now - self._risen_at >= SETTLE_S:
+                self._rejoined_at = now
+            self._risen_at = now
+            self._announce_apart(now)
         for bucket in self._buckets.values():
             self._refill(bucket, now)
             # What was saved lapses: others may know nothing of it, or have run it.
@@ -147,21 +164,56 @@
         if heard_share < WHOLE_HEARD_SHARE:
             if math.isfinite(self._whole_since):
                 self._split_since = now
+                for bucket in self._buckets.values():
+                    bucket.total_whole = bucket.total - bucket.unannounced
             self._whole_since = math.inf
         elif math.isinf(self._whole_since):
             self._whole_since = now
-        if heard_share > self._heard_share:
-            self._settles_until = now + SETTLE_S
         before = self._own_share
         self._n_routers, self._heard_share = n_routers, heard_share
-        lost_share = before - self._own_share
-        if lost_share <= 0:
+        if self._own_share >= before:
             return
         for bucket in self._buckets.values():
-            reserved = max(0.0, bucket.level) * lost_share / before
-            reserved += lost_share * bucket.cap.rate_per_s * unheard_s
-            bucket.level -= reserved
-            bucket.reserve += reserved
+            level = self._level_of_part(bucket, before, unheard_s, now)
+            reserved = bucket.reserve + bucket.level - level
+            bucket.reserve = max(0.0, reserved)
+            bucket.level = level
+
+    def _announce_apart(self, now: float) -> None:
+        """Announce at once what was run while others did not hear it.
+
+        They take it from their reserve. Later it could not be told apart from what is
+        run of the bucket that all share again.
+        """
+        if self._heard_share >= WHOLE_HEARD_SHARE:
+            return
+        for key, bucket in self._buckets.items():
+            if bucket.total != bucket.total_whole:
+                self._due[key] = now
+                bucket.must_announce = True
+
+    def _level_of_part(
+        self, bucket: UsageBucket, share_before: float, unheard_s: float, now: float
+    ) -> float:
+        """Return the level of a bucket once some routers have been silent for a time.
+
+        This part of the fleet keeps its share of the level, or of the debt, that there
+        was when the others were last heard, and pays for all that it has run since.
+        """
+        steps = bucket.steps_since(now - unheard_s)
+        if not steps:
+            return bucket.level * self._own_share / share_before
+        share, capacity = self._own_share, self._capacity(bucket)
+        level = steps[0].level * min(1.0, share / steps[0].share)
+        at = steps[0].at
+        for step in steps:
+            grown = (step.at - at) * bucket.cap.rate_per_s * share
+            level = min(capacity, level + grown) - step.own
+            if self._heard_share > 0:
+                # A router cut off from all others is not charged for their requests.
+                level -= step.others
+            at = step.at
+        return min(capacity, level + (now - at) * bucket.cap.rate_per_s * share)
 
     @property
     def _own_share(self) -> float:
@@ -190,7 +242,8 @@
         if bucket is None:
             return True
         key = self._keys[account]
-        if bucket.level < self._level_needed(key, bucket, cost):
+        is_low = bucket.level < self._level_needed(key, bucket, cost)
+        if is_low or self._crossing_wait_s(bucket, now) > 0:
             return False
         self._spend(key, bucket, cost, now)
         return True
@@ -212,7 +265,8 @@
             return 0.0
         needed = self._level_needed(self._keys[account], bucket, cost)
         rate = bucket.cap.rate_per_s * self._own_share
-        return max(0.0, needed - bucket.level) / rate
+        refilled_s = max(0.0, needed - bucket.level) / rate
+        return max(refilled_s, self._crossing_wait_s(bucket, now))
 
     def used(self, account: str, now: float) -> float:
         """Return how much of an account's burst is used, as far as this router knows.
@@ -241,8 +295,10 @@
             del self._due[key]
             bucket = self._buckets[key]
             self._refill(bucket, now)
-            if math.isinf(self._announcement_pause_s(bucket)):
+            is_due = math.isfinite(self._announcement_pause_s(bucket))
+            if not is_due and not bucket.must_announce:
                 continue
+            bucket.must_announce = False
             bucket.number += 1
             bucket.unannounced = 0.0
             entries.append(
@@ -278,10 +334,10 @@
                 if known is None
                 else entry.total - known.total
             )
-            unheard_s = math.inf if known is None else now - known.at
-            if unheard_s > UNHEARD_S:
-                used -= self._take_reserve(bucket, used, unheard_s, now)
+            heard_at = -math.inf if known is None else known.at
+            used -= self._take_reserve(bucket, used, heard_at, now)
             lowest = self._lowest_level(bucket)
+            bucket.step(self._own_share, now).others += used
             bucket.level = min(max(bucket.level - used, lowest), bucket.cap.burst)
             if known is None:
                 bucket.forget_earlier(entry.router, now)
@@ -308,7 +364,37 @@
         """Return the level from which a request of a cost is charged."""
         return min(cost - self._debt_allowed(bucket), self._capacity(bucket))
 
+    def _crossing_wait_s(self, bucket: UsageBucket, now: float) -> float:
+        """Return how long to wait for what the other routers run meanwhile.
+
+        Under a cap in requests, routers that are asked for much would all spend the
+        level that each knows. So a router's second request before the others have heard
+        of its first is limited.
+        """
+        if self._n_routers == 1 or bucket.cap.unit is not UsageUnit.REQUESTS:
+            return 0.0
+        recent = bucket.steps_after(now - CROSSING_S)
+        own = sum(step.own for step in recent)
+        if own <= 0 or own <= self._crossing_allowed(bucket, own):
+            return 0.0
+        return recent[0].at + CROSSING_S - now
+
+    def _crossing_allowed(self, bucket: UsageBucket, own: float) -> float:
+        """Return after how many of its own recent requests a router waits.
+
+        It is its part of the use before them, at least an even share, of the level that
+        there was or of what is refilled in that time.
+        """
+        earlier = sum(step.own for step in bucket.steps) - own
+        others = sum(step.others for step in bucket.steps)
+        share = earlier / (earlier + others) if earlier > 0 else 0.0
+        share = max(share, 1 / (self._n_routers * self._own_share))
+        level = bucket.level + own + self._debt_allowed(bucket)
+        refilled = bucket.cap.rate_per_s * self._own_share * CROSSING_S
+        return round(share * max(level, refilled))
+
     def _spend(self, key: Key, bucket: UsageBucket, cost: float, now: float) -> None:
+        bucket.step(self._own_share, now).own += cost
         bucket.level = min(bucket.level - cost, bucket.cap.burst)
         bucket.total += cost
         bucket.unannounced += cost
@@ -344,14 +430,13 @@
         return (of_tolerance + of_level) / min(self._n_routers, MAX_SPLIT)
 
     def _take_reserve(
-        self, bucket: UsageBucket, used: float, unheard_s: float, now: float
+        self, bucket: UsageBucket, used: float, heard_at: float, now: float
     ) -> float:
         """Take what was reserved for a router that was not heard for a time."""
-        if now >= self._settles_until:
+        is_settled = now - self._risen_at >= SETTLE_S
+        if is_settled or heard_at >= self._rejoined_at - UNHEARD_S:
             return 0.0
-        reserved_s = min(unheard_s, self._terms.window_s)
-        share = bucket.cap.burst + bucket.cap.rate_per_s * reserved_s
-        taken = min(max(0.0, used), bucket.reserve, share / self._n_routers)
+        taken = min(max(0.0, used), bucket.reserve)
         bucket.reserve -= taken
         return taken
 
@@ -368,24 +453,30 @@
             min(bucket.unannounced, 0.0), bucket.unannounced - refilled
         )
         if self._heard_share >= 1.0:
-            if now >= self._settles_until:
+            if now - self._risen_at >= SETTLE_S:
                 bucket.reserve = 0.0
         else:
-            most = bucket.cap.rate_per_s * self._terms.window_s + bucket.cap.burst
-            bucket.reserve = min(bucket.reserve + grown - own, most)
+            bucket.reserve += grown - own
 
     def _rate_per_s(self, cap: UsageCap, now: float) -> float:
         """Return the rate at which an account's bucket is refilled."""
-        # Until the window is over, what its parts had saved counts against the spare.
-        split_s = max(WHOLE_S, self._whole_since - self._split_since)
-        settle_s = min(split_s, self._terms.window_s)
-        if now - self._whole_since < settle_s:
+        if not self._is_whole(now):
             return cap.rate_per_s
         return cap.rate_per_s + self._spare(cap) / self._terms.window_s
 
+    def _is_whole(self, now: float) -> bool:
+        """Return whether the routers have heard each other for some time."""
+        # Until the window is over, what its parts had saved counts against the spare.
+        split_s = max(WHOLE_S, self._whole_since - self._split_since)
+        return now - self._whole_since >= min(split_s, self._terms.window_s)
+
     def _capacity(self, bucket: UsageBucket) -> float:
         """Return the level of a full bucket."""
-        return bucket.cap.burst * self._own_share
+        capacity = bucket.cap.burst * self._own_share
+        if bucket.cap.unit is not UsageUnit.REQUESTS:
+            return capacity
+        # A part of the fleet saves for a request, or each would run one from the start.
+        return max(capacity, min(1.0, bucket.cap.burst))
 
     def _max_level(self, bucket: UsageBucket) -> float:
         """Return the level to which a bucket is refilled, with what it may save.
@@ -399,17 +490,36 @@
         return min(bucket.cap.burst, self._capacity(bucket) + saved)
 
     def _spare(self, cap: UsageCap) -> float:
-        return self._use.spare_share * self._terms.tolerance(cap)
+        return self._use.spare_share * self._usable_tolerance(cap)
+
+    def _usable_tolerance(self, cap: UsageCap) -> float:
+        """Return the tolerance without what crosses announcements."""
+        return self._terms.tolerance(cap) - self._crossing(cap)
+
+    def _crossing(self, cap: UsageCap) -> float:
+        """Return the part of the tolerance for requests that cross announcements.
+
+        It is a request of each router and what is refilled meanwhile. Of a cap in
+        tokens, a request is a small part.
+        """
+        if cap.unit is not UsageUnit.REQUESTS or self._n_routers == 1:
+            return 0.0
+        crossing = self._n_routers + cap.rate_per_s * CROSSING_S
+        return min(crossing, self._terms.tolerance(cap))
 
     def _lowest_level(self, bucket: UsageBucket) -> float:
         """Return the level below which the use of others is not charged any more.
 
         A greater debt would only keep this router behind the others.
         """
-        return -bucket.cap.burst - self._max_debt(bucket.cap)
+        burst, debt = bucket.cap.burst, self._max_debt(bucket.cap)
+        # While all are heard, what many run at the onset of an overload is no drift.
+        share = 1.0 if self._is_whole(bucket.refilled_at) else MAX_BEHIND_SHARE
+        lowest = -min(burst, max(share * burst, debt)) - debt
+        return lowest - self._crossing(bucket.cap)
 
     def _debt_allowed(self, bucket: UsageBucket) -> float:
         return self._max_debt(bucket.cap) * self._own_share
 
     def _max_debt(self, cap: UsageCap) -> float:
-        return self._use.debt_share * self._terms.tolerance(cap)
+        return self._use.debt_share * self._usable_tolerance(cap)
--- a/packages/corianderlb-core/tests/limit_fleet.py
+++ b/packages/corianderlb-core/tests/limit_fleet.py
@@ -32,9 +32,6 @@
         """Advance the clock while requests arrive at some routers, or at all."""
         self.play(for_s, requests_per_s, at, mean_cost=1.0)
 
-    def _ask(self, at: tuple[int, ...], cost: float) -> None:
-        super()._ask(at, 1.0)
-
     def most_sent(self) -> float:
         """Return the most requests sent in a window."""
         return most_in_window(self.runs, LIMIT_TERMS.window_s)
--- a/packages/corianderlb-core/tests/test_usage_fleet.py
+++ b/packages/corianderlb-core/tests/test_usage_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Iterator
+from itertools import product
 
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import AccountUsage
@@ -14,6 +16,11 @@
 """Usual traffic of an account, as a share of its cap's rate."""
 HOT = 7.5
 """Traffic of an account that sends far too much, by its usual traffic."""
+LARGEST = UsageCap(1_300_000.0, 1_300_000.0, UsageUnit.TOKENS, 200.0)
+"""Cap of an account with half of the requests before 30 engines and 35 routers."""
+HOT_OF_LARGEST = 6.3
+MEAN_COST = 3000.0
+"""Tokens of one of its requests."""
 MAX_REFUSED = 0.02
 MAX_REFUSED_IN_PARTITION = 0.05
 
@@ -51,6 +58,16 @@
                     self.assert_within(fleet)
                     self.assertLessEqual(fleet.refused_within_cap(), MAX_REFUSED)
 
+    def test_sudden_overload_of_a_large_fleet_stays_within_the_terms(self) -> None:
+        """Guards against use at the onset that the others do not charge."""
+        for seed, times in ((1, HOT_OF_LARGEST), (1, HOT), (2, HOT)):
+            with self.subTest(seed=seed, times=times):
+                fleet = UsageFleet(LARGEST, n_routers=35, seed=seed)
+                fleet.play(2.0)
+                fleet.play(8.0, usual(LARGEST), mean_cost=MEAN_COST)
+                fleet.play(8.0, times * usual(LARGEST), mean_cost=MEAN_COST)
+                self.assert_within(fleet)
+
     def test_account_at_one_router_gets_all_of_its_cap(self) -> None:
         """Guards against an even split, by which 24 idle routers would take a part."""
         for cap in (SMALL, LARGE):
@@ -113,6 +130,33 @@
                     fleet.play(12.0, HOT * usual(cap))
                     self.assert_within(fleet)
 
+    def test_third_of_the_routers_cut_off_one_by_one(self) -> None:
+        """Guards against routers that refuse for as long as they hear nobody."""
+        for times in (1.0, HOT_OF_LARGEST):
+            with self.subTest(times=times):
+                fleet = self.a_fleet(LARGEST, n_routers=35)
+                fleet.play(4.0, usual(LARGEST), mean_cost=MEAN_COST)
+                fleet.partition(lambda index: index if index < 12 else 99)
+                fleet.play(12.0, times * usual(LARGEST), mean_cost=MEAN_COST)
+                fleet.heal()
+                fleet.play(4.0, times * usual(LARGEST), mean_cost=MEAN_COST)
+                self.assert_within(fleet)
+                self.assertLessEqual(fleet.refused_within_cap(), MAX_REFUSED)
+
+    def test_all_routers_killed_while_a_third_is_cut_off(self) -> None:
+        """Guards against starts that take the use before them for use since."""
+        fleet = self.a_fleet(LARGEST, n_routers=35)
+        fleet.partition(lambda index: index if index < 12 else 99)
+        fleet.play(4.0, HOT_OF_LARGEST * usual(LARGEST), mean_cost=MEAN_COST)
+        for index in range(35):
+            fleet.restart(index, 1.0)
+        fleet.heal()
+        fleet.play(3.0, usual(LARGEST), mean_cost=MEAN_COST)
+        started_at = fleet.now
+        fleet.play(5.0, usual(LARGEST), mean_cost=MEAN_COST)
+        self.assert_within(fleet)
+        self.assertLessEqual(fleet.refused_within_cap(started_at), MAX_REFUSED)
+
     def test_killed_routers_do_not_reset_what_was_used(self) -> None:
         for cap in (SMALL, LARGE):
             with self.subTest(rate=cap.rate_per_s):
@@ -190,6 +234,57 @@
         self.assertLess(received[1], 1.5 * received[0])
 
 
+class RequestCapTest(unittest.TestCase):
+    """Caps in requests, of which each router's next one is a large part."""
+
+    OVERLOAD = 40
+
+    def fleets(self, *per_s: float) -> Iterator[UsageFleet]:
+        """Build idle fleets of three routers, with announcements in time and late."""
+        terms = UsageTerms(8.0, 0.1, 5.0)
+        for rate, delay_s, seed in product(per_s, (0.02, 0.3), range(1, 4)):
+            fleet = UsageFleet(UsageCap(rate, rate), 3, 2, seed, delay_s, terms)
+            fleet.play(6.0)
+            yield fleet
+
+    def ask(self, fleet: UsageFleet, for_s: float, times: float = OVERLOAD) -> None:
+        fleet.play(for_s, times * fleet.cap.rate_per_s, mean_cost=1.0)
+
+    def assert_within(self, fleet: UsageFleet) -> None:
+        allowed, facts = fleet.allowed_in_window(), (fleet.cap, fleet.delay_s)
+        self.assertLessEqual(fleet.most_in_window(), allowed, facts)
+
+    def test_sudden_overload_stays_within_the_terms(self) -> None:
+        """Guards against routers that all spend the same full bucket."""
+        for fleet in self.fleets(1.0, 3.0, 20.0):
+            self.ask(fleet, 14.0)
+            self.assert_within(fleet)
+            self.assertLessEqual(fleet.refused_within_cap(), MAX_REFUSED)
+
+    def test_all_routers_killed_at_once(self) -> None:
+        """Guards against starts that forgive what had crossed announcements."""
+        for fleet in self.fleets(1.0, 3.0, 20.0):
+            self.ask(fleet, 6.0)
+            for index in range(3):
+                fleet.restart(index, 0.2)
+            self.ask(fleet, 10.0)
+            self.assert_within(fleet)
+
+    def test_routers_killed_in_turn(self) -> None:
+        for fleet in self.fleets(3.0):
+            for index in range(9):
+                self.ask(fleet, 1.5)
+                fleet.restart(index % 3, 0.5)
+            self.ask(fleet, 6.0)
+            self.assert_within(fleet)
+
+    def test_account_at_one_of_the_routers_gets_all_of_its_cap(self) -> None:
+        for fleet in self.fleets(3.0, 20.0):
+            fleet.play(16.0, 4 * fleet.cap.rate_per_s, at=(1,), mean_cost=1.0)
+            self.assert_within(fleet)
+            self.assertLessEqual(fleet.refused_within_cap(), MAX_REFUSED)
+
+
 class UsageLedgerTest(unittest.TestCase):
     def a_ledger(self, *accounts: str) -> UsageLedger:
         """Build a ledger whose buckets are full."""
@@ -242,7 +337,8 @@
         """Build a ledger that hears half of eleven routers and has been idle."""
         ledger = UsageLedger(InstanceId("r1"), 1, UsageTerms(8.0, 0.0, 200.0))
         ledger.set_caps({}, 0.0)
-        ledger.set_caps({"acme": UsageCap(10.0, burst)}, 0.0)
+        cap = UsageCap(10.0, burst, UsageUnit.TOKENS)
+        ledger.set_caps({"acme": cap}, 0.0)
         ledger.set_fleet(11, 0.45, 0.0, 0.0)
         return ledger
 
@@ -263,6 +359,42 @@
         ledger.set_fleet(11, 1.0, 0.0, 20.0)
         self.assertGreaterEqual(ledger.used("acme", 20.0), 50.0)
 
+    def test_router_that_hears_nobody_any_more_keeps_its_share(self) -> None:
+        """Guards against the use of others while they were silent, charged to one."""
+        ledger = self.a_ledger("acme")
+        ledger.set_fleet(10, 1.0, 0.0, 0.0)
+        ledger.set_fleet(10, 0.0, 1.6, 5.0)
+        self.assertTrue(ledger.charge("acme", 1.0, 5.0))
+        self.assertFalse(ledger.charge("acme", 1.0, 5.0))
+
+    def test_router_pays_for_what_it_ran_before_it_noticed_a_cut(self) -> None:
+        """Guards against a share that is run twice: before the cut shows and after."""
+        ledger = self.a_ledger("acme")
+        ledger.set_fleet(10, 1.0, 0.0, 0.0)
+        self.assertTrue(ledger.charge("acme", 3.0, 4.9))
+        ledger.set_fleet(10, 0.0, 0.5, 5.0)
+        self.assertAlmostEqual(ledger.wait_s("acme", 1.0, 5.0), 2.9)
+
+    def test_router_that_hears_nobody_any_more_has_its_share_of_a_debt(self) -> None:
+        """Guards against the debt of a fleet that one router pays back alone."""
+        ledger = self.a_ledger("acme")
+        ledger.set_fleet(10, 1.0, 0.0, 0.0)
+        ledger.merge([self.an_entry(total=12.0)], 0.0)
+        ledger.set_fleet(10, 0.0, 0.2, 0.5)
+        self.assertLess(ledger.wait_s("acme", 1.0, 0.5), 1.0)
+
+    def test_parts_that_meet_announce_what_they_have_run(self) -> None:
+        """Guards against use of the time apart that is taken for use since."""
+        ledger = self.a_half(100.0)
+        ledger.set_fleet(11, 1.0, 0.0, 10.0)
+        ledger.set_fleet(11, 0.45, 0.5, 12.0)
+        self.assertTrue(ledger.charge("acme", 1.0, 13.0))
+        self.assertEqual(ledger.take_own(13.0), ())
+        ledger.set_fleet(11, 1.0, 0.0, 14.0)
+        self.assertLessEqual(ledger.announces_at, 14.0)
+        (entry,) = ledger.take_own(14.0)
+        self.assertEqual(entry.total, 1.0)
+
     def test_caps_of_zero_burst_hold_the_rate(self) -> None:
         ledger = UsageLedger(InstanceId("r1"), 1, UsageTerms(10.0, 0.0, 0.0))
         ledger.set_caps({"acme": UsageCap(10.0, 0.0)}, 0.0)
--- a/packages/corianderlb-core/tests/usage_fleet.py
+++ b/packages/corianderlb-core/tests/usage_fleet.py
@@ -51,8 +51,11 @@
         n_links: int = 16,
         seed: int = 1,
         delay_s: float = 0.02,
+        terms: UsageTerms = TERMS,
     ) -> None:
         self.cap = cap
+        self.terms = terms
+        self.n_routers = n_routers
         self.account = ACCOUNT
         self.now = 0.0
         self.rng = random.Random(seed)
@@ -81,7 +84,8 @@
 
     def new_ledger(self, router: InstanceId, epoch: int) -> UsageLedger:
         """Build the ledger of a router that starts."""
-        ledger = UsageLedger(router, epoch, TERMS)
+        ledger = UsageLedger(router, epoch, self.terms)
+        ledger.set_fleet(self.n_routers, 0.0, 0.0, self.now)
         ledger.set_caps({ACCOUNT: self.cap}, self.now)
         return ledger
 
@@ -130,7 +134,8 @@
             due = tokens_per_s * STEP_S / mean_cost
             while self.rng.random() < due:
                 due -= 1.0
-                self._ask(at, min(60_000.0, self.rng.expovariate(1 / mean_cost)))
+                n_tokens = min(60_000.0, self.rng.expovariate(1 / mean_cost))
+                self._ask(at, self.cap.cost(n_tokens))
             for router in self.routers:
                 if router.resumes_at <= self.now:
                     self._work(router)
@@ -163,12 +168,16 @@
     def _work(self, router: Router) -> None:
         while router.inbox and router.inbox[0][0] <= self.now:
             _, sender, entries = router.inbox.popleft()
+            is_new = self.now - router.heard_at.get(sender, -9.0) > HEARD_WITHIN_S
             router.heard_at[sender] = self.now
+            if is_new:
+                self.update_fleet(router)
             router.ledger.merge(entries, self.now)
         is_due = router.ledger.announces_at <= self.now
         if not is_due and self.now - router.sent_at < ALIVE_S:
             return
         router.sent_at = self.now
+        self.update_fleet(router)
         own: tuple[AccountUsage, ...] = ()
         learned: tuple[AccountUsage, ...] = ()
         if is_due:
@@ -193,13 +202,13 @@
 
     def most_in_window(self) -> float:
         """Return the most that was run in any window of the terms."""
-        return most_in_window(self.runs, TERMS.window_s)
+        return most_in_window(self.runs, self.terms.window_s)
 
     def allowed_in_window(self, cap: UsageCap | None = None) -> float:
         """Return what the terms allow to run in a window."""
         cap = cap or self.cap
-        within = cap.rate_per_s * TERMS.window_s + cap.burst
-        return within + TERMS.tolerance(cap)
+        within = cap.rate_per_s * self.terms.window_s + cap.burst
+        return within + self.terms.tolerance(cap)
 
     def refused_within_cap(self, since: float = 0.0) -> float:
         """Return the share of what one exact bucket would have run that was not run."""
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_usage.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_usage.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-import eliot
 import trio
 
 from corianderlb_core.forwarding import ForwardAccount, ForwardConfiguration, Prompt
@@ -23,6 +22,7 @@
 from .caller import refuse
 from .fleet_ledger import FleetLedger
 from .interface import PeerNetwork
+from .log_writer import log_request
 
 MIN_RETRY_AFTER_S: Final = 0.05
 """Lower bound for the Retry-After of a caller over its cap."""
@@ -79,7 +79,10 @@
             for account in cfg.accounts
             if account.cap is not None
         }
-        self.ledger.set_caps(self._caps, trio.current_time())
+        now = trio.current_time()
+        # A first bucket begins lower, the more routers there are.
+        self._refresh(now)
+        self.ledger.set_caps(self._caps, now)
 
     def charge(
         self, account: ForwardAccount | None, prompt: Prompt | None, left_s: float
@@ -105,7 +108,7 @@
             f"Account {name} is over its cap of {cap.rate_per_s:g} {cap.unit.value} a "
             f"second and {cap.burst:g} at once; {used:.0f} are in use."
         )
-        eliot.log_message(
+        log_request(
             message_type="usage:refused",
             account=name,
             rate_per_s=cap.rate_per_s,
