Watches of random length in a large fleet, so that some router can always confirm

Routers that all read the store at the same moment could not confirm what another asked: unknown keys got 503 in place of 401 (572 of 1,800 looks).

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -101,6 +101,10 @@
         """Number of candidates; None until it is computed again."""
         self._n_live: int | None = None
         """Number of live members; None until it is computed again."""
+        self._n_reachable: int | None = None
+        """Number of reachable members; None until it is computed again."""
+        self._suspected: tuple[_KnownRouter, ...] | None = None
+        """Suspected routers; None until they are computed again."""
         self.newer_own_epoch: int | None = None
         """Epoch of a newer incarnation of this router that peers know of, or None.
 
@@ -149,10 +153,12 @@
     @property
     def n_reachable(self) -> int:
         """Number of other members to which no link broke or could not be opened."""
-        return sum(
-            known.is_member and known.unreachable_since is None
-            for known in self._known.values()
-        )
+        if self._n_reachable is None:
+            self._n_reachable = sum(
+                known.is_member and known.unreachable_since is None
+                for known in self._known.values()
+            )
+        return self._n_reachable
 
     def is_member(self, instance: InstanceId) -> bool:
         """Return whether another router is presumed to run."""
@@ -190,6 +196,8 @@
         self._names = None
         self._n_candidates = None
         self._n_live = None
+        self._n_reachable = None
+        self._suspected = None
 
     def state_of(self, instance: InstanceId) -> MemberState | None:
         """Return the last known state of a router, suspected or not."""
@@ -230,7 +238,7 @@
             and known.suspected_since is not None
             and (now is None or now - known.suspected_since < FORGET_AFTER_S)
             and self._with_listed_presence(known.state).presence is Presence.LIVE
-            for known in self._known.values()
+            for known in self._suspected_routers()
         )
 
     @property
@@ -249,6 +257,12 @@
             return 1 + self.n_candidates + self.n_lost
         return 1 + len(self._known)
 
+    @property
+    def running_names(self) -> tuple[InstanceId, ...]:
+        """Names of all routers that may run, this one included, in order."""
+        others = (*self.candidates(), *self.lost())
+        return tuple(sorted({self._own.instance, *(s.instance for s in others)}))
+
     def lost(self) -> tuple[MemberState, ...]:
         """Return the suspected routers, to be retried occasionally.
 
@@ -257,10 +271,18 @@
         """
         return tuple(
             self._with_listed_presence(known.state)
-            for known in self._known.values()
-            if known.suspected_since is not None
+            for known in self._suspected_routers()
         )
 
+    def _suspected_routers(self) -> tuple[_KnownRouter, ...]:
+        if self._suspected is None:
+            self._suspected = tuple(
+                known
+                for known in self._known.values()
+                if known.suspected_since is not None
+            )
+        return self._suspected
+
     def merge(self, state: MemberState, now: float) -> MergeResult:
         """Merge the state of a router, received from itself or from a peer."""
         if state.instance == self._own.instance:
@@ -351,12 +373,14 @@
         known = self._known.get(instance)
         if known is not None:
             known.unreachable_since = None
+            self._n_reachable = None
 
     def record_unreachable(self, instance: InstanceId, now: float) -> None:
         """Record that a link to a router broke or could not be opened."""
         known = self._known.get(instance)
         if known is not None and known.unreachable_since is None:
             known.unreachable_since = now
+            self._n_reachable = None
 
     def update_suspicions(self, now: float) -> bool:
         """Suspect routers unreachable for too long; return False after a pause.
--- a/packages/corianderlb-core/tests/test_membership.py
+++ b/packages/corianderlb-core/tests/test_membership.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import copy
 import random
 import unittest
+from functools import partial
+from unittest import mock
 
 from corianderlb_core.identity import (
     InstanceId,
@@ -11,7 +14,7 @@
     Presence,
     Role,
 )
-from corianderlb_core.membership import Membership, MergeResult
+from corianderlb_core.membership import Membership, MergeResult, _KnownRouter
 from corianderlb_core.message import MemberState, Suspicion
 from corianderlb_core.overlay import choose_links
 
@@ -48,6 +51,39 @@
         self.assertIs(self.membership.merge(late, 1.0), MergeResult.IGNORED)
         self.assertEqual(self.membership.state_of(InstanceId("r2")).epoch, 2)
 
+    def test_kept_counts_follow_every_change(self) -> None:
+        """Guards against counts of routers that outlive what they were made from."""
+        for seed in range(20):
+            rng, member = random.Random(seed), Membership(a_member("r1"))
+            for step in range(200):
+                name, now = InstanceId(f"r{rng.randrange(2, 9)}"), step / 2
+                known = member.state_of(name)
+                beat = known.heartbeat if known else 0
+                changes = [
+                    partial(member.merge, a_member(name, 1, beat + 1), now),
+                    partial(member.merge_suspicion, Suspicion(name, 1, beat), now),
+                    partial(member.merge_list, step, [a_record(name)]),
+                    partial(member.record_reachable, name),
+                    partial(member.record_unreachable, name, now),
+                    partial(member.update_suspicions, now),
+                ]
+                rng.choice(changes)()
+                counted = copy.deepcopy(member)
+                counted._set_changed()
+                self.assertEqual(member.n_reachable, counted.n_reachable)
+                self.assertEqual(member.n_lost, counted.n_lost)
+                self.assertEqual(member.lost(), counted.lost())
+
+    def test_counts_are_kept_while_nothing_changes(self) -> None:
+        """Guards against a walk over all routers for each count, several a message."""
+        for number in range(2, 60):
+            self.membership.merge(a_member(f"r{number}"), 0.0)
+        self.assertEqual(self.membership.n_reachable, 58)
+        with mock.patch.object(_KnownRouter, "is_member", mock.PropertyMock()) as asked:
+            for _ in range(100):
+                self.assertEqual(self.membership.n_reachable, 58)
+        asked.assert_not_called()
+
     def test_leaving_is_final_for_an_incarnation(self) -> None:
         """Guards against new work for a leaving router after a stale LIVE state."""
         leaving = a_member(heartbeat=5, presence=Presence.LEAVING)
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -33,6 +33,14 @@
 MAX_RETRY_S: Final = 0.6
 """First and longest mean delay after a failed call to the store."""
 
+MAX_RETRY_S_PER_ROUTER: Final = 0.02
+"""Longest mean delay in a large fleet, per router, so that the calls to a store that is
+away do not grow with the fleet. Routers hear of its changes from the first that it
+answers."""
+
+MAX_RETRY_WAIT_S: Final = 5.0
+"""Longest time for which a kind waits for the store to answer for another kind."""
+
 OFFER_S: Final = 1.0
 """Seconds between two offers to peers."""
 
@@ -89,6 +97,9 @@
 """In a larger fleet watches last longer, so that the fleet's calls do not grow with it:
 seconds per router, and the maximum."""
 
+MIN_WATCH_FACTOR: Final = 0.2
+"""Smallest random factor of a watch in a large fleet; the factors are 1 on the mean."""
+
 LARGE_FLEET: Final = 12
 """Number of routers from which a fleet counts as large: with ``LONG_WATCH_S`` one of
 them reads the store each second."""
@@ -138,6 +149,10 @@
         self._queries: dict[int, float] = {}
         """By query number: when the query was sent."""
         self._n_queries = 0
+        self._retrying: str | None = None
+        """The kind for which a store that is away is asked; the others wait."""
+        self._answered = trio.Event()
+        """Set, and replaced by a new event, when the store answers."""
         self._due_at: dict[str, float] = {}
         """By kind: when the store's next answer is due."""
         peers.subscribe(StateOffer, self.on_state_offer)
@@ -176,6 +191,7 @@
                 elif is_instances and has_changes:
                     await trio.sleep(self._rewatch_delay_s())
             except HistoryGoneError:
+                self._record_answer()
                 must_list = True
                 eliot.log_message(message_type="store:history_gone", kind=kind)
             except StoreError:
@@ -186,12 +202,28 @@
                 # recovers the changes that were missed.
                 n_failed += 1
                 must_list = True
-                await trio.sleep(self._retry_delay_s(n_failed))
+                await self._wait_to_retry(kind, n_failed)
+
+    def _record_answer(self) -> None:
+        """Record that the store answers, and let the kinds that wait for it ask."""
+        self._state.record_store_answer()
+        self._retrying = None
+        self._answered.set()
+        self._answered = trio.Event()
+
+    async def _wait_to_retry(self, kind: str, n_failed: int) -> None:
+        """Wait after a failed call; a store that is away is asked for one kind."""
+        if self._retrying in (None, kind):
+            self._retrying = kind
+            await trio.sleep(self._retry_delay_s(n_failed))
+        else:
+            with trio.move_on_after(MAX_RETRY_WAIT_S * self._rng.uniform(0.7, 1.0)):
+                await self._answered.wait()
 
     async def _list(self, kind: str) -> None:
         started_at = self._due_at[kind] = trio.current_time()
         listing: FeedListing = await self._feed.list(kind)
-        self._state.record_store_answer()
+        self._record_answer()
         applied = self._state.apply_listing(kind, listing, started_at)
         self._pass_on(kind, applied)
 
@@ -247,7 +279,7 @@
         unchanged_at = table.read_at if is_late else arrived_at
         in_time = not (is_late or self._pauses.has_just_resumed)
         as_of = unchanged_at if update.changes else min(started_at + wait_s, arrived_at)
-        self._state.record_store_answer()
+        self._record_answer()
         applied = self._state.apply_changes(
             kind, update, max(started_at, as_of), None if in_time else unchanged_at
         )
@@ -258,7 +290,10 @@
         if not self._is_large_fleet:
             return WATCH_S
         scaled_s = LONG_WATCH_S_PER_ROUTER * self._peers.n_known()
-        return min(MAX_LONG_WATCH_S, max(LONG_WATCH_S, scaled_s))
+        mean_s = min(MAX_LONG_WATCH_S, max(LONG_WATCH_S, scaled_s))
+        # A change ends the watches of all routers at once. With watches of one length,
+        # all would read the store together from then on and confirm nothing meanwhile.
+        return mean_s * self._rng.uniform(MIN_WATCH_FACTOR, 2.0 - MIN_WATCH_FACTOR)
 
     @property
     def _is_large_fleet(self) -> bool:
@@ -271,16 +306,24 @@
         )
 
     def _retry_delay_s(self, n_failed: int) -> float:
-        longest = min(MAX_RETRY_S, RETRY_S * 2 ** (n_failed - 1))
-        return longest * self._rng.uniform(0.5, 1.5)
+        longest_s = MAX_RETRY_S
+        if self._is_large_fleet:
+            longest_s = max(longest_s, MAX_RETRY_S_PER_ROUTER * self._peers.n_known())
+        mean_s = min(longest_s, RETRY_S * 2 ** (n_failed - 1))
+        return mean_s * self._rng.uniform(0.5, 1.5)
 
     # Exchange with peers.
 
     async def _run_offers(self) -> None:
+        offered: tuple[tuple[str, int], ...] = ()
         while True:
-            offered = self._revisions_to_offer()
+            revisions = self._revisions_to_offer()
             changed = self._state.changed
-            self._peers.broadcast(self._offer())
+            if revisions == offered and not self._queries_ages_often:
+                self._peers.broadcast_later(self._offer())
+            else:
+                self._peers.broadcast(self._offer())
+            offered = revisions
             with trio.move_on_after(
                 self._offer_s() * self._rng.uniform(MIN_OFFER_FACTOR, 1.2)
             ):
@@ -305,9 +348,10 @@
         )
 
     def _offer(self) -> StateOffer:
-        return StateOffer(
-            self._revisions(), self._open_query() if self._may_query() else 0
-        )
+        if not self._may_query():
+            return StateOffer(self._revisions())
+        needs_confirmation = self._state.ages_unknown_for_s is None
+        return StateOffer(self._revisions(), self._open_query(), needs_confirmation)
 
     def _revisions(self) -> tuple[tuple[str, int], ...]:
         tables = self._state.tables
@@ -354,8 +398,8 @@
 
     async def on_state_offer(self, sender: InstanceId, offer: StateOffer) -> None:
         """Answer a peer's query, and request its state if this router is behind."""
-        if offer.ask:
-            self._peers.send(sender, self._answer(offer.ask))
+        if offer.ask and (self._has_recent_read or not offer.needs_confirmation):
+            self._peers.send(sender, self._answer(offer))
         now = trio.current_time()
         outdated_kinds = []
         for kind, revision in offer.revisions:
@@ -403,9 +447,9 @@
         knows_none = not instances.revision
         self._peers.send(peer, StateRequest(kinds, self._open_query(), knows_none))
 
-    def _answer(self, ask: int) -> StateAnswer:
-        ages = self._state.published_ages()
-        return StateAnswer(ask, self._revisions(), self._has_recent_read, ages)
+    def _answer(self, offer: StateOffer) -> StateAnswer:
+        ages = () if offer.needs_confirmation else self._state.published_ages()
+        return StateAnswer(offer.ask, self._revisions(), self._has_recent_read, ages)
 
     def _is_known(self, kind: str, revision: int) -> bool:
         """Return whether this router's state is at least as new as a peer's."""
--- a/packages/corianderlb-router/tests/state_builders.py
+++ b/packages/corianderlb-router/tests/state_builders.py
@@ -144,7 +144,7 @@
     ) -> None:
         self.feed = feed(store)
         self.state: ServingState = a_state(decoder)
-        rng = random.Random(1)
+        rng = random.Random(name)
         self.follower = StateFollower(self.feed, self.state, hub.join(name), rng)
 
     @property
--- a/packages/corianderlb-router/tests/test_state_follower.py
+++ b/packages/corianderlb-router/tests/test_state_follower.py
@@ -16,14 +16,16 @@
 from corianderlb_router.object_feed import (
     FeedChange,
     FeedChanges,
+    FeedListing,
 )
-from corianderlb_router.state_follower import N_INSTANCE_WATCHERS
+from corianderlb_router.state_follower import N_INSTANCE_WATCHERS, WATCH_S
+from corianderlb_router.store import StoreUnavailableError
 from forward_builders import (
     CONFIGURATION,
     INSTANCES,
     an_instance,
 )
-from state_builders import Router, StateCase
+from state_builders import MemoryFeed, Router, StateCase
 
 
 class StateFollowerTest(StateCase):
@@ -154,6 +156,56 @@
                 nursery.cancel_scope.cancel()
         self.assertLessEqual(n_calls[80], 1.2 * n_calls[40])
 
+    async def test_store_calls_while_the_store_is_away(self) -> None:
+        """Guards against a fleet whose calls to a store that is away cost the most."""
+        for n_routers, most in ((3, 25.0), (60, 16.0)):
+            async with trio.open_nursery() as nursery:
+                routers = self.start(nursery, n_routers)
+                await trio.sleep(5)
+                for router in routers:
+                    router.feed.is_away = True
+                self.enter("e1")
+                # Each watch ends with an error now or within its time.
+                await trio.sleep(20)
+                n_before = sum(router.feed.n_calls for router in routers)
+                await trio.sleep(10)
+                n_after = sum(router.feed.n_calls for router in routers)
+                self.assertLessEqual((n_after - n_before) / n_routers, most)
+                self.publish(2)
+                for router in routers:
+                    router.feed.is_away = False
+                await trio.sleep(1)
+                self.assertEqual({router.version for router in routers}, {2})
+                await trio.sleep(1.5)
+                self.assertFalse(any(r.state.is_store_lost for r in routers))
+                for router in routers:
+                    self.assertIsNotNone(router.state.instance("e1"))
+                nursery.cancel_scope.cancel()
+
+    async def test_kind_whose_calls_alone_fail_holds_up_no_other(self) -> None:
+        """Guards against kinds that wait for the store while it answers."""
+
+        class Feed(MemoryFeed):
+            async def list(self, kind: str) -> FeedListing:
+                if kind == CONFIGURATION and self.is_broken:
+                    raise StoreUnavailableError("this kind alone")
+                return await super().list(kind)
+
+            is_broken = True
+
+        async with trio.open_nursery() as nursery:
+            self.start(nursery, 0)
+            router = self.start_router(nursery, "r0", Feed)
+            await trio.sleep(1)
+            self.assertIsNotNone(router.state.instance("s1"))
+            self.enter("s2")
+            await trio.sleep(0.1)
+            self.assertIsNotNone(router.state.instance("s2"))
+            router.feed.is_broken = False
+            await trio.sleep(1)
+            self.assertEqual(router.version, 1)
+            nursery.cancel_scope.cancel()
+
     async def test_offers_do_not_grow_with_the_changes_of_instances(self) -> None:
         """Guards against an offer over each link for changes that are announced."""
         async with trio.open_nursery() as nursery:
@@ -167,6 +219,37 @@
             self.assertLessEqual(len(offers), 3 * 14 * 13)
             nursery.cancel_scope.cancel()
 
+    async def test_state_stays_confirmed_after_a_change(self) -> None:
+        """Guards against watches of all routers that end together from a change on."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 30)
+            await trio.sleep(5)
+            self.publish(2)
+            n_unconfirmed = 0
+            for _ in range(60):
+                await trio.sleep(0.5)
+                n_unconfirmed += sum(
+                    not router.state.is_confirmed(WATCH_S + 1.5) for router in routers
+                )
+            self.assertLessEqual(n_unconfirmed, 0.01 * 60 * len(routers))
+            nursery.cancel_scope.cancel()
+
+    async def test_only_peers_that_can_confirm_answer(self) -> None:
+        """Guards against answers of all peers to each offer of a quiet fleet."""
+        async with trio.open_nursery() as nursery:
+            routers = self.start(nursery, 30)
+            await trio.sleep(5)
+            self.name_weights(2)
+            await trio.sleep(15)
+            offers = self.record_messages(routers, StateOffer)
+            answers = self.record_messages(routers, StateAnswer)
+            await trio.sleep(20)
+            self.assertTrue(answers)
+            self.assertTrue(all(answer.is_confirmed for answer in answers))
+            self.assertFalse(any(answer.named for answer in answers))
+            self.assertLess(len(answers), len(offers) / 2)
+            nursery.cancel_scope.cancel()
+
     async def test_changes_after_a_quiet_time_need_no_whole_tables(self) -> None:
         """Guards against tables sent to every router after each empty answer."""
         async with trio.open_nursery() as nursery:
