corianderctl: review a configuration before it is sent

Errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

--- a/packages/corianderlb-ctl/src/corianderlb_ctl/diff.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/diff.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import ClassVar
 
-from corianderlb_core.catalogue import Catalogue, key_of
+from corianderlb_core.catalogue import Catalogue, Entry, key_of
 from corianderlb_core.edit import Edit, EntryDifference, build_edit_from_entries
 from corianderlb_router.catalogue_editor import CatalogueEditor
 
@@ -38,14 +38,22 @@
     async def run(self, context: Context) -> Report:
         """Compare the two; the exit code shows whether they differ."""
         new_entries = read_catalogue_file(context.arguments.file).entries
-        base = await CatalogueEditor(context.store).newest()
-        edit = build_edit_from_entries(
-            Edit("diff", base.version, "", ""), base, new_entries
-        )
-        lines = tuple(map(str, differences(edit, base)))
-        notes = lines or (f"no difference from version {base.version}",)
+        result = await compare_with_newest(context, new_entries)
+        lines = result.differences
+        notes = lines or (f"no difference from version {result.version}",)
         code = ExitCode.DIFFERENT if lines else ExitCode.OK
-        return Report(DiffResult(base.version, lines), notes=notes, exit_code=code)
+        return Report(result, notes=notes, exit_code=code)
+
+
+async def compare_with_newest(
+    context: Context, new_entries: tuple[Entry, ...]
+) -> DiffResult:
+    """Return what the newest accepted catalogue lacks to hold just these entries."""
+    base = await CatalogueEditor(context.store).newest()
+    edit = build_edit_from_entries(
+        Edit("diff", base.version, "", ""), base, new_entries
+    )
+    return DiffResult(base.version, tuple(map(str, differences(edit, base))))
 
 
 def differences(edit: Edit, base: Catalogue) -> list[EntryDifference]:
--- a/packages/corianderlb-ctl/tests/test_command_words.py
+++ b/packages/corianderlb-ctl/tests/test_command_words.py
@@ -27,6 +27,7 @@
 check --operator-key-file
 check --settings
 check --catalogue
+check --compare
 apply -h|--help
 apply --output table|json
 apply --store
@@ -136,7 +137,7 @@
 entries version
 entry owner changed_in author accepted_at reason
 in_force_on lagging
-path n_entries faults
+path n_entries faults warnings base_version differences
 record status problem
 requests changes
 store routers arguments
--- a/packages/corianderlb-ctl/tests/test_ctl_commands.py
+++ b/packages/corianderlb-ctl/tests/test_ctl_commands.py
@@ -182,6 +182,24 @@
             self.assertIn(pattern, message)
         self.assertEqual(store.calls.total(), 0)
 
+    async def test_check_before_sending(self) -> None:
+        store = self.make_store()
+        await self.call(store, "apply", str(self.path), *AUTHOR_AND_REASON)
+        account = an_account(key_digests=())
+        self.write_catalogue(a_model(), account, an_upstream(), an_upstream("other"))
+        words = ("check", "--catalogue", str(self.path), "--compare")
+        result = (await self.call(store, *words)).value
+        self.assertEqual(result.base_version, 1)
+        self.assertEqual(len(result.warnings), 3)
+        self.assertEqual(result.differences[0][:2], "~ ")
+        self.assertIn("+ upstream/other", result.differences)
+
+    async def test_check_compares_no_settings(self) -> None:
+        words = ("check", "--settings", str(self.path), "--compare")
+        code, text = await self.call_refused(FakeStore(), *words)
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn("--compare needs --catalogue", text)
+
     async def test_check_reports_every_fault(self) -> None:
         store = self.make_store()
         self.write_catalogue(
