HTTP server of the router's own over h11

hypercorn's layers were over half of the processor time of a refused request; reason and figures in docs/design/README.md and docs/CAPACITY.md.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -1,26 +1,70 @@
-"""One connection of the HTTP server.
+"""One connection of the HTTP server: HTTP/1 between a socket and an application.
 
-The protocol is the library's; the reading and writing of the socket stands here.
+A connection has one task. It reads a head, runs the application for it, and reads on;
+while an application runs, the socket is read by whoever waits for the request.
 """
 
 from __future__ import annotations
 
+import logging
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from email.utils import formatdate
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
+from urllib.parse import unquote
 
 import h11
 import trio
-from hypercorn.config import Config
-from hypercorn.events import Closed, Event, RawData, Updated
-from hypercorn.protocol.h11 import H11Protocol
-from hypercorn.trio.task_group import TaskGroup
-from hypercorn.trio.worker_context import TrioSingleTask, WorkerContext
-from hypercorn.typing import AppWrapper, ConnectionState
-from hypercorn.utils import parse_socket_addr
 
 READ_BYTES: Final = 1 << 16
 """Most bytes taken from a socket at once."""
 
+WRITE_BYTES: Final = 1 << 16
+"""Most bytes written at once; the write timeout applies to each such piece."""
+
+MAX_REQUESTS: Final = 1000
+"""Requests after which a connection is closed."""
+
+MAX_UNREAD_PIECES: Final = 16
+"""Most pieces read of a body that the application has not asked for."""
+
+CONNECTION: Final = "corianderlb.connection"
+"""Key of the connection in the scope of its requests."""
+
+MORE_FOLLOWS: Final = "corianderlb.more_follows"
+"""Key of a message that begins an answer: whether to write it with the next message,
+which follows at once."""
+
+Application: TypeAlias = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
+
+_DISCONNECT: Final = {"type": "http.disconnect"}
+_BODILESS_STATUSES: Final = (204, 304)
+_ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
+
+log = logging.getLogger(__name__)
+
+
+class UnexpectedMessageError(Exception):
+    """Raised for a message that an application may not send now."""
+
+
+@dataclass
+class ConnectionSettings:
+    """Settings of the connections of one server."""
+
+    max_head_bytes: int
+    """Longest request head; a longer one is answered with 431."""
+    keep_alive_s: float
+    """Longest idle time of a connection; applies from its next request on."""
+    write_timeout_s: float
+    """Longest time that a caller may not read a piece of what is written to it."""
+    sends_date: bool
+    """Whether answers have a ``date`` header."""
+    is_stopping: bool = False
+    """Whether connections close instead of waiting for another request."""
+
 
 class Http1State(h11.Connection):
     """Protocol state of a connection that offers nothing but HTTP/1.
@@ -39,116 +83,351 @@
                 f"HTTP/{version} is not supported, only HTTP/1",
                 error_status_hint=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
             )
-        headers = [header for header in event.headers if header[0] != b"upgrade"]
-        if len(headers) == len(event.headers):
-            return event
-        return h11.Request(
-            method=event.method,
-            target=event.target,
-            headers=headers,
-            http_version=event.http_version,
-        )
+        return event
 
 
 class HttpConnection:
     """Serves the requests of one connection until either side closes it.
 
-    ``caller`` is the remote address of the stream.
+    ``caller`` is the remote address of the socket, which does not block.
     """
 
     def __init__(
-        self,
-        stream: trio.SocketStream,
-        caller: tuple[Any, ...],
-        config: Config,
-        context: WorkerContext,
-        write_timeout_s: float,
+        self, sock: socket.socket, caller: tuple[Any, ...], cfg: ConnectionSettings
     ) -> None:
-        self._stream = stream
+        self._sock = sock
         self._caller = caller
-        self._config = config
-        self._context = context
-        self._write_timeout_s = write_timeout_s
-        self._send_lock = trio.Lock()
-        self._idle_task = TrioSingleTask()
-        self._tasks: TaskGroup
-        self._protocol: H11Protocol
-
-    async def run(self, app: AppWrapper) -> None:
+        self._cfg = cfg
+        self.on_progress: Callable[[], None] = lambda: None
+        """Called when the remote side has taken a piece of what is written to it."""
+        self.has_timed_out = False
+        """Whether it was closed since the remote side did not read."""
+        self.is_idle = True
+        """Whether no request is being served."""
+        self._is_closed = False
+        self._state = Http1State(
+            h11.SERVER, max_incomplete_event_size=cfg.max_head_bytes
+        )
+        self._n_requests = 0
+        # Of the request that is being served.
+        self._method = b""
+        self._status: int | None = None
+        self._is_complete = False
+        """Whether the whole answer was sent."""
+        self._is_read = False
+        """Whether the whole request was read."""
+        self._is_gone = False
+        """Whether the remote side has left or broken the protocol."""
+        self._failure: Exception | None = None
+        """Error of the library while the request was read."""
+        self._held = b""
+        """Head that waits for the first part of its answer."""
+
+    async def run(self, app: Application) -> None:
         """Serve requests; any exception may be raised for what the caller sends."""
-        sock = self._stream.socket
         try:
-            async with TaskGroup() as tasks:
-                self._tasks = tasks
-                self._protocol = H11Protocol(
-                    app,
-                    self._config,
-                    self._context,
-                    tasks,
-                    ConnectionState({}),
-                    False,
-                    parse_socket_addr(sock.family, self._caller),
-                    parse_socket_addr(sock.family, sock.getsockname()),
-                    self._handle_event,
-                )
-                self._protocol.connection = Http1State(
-                    h11.SERVER,
-                    max_incomplete_event_size=self._config.h11_max_incomplete_size,
-                )
-                await self._idle_task.restart(tasks, self._close_when_idle)
-                await self._read()
+            while not self._cfg.is_stopping:
+                with trio.move_on_after(self._cfg.keep_alive_s):
+                    request = await self._next_request()
+                    if request is not None:
+                        self.is_idle = False
+                if self.is_idle:
+                    break
+                await self._serve(app, request)
+                if not self._may_go_on():
+                    break
+                self.is_idle = True
         finally:
             self.close()
 
     def close(self) -> None:
         """Close the socket, which ends a write that waits for the caller to read."""
-        self._stream.socket.close()
+        if not self._is_closed:
+            self._is_closed = True
+            trio.lowlevel.notify_closing(self._sock)
+            self._sock.close()
 
-    async def _read(self) -> None:
+    # The request.
+
+    async def _next_request(self) -> h11.Request | None:
+        """Return the next request; None if none comes any more."""
+        is_new = not self._n_requests
         while True:
             try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                event = self._state.next_event()
+            except h11.RemoteProtocolError as exc:
+                await self._fail(exc)
+                return None
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            data = await self._receive(at_once=is_new)
+            is_new = False
+            if data is None:
+                return None
+            self._feed(data)
+
+    async def _serve(self, app: Application, request: h11.Request) -> None:
+        """Serve one request; its application may close the connection."""
+        self._n_requests += 1
+        self._method, self._status, self._held = request.method, None, b""
+        self._is_complete = self._is_read = self._is_gone = False
+        try:
+            await app(self._scope(request), self._receive_message, self._send_message)
+        except Exception:
+            log.exception("Error in the application")
+        if self._failure is not None:
+            raise self._failure
+        if self._status is None and not self._is_gone:
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            await self._respond(500, headers)
+            await self._write(self._encode(h11.EndOfMessage()))
+        elif self._held:
+            await self._write(self._take_held())
+
+    def _scope(self, request: h11.Request) -> dict[str, Any]:
+        path, _, query = request.target.partition(b"?")
+        return {
+            "type": "http",
+            "http_version": request.http_version.decode(),
+            "asgi": {"spec_version": "2.1", "version": "3.0"},
+            "method": request.method.decode("ascii").upper(),
+            "scheme": "http",
+            "path": unquote(path.decode("ascii")),
+            "raw_path": path,
+            "query_string": query,
+            "root_path": "",
+            "headers": [item for item in request.headers if item[0] != b"upgrade"],
+            "client": self._caller[:2],
+            "server": self._sock.getsockname()[:2],
+            "state": {},
+            "extensions": {},
+            CONNECTION: self,
+        }
+
+    async def _receive_message(self) -> dict[str, Any]:
+        """Return the next part of the request, or that the caller has left.
+
+        An error of the library is a failure of the connection, not of the application,
+        for which its caller has left.
+        """
+        try:
+            return await self._next_message()
+        except Exception as exc:
+            self._failure, self._is_gone = exc, True
+            return _DISCONNECT
+
+    async def _next_message(self) -> dict[str, Any]:
+        while not (self._is_read or self._is_gone or self._is_complete):
+            if self._state.they_are_waiting_for_100_continue:
+                await self._write(self._encode(self._informational()))
+            try:
+                event = self._state.next_event()
+            except h11.RemoteProtocolError as exc:
+                await self._fail(exc)
                 break
-            await self._protocol.handle(RawData(bytes(data)))
-            if not data:
+            if isinstance(event, h11.Data):
+                body = bytes(event.data)
+                return {"type": "http.request", "body": body, "more_body": True}
+            if isinstance(event, h11.EndOfMessage):
+                self._is_read = True
+                return {"type": "http.request", "body": b"", "more_body": False}
+            if event is not h11.NEED_DATA:
+                self._is_gone = True
                 break
-        await self._protocol.handle(Closed())
+            await self._read_more()
+        while not (self._is_gone or self._is_complete):
+            if self._state.trailing_data[0]:
+                # The next request has begun to arrive, and is read after this one.
+                await trio.sleep_forever()
+            await self._read_more()
+        return _DISCONNECT
 
-    async def _handle_event(self, event: Event) -> None:
-        """Act on an event of the protocol."""
-        if isinstance(event, RawData):
-            await self._write(event.data)
-        elif isinstance(event, Closed):
-            self.close()
-            await self._protocol.handle(Closed())
-        elif isinstance(event, Updated):
-            if event.idle:
-                await self._idle_task.restart(self._tasks, self._close_when_idle)
-            else:
-                await self._idle_task.stop()
+    async def _read_more(self) -> None:
+        data = await self._receive()
+        if data is None:
+            self._is_gone = True
+        else:
+            self._feed(data)
+            self._is_gone = not data
+
+    def _feed(self, data: bytes) -> None:
+        """Pass bytes to the protocol; empty ones are the end of the stream."""
+        self._state.receive_data(data)
+
+    async def _receive(self, at_once: bool = False) -> bytes | None:
+        """Return bytes, empty at the end of the stream; None if it is broken.
+
+        ``at_once`` tries first whether some have arrived, which those of a new
+        connection mostly have. Others mostly have not.
+        """
+        try:
+            while True:
+                if not at_once:
+                    await trio.lowlevel.wait_readable(self._sock)
+                at_once = False
+                try:
+                    return self._sock.recv(READ_BYTES)
+                except BlockingIOError:
+                    continue
+        except (OSError, ValueError, trio.ClosedResourceError):
+            # The socket may be closed by another task.
+            return None
+
+    def _may_go_on(self) -> bool:
+        """Return whether another request may follow, and prepare for it."""
+        if self._is_gone or self._is_closed or not self._is_complete:
+            return False
+        try:
+            self._skip_unread()
+            if (self._state.our_state, self._state.their_state) != (h11.DONE, h11.DONE):
+                return False
+            self._state.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        return True
+
+    def _skip_unread(self) -> None:
+        """Drop what has arrived of a body that the application did not ask for.
+
+        Closed with unread bytes, a connection is reset, and the caller may lose its
+        answer.
+        """
+        for _ in range(MAX_UNREAD_PIECES):
+            event = h11.NEED_DATA
+            while self._state.their_state is h11.SEND_BODY:
+                event = self._state.next_event()
+                if event is h11.NEED_DATA:
+                    break
+            if event is not h11.NEED_DATA or self._state.their_state is h11.DONE:
+                return
+            try:
+                self._feed(self._sock.recv(READ_BYTES))
+            except OSError:
+                return
+
+    # The answer.
+
+    async def _send_message(self, message: dict[str, Any]) -> None:
+        """Write a part of the answer; dropped if the caller has left."""
+        kind = message["type"]
+        if kind == "http.response.start" and self._status is None:
+            self._status = int(message["status"])
+            headers = [
+                (bytes(name).strip(), bytes(value).strip())
+                for name, value in message.get("headers", ())
+            ]
+            await self._respond(self._status, headers, bool(message.get(MORE_FOLLOWS)))
+        elif (
+            kind == "http.response.body"
+            and self._status is not None
+            and not self._is_complete
+        ):
+            data = self._take_held()
+            body = message.get("body", b"")
+            if body and not self._has_no_body:
+                data += self._encode(h11.Data(data=bytes(body)))
+            if not message.get("more_body", False):
+                data += self._encode(h11.EndOfMessage())
+            if data:
+                await self._write(data)
+            self._is_complete = not message.get("more_body", False)
+        else:
+            raise UnexpectedMessageError(f"{kind} after status {self._status}")
+
+    @property
+    def _has_no_body(self) -> bool:
+        return self._method == b"HEAD" or self._status in _BODILESS_STATUSES
+
+    async def _respond(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+        more_follows: bool = False,
+    ) -> None:
+        headers = [*headers, *self._common_headers()]
+        if self._n_requests > MAX_REQUESTS:
+            headers.append((b"connection", b"close"))
+        data = self._encode(h11.Response(status_code=status, headers=headers))
+        if more_follows:
+            self._held = data
+        else:
+            await self._write(data)
+
+    async def _fail(self, exc: h11.RemoteProtocolError) -> None:
+        """Answer what is not HTTP, unless an answer has begun, and close."""
+        self._is_gone = True
+        if self._state.our_state in _ANSWERABLE:
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            await self._respond(exc.error_status_hint, headers)
+            self._status = exc.error_status_hint
+            await self._write(self._encode(h11.EndOfMessage()))
+        self.close()
+
+    def _common_headers(self) -> list[tuple[bytes, bytes]]:
+        if not self._cfg.sends_date:
+            return []
+        return [(b"date", formatdate(usegmt=True).encode())]
+
+    def _informational(self) -> h11.InformationalResponse:
+        return h11.InformationalResponse(
+            status_code=100, headers=self._common_headers()
+        )
+
+    def _encode(self, event: Any) -> bytes:
+        """Return the bytes of an event; none once the caller broke the protocol."""
+        try:
+            return self._state.send(event) or b""
+        except h11.LocalProtocolError:
+            if self._state.their_state is not h11.ERROR:
+                raise
+            return b""
+
+    def _take_held(self) -> bytes:
+        held, self._held = self._held, b""
+        return held
 
     async def _write(self, data: bytes) -> None:
         """Write data whole, or close the connection.
 
-        The protocol has counted the data as sent, so a cancellation ends neither the
-        wait for the lock nor the write; ``close`` and the timeout do.
+        The protocol has counted the data as sent, so a cancellation does not end the
+        write; ``close`` and the timeout do. The timeout is for each piece: whoever
+        reads slowly still reads.
         """
-        deadline = trio.current_time() + self._write_timeout_s
+        if self._is_closed or self._failure is not None or not data:
+            return
+        try:
+            if len(data) <= WRITE_BYTES:
+                n_sent = self._send_some(data)
+                if n_sent < len(data):
+                    await self._write_piece(memoryview(data)[n_sent:])
+            else:
+                pieces = memoryview(data)
+                for start in range(0, len(data), WRITE_BYTES):
+                    await self._write_piece(pieces[start : start + WRITE_BYTES])
+                    self.on_progress()
+        except trio.TooSlowError:
+            self.has_timed_out = True
+            self._leave()
+        except (OSError, ValueError, trio.ClosedResourceError):
+            self._leave()
+
+    def _send_some(self, data: bytes | memoryview) -> int:
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    async def _write_piece(self, data: memoryview) -> None:
+        deadline = trio.current_time() + self._cfg.write_timeout_s
         with trio.CancelScope(shield=True, deadline=deadline) as scope:
-            async with self._send_lock:
-                try:
-                    await self._stream.send_all(data)
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    await self._protocol.handle(Closed())
+            while data:
+                await trio.lowlevel.wait_writable(self._sock)
+                data = data[self._send_some(data) :]
         if scope.cancelled_caught:
-            self.close()
-            await self._protocol.handle(Closed())
-
-    async def _close_when_idle(self) -> None:
-        """Close after the keep-alive timeout, or once the server stops listening."""
-        with trio.move_on_after(self._config.keep_alive_timeout):
-            await self._context.terminated.wait()
-        with trio.CancelScope(shield=True):
-            await self._protocol.handle(Closed())
-            self.close()
+            raise trio.TooSlowError
+
+    def _leave(self) -> None:
+        self._is_gone = True
+        self.close()
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -18,6 +18,8 @@
 from corianderlb_core.result import RESULT_INFO, ResultCode
 from corianderlb_core.service_class import ServiceClass
 
+from ._http_connection import MORE_FOLLOWS
+
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -139,29 +141,40 @@
                 )
             parts.append(message.get("body", b""))
             n_bytes += len(parts[-1])
+            self.hold_body(len(parts[-1]))
             if n_bytes > limit:
                 detail = f"The body is longer than {limit} bytes."
                 raise refuse(ResultCode.BODY_TOO_LARGE, detail)
             if not message.get("more_body"):
                 return b"".join(parts)
 
+    def hold_body(self, n_bytes: int) -> None:
+        """Account for a part of the body that has arrived, or refuse the request."""
+
     async def wait_until_disconnected(self) -> None:
         """Wait until the caller disconnects."""
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the response head, including the headers common to all answers."""
+    async def start(
+        self, status: int, headers: Headers, more_follows: bool = False
+    ) -> None:
+        """Send the response head, including the headers common to all answers.
+
+        ``more_follows`` tells that a part of the body follows at once, with which the
+        server may write the head.
+        """
         await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         self.first_byte_at = trio.current_time()
-        await self._send_uncancelled(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers + self._common_headers(),
-            }
-        )
+        message = {
+            "type": "http.response.start",
+            "status": status,
+            "headers": headers + self._common_headers(),
+        }
+        if more_follows:
+            message[MORE_FOLLOWS] = True
+        await self._send_uncancelled(message)
 
     async def write(self, data: bytes) -> None:
         """Send part of the body; block while the caller does not read.
@@ -201,7 +214,8 @@
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         with trio.CancelScope(shield=True):
-            await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
+            await self.start(status, headers, more_follows=True)
             await self.finish(body)
 
     async def fail(self, refusal: Refusal) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import select
 import socket
 from abc import ABC, abstractmethod
@@ -85,12 +87,11 @@
         """Return a connected socket stream with Nagle's algorithm disabled."""
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        raw = socket.socket(family, socket.SOCK_STREAM)
-        stream = SocketStream(raw)
+        stream = SocketStream(socket.socket(family, socket.SOCK_STREAM))
         try:
             await stream.connect(host.strip("[]"), int(port))
         except BaseException:
-            raw.close()
+            stream.close()
             raise
         return stream
 
@@ -100,20 +101,32 @@
 
     The events of a response arrive one by one, so a first read almost always blocks.
     Trio's own stream attempts that read and yields once more after the wait, which
-    doubles the cost per chunk.
+    doubles the cost per chunk. Connects and writes are tried first, as those to a near
+    host almost never block.
     """
 
     def __init__(self, raw: socket.socket) -> None:
         raw.setblocking(False)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._raw = raw
-        self._socket = trio.socket.from_stdlib_socket(raw)
-        self._stream: trio.SocketStream | None = None
+        self._is_closed = False
 
     async def connect(self, host: str, port: int) -> None:
         """Connect to an IP address and port."""
-        await self._socket.connect((host, port))
-        self._stream = trio.SocketStream(self._socket)
+        try:
+            socket.inet_pton(self._raw.family, host)
+        except OSError:
+            # A name is looked up in a thread.
+            await trio.socket.from_stdlib_socket(self._raw).connect((host, port))
+            return
+        code = self._raw.connect_ex((host, port))
+        if code == errno.EINPROGRESS:
+            await trio.lowlevel.wait_writable(self._raw)
+            code = self._raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            # Whoever tries again at once lets other tasks run.
+            await trio.lowlevel.checkpoint()
+            raise OSError(code, os.strerror(code))
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return the available bytes, at least one; empty at end of stream."""
@@ -131,17 +144,34 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send all bytes."""
-        assert self._stream is not None
-        await self._stream.send_all(data)
+        if self._is_closed:
+            raise trio.ClosedResourceError("the stream was closed")
+        rest = memoryview(data)
+        try:
+            while rest:
+                try:
+                    rest = rest[self._raw.send(rest) :]
+                except BlockingIOError:
+                    await trio.lowlevel.wait_writable(self._raw)
+        except OSError as exc:
+            raise trio.BrokenResourceError(str(exc)) from exc
 
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until some bytes can be sent."""
-        assert self._stream is not None
-        await self._stream.wait_send_all_might_not_block()
+        if self._is_closed:
+            raise trio.ClosedResourceError("the stream was closed")
+        await trio.lowlevel.wait_writable(self._raw)
+
+    def close(self) -> None:
+        """Close the socket; who waits for it is told."""
+        if not self._is_closed:
+            self._is_closed = True
+            trio.lowlevel.notify_closing(self._raw)
+            self._raw.close()
 
     async def aclose(self) -> None:
         """Close the socket."""
-        self._socket.close()
+        self.close()
         await trio.lowlevel.checkpoint()
 
     @property
@@ -309,4 +339,7 @@
 
     async def close(self) -> None:
         """Close the socket without waiting for the upstream."""
-        await trio.aclose_forcefully(self._stream)
+        if isinstance(self._stream, SocketStream):
+            self._stream.close()
+        else:
+            await trio.aclose_forcefully(self._stream)
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -10,18 +10,18 @@
 
 import eliot
 import trio
-from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.config import Config
-from hypercorn.trio.lifespan import Lifespan
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.utils import repr_socket_addr
 
-from ._http_connection import HttpConnection
+from ._http_connection import ConnectionSettings, HttpConnection
+from ._lifespan import Lifespan
 from .connection_guard import ConnectionGuard
 
 BACKLOG: Final = 1024
 """Connections that may wait until they are accepted."""
 
+UNSENT_BYTES: Final = 1 << 14
+"""Most bytes that the kernel holds unsent before a connection counts as not writable,
+so that what waits for a slow caller waits here."""
+
 MAX_ACCEPTED: Final = 256
 """Most connections accepted in one pass of the event loop, so that the tasks of those
 that are served get their turn."""
@@ -69,34 +69,28 @@
         is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         """Serve ``app``; while ``is_overloaded``, close new connections unread."""
-        self._app = ASGIWrapper(app)
+        self._app = app
         self._is_overloaded = is_overloaded
         self.n_shed = 0
         """Connections that were closed unread."""
         self._n_shed_logged = 0
         self._shed_logged_at = float("-inf")
         self._name = cfg.name
+        self._address = cfg.address
         self._guard = guard
-        self._write_timeout_s = cfg.write_timeout_s
         self._open: set[HttpConnection] = set()
-        self._context = WorkerContext(max_requests=None)
-        self._config = Config()
-        self._config.bind = [cfg.address]
-        self._config.backlog = BACKLOG
-        self._config.include_server_header = False
-        self._config.include_date_header = cfg.sends_date
-        self._config.loglevel = "WARNING"
-        self._config.h11_max_incomplete_size = cfg.max_head_bytes
-        self.keep_alive_s = cfg.keep_alive_s
+        self._cfg = ConnectionSettings(
+            cfg.max_head_bytes, cfg.keep_alive_s, cfg.write_timeout_s, cfg.sends_date
+        )
 
     @property
     def keep_alive_s(self) -> float:
         """Longest idle time of a connection; applies from its next request on."""
-        return self._config.keep_alive_timeout
+        return self._cfg.keep_alive_s
 
     @keep_alive_s.setter
     def keep_alive_s(self, seconds: float) -> None:
-        self._config.keep_alive_timeout = seconds
+        self._cfg.keep_alive_s = seconds
 
     async def run(
         self,
@@ -107,13 +101,13 @@
 
         Starts with the bound ``host:port``; raises ``OSError`` if it cannot be bound.
         """
-        lifespan = Lifespan(self._app, self._config, {})
+        lifespan = Lifespan(self._app)
         async with trio.open_nursery() as nursery:
-            await nursery.start(lifespan.handle_lifespan)
-            await lifespan.wait_for_startup()
+            nursery.start_soon(lifespan.run)
+            await lifespan.start()
             nursery.start_soon(self._close_all_when_cancelled)
             await self._serve(until, task_status)
-            await lifespan.wait_for_shutdown()
+            await lifespan.stop()
             nursery.cancel_scope.cancel()
 
     async def _serve(
@@ -121,15 +115,15 @@
     ) -> None:
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
-                for sock in self._config.create_sockets().insecure_sockets:
-                    sock.listen(BACKLOG)
-                    sock.setblocking(False)
-                    address = repr_socket_addr(sock.family, sock.getsockname())
-                    task_status.started(address)
-                    accepting.start_soon(self._accept, sock, connections)
+                sock = _listen(self._address)
+                task_status.started(_text(sock.getsockname()))
+                accepting.start_soon(self._accept, sock, connections)
                 await until()
                 accepting.cancel_scope.cancel()
-            await self._context.terminated.set()
+            self._cfg.is_stopping = True
+            for conn in self._open:
+                if conn.is_idle:
+                    conn.close()
 
     async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
         """Accept connections until cancelled, then close the listener.
@@ -178,20 +172,17 @@
         )
 
     async def _serve_connection(self, accepted: socket.socket) -> None:
-        stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
-        sock = stream.socket
+        accepted.setblocking(False)
         try:
-            caller = sock.getpeername()
+            caller = accepted.getpeername()
         except OSError:
             # The caller has left meanwhile.
-            sock.close()
+            accepted.close()
             return
-        conn = HttpConnection(
-            stream, caller, self._config, self._context, self._write_timeout_s
-        )
+        conn = HttpConnection(accepted, caller, self._cfg)
         self._open.add(conn)
         try:
-            with self._guard.confine(self._name, repr_socket_addr(sock.family, caller)):
+            with self._guard.confine(self._name, _text(caller)):
                 await conn.run(self._app)
         finally:
             self._open.discard(conn)
@@ -203,3 +194,26 @@
         finally:
             for conn in self._open:
                 conn.close()
+
+
+def _listen(address: str) -> socket.socket:
+    """Return a socket that listens on ``host:port``, with options for all accepted."""
+    host, _, port = address.replace("[", "").replace("]", "").rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _text(address: tuple[Any, ...]) -> str:
+    host, port = address[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -9,6 +9,7 @@
 
 import logging
 import os
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Final
@@ -47,6 +48,18 @@
 """Most bytes per write; the default capacity of a pipe."""
 
 
+_LOGGER: Final = eliot.Logger()
+
+
+def log_request(**fields: Any) -> None:
+    """Log a line about a single request, as ``eliot.log_message`` would.
+
+    Without the action that eliot makes for each message: its id and level are not
+    written, and cost more than the line.
+    """
+    _LOGGER.write(dict(fields, timestamp=time.time()))
+
+
 class LogWriter:
     """Destination for eliot that writes messages as JSON lines.
 
--- a/packages/corianderlb-router/tests/test_http_server.py
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -9,8 +9,9 @@
 
 import eliot
 import trio
-from hypercorn.protocol.h11 import H11Protocol
 
+from corianderlb_router._http_connection import HttpConnection
+from corianderlb_router.caller import CallerExchange
 from corianderlb_router.connection_guard import PROCESS_FAULTS, ConnectionGuard
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins.connection_texts import (
@@ -29,10 +30,14 @@
 """Random texts that are sent in one test."""
 
 GET = b"GET / HTTP/1.1\r\nhost: r\r\n\r\n"
+EXPECT = b"expect: 100-continue\r\n"
 
 
 class Application:
-    """Begins each answer at once and ends it when told to."""
+    """Begins each answer at once and ends it when told to, or when its caller leaves.
+
+    A connection is read by its application, which waits for its caller meanwhile.
+    """
 
     def __init__(self) -> None:
         self.may_end = trio.Event()
@@ -49,11 +54,19 @@
         self.n_begun += 1
         try:
             await send({"type": "http.response.start", "status": 200, "headers": []})
-            await self.may_end.wait()
-            await send({"type": "http.response.body", "body": b"whole"})
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._wait_for_caller, receive, nursery.cancel_scope)
+                await self.may_end.wait()
+                await send({"type": "http.response.body", "body": b"whole"})
+                nursery.cancel_scope.cancel()
         finally:
             self.n_left += 1
 
+    async def _wait_for_caller(self, receive: Any, scope: trio.CancelScope) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
 
 class LargeAnswer(Application):
     """Answers with more than the buffers of a connection hold."""
@@ -78,17 +91,17 @@
 
     def __init__(self, exc: BaseException) -> None:
         self._exc = exc
-        self._handle = H11Protocol.handle
+        self._feed = HttpConnection._feed
 
     def patch(self) -> Any:
-        """Return the patch of the library's protocol."""
+        """Return the patch of what passes bytes to the library."""
 
-        async def handle(protocol: H11Protocol, event: Any) -> None:
-            if b"fail" in getattr(event, "data", b""):
+        def feed(conn: HttpConnection, data: bytes) -> None:
+            if b"fail" in data:
                 raise self._exc
-            await self._handle(protocol, event)
+            self._feed(conn, data)
 
-        return mock.patch.object(H11Protocol, "handle", handle)
+        return mock.patch.object(HttpConnection, "_feed", feed)
 
 
 class HttpServerTest(RealTimeTestCase):
@@ -288,3 +301,109 @@
             await self.check_whole(app, await self.begin(app, address))
 
         await self.serve(check)
+
+    async def test_new_connection_needs_one_task_and_one_write(self) -> None:
+        """Guards against refusals that cost as much as answers."""
+
+        class TaskCounter(trio.abc.Instrument):
+            n_spawned = 0
+
+            def task_spawned(self, task: trio.lowlevel.Task) -> None:
+                self.n_spawned += 1
+
+        counter = TaskCounter()
+        writes: list[bytes] = []
+        write = HttpConnection._write
+
+        async def count_write(conn: HttpConnection, data: bytes) -> None:
+            writes.append(data)
+            await write(conn, data)
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] == "lifespan":
+                await Application()(scope, receive, send)
+                return
+            caller = CallerExchange(scope, receive, send)
+            await caller.answer(429, [], b"later")
+
+        async def check(app: Any, address: str) -> None:
+            for _ in range(3):
+                conn = await self.connect(address)
+                n_before = counter.n_spawned
+                await conn.send_all(GET)
+                self.assertIn(b"later", await conn.receive_some())
+                self.assertLessEqual(counter.n_spawned, n_before + 1)
+                await conn.aclose()
+
+        trio.lowlevel.add_instrument(counter)
+        with mock.patch.object(HttpConnection, "_write", count_write):
+            await self.serve(check, app)
+        self.assertEqual(len(writes), 3)
+
+    async def test_requests_sent_ahead_are_answered_in_order(self) -> None:
+        async def check(app: Application, address: str) -> None:
+            app.may_end.set()
+            conn = await self.connect(address)
+            await conn.send_all(3 * GET)
+            answers = b""
+            while answers.count(b"whole") < 3:
+                data = await conn.receive_some()
+                self.assertTrue(data, answers)
+                answers += data
+
+        await self.serve(check)
+
+    async def test_answer_before_the_body_is_not_lost(self) -> None:
+        """Guards against a reset that takes the answer from a caller that sends on."""
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] == "lifespan":
+                await Application()(scope, receive, send)
+                return
+            await CallerExchange(scope, receive, send).answer(413, [], b"long")
+
+        async def check(app: Any, address: str) -> None:
+            head = b"POST / HTTP/1.1\r\nhost: r\r\ncontent-length: 200000\r\n"
+            for first in (head + b"\r\n" + bytes(100_000), head + EXPECT + b"\r\n"):
+                conn = await self.connect(address)
+                await conn.send_all(first)
+                answer = b"".join([part async for part in conn])
+                self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+                self.assertTrue(answer.endswith(b"long"), answer)
+
+        await self.serve(check, app)
+
+    async def test_body_that_waits_to_be_asked_for(self) -> None:
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] == "lifespan":
+                await Application()(scope, receive, send)
+                return
+            caller = CallerExchange(scope, receive, send)
+            body = await caller.read_body(100, trio.current_time() + BOUND_S)
+            await caller.answer(200, [], body)
+
+        async def check(app: Any, address: str) -> None:
+            conn = await self.connect(address)
+            head = b"POST / HTTP/1.1\r\nhost: r\r\ncontent-length: 4\r\n"
+            await conn.send_all(head + EXPECT + b"\r\n")
+            answer = await conn.receive_some()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 100"), answer)
+            await conn.send_all(b"body")
+            answer = await conn.receive_some()
+            self.assertTrue(answer.endswith(b"\r\n\r\nbody"), answer)
+
+        await self.serve(check, app)
+
+    async def test_stop_closes_idle_connections_alone(self) -> None:
+        app, stop = Application(), trio.Event()
+        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
+        server = HttpServer(app, cfg, self.guard)
+        with trio.fail_after(BOUND_S):
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(server.run, stop.wait)
+                idle = await self.connect(address)
+                busy = await self.begin(app, address)
+                stop.set()
+                self.assertEqual(await idle.receive_some(), b"")
+                await self.check_whole(app, busy)
+                self.assertEqual(await busy.receive_some(), b"")
