--- a/packages/corianderlb-router/src/corianderlb_router/_handshake.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_handshake.py
@@ -11,6 +11,7 @@
 
 import hmac
 import secrets
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
@@ -71,12 +72,30 @@
 
     async def send(self, *messages: bytes) -> int:
         """Send encoded messages in order; return the bytes of their frames."""
+        frames = self._frames(messages)
+        await self._link.send_all(frames)
+        return sum(len(frame) for frame in frames)
+
+    @property
+    def can_send_now(self) -> bool:
+        """Whether messages can be sent without waiting."""
+        return self._link.can_send_now
+
+    def send_now(self, messages: Sequence[bytes]) -> int:
+        """Send encoded messages without waiting; return the bytes of their frames.
+
+        What is left is written by the next ``send``, if only of no messages.
+        """
+        frames = self._frames(messages)
+        self._link.send_now(frames)
+        return sum(len(frame) for frame in frames)
+
+    def _frames(self, messages: Sequence[bytes]) -> list[bytes]:
         frames = []
         for message in messages:
             frames.append(_tag(self._send_mac, self._n_sent, message) + message)
             self._n_sent += 1
-        await self._link.send_all(frames)
-        return sum(len(frame) for frame in frames)
+        return frames
 
     async def receive(self) -> bytes:
         """Return the next encoded message; raise ``FrameRefusedError`` if forged."""
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -10,7 +10,13 @@
 import trio
 
 from corianderlb_core.codec import DecodeError
-from corianderlb_core.message import LinkClosing, Message, decode, encode
+from corianderlb_core.message import (
+    EngineReport,
+    LinkClosing,
+    Message,
+    decode,
+    encode,
+)
 
 from ._handshake import TAG_BYTES, AuthenticatedLink, PeerIdentity
 from .peer_link import FrameRefusedError, LinkClosedError
@@ -50,7 +56,12 @@
     """
 
     def __init__(
-        self, link: AuthenticatedLink, dialled: bool, counters: PeerCounters, now: float
+        self,
+        link: AuthenticatedLink,
+        dialled: bool,
+        counters: PeerCounters,
+        now: float,
+        on_due: Callable[[PeerConnection], None],
     ) -> None:
         self.peer: PeerIdentity = link.peer
         self.dialled = dialled
@@ -65,6 +76,8 @@
         """Whether a message was dropped since this was last cleared."""
         self._queue: deque[bytes] = deque()
         self._n_queued_bytes = 0
+        self._on_due = on_due
+        """Called when queued messages are to be sent, by ``send_due``."""
         self._must_write = trio.Event()
         self.is_surplus = False
         """Whether either side closes the link because it is no longer needed."""
@@ -88,12 +101,31 @@
         self._queue.append(frame)
         self._n_queued_bytes += len(frame)
         if not can_wait:
-            self._must_write.set()
+            self._on_due(self)
         return True
 
     def flush(self) -> None:
         """Send the queued messages now."""
         if self._queue:
+            self._on_due(self)
+
+    def send_due(self) -> None:
+        """Send the queued messages without waiting, or have a task wait for the peer.
+
+        A task for each link would take two steps for each message.
+        """
+        if not self._queue or self._scope.cancel_called:
+            return
+        if not self._link.can_send_now:
+            self._must_write.set()
+            return
+        try:
+            messages = self._take_queued()
+            self._count_sent(messages, self._link.send_now(messages))
+        except LinkClosedError:
+            self.close()
+            return
+        if self.is_surplus or not self._link.can_send_now:
             self._must_write.set()
 
     def close(self) -> None:
@@ -130,17 +162,26 @@
             self.last_received_at = trio.current_time()
             self._counters.n_messages_in += 1
             self._counters.n_bytes_in += TAG_BYTES + len(frame)
+            if isinstance(message, EngineReport):
+                message = message.update()
             await handle(self, message)
 
     async def _write(self) -> None:
+        """Send what ``send_due`` leaves."""
         while True:
             await self._must_write.wait()
             self._must_write = trio.Event()
-            frames = tuple(self._queue)
-            self._queue.clear()
-            self._n_queued_bytes = 0
-            n_bytes = await self._link.send(*frames)
-            self._counters.n_bytes_out += n_bytes
-            self._counters.n_messages_out += len(frames)
+            messages = self._take_queued()
+            self._count_sent(messages, await self._link.send(*messages))
             if self.is_surplus:
                 self.close()
+
+    def _take_queued(self) -> tuple[bytes, ...]:
+        messages = tuple(self._queue)
+        self._queue.clear()
+        self._n_queued_bytes = 0
+        return messages
+
+    def _count_sent(self, messages: tuple[bytes, ...], n_bytes: int) -> None:
+        self._counters.n_bytes_out += n_bytes
+        self._counters.n_messages_out += len(messages)
--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import deque
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
@@ -134,6 +135,8 @@
         self._send_lock = trio.StrictFIFOLock()
         self._received: deque[bytes] = deque()
         self._fragments: list[bytes] = []
+        self._unwritten = b""
+        """What ``send_now`` could not write."""
 
     async def open_as_client(self) -> None:
         """Run the opening handshake of the side that dialled."""
@@ -177,6 +180,27 @@
             raise LinkClosedError(f"send failed: {exc!r}") from exc
         await self._flush()
 
+    @property
+    def can_send_now(self) -> bool:
+        return not (
+            self._unwritten
+            or self._protocol.writes
+            or self._send_lock.locked()
+            or self._protocol.state is not State.OPEN
+        )
+
+    def send_now(self, frames: Sequence[bytes]) -> None:
+        for frame in frames:
+            self._protocol.send_binary(frame)
+        payload = b"".join(self._protocol.data_to_send())
+        try:
+            n_written = os.write(self._stream.socket.fileno(), payload)
+        except BlockingIOError:
+            n_written = 0
+        except OSError as exc:
+            raise LinkClosedError(f"send failed: {exc!r}") from exc
+        self._unwritten = payload[n_written:]
+
     async def receive(self) -> bytes:
         while not self._received:
             if self._protocol.state is not State.OPEN:
@@ -216,8 +240,19 @@
 
     async def _read_bytes(self) -> None:
         try:
-            data = await self._stream.receive_some(READ_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            # One task step and one read for what has arrived: ``receive_some`` first
+            # tries to read, which fails for most messages.
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            data = os.read(self._stream.socket.fileno(), READ_BYTES)
+        except BlockingIOError:
+            return
+        except (
+            OSError,
+            # For a socket that was closed before.
+            ValueError,
+            trio.BusyResourceError,
+            trio.ClosedResourceError,
+        ) as exc:
             self._protocol.receive_eof()
             raise LinkClosedError(f"receive failed: {exc!r}") from exc
         if data:
@@ -238,8 +273,9 @@
         try:
             async with self._send_lock:
                 data = self._protocol.data_to_send()
-                payload = b"".join(data)
+                payload = self._unwritten + b"".join(data)
                 if payload:
+                    self._unwritten = b""
                     await self._stream.send_all(payload)
                 if b"" in data:
                     await self._stream.send_eof()
--- a/packages/corianderlb-router/src/corianderlb_router/peer_link.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_link.py
@@ -37,6 +37,20 @@
         for frame in frames:
             await self.send(frame)
 
+    @property
+    def can_send_now(self) -> bool:
+        """Whether ``send_now`` may be called: nothing waits to be written before."""
+        return False
+
+    def send_now(self, frames: Sequence[bytes]) -> None:
+        """Send several frames in order without waiting.
+
+        What the transport doesn't take at once is written by the next ``send_all``,
+        until which ``can_send_now`` is false. Raise ``LinkClosedError`` if the link is
+        closed.
+        """
+        raise NotImplementedError
+
     @abstractmethod
     async def receive(self) -> bytes:
         """Return the next frame.
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 from functools import partial
 from itertools import chain
@@ -42,6 +42,7 @@
     UpstreamLeaving,
     UpstreamRestarted,
     encode,
+    form_for,
     level_of,
 )
 from corianderlb_core.quarantine import DEFAULT_QUARANTINE_S
@@ -148,6 +149,9 @@
         self._auth_failure_logged_at = -math.inf
         self._has_logged_newer_epoch = False
         self._heartbeat_requested = trio.Event()
+        self._due: dict[PeerConnection, None] = {}
+        """Links with messages to send, in order."""
+        self._must_send = trio.Event()
         self._links_check_requested = trio.Event()
         self._heartbeat_times: dict[int, float] = {}
         self._list_received = trio.Event()
@@ -168,15 +172,33 @@
         conn = self._links.get(peer)
         if conn is None or conn.peer.level < level_of(message):
             return False
-        return conn.post(encode(message))
+        return self._post((conn,), message) == 1
+
+    @staticmethod
+    def _post(
+        links: Iterable[PeerConnection], message: Message, can_wait: bool = False
+    ) -> int:
+        """Queue a message to links, encoded once in each form; return their number."""
+        frames: dict[type, bytes] = {}
+        n_posted = 0
+        for conn in links:
+            form = form_for(message, conn.peer.level)
+            frame = frames.get(form)
+            if frame is None:
+                frame = frames[form] = encode(message, form)
+            n_posted += conn.post(frame, can_wait)
+        return n_posted
 
     def broadcast(self, message: Message) -> int:
         """Queue a message to all linked peers; return their number."""
-        frame = encode(message)
         self._last_broadcast_at = trio.current_time()
         if isinstance(message, REPLAYED_TYPES):
             self._replayable[type(message)].append((self._last_broadcast_at, message))
-        return sum(conn.post(frame) for conn in self._links_for(message))
+        return self._post(self._links_for(message), message)
+
+    def broadcast_later(self, message: Message) -> int:
+        """Queue a message that may wait for another one to all linked peers."""
+        return self._post(self._links_for(message), message, can_wait=True)
 
     @property
     def last_broadcast_at(self) -> float:
@@ -194,10 +216,9 @@
         The origin has sent it to all its linked peers. A few copies from each of them
         reach the other routers, including those whose link to the origin is broken.
         """
-        frame = encode(message)
         links = self._links_for(message)
         chosen = self._rng.sample(links, min(n_peers, len(links)))
-        return sum(conn.post(frame) for conn in chosen)
+        return self._post(chosen, message)
 
     def members(self) -> Sequence[MemberState]:
         """Return the routers believed to be running, including this one.
@@ -235,6 +256,10 @@
         """Return the number of routers that may use a part of an allowance."""
         return self._membership.n_sharing
 
+    def running_names(self) -> tuple[InstanceId, ...]:
+        """Return the routers that may be running, with this one, in order."""
+        return self._membership.running_names
+
     def has_met_peers(self) -> bool:
         """Return whether another router was ever heard."""
         return self._membership.has_met_peers
@@ -309,8 +334,32 @@
             address = await nursery.start(self._transport.serve, self._accept_link)
             task_status.started(address)
             nursery.start_soon(self._send_heartbeats)
+            nursery.start_soon(self._send_due)
             await self._maintain_links(nursery)
 
+    def _record_due(self, conn: PeerConnection) -> None:
+        self._due[conn] = None
+        self._must_send.set()
+
+    async def _send_due(self) -> None:
+        """Send the messages of all links that were queued in a pass of the loop."""
+        while True:
+            await self._must_send.wait()
+            self._must_send = trio.Event()
+            due = list(self._due)
+            self._due.clear()
+            for conn in due:
+                self._send_due_of(conn)
+
+    def _send_due_of(self, conn: PeerConnection) -> None:
+        """Send the queued messages of a link; one that fails is closed alone."""
+        has_sent = False
+        with self._guard.confine("peers", conn.peer.instance):
+            conn.send_due()
+            has_sent = True
+        if not has_sent:
+            conn.close()
+
     async def _send_heartbeats(self) -> None:
         while True:
             self._send_heartbeat()
@@ -520,7 +569,7 @@
 
     async def _run_link(self, link: AuthenticatedLink, dialled: bool) -> None:
         now = trio.current_time()
-        conn = PeerConnection(link, dialled, self.counters, now)
+        conn = PeerConnection(link, dialled, self.counters, now, self._record_due)
         name = conn.peer.instance
         if not self._links.add(conn):
             await link.aclose()
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from unittest import mock
@@ -12,10 +13,14 @@
 
 from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
 from corianderlb_core.message import (
+    LEVEL,
     CrashReport,
+    EngineUpdate,
+    EngineWork,
     Heartbeat,
     MemberState,
     StateChanges,
+    StateOffer,
     UpstreamLeaving,
     encode,
 )
@@ -100,6 +105,16 @@
             case.assertEqual(self.members_of(name), names, name)
 
 
+class StepCounter(trio.abc.Instrument):
+    """Counts the steps of tasks by the name of their function."""
+
+    def __init__(self) -> None:
+        self.by_name: Counter[str] = Counter()
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self.by_name[task.coro.__qualname__] += 1
+
+
 class PeerNetworkTest(TrioTestCase):
     async def test_four_routers_find_each_other(self) -> None:
         fleet = Fleet(4)
@@ -143,6 +158,64 @@
         # Once over each link in each direction, and with the state of new links.
         self.assertLessEqual(n_received, 2 * n_link_ends)
 
+    async def test_broadcast_takes_one_task_step(self) -> None:
+        """Guards against a task step for each link and message: half of all steps."""
+        fleet = Fleet(12, n_peers=16)
+        steps = StepCounter()
+        async with fleet.running():
+            await trio.sleep(5)
+            network = fleet.networks["r00"]
+            self.assertEqual(len(network.linked()), 11)
+            trio.lowlevel.add_instrument(steps)
+            for number in range(20):
+                network.broadcast(UpstreamLeaving(InstanceId("e1"), number))
+                await trio.sleep(0.001)
+            trio.lowlevel.remove_instrument(steps)
+        n_writes = steps.by_name["OverlayNetwork._send_due"]
+        self.assertLessEqual(n_writes, 25)
+        self.assertEqual(steps.by_name["PeerConnection._write"], 0)
+
+    async def test_link_that_fails_to_send_ends_alone(self) -> None:
+        """Guards against an error of a protocol library that ends the router."""
+        fleet = Fleet(3)
+        async with fleet.running():
+            await trio.sleep(5)
+            network = fleet.networks["r00"]
+            broken = network._links.get(InstanceId("r01"))
+            error = RuntimeError("not of a kind that the transport knows")
+            with mock.patch.object(broken, "send_due", side_effect=error):
+                network.broadcast(UpstreamLeaving(InstanceId("e1"), 1))
+                await trio.sleep(0.1)
+            self.assertNotIn("r01", network.linked())
+            await trio.sleep(10)
+            self.assertEqual(len(network.linked()), 2)
+
+    async def test_message_that_may_wait_leaves_with_another_one(self) -> None:
+        """Guards against a write for each offer, and offers that never leave."""
+        fleet = Fleet(4)
+        received: list[float] = []
+
+        async def on_offer(sender: InstanceId, offer: StateOffer) -> None:
+            received.append(trio.current_time())
+
+        fleet.networks["r01"].subscribe(StateOffer, on_offer)
+        steps = StepCounter()
+        async with fleet.running():
+            await trio.sleep(5.6)
+            network = fleet.networks["r00"]
+            trio.lowlevel.add_instrument(steps)
+            network.broadcast_later(StateOffer(()))
+            await trio.sleep(0.1)
+            trio.lowlevel.remove_instrument(steps)
+            self.assertFalse(received)
+            network.broadcast(UpstreamLeaving(InstanceId("e1"), 1))
+            await trio.sleep(0.01)
+            self.assertEqual(len(received), 1)
+            network.broadcast_later(StateOffer(()))
+            await trio.sleep(network._cfg.heartbeat_s)
+            self.assertEqual(len(received), 2)
+        self.assertEqual(steps.by_name["OverlayNetwork._send_due"], 0)
+
     async def test_starting_routers_do_not_keep_links_beyond_their_number(self) -> None:
         """Guards against links that are opened while few members are known."""
         fleet = Fleet(40, n_zones=5, n_peers=16, listed=False)
@@ -169,6 +242,35 @@
                 self.assertFalse(network.send(InstanceId("r01"), changes))
                 self.assertEqual(network.broadcast(UpstreamLeaving("e1", 7)), 1)
 
+    async def test_older_and_newer_routers_read_the_same_report_of_engines(
+        self,
+    ) -> None:
+        """Guards against reports that cost their field names, or that are not read."""
+        work = tuple(EngineWork(f"e{n}", 1000, n, 3, 10, 400) for n in range(20))
+        update = EngineUpdate(work, unreached=(("e2", 900),), held_parts=b"\x01" * 12)
+        n_bytes = []
+        for level in (6, LEVEL):
+            fleet = Fleet(2)
+            received: list[EngineUpdate] = []
+
+            async def on_update(
+                sender: InstanceId, message: EngineUpdate, received=received
+            ) -> None:
+                received.append(message)
+
+            sender, receiver = fleet.networks["r00"], fleet.networks["r01"]
+            receiver.subscribe(EngineUpdate, on_update)
+            with mock.patch("corianderlb_router._handshake.LEVEL", level):
+                async with fleet.running():
+                    await trio.sleep(3)
+                    n_before = sender.counters.n_bytes_out
+                    sender.broadcast(update)
+                    self.assertTrue(sender.send(InstanceId("r01"), update))
+                    await trio.sleep(0.1)
+                    n_bytes.append(sender.counters.n_bytes_out - n_before)
+            self.assertEqual(received, [update, update])
+        self.assertLess(n_bytes[1], n_bytes[0] / 2)
+
     async def test_closed_surplus_link_raises_no_suspicion(self) -> None:
         """Guards against a live router that is left out after a link was closed."""
         fleet = Fleet(2)
@@ -546,6 +648,49 @@
                     await trio.sleep(0.05)
                 nursery.cancel_scope.cancel()
 
+    async def test_peer_that_reads_late_receives_all_frames_in_order(self) -> None:
+        """Guards against frames that are lost, or overtaken, by a partial write."""
+        frames = [bytes([n]) * 50_000 for n in range(250)]
+        received: list[bytes] = []
+        may_read = trio.Event()
+
+        async def accept(link: PeerLink) -> None:
+            await may_read.wait()
+            while len(received) < len(frames):
+                received.append(await link.receive())
+
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                transport = WebSocketTransport("127.0.0.1", 0)
+                address = await nursery.start(transport.serve, accept)
+                async with transport.dial(address) as link:
+                    left = list(frames)
+                    while link.can_send_now:
+                        link.send_now([left.pop(0), left.pop(0)])
+                    self.assertTrue(left)
+                    may_read.set()
+                    await link.send_all(left)
+                    while len(received) < len(frames):
+                        await trio.sleep(0.01)
+                    self.assertTrue(link.can_send_now)
+                nursery.cancel_scope.cancel()
+        self.assertEqual(received, frames)
+
+    async def test_link_to_a_silent_peer_is_closed_twice(self) -> None:
+        """Guards against a request that fails as a link to a helping router ends."""
+
+        async def accept(link: PeerLink) -> None:
+            await trio.sleep_forever()
+
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                transport = WebSocketTransport("127.0.0.1", 0)
+                address = await nursery.start(transport.serve, accept)
+                async with transport.dial(address) as link:
+                    # The peer does not answer the close.
+                    await link.aclose()
+                nursery.cancel_scope.cancel()
+
     async def test_link_that_ends_without_a_closing_handshake(self) -> None:
         """Guards against a reader that waits for, or spins on, a dead connection."""
         ends: list[str] = []
