--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -12,9 +12,10 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from .forwarding import ForwardInstance, Prompt
+from .forwarding import ForwardInstance, Prompt, PromptPart
 from .part_index import NO_COVERAGE, Coverage, IncarnationKey, PartIndex
 from .prefill_estimate import OVERHEAD_S, PrefillEstimator
+from .queue_level import choose_below_level
 from .rendezvous import primary_node, rank
 
 T = TypeVar("T")
@@ -48,6 +49,16 @@
 """Costs that differ by less count as equal. Rendezvous hashing then decides, so that
 routers without shared state send the same shared parts to one engine."""
 
+POSSIBLE_HOLDER_CHANCE: Final = 0.5
+"""Chance that an engine holds parts that it was prefilling when last heard of, or may
+have evicted since."""
+
+UNKNOWN_STORE_CHANCE: Final = 0.25
+"""Chance that the KV cache store holds parts that are not known to be saved there."""
+
+HOME_CHANCE: Final = 0.3
+"""Chance that the home of parts holds them while no holder is known."""
+
 N_SAMPLED: Final = 5
 """Number of engines sampled at random for one request. Also evaluated are the primary
 of its parts and up to ``N_SAMPLED`` engines that hold parts of the prompt. Load reports
@@ -55,6 +66,19 @@
 evaluated all engines, requests of every router met within 70 ms at one that had just
 loaded its weights; of 50 engines, one request in ten evaluates a given one."""
 
+N_SAMPLED_BY_RATE: Final = 2
+"""Number of engines sampled in proportion to their rates, where these are known over
+the fleet. With more, the routers meet at those that old reports show as idle: of 63
+routers before 30 engines at a third of their capacity, 30 made the 95th percentile of
+the TTFT several times as long as 2."""
+
+N_SAMPLED_TO_LEVEL: Final = 2
+"""Number of engines sampled, and of holders of parts, where queues are kept level."""
+
+URGENT_SHARE: Final = 1 / 8
+"""Share of an engine's places that may be left to the most urgent requests. Less urgent
+ones run for seconds, so a full engine begins an urgent one too late."""
+
 MAX_TTFT_SHARE: Final = 0.8
 """Share of the objective that the estimated TTFT may take; half of the estimates are
 exceeded. With two of five engines gone and half as much again to prefill as the rest
@@ -96,6 +120,23 @@
     now: float = 0.0
     weights_limit_s: float = math.inf
     """Age of replaced weights from which no answer may begin on them."""
+    reads_once: bool = False
+    """Whether a fetched token costs a small part of one that is prefilled
+    (``reading_once.applies``)."""
+    own_share: float = 0.0
+    """This router's part of all work, if the work that other routers reported at the
+    engines is left out and the own taken as a sample of all; 0 to go by reports. Where
+    all routers together are held to a rate, queues last less long than reports take,
+    which only make them meet at the engines that were idle."""
+    unseen_s: float = 0.0
+    """Mean time that an engine takes for what is sent to it between two reports; 0 to
+    choose the engine that seems to begin first."""
+    leaves_places: bool = False
+    """Whether some of each engine's places are left to more urgent requests."""
+    passed_over: frozenset[IncarnationKey] = frozenset()
+    """Engines that take a request only if they hold parts of its prompt."""
+    primary_only: frozenset[IncarnationKey] = frozenset()
+    """Engines that take one also as the primary of its parts."""
 
     def scope(self, version: int) -> str:
         """Return the scope in which engines with a weights version share parts."""
@@ -125,6 +166,14 @@
     """Tokens of engine memory that the request occupies."""
     transfer_s: float = 0.0
     """Time for which its transfer occupies the engine's link."""
+    is_held_whole: bool = False
+    """Whether some engine with the same weights version is known to hold, or to be
+    prefilling, all shared parts."""
+    told_parts: tuple[PromptPart, ...] = ()
+    """Shared parts whose reads are told to all routers, not only to the linked ones."""
+    has_room: bool = True
+    """Whether the engine may be sent it without the risk that all routers together fill
+    more than its memory."""
 
 
 def choose_engine(
@@ -132,31 +181,57 @@
     views: Sequence[EngineView],
     index: PartIndex,
     rng: random.Random | None = None,
+    other_sources: Sequence[EngineView] = (),
 ) -> EngineChoice | None:
     """Return the best engine for a prompt, or None when there is none.
 
     With ``rng``, only a sample of the engines is evaluated when there are many.
+    ``other_sources`` take no requests now, but others can fetch cached parts from them.
     """
     views = [view for view in views if _is_fresh_enough(query, view)]
     if not views:
         return None
     parts = [(part.part_id, part.n_tokens) for part in query.prompt.shared_parts]
     part_ids = [part_id for part_id, _ in parts]
-    holdings = _holdings(query, views, index, parts)
+    holdings = _holdings(query, [*views, *other_sources], index, parts)
+    home = _home(query, views, holdings, part_ids)
+    if query.passed_over or query.primary_only:
+        views = _without_passed_over(query, views, holdings, part_ids)
+    sampled = views
     if rng is not None and len(views) > N_SAMPLED:
-        views = _shortlist(query, views, holdings, part_ids, rng)
-    evaluated = [_evaluate(query, view, holdings, index, part_ids) for view in views]
+        sampled = _shortlist(query, views, holdings, home, part_ids, rng)
+
+    def evaluate(view: EngineView) -> tuple[float, EngineChoice]:
+        return _evaluate(query, view, holdings, home, index, part_ids)
+
+    evaluated = [evaluate(view) for view in sampled]
+    if rng is not None and not any(choice.in_time for _, choice in evaluated):
+        if len(sampled) < N_SAMPLED < len(views):
+            # Few were sampled; another one may be in time.
+            evaluated += [evaluate(view) for view in rng.sample(views, N_SAMPLED)]
+    if rng is not None and query.unseen_s > TIE_MARGIN_S:
+        return _choose_below_level(query, evaluated, rng)
     best_cost = min(cost for cost, _ in evaluated)
     near_best = {
         choice.view.instance.instance: choice
         for cost, choice in evaluated
         if cost <= best_cost + TIE_MARGIN_S
     }
-    if len(near_best) == 1 or not part_ids:
+    if len(near_best) == 1 or not part_ids or query.own_share:
         return min(evaluated, key=lambda pair: pair[0])[1]
     return near_best[rank(_rendezvous_key(query, part_ids), near_best)[0]]
 
 
+def _choose_below_level(
+    query: EngineQuery,
+    evaluated: Sequence[tuple[float, EngineChoice]],
+    rng: random.Random,
+) -> EngineChoice:
+    """Return an engine so that all routers together keep the engines' queues level."""
+    costs = [cost for cost, _ in evaluated]
+    return evaluated[choose_below_level(costs, query.unseen_s, rng)][1]
+
+
 def _is_fresh_enough(query: EngineQuery, view: EngineView) -> bool:
     """Return whether an answer may still begin on an engine's weights.
 
@@ -190,31 +265,95 @@
     for version, group in by_version.items():
         by_incarnation = {view.instance.incarnation_key: view for view in group}
         coverages = index.coverages(
-            query.scope(version), parts, by_incarnation, query.kv_capacity
+            query.scope(version),
+            parts,
+            by_incarnation,
+            query.kv_capacity,
+            query.reads_once,
         )
         for incarnation, coverage in coverages.items():
             found[incarnation] = _Holding(by_incarnation[incarnation], coverage)
     return found
 
 
+def _home(
+    query: EngineQuery,
+    views: Sequence[EngineView],
+    holdings: dict[IncarnationKey, _Holding],
+    part_ids: Sequence[str],
+) -> EngineView | None:
+    """Return the engine that most likely holds parts while no holder is known.
+
+    It is the primary, on which routers that have not heard of each other's reads agree.
+    None once a holder is known, and until the primary has the newest weights.
+    """
+    if not query.reads_once or holdings or not part_ids:
+        return None
+    home = _primary(query, views, part_ids)
+    newest = max(view.weights_version for view in views)
+    return home if home.weights_version == newest else None
+
+
+def _without_passed_over(
+    query: EngineQuery,
+    views: Sequence[EngineView],
+    holdings: dict[IncarnationKey, _Holding],
+    part_ids: Sequence[str],
+) -> Sequence[EngineView]:
+    """Return the engines that may take the request; all of them if none may."""
+    has_primary = bool(query.primary_only and part_ids)
+    primary = _primary(query, views, part_ids) if has_primary else None
+
+    def may_take(view: EngineView) -> bool:
+        key = view.instance.incarnation_key
+        if key in holdings:
+            return True
+        if key in query.primary_only:
+            return view is primary
+        return key not in query.passed_over
+
+    return allowed_or_all(views, may_take)
+
+
 def _shortlist(
     query: EngineQuery,
     views: Sequence[EngineView],
     holdings: dict[IncarnationKey, _Holding],
+    home: EngineView | None,
     part_ids: Sequence[str],
     rng: random.Random,
 ) -> list[EngineView]:
-    """Return the engines to evaluate: some holders, the primary and a random sample."""
+    """Return the engines to evaluate: some holders, the home or the primary of the
+    parts, and a random sample.
+    """
     holding = [view for view in views if view.instance.incarnation_key in holdings]
-    chosen = rng.sample(holding, min(N_SAMPLED, len(holding)))
-    chosen += rng.sample(list(views), N_SAMPLED)
-    if part_ids:
-        names = {view.instance.instance: view for view in views}
-        primary = primary_node(_rendezvous_key(query, part_ids), names)
-        chosen.append(names[primary])
+    if query.unseen_s > TIE_MARGIN_S:
+        chosen = rng.sample(holding, min(N_SAMPLED_TO_LEVEL, len(holding)))
+        chosen += rng.sample(list(views), N_SAMPLED_TO_LEVEL)
+    elif views[0].estimator.is_uneven:
+        chosen = rng.sample(holding, min(N_SAMPLED_BY_RATE, len(holding)))
+        rates = [view.estimator.tokens_per_s for view in views]
+        chosen += rng.choices(views, rates, k=N_SAMPLED_BY_RATE)
+    else:
+        chosen = rng.sample(holding, min(N_SAMPLED, len(holding)))
+        chosen += rng.sample(list(views), N_SAMPLED)
+    # Without reports, routers don't learn that all of them chose the same engine.
+    has_common = not query.own_share
+    if has_common and home is not None:
+        chosen += [view for view in views if view is home]
+    elif has_common and part_ids:
+        chosen.append(_primary(query, views, part_ids))
     return list({view.instance.incarnation_key: view for view in chosen}.values())
 
 
+def _primary(
+    query: EngineQuery, views: Sequence[EngineView], part_ids: Sequence[str]
+) -> EngineView:
+    """Return the engine that rendezvous hashing ranks first for a prompt's parts."""
+    names = {view.instance.instance: view for view in views}
+    return names[primary_node(_rendezvous_key(query, part_ids), names)]
+
+
 def _rendezvous_key(query: EngineQuery, part_ids: Sequence[str]) -> bytes:
     return f"{query.isolation_key}.{part_ids[-1]}".encode()
 
@@ -223,6 +362,7 @@
     query: EngineQuery,
     view: EngineView,
     holdings: dict[IncarnationKey, _Holding],
+    home: EngineView | None,
     index: PartIndex,
     part_ids: Sequence[str],
 ) -> tuple[float, EngineChoice]:
@@ -247,12 +387,15 @@
     n_recomputed = n_shared - n_here - n_fetched
     n_missing = query.prompt.n_prompt - n_here - n_fetched
     n_occupied = query.prompt.n_prompt
-    wait_s = estimator.wait_s(query.now, n_occupied)
+    wait_s = estimator.wait_s(query.now, n_occupied, query.own_share)
     transfer_s = n_fetched * query.transfer_s_per_token
     if not source.is_same_zone:
         transfer_s *= CROSS_ZONE_TRANSFER_FACTOR
     fetch_s = estimator.transfer_wait_s(query.now) + transfer_s if n_fetched else 0.0
-    ttft_s = max(wait_s, fetch_s) + estimator.prefill_time_s(n_missing) + OVERHEAD_S
+    begins_s = max(wait_s, fetch_s)
+    own_only = query.own_share > 0.0
+    ttft_s = estimator.start_to_token_s(begins_s, n_missing, query.now, own_only)
+    ttft_s += OVERHEAD_S
     is_held_elsewhere = any(other.coverage.n_expected > n_here for other in others)
     cost = ttft_s
     if is_held_elsewhere:
@@ -265,7 +408,14 @@
     in_time = (
         ttft_s <= MAX_TTFT_SHARE * left_s or wait_s <= MAX_QUEUE_WAIT_SHARE * left_s
     )
+    if query.leaves_places and in_time:
+        n_open = (1.0 - URGENT_SHARE) * view.instance.slots
+        in_time = estimator.n_reported_requests(query.now) < n_open
     address = source.address
+    if query.reads_once and source.n_held < n_shared:
+        if home is view or (home and home.weights_version != view.weights_version):
+            home = None
+        address = _likely_source(query, source, others, home)
     if not address and query.kv_cache_address and n_shared:
         # A router that has just started has an empty index; a miss at the KV cache is
         # cheap.
@@ -282,6 +432,9 @@
         is_first_prefill,
         n_occupied,
         transfer_s,
+        n_here >= n_shared
+        or any(other.coverage.n_expected >= n_shared for other in others),
+        query.prompt.shared_parts if query.reads_once else (),
     )
     return cost, choice
 
@@ -313,6 +466,39 @@
     return best or _Source()
 
 
+def _likely_source(
+    query: EngineQuery,
+    source: _Source,
+    others: Sequence[_Holding],
+    home: EngineView | None,
+) -> str:
+    """Return the address from which most tokens can be expected; empty for none.
+
+    ``home`` is another engine that is the home of the parts.
+
+    An engine that surely holds only the first of the parts is a worse source than one
+    that is prefilling all of them, or than the KV cache store that the other routers
+    name for them. A miss costs a millisecond.
+    """
+    chances = [(float(source.n_held), source.address)]
+    possible = max(
+        others,
+        key=lambda other: (other.coverage.n_known, -other.coverage.n_since_use),
+        default=None,
+    )
+    if possible is not None:
+        n_expected = POSSIBLE_HOLDER_CHANCE * possible.coverage.n_known
+        chances.append((n_expected, possible.view.instance.address))
+    if query.kv_cache_address:
+        n_expected = UNKNOWN_STORE_CHANCE * query.prompt.n_shared
+        chances.append((n_expected, query.kv_cache_address))
+    if home is not None:
+        n_expected = HOME_CHANCE * query.prompt.n_shared
+        chances.append((n_expected, home.instance.address))
+    n_expected, address = max(chances, key=lambda chance: chance[0])
+    return address if n_expected > 0 else ""
+
+
 def allowed_or_all(engines: Sequence[T], allowed: Callable[[T], bool]) -> list[T]:
     """Return the allowed engines, or all of them when none is allowed."""
     return [engine for engine in engines if allowed(engine)] or list(engines)
--- a/packages/corianderlb-core/tests/test_engine_choice.py
+++ b/packages/corianderlb-core/tests/test_engine_choice.py
@@ -44,6 +44,71 @@
         self.assertEqual(choice.view.instance.instance, "b")
         self.assertEqual((choice.fetch_from, choice.n_missing), ("a:80", 100))
 
+    def test_parts_being_read_elsewhere_are_fetched_where_links_are_fast(self) -> None:
+        """Guards against a miss at the store though an engine has the part by now."""
+        index = PartIndex()
+        views = [a_view("a", unread=40_000), a_view("b")]
+        for reads_once, source in ((True, "a:80"), (False, "store:1")):
+            query = a_query(
+                a_prompt(BIG), reads_once=reads_once, kv_cache_address="store:1"
+            )
+            incarnation = views[0].instance.incarnation_key
+            index.record_parts(query.scope(1), ["big"], incarnation, False)
+            choice = choose_engine(query, views, index)
+            self.assertEqual(choice.view.instance.instance, "b")
+            self.assertEqual((choice.fetch_from, choice.n_missing), (source, 5100))
+
+    def test_engine_with_the_first_part_only_is_no_source_for_all(self) -> None:
+        """Guards against a leaf read again since an engine with its root was named."""
+        index = PartIndex()
+        views = [a_view("a", unread=40_000), a_view("b")]
+        root = ("root", 500)
+        scope = a_query(a_prompt(root)).scope(1)
+        index.record_parts(scope, ["root"], views[0].instance.incarnation_key, True)
+        for leaf, source in ((("leaf", 5000), "store:1"), (("leaf", 200), "a:80")):
+            query = a_query(
+                a_prompt(root, leaf), reads_once=True, kv_cache_address="store:1"
+            )
+            choice = choose_engine(query, views, index)
+            self.assertEqual(choice.view.instance.instance, "b")
+            self.assertEqual(choice.fetch_from, source)
+            self.assertFalse(choice.is_held_whole)
+        index.record_parts(scope, ["leaf"], views[0].instance.incarnation_key, False)
+        self.assertTrue(choose_engine(query, views, index).is_held_whole)
+
+    def test_engine_with_a_later_part_holds_those_before_it(self) -> None:
+        """Guards against a prompt read again where its root was not announced."""
+        index = PartIndex()
+        views = [a_view("a", unread=40_000), a_view("b")]
+        prompt = a_prompt(("root", 500), BIG)
+        scope = a_query(prompt).scope(1)
+        index.record_parts(scope, ["big"], views[0].instance.incarnation_key, True)
+        for reads_once, n_missing in ((True, 100), (False, 5600)):
+            choice = choose_engine(a_query(prompt, reads_once=reads_once), views, index)
+            self.assertEqual(choice.view.instance.instance, "b")
+            self.assertEqual(choice.n_missing, n_missing)
+
+    def test_unknown_parts_are_fetched_from_a_home_that_is_busy(self) -> None:
+        """Guards against one read for each router that has heard of none."""
+        query = a_query(a_prompt(BIG), reads_once=True, kv_cache_address="store:1")
+        idle = [a_view(name) for name in "abcdefgh"]
+        home = choose_engine(query, idle, PartIndex()).view.instance.instance
+        busy = [a_view(name, unread=20_000 * (name == home)) for name in "abcdefgh"]
+        choice = choose_engine(query, busy, PartIndex(), random.Random(1))
+        self.assertNotEqual(choice.view.instance.instance, home)
+        self.assertEqual(choice.fetch_from, f"{home}:80")
+
+    def test_engine_that_takes_no_requests_is_a_source(self) -> None:
+        """Guards against parts read again while their holder waits to load weights."""
+        index = PartIndex()
+        query = a_query(a_prompt(BIG), reads_once=True)
+        holder = a_view("a")
+        index.record_parts(
+            query.scope(1), ["big"], holder.instance.incarnation_key, True
+        )
+        choice = choose_engine(query, [a_view("b")], index, None, [holder])
+        self.assertEqual((choice.fetch_from, choice.n_missing), ("a:80", 100))
+
     def test_parts_of_other_weights_are_never_counted(self) -> None:
         # Guards against counting parts that the engine dropped with its old weights.
         index = PartIndex()
@@ -149,6 +214,33 @@
         self.assertEqual(len(names), 1)
 
 
+class PassedOverTest(unittest.TestCase):
+    def test_engines_that_are_to_be_spared(self) -> None:
+        """Guards against shared parts read twice because their engine has no turn."""
+        index = PartIndex()
+        views = [a_view(name, unread=20_000 * (name != "a")) for name in "abc"]
+        prompt = a_prompt(("p", 300))
+        key_a = frozenset([views[0].instance.incarnation_key])
+        every = frozenset(view.instance.incarnation_key for view in views)
+
+        def chosen(**fields) -> str:
+            query = a_query(prompt, **fields)
+            return choose_engine(query, views, index).view.instance.instance
+
+        self.assertEqual(chosen(), "a")
+        self.assertIn(chosen(passed_over=key_a), ("b", "c"))
+        self.assertEqual(chosen(passed_over=every), "a")
+        primary = chosen(primary_only=every)
+        self.assertEqual(chosen(primary_only=every - key_a), "a")
+        query = a_query(prompt)
+        for view in views:
+            if view.instance.instance != primary:
+                index.record_parts(
+                    query.scope(1), ["p"], view.instance.incarnation_key, True
+                )
+        self.assertEqual(chosen(passed_over=key_a), chosen())
+
+
 class PartIndexTest(unittest.TestCase):
     def test_part_expires_after_enough_other_prefill(self) -> None:
         index, incarnation = PartIndex(), ("a", 1)
@@ -214,6 +306,19 @@
         self.assertGreater(estimator.wait_s(0.0), 0.9)
         self.assertEqual(estimator.wait_s(5.0), 0.0)
 
+    def test_own_work_as_a_sample(self) -> None:
+        """Guards against a choice by reports that are older than queues last."""
+        estimator = PrefillEstimator(64)
+        estimator.merge("r2", PeerWork(40_000, 3, 0, 0.0))
+        self.assertEqual(estimator.wait_s(0.0, own_share=0.1), 0.0)
+        estimator.sent("q", 1_000, 0.0)
+        # It counts until it is answered, and stands for what the others have sent.
+        for now in (0.0, 1.0):
+            wait_s = estimator.wait_s(now, own_share=0.1)
+            self.assertAlmostEqual(wait_s, 10_000 / INITIAL_TOKENS_PER_S)
+        estimator.first_token("q", 1.0)
+        self.assertEqual(estimator.wait_s(1.0, own_share=0.1), 0.0)
+
     def test_progress_is_subtracted_once_for_all_routers(self) -> None:
         # Guards against subtracting the progress since a report from each router's
         # report: the long queue of many small reports would appear empty.
--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -18,8 +18,15 @@
 class MetricExporter:
     """Instruments of the forwarding metrics and their exposition."""
 
-    def __init__(self, gauges: Mapping[str, Callable[[], float]]) -> None:
-        """Register gauges, by name, that are read at each scrape."""
+    def __init__(
+        self,
+        gauges: Mapping[str, Callable[[], float]],
+        by_instance: Mapping[str, Callable[[], Mapping[str, float]]],
+    ) -> None:
+        """Register gauges, by name, that are read at each scrape.
+
+        Those ``by_instance`` return the value of each upstream instance.
+        """
         self._registry = CollectorRegistry()
         reader = PrometheusMetricReader(
             disable_target_info=True, scope_info_enabled=False, registry=self._registry
@@ -45,6 +52,8 @@
             self._record[name] = histogram(name).record
         for name, read in gauges.items():
             meter.create_observable_gauge(name, [_observer(read)])
+        for name, read_all in by_instance.items():
+            meter.create_observable_gauge(name, [_observer_by_instance(read_all)])
 
     def record(self, name: str, value: float, labels: Mapping[str, str]) -> None:
         """Add to a counter, or record a value in a histogram."""
@@ -62,3 +71,14 @@
         return [Observation(read())]
 
     return observe
+
+
+def _observer_by_instance(
+    read_all: Callable[[], Mapping[str, float]],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(value, {"instance": name}) for name, value in read_all().items()
+        ]
+
+    return observe
--- a/packages/corianderlb-router/src/corianderlb_router/engine_orders.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_orders.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 
 
@@ -50,6 +51,7 @@
     """Orders accepted by this incarnation."""
     signals: InstanceSignals = NO_SIGNALS
     """What the engine says of itself."""
+    load: InstanceLoadReport | None = None
 
 
 class EngineOrders(ABC):
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -4,14 +4,16 @@
 
 import math
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.decayed_rate import DecayedRate
 from corianderlb_core.engine_choice import (
+    OUTDATED_WEIGHTS_GRACE_S,
     EngineChoice,
     EngineQuery,
     EngineView,
@@ -20,21 +22,38 @@
 )
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
+from corianderlb_core.instance_report import InstanceLoadReport
+from corianderlb_core.instance_speed import (
+    IncarnationSpeed,
+    InstanceSpeeds,
+    record_told,
+)
 from corianderlb_core.message import (
+    CrashReport,
     EngineUpdate,
     EngineWork,
     PartsAnnouncement,
+    SpeedUpdate,
+)
+from corianderlb_core.part_gossip import (
+    PartGossip,
+    engine_digest,
+    pack,
+    share_passed_on,
 )
 from corianderlb_core.part_index import IncarnationKey, PartIndex
 from corianderlb_core.prefill_estimate import (
     CommonEstimates,
     PeerWork,
-    PrefillDemand,
     PrefillEstimator,
 )
+from corianderlb_core.reported_load import ReportedLoad
+from corianderlb_core.update_schedule import UpdateSchedule
 from corianderlb_core.weights_rollout import EnginePhase
 
+from .fleet_memory import FleetMemory
 from .health_table import HealthTable
+from .instance_paces import InstancePaces
 from .interface import PeerNetwork
 from .send_permits import SendPermits
 from .serving_state import ServingState
@@ -79,14 +98,29 @@
 """Time without events after which an engine with requests counts as unresponsive;
 covers the prefill of a long prompt, which delays events of other runs."""
 
+LONG_PREFILL_S: Final = 0.05
+"""Prefill from which a prompt is announced before the turn of the next update, where
+the engines' rates are learned over the fleet."""
+
+SPEED_LOG_INTERVAL_S: Final = 10.0
+"""Interval between log lines of the engines' rates."""
+
 MAX_PREFILL_SHARE: Final = 0.6
 """Share of an engine's time available for prefill while others load; a higher load
 delays first tokens."""
 
+DEMAND_WINDOW_S: Final = 2.0
+"""Time constant over which the rate of tokens to prefill is averaged."""
+
 MAX_PART_ANNOUNCEMENTS: Final = 200
 """Maximum number of part announcements per update; the rest wait for the next one."""
 
 
+LOADED_MARGIN_S: Final = 0.5
+"""Time before outdated weights cost anything from which engines that have loaded the
+newest are used whatever their pace: about the wait for a first token."""
+
+
 @dataclass
 class _Engine:
     estimator: PrefillEstimator
@@ -95,6 +129,19 @@
     refused_until: float = -math.inf
     unreachable_reports: dict[str, float] = field(default_factory=dict)
     """Peers that reported the engine as unreachable, with the time of the report."""
+    crashed_at: float = -math.inf
+    """When a router found that it refuses connections after one broke."""
+
+
+@dataclass(frozen=True)
+class UsableEngines:
+    """Engines of an upstream that can be used at present."""
+
+    rates: Mapping[IncarnationKey, float]
+    """Present rate of each, relative to a mean engine."""
+    n_taken: int
+    """Places that are taken, as reported by all routers."""
+    n_places: int
 
 
 class EngineTable:
@@ -107,21 +154,35 @@
         peers: PeerNetwork,
         permits: SendPermits,
         rng: random.Random,
+        level_queues: bool = False,
+        avoid_crashed: bool = False,
     ) -> None:
         self._rng = rng
+        self._level_queues = level_queues
         self._permits = permits
         self._state = state
         self._peers = peers
         self._health = health
-        self.weights = WeightsTable(state, peers)
+        self.paces = InstancePaces(state, peers, rng)
+        """Paces of the instances that start or recover, of plain services too."""
+        self.weights = WeightsTable(state, peers, self.paces.loaded)
         """Weights versions and phases of the engines."""
         self.index = PartIndex()
         """Engines that cache each prompt part."""
+        self.speeds = InstanceSpeeds(rng.getrandbits(32))
+        """Prefill rates of the engines that report a slowdown, over the fleet."""
+        self._reported: dict[IncarnationKey, ReportedLoad] = {}
+        """What engines and services last reported, here or to a peer."""
+        self._schedule = UpdateSchedule()
         self._engines: dict[IncarnationKey, _Engine] = {}
         self._common_estimates: dict[str, CommonEstimates] = {}
-        self._prefill_demands: dict[str, PrefillDemand] = {}
+        self._prefill_demands: dict[str, DecayedRate] = {}
         """By upstream: prompt tokens assigned to its engines by all routers."""
         self._part_announcements: list[PartsAnnouncement] = []
+        self.part_gossip = PartGossip(self.index, rng)
+        """Announcements of parts that spread over the whole fleet."""
+        self._by_digest: dict[int, IncarnationKey] = {}
+        self._digests_of_change = -1
         self._views_of_changes = (-1, -1)
         self._kept_views: dict[tuple[str, str], list[EngineView]] = {}
         """By upstream and model."""
@@ -131,7 +192,12 @@
         """Incarnations that accepted no connection, not announced yet."""
         self._announced_work: tuple[EngineWork, ...] = ()
         self._update_requested = trio.Event()
+        self.memory: FleetMemory | None = None
+        """Bounds what all routers hold at an engine; None if that isn't bounded."""
         peers.subscribe(EngineUpdate, self.on_engine_update)
+        self._avoid_crashed = avoid_crashed
+        if avoid_crashed:
+            peers.subscribe(CrashReport, self.on_crash_report)
 
     # Engine choice.
 
@@ -139,13 +205,13 @@
         self, query: EngineQuery, upstream: str, avoid: Sequence[IncarnationKey]
     ) -> EngineChoice | None:
         """Return the best engine of an upstream, or None when none is available."""
-        views = [
+        awake = [
             view
             for view in self._views(upstream, query.prompt.model)
             if view.instance.incarnation_key not in avoid
             and self.weights.phase(view.instance) is not EnginePhase.LOADING
-            and self._permits.may_send(view.instance)
         ]
+        views = [view for view in awake if self._permits.may_send(view.instance)]
         if not views:
             return None
         for allowed in (
@@ -154,7 +220,86 @@
             lambda view: not self._is_in_backoff(view.instance, query.now),
         ):
             views = allowed_or_all(views, allowed)
-        return choose_engine(query, views, self.index, self._rng)
+        query = self._with_turns(query, views, upstream)
+        if self._level_queues and not views[0].estimator.is_uneven:
+            unseen_s = self._unseen_s(views, upstream)
+            query = replace(query, unseen_s=unseen_s)
+        others = self._other_sources(query, awake, views) if query.reads_once else []
+
+        def choose_among(views: Sequence[EngineView]) -> EngineChoice | None:
+            return choose_engine(query, views, self.index, self._rng, others)
+
+        if self.memory is None:
+            return choose_among(views)
+        demand = self._prefill_demands.get(upstream)
+        demand_per_s = demand.per_s(query.now) if demand else 0.0
+        return self.memory.choose(query, views, choose_among, demand_per_s)
+
+    def _unseen_s(self, views: Sequence[EngineView], upstream: str) -> float:
+        """Return the time that an engine takes for what comes between two reports."""
+        demand = self._prefill_demands.get(upstream)
+        if demand is None:
+            return 0.0
+        tokens_per_s = sum(view.estimator.tokens_per_s for view in views)
+        load = demand.per_s(trio.current_time()) / tokens_per_s
+        return min(1.0, load) * max(UPDATE_INTERVAL_S, self._update_pause_s)
+
+    def _other_sources(
+        self,
+        query: EngineQuery,
+        awake: Sequence[EngineView],
+        views: Sequence[EngineView],
+    ) -> list[EngineView]:
+        """Return engines that take no requests now but still hold cached parts.
+
+        These wait to load weights or have no turn for a request. Those that may be down
+        are left out: a fetch from a dead one takes some hundred milliseconds.
+        """
+        if len(views) == len(awake):
+            return []
+        taken = {view.instance.incarnation_key for view in views}
+        return [
+            view
+            for view in awake
+            if view.instance.incarnation_key not in taken
+            and self._health.may_send(view.instance.incarnation_key)
+            and not self._is_in_backoff(view.instance, query.now)
+        ]
+
+    def _with_turns(
+        self, query: EngineQuery, views: Sequence[EngineView], upstream: str
+    ) -> EngineQuery:
+        """Return the query with the engines that have no turn for a request now.
+
+        One that has only loaded weights is not passed over if all others have outdated
+        ones or are paced as well.
+        """
+
+        def is_current(view: EngineView) -> bool:
+            age_s = query.now - view.replaced_at
+            return age_s < OUTDATED_WEIGHTS_GRACE_S - LOADED_MARGIN_S
+
+        waiting = self.paces.without_turn(
+            views, lambda view: view.instance, upstream, is_current
+        )
+        if not waiting:
+            return query
+        has_steady = any(
+            is_current(view) and not self.paces.is_paced(view.instance)
+            for view in views
+        )
+        passed_over, primary_only = set(), set()
+        for view in waiting:
+            key = view.instance.incarnation_key
+            if not self.paces.is_of_known_speed(view.instance):
+                passed_over.add(key)
+            elif has_steady:
+                primary_only.add(key)
+        return replace(
+            query,
+            passed_over=frozenset(passed_over),
+            primary_only=frozenset(primary_only),
+        )
 
     def _views(self, upstream: str, model: str) -> Sequence[EngineView]:
         """Return the state of all engines of an upstream; kept until it changes."""
@@ -185,8 +330,12 @@
         if instance.incarnation_key not in self._in_trouble:
             return False
         engine = self._engine(instance)
-        if engine.refused_until > now:
-            return True
+        return engine.refused_until > now or self._is_unreachable(instance, now)
+
+    def _is_unreachable(self, instance: ForwardInstance, now: float) -> bool:
+        engine = self._engine(instance)
+        if now - engine.crashed_at < UNREACHED_BACKOFF_S:
+            return not self.received_since(instance, engine.crashed_at)
         recent = [
             at
             for at in engine.unreachable_reports.values()
@@ -196,6 +345,36 @@
             return False
         return not self._health.received_since(instance.incarnation_key, max(recent))
 
+    def usable(self, upstream: str) -> UsableEngines:
+        """Return the engines of an upstream that can be used now, and their places.
+
+        An engine that loads weights or is about to, is down or does not answer is left
+        out; one that is paced or slow counts with what it can do at present.
+        """
+        now = trio.current_time()
+        common = self.speeds.common_tokens_per_s(upstream)
+        rates, n_taken, n_places = {}, 0, 0
+        for instance in self._state.instances(upstream):
+            if not self._is_usable(instance, now):
+                continue
+            estimator, rate = self._engine(instance).estimator, 1.0
+            if common is not None:
+                load = estimator.reported
+                slowdown = load.slowdown(now) / load.usual_slowdown
+                rate = estimator.tokens_per_s / common / slowdown
+            rates[instance.incarnation_key] = rate * self.paces.share(instance)
+            n_taken += estimator.n_reported_requests(now)
+            n_places += instance.slots
+        return UsableEngines(rates, n_taken, n_places)
+
+    def _is_usable(self, instance: ForwardInstance, now: float) -> bool:
+        return (
+            self._permits.may_send(instance)
+            and self.weights.phase(instance) is EnginePhase.SERVING
+            and self._health.may_send(instance.incarnation_key)
+            and not self._is_unreachable(instance, now)
+        )
+
     def view(self, instance: ForwardInstance, model: str) -> EngineView:
         """Return the state of one engine as known to this router."""
         version = self.weights.version(instance, model)
@@ -249,12 +428,37 @@
         if demand is None or common is None:
             return 1
         demand_per_s = demand.per_s(trio.current_time())
-        tokens_per_s = math.exp(common.log_tokens_per_s)
+        tokens_per_s = self._mean_tokens_per_s(upstream)
+        if tokens_per_s is None:
+            tokens_per_s = math.exp(common.log_tokens_per_s)
         return max(1, math.ceil(demand_per_s / (MAX_PREFILL_SHARE * tokens_per_s)))
 
-    def _count_prefill(self, instance: ForwardInstance, n_tokens: float) -> None:
-        demand = self._prefill_demands.setdefault(instance.upstream, PrefillDemand())
-        demand.add(n_tokens, trio.current_time())
+    def spacing_s(self, choice: EngineChoice, upstream: str) -> float:
+        """Return the time that the engines together take for a choice's prefill."""
+        n_engines = max(1, len(self._state.instances(upstream)))
+        tokens_per_s = self._mean_tokens_per_s(upstream)
+        if tokens_per_s is None:
+            tokens_per_s = choice.view.estimator.tokens_per_s
+        return choice.n_missing / tokens_per_s / n_engines
+
+    def _mean_tokens_per_s(self, upstream: str) -> float | None:
+        """Return the mean rate of an upstream's engines; None if not learned."""
+        if self.speeds.common_tokens_per_s(upstream) is None:
+            return None
+        rates = [
+            self._engine(instance).estimator.tokens_per_s
+            for instance in self._state.instances(upstream)
+        ]
+        return sum(rates) / len(rates) if rates else None
+
+    def _count_prefill(
+        self, instance: ForwardInstance, n_tokens: float, now: float
+    ) -> None:
+        demand = self._prefill_demands.get(instance.upstream)
+        if demand is None:
+            demand = DecayedRate(DEMAND_WINDOW_S)
+            self._prefill_demands[instance.upstream] = demand
+        demand.add(n_tokens, now)
 
     # Attempts.
 
@@ -264,15 +468,23 @@
         estimator = choice.view.estimator
         estimator.sent(key, choice.n_missing, trio.current_time(), choice.n_held)
         estimator.record_transfer(choice.transfer_s, trio.current_time())
+        if estimator.is_uneven and (
+            estimator.prefill_time_s(choice.n_missing) > LONG_PREFILL_S
+        ):
+            self._update_requested.set()
         self.index.count_prefilled(incarnation_key, choice.n_missing)
         self._engine(choice.view.instance).n_unannounced_tokens += choice.n_missing
-        self._count_prefill(choice.view.instance, choice.n_missing)
+        self._count_prefill(choice.view.instance, choice.n_missing, trio.current_time())
+        if self.memory is not None:
+            self.memory.sent(choice.n_held)
         if part_ids:
             if choice.is_first_prefill:
                 # Another router may be about to prefill the same parts on another
                 # engine.
                 self._update_requested.set()
-            if self._record_parts(choice, part_ids, False):
+            if choice.told_parts:
+                self._record_told_parts(choice, False)
+            elif self._record_parts(choice, part_ids, False):
                 self._part_announcements.append(
                     PartsAnnouncement(choice.scope, tuple(part_ids), *incarnation_key)
                 )
@@ -285,6 +497,9 @@
         choice.view.estimator.first_token(key, trio.current_time())
         if not part_ids:
             return
+        if choice.told_parts:
+            self._record_told_parts(choice, True, saved)
+            return
         is_news = self._record_parts(choice, part_ids, True)
         if saved:
             self.index.record_saved(choice.scope, part_ids)
@@ -308,6 +523,20 @@
             self._kv_capacity(instance.upstream),
         )
 
+    def _record_told_parts(
+        self, choice: EngineChoice, is_ready: bool, is_saved: bool = False
+    ) -> None:
+        """Record parts that a run prefills, and what of it the fleet should know."""
+        instance = choice.view.instance
+        self.part_gossip.record_read(
+            choice.scope,
+            choice.told_parts,
+            instance.incarnation_key,
+            is_ready,
+            is_saved,
+            self._kv_capacity(instance.upstream),
+        )
+
     def ended(
         self,
         key: str,
@@ -322,6 +551,34 @@
                 choice.scope, part_ids, choice.view.instance.incarnation_key
             )
 
+    def reported(self, incarnation_key: IncarnationKey) -> ReportedLoad:
+        """Return what an instance last reported of itself."""
+        reported = self._reported.get(incarnation_key)
+        if reported is None:
+            reported = self._reported[incarnation_key] = ReportedLoad(
+                self._level_queues
+            )
+        return reported
+
+    def record_report(
+        self, instance: ForwardInstance, report: InstanceLoadReport
+    ) -> None:
+        """Record what an instance reports in an answer; the peers are told of it."""
+        key, now = instance.incarnation_key, trio.current_time()
+        self.reported(key).record(report, now)
+        if self._level_queues:
+            self.speeds.record_report(key, instance.upstream, report, now)
+        else:
+            self.announce_report(instance, report)
+
+    def announce_report(
+        self, instance: ForwardInstance, report: InstanceLoadReport
+    ) -> None:
+        """Have the peers told of a report that is recorded here already."""
+        if report.slowdown is not None:
+            key, now = instance.incarnation_key, trio.current_time()
+            self.speeds.record_report(key, instance.upstream, report, now)
+
     def refused(self, instance: ForwardInstance) -> None:
         """Back off from an engine that refused a request as full or loading."""
         self._engine(instance).refused_until = trio.current_time() + REFUSED_BACKOFF_S
@@ -332,10 +589,29 @@
         self._engine(instance).refused_until = trio.current_time() + UNREACHED_BACKOFF_S
         self._in_trouble.add(instance.incarnation_key)
         self._unreached[instance.incarnation_key] = None
+        self.paces.unreachable(instance, self._peers.own)
         self._update_requested.set()
 
+    def crashed(self, instance: ForwardInstance) -> None:
+        """Avoid an engine that refuses connections after one to it broke.
+
+        A refusal comes from its machine, so one router's word is enough, unlike that of
+        a router that gets no answer and may itself be cut off.
+        """
+        engine, now = self._engine(instance), trio.current_time()
+        if self._avoid_crashed and now - engine.crashed_at >= UNREACHED_BACKOFF_S:
+            engine.crashed_at = now
+            self._in_trouble.add(instance.incarnation_key)
+
     # Updates from peers.
 
+    async def on_crash_report(self, sender: InstanceId, report: CrashReport) -> None:
+        """Avoid an engine that a peer found crashed."""
+        name, _, epoch = report.crash_id.rpartition("@")
+        instance = self._state.instance(name)
+        if instance is not None and str(instance.born_ms) == epoch:
+            self.crashed(instance)
+
     async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
         """Merge a peer's requests in flight, unreachable engines and cached parts."""
         now = trio.current_time()
@@ -352,17 +628,21 @@
                     now,
                 )
                 estimator.merge(sender, peer_work)
-                self.index.count_prefilled(
-                    instance.incarnation_key, scale * work.n_read_tokens
-                )
-                self._count_prefill(instance, scale * work.n_read_tokens)
+                if work.n_read_tokens:
+                    n_read = scale * work.n_read_tokens
+                    self.index.count_prefilled(instance.incarnation_key, n_read)
+                    self._count_prefill(instance, n_read, now)
         for incarnation_key in update.unreached:
             instance = self._state.instance(incarnation_key[0])
             if instance is not None and instance.incarnation_key == tuple(
                 incarnation_key
             ):
                 self._engine(instance).unreachable_reports[sender] = now
+                self.paces.unreachable(instance, sender)
                 self._in_trouble.add(instance.incarnation_key)
+        self.paces.merge(sender, update.paces)
+        if update.speeds is not None:
+            self._merge_speeds(sender, update.speeds, now)
         for announcement in update.parts:
             incarnation_key = (announcement.instance, announcement.born_ms)
             self.index.record_parts(
@@ -373,20 +653,99 @@
             )
             if announcement.is_saved:
                 self.index.record_saved(announcement.scope, announcement.part_ids)
+        if update.held_parts:
+            self._hear(update.held_parts)
+
+    def _hear(self, packed: bytes) -> None:
+        """Record parts that a peer announced, and pass on some of them."""
+        if self._digests_of_change != self._state.n_engine_changes:
+            self._digests_of_change = self._state.n_engine_changes
+            self._by_digest = {
+                engine_digest(instance.incarnation_key): instance.incarnation_key
+                for instance in self._state.all_instances()
+            }
+        n_others = self._peers.n_members() - 1
+        share = share_passed_on(n_others, self._peers.reach())
+        self.part_gossip.hear(packed, self._by_digest, share)
+
+    def _merge_speeds(
+        self, sender: InstanceId, update: SpeedUpdate, now: float
+    ) -> None:
+        """Merge what a peer observed of the listed incarnations."""
+        told_of: dict[IncarnationKey, str] = {}
+        for told in update.reports:
+            instance = self._state.instance(told.instance)
+            if instance is not None and instance.born_ms == told.born_ms:
+                told_of[instance.incarnation_key] = instance.upstream
+        late_s = self.speeds.merge(sender, update, told_of, now)
+        if late_s is None:
+            return
+        if self.memory is not None:
+            self.memory.heard(late_s)
+        for told in update.reports:
+            key = (told.instance, told.born_ms)
+            if key in told_of:
+                record_told(self.reported(key), told, now - late_s)
+
+    def tokens_per_s(self) -> dict[str, float]:
+        """Return the rates of the engines, by instance, as learned over the fleet."""
+        return {
+            key[0]: engine.estimator.tokens_per_s
+            for key, engine in self._engines.items()
+            if engine.estimator.is_uneven
+        }
+
+    def slowdowns(self) -> dict[str, float]:
+        """Return how long work takes now at the instances that report it."""
+        now = trio.current_time()
+        return {
+            key[0]: reported.slowdown(now)
+            for key, reported in self._reported.items()
+            if reported.has_slowdown
+        }
 
     async def run(self) -> None:
         """Send updates to the peers until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.weights.run)
             nursery.start_soon(self._announce_work)
+            nursery.start_soon(self._log_speeds)
 
-    async def _announce_work(self) -> None:
+    async def _log_speeds(self) -> None:
         while True:
-            n_peers = self._peers.n_members() - 1
-            pause_s = max(MIN_UPDATE_INTERVAL_S, UPDATE_INTERVAL_PER_PEER_S * n_peers)
+            await trio.sleep(SPEED_LOG_INTERVAL_S)
+            rates, slowdowns = self.tokens_per_s(), self.slowdowns()
+            if rates or slowdowns:
+                eliot.log_message(
+                    message_type="engine:speeds",
+                    tokens_per_s={name: round(rate) for name, rate in rates.items()},
+                    slowdowns={name: round(x, 2) for name, x in slowdowns.items()},
+                )
+
+    @property
+    def _update_pause_s(self) -> float:
+        """Shortest time between two updates to the peers."""
+        n_peers = self._peers.n_members() - 1
+        return max(MIN_UPDATE_INTERVAL_S, UPDATE_INTERVAL_PER_PEER_S * n_peers)
+
+    async def _wait_for_update(self) -> None:
+        """Wait until the next update is due."""
+        pause_s = self._update_pause_s
+        if not self.speeds.is_in_use:
             await trio.sleep(pause_s)
             with trio.move_on_after(max(0.0, UPDATE_INTERVAL_S - pause_s)):
                 await self._update_requested.wait()
+            return
+        schedule, now = self._schedule, trio.current_time()
+        latest_s = max(UPDATE_INTERVAL_S, schedule.latest_s(pause_s, now))
+        with trio.move_on_after(latest_s):
+            await trio.sleep(schedule.earliest_s(pause_s, now))
+            await self._update_requested.wait()
+        schedule.sent(pause_s, trio.current_time())
+
+    async def _announce_work(self) -> None:
+        while True:
+            await self._wait_for_update()
             self._update_requested = trio.Event()
             self._drop_stale()
             work = tuple(
@@ -400,10 +759,22 @@
             del self._part_announcements[:MAX_PART_ANNOUNCEMENTS]
             unreached = tuple(self._unreached)
             self._unreached.clear()
-            if work or part_announcements or unreached or self._announced_work:
+            paces = self.paces.reports()
+            held = pack(self.part_gossip.take())
+            speeds = self.speeds.announcement(trio.current_time())
+            has_news = work or part_announcements or unreached
+            has_news = has_news or paces or held or speeds
+            if has_news or self._announced_work:
                 completed = self._completed_work(work)
                 self._peers.broadcast(
-                    EngineUpdate(work + completed, part_announcements, unreached)
+                    EngineUpdate(
+                        work + completed,
+                        part_announcements,
+                        unreached,
+                        paces,
+                        held,
+                        speeds,
+                    )
                 )
                 self._announced_work = work
 
@@ -429,12 +800,19 @@
             self._kept_views.clear()
             self.weights.forget(incarnation_key)
             self.index.forget(incarnation_key)
+            self.speeds.forget(incarnation_key)
             eliot.log_message(
                 message_type="upstream:forgotten",
                 instance=incarnation_key[0],
                 born_ms=incarnation_key[1],
             )
 
+        for key in [key for key in self._reported if key not in self._engines]:
+            known = self._state.instance(key[0])
+            if known is None or known.incarnation_key != key:
+                del self._reported[key]
+                self.speeds.forget(key)
+
     def _kv_capacity(self, upstream: str) -> float:
         """Return the KV cache capacity of an upstream's engines, in tokens."""
         cfg = self._state.configuration
@@ -450,7 +828,11 @@
                 instance.upstream, CommonEstimates()
             )
             kv_capacity = self._kv_capacity(instance.upstream)
-            estimator = PrefillEstimator(instance.slots, common, kv_capacity)
+            key = instance.incarnation_key
+            speed = IncarnationSpeed(self.speeds, key, instance.upstream)
+            estimator = PrefillEstimator(
+                instance.slots, common, kv_capacity, speed, self.reported(key)
+            )
             engine = self._engines[instance.incarnation_key] = _Engine(estimator)
         return engine
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -7,15 +7,15 @@
 from dataclasses import dataclass
 from typing import Final
 
-import httpx
 import trio
 
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
-from corianderlb_core.part_index import IncarnationKey
 
 from .connection import (
     BrokenError,
     ConnectFailedError,
+    Connector,
+    OutgoingRequest,
     SilentError,
     UpstreamError,
 )
@@ -33,7 +33,7 @@
 from .forward_target import WITHDRAW_MARGIN_S, Placement, Target
 from .peer_tunnel import NoTunnelError, OpenedConnector
 from .run_mover import RunMover
-from .transport import EXCHANGE, FRESH, ON_SEND, TARGET, VIA, Exchange
+from .transport import Answer, Exchange, SendSettings
 
 RETRY_SHARE: Final = 0.6
 """Share of the objective after which an unanswered attempt of a repeatable call is
@@ -55,6 +55,9 @@
 WRITE_TIMEOUT_S: Final = 5.0
 """Timeout for sending a request to an upstream."""
 
+BODY_METHODS: Final = ("POST", "PUT", "PATCH")
+"""Methods of which a request states the length of an empty body too."""
+
 SERVER_ERROR: Final = 500
 """Lowest status that reports a failure of the upstream."""
 
@@ -133,6 +136,10 @@
         self._n_events_before = job.relay.n_events
         self.is_settled = False
         """Whether the permit to send has been settled."""
+        self._taken_at = math.inf
+        """When a refusal for want of room would have arrived."""
+        self._is_withdrawn = False
+        """Whether the request was withdrawn before its weights expire."""
         self.via = ""
         """The router that carries the connection; empty for a direct one."""
 
@@ -162,30 +169,21 @@
             self.is_settled = True
             self._parts.permits.settle(self._placement.instance, turned_away)
 
-    async def _settle_when_taken(self) -> None:
-        """Settle the permit once a refusal for want of room would have arrived."""
-        while not self.may_have_run:
-            await trio.sleep(REFUSAL_S)
-        await trio.sleep(REFUSAL_S)
-        self.settle(turned_away=False)
-
     async def run(self, on_data: Callable[[], None]) -> None:
         """Relay the answer, or raise an ``UpstreamError``."""
         response = await self._open()
         try:
             head = self._read_head(response)
-            exchange: Exchange = response.extensions[EXCHANGE]
-            await self._relay_answer(head, exchange, on_data)
+            await self._relay_answer(head, response.exchange, on_data)
         except (BrokenError, SilentError) as exc:
             heard_at = self.received_at or self._head_received_at
             if not isinstance(exc, WrongAnswerError) and heard_at is not None:
                 self._doubt_path(heard_at, str(exc))
             raise
         finally:
-            with trio.CancelScope(shield=True):
-                await response.aclose()
+            await response.exchange.aclose()
 
-    async def _open(self) -> httpx.Response:
+    async def _open(self) -> Answer:
         """Send the request and return the response once its head has arrived."""
         try:
             return await self._wait_for_head()
@@ -193,38 +191,32 @@
             self.may_have_run = exc.sent
             raise
 
-    def _build_request(self, **extensions: object) -> httpx.Request:
-        """Return the request to send now; its deadline is what is left by now."""
-        parts = self._parts
+    async def _send_request(self, connector: Connector | None = None) -> Answer:
+        """Send the request now; its deadline is what is left by now."""
+        parts, req = self._parts, self._req
         left_s = self._deadline - trio.current_time()
         terms = self._target.terms(self._placement, left_s)
         headers = parts.protocol.upstream_headers(self._resumed_request(), terms)
+        names = {name.lower() for name, _ in headers}
         address = self._placement.instance.address
-        try:
-            url = httpx.URL(f"http://{address}/")
-        except httpx.InvalidURL as exc:
-            raise ConnectFailedError(f"{address!r}: {exc}", refused=True) from exc
-        return httpx.Request(
-            self._req.method,
-            url,
-            headers=headers,
-            content=self._job.body or None,
-            extensions={
-                "timeout": {
-                    "connect": parts.cfg.connect_timeout_s,
-                    "write": min(WRITE_TIMEOUT_S, max(0.01, left_s)),
-                    "read": math.inf,
-                    "pool": None,
-                },
-                FRESH: True,
-                ON_SEND: self._mark_sent,
-                TARGET: self._req.target,
-                **extensions,
-            },
+        if b"host" not in names:
+            headers = [(b"Host", address.encode()), *headers]
+        body = self._job.body
+        if body or req.method in BODY_METHODS:
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        cfg = SendSettings(
+            parts.cfg.connect_timeout_s,
+            min(WRITE_TIMEOUT_S, max(0.01, left_s)),
+            is_fresh=True,
+            connector=connector,
+            on_send=self._mark_sent,
         )
+        request = OutgoingRequest(req.method.encode(), req.target, headers, body)
+        return await parts.transport.send(address, request, cfg)
 
     def _mark_sent(self) -> None:
         self.may_have_run = True
+        self._taken_at = trio.current_time() + REFUSAL_S
 
     def _resumed_request(self) -> ForwardRequest:
         after = self._relay.resume_after
@@ -232,56 +224,70 @@
             return self._req
         return self._req.resumed(after)
 
-    async def _wait_for_head(self) -> httpx.Response:
+    async def _wait_for_head(self) -> Answer:
         """Wait for the response head, or until another attempt takes over.
 
         That may happen after a timeout or if the engine is unresponsive.
         """
-        incarnation_key = self._placement.instance.incarnation_key
         self.sent_at = sent_at = trio.current_time()
-        limit_s = self._head_timeout_s()
-        wait_s = min(limit_s, UNRESPONSIVE_S)
-        result: list[httpx.Response] = []
-        errors: list[UpstreamError] = []
-        is_withdrawn = False
-
-        async def send(scope: trio.CancelScope) -> None:
+        answer: Answer | None = None
+        failure: UpstreamError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_send, sent_at, nursery.cancel_scope)
             try:
-                result.append(await self._send())
+                answer = await self._send()
             except UpstreamError as exc:
-                errors.append(exc)
-            scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send, nursery.cancel_scope)
-            nursery.start_soon(self._question_path, sent_at)
-            nursery.start_soon(self._settle_when_taken)
-            while True:
-                left_s = self._withdraws_at() - trio.current_time()
-                if left_s <= 0:
-                    is_withdrawn = True
-                    break
-                await trio.sleep(min(wait_s, left_s))
-                is_late = trio.current_time() - sent_at >= limit_s
-                if is_late or self._is_unresponsive(incarnation_key, sent_at):
-                    if self._reserve_retry():
-                        break
-                    wait_s = RESERVE_INTERVAL_S
+                # Raised after the nursery, which would wrap it in an exception group.
+                failure = exc
             nursery.cancel_scope.cancel()
-        if result:
+        if answer is not None:
             self._head_received_at = trio.current_time()
-            return result[0]
-        if errors:
-            raise errors[0]
-        if not is_withdrawn:
+            return answer
+        if failure is not None:
+            raise failure
+        if not self._is_withdrawn:
             self._doubt_path(sent_at, "no response head in time")
         if not self.may_have_run:
             raise NotRunError("given up before it was sent", sent=False)
-        if is_withdrawn:
+        if self._is_withdrawn:
             raise WithdrawnError("withdrawn before its weights expired", sent=True)
         raise SilentError("no response head in time", sent=True)
 
-    async def _send(self) -> httpx.Response:
+    async def _watch_send(self, sent_at: float, scope: trio.CancelScope) -> None:
+        """Cancel the scope of a request once it is withdrawn or another takes over.
+
+        Meanwhile settle the permit once a refusal for want of room would have arrived,
+        and have the path probed if nothing arrives. One task does all of this.
+        """
+        limit_s = self._head_timeout_s()
+        check_s = min(limit_s, UNRESPONSIVE_S)
+        check_at, settle_at = sent_at + check_s, sent_at + REFUSAL_S
+        question_at = sent_at + max(QUESTION_S, 2 * self._placement.estimate_s)
+        while True:
+            now, withdraws_at = trio.current_time(), self._withdraws_at()
+            if now >= withdraws_at:
+                self._is_withdrawn = True
+                break
+            if now >= settle_at:
+                if now >= self._taken_at:
+                    self.settle(turned_away=False)
+                    settle_at = math.inf
+                else:
+                    settle_at = min(self._taken_at, now + REFUSAL_S)
+            if now >= question_at:
+                self._question_path(sent_at)
+                question_at = math.inf
+            if now >= check_at:
+                is_late = now >= sent_at + limit_s
+                if is_late or self._is_unresponsive(sent_at):
+                    if self._reserve_retry():
+                        break
+                    check_s = RESERVE_INTERVAL_S
+                check_at = now + check_s
+            await trio.sleep_until(min(withdraws_at, settle_at, question_at, check_at))
+        scope.cancel()
+
+    async def _send(self) -> Answer:
         """Send the request directly, or through a peer if that is the only way.
 
         A connection that fails leaves nothing sent, so the other way may follow at
@@ -304,18 +310,17 @@
             except NoTunnelError:
                 raise exc from None
 
-    async def _send_directly(self) -> httpx.Response:
+    async def _send_directly(self) -> Answer:
         started_at = trio.current_time()
-        request = self._build_request()
         try:
-            response = await self._parts.transport.handle_async_request(request)
+            response = await self._send_request()
         except (ConnectFailedError, BrokenError) as exc:
             self._doubt_path(started_at, str(exc))
             raise
         self._parts.paths.answered(self._placement.instance, started_at)
         return response
 
-    async def _send_via_peer(self) -> httpx.Response:
+    async def _send_via_peer(self) -> Answer:
         """Send the request through a peer; raise ``NoTunnelError`` without any."""
         if self._parts.tunnels is None:
             raise NoTunnelError("no other router can be asked")
@@ -327,21 +332,18 @@
             raise
         self.via = tunnel.peer
         try:
-            request = self._build_request(**{VIA: OpenedConnector(tunnel)})
+            return await self._send_request(OpenedConnector(tunnel))
         except ConnectFailedError:
             await tunnel.aclose()
             raise
-        return await self._parts.transport.handle_async_request(request)
 
     def _doubt_path(self, since: float, reason: str) -> None:
         """Report that the instance did not answer directly since a time."""
         if not self.via:
             self._parts.paths.failed(self._placement.instance, since, reason)
 
-    async def _question_path(self, sent_at: float) -> None:
-        """Have the path probed while an answer does not come, and nothing else does."""
-        expected_s = max(QUESTION_S, 2 * self._placement.estimate_s)
-        await trio.sleep(expected_s)
+    def _question_path(self, sent_at: float) -> None:
+        """Have the path probed if nothing else comes from the instance either."""
         key = self._placement.instance.incarnation_key
         if not self.via and not self._parts.health.received_since(
             key, max(sent_at, trio.current_time() - QUESTION_S)
@@ -364,7 +366,7 @@
             RETRY_LATENCY_FACTOR * self._placement.estimate_s,
         )
 
-    def _is_unresponsive(self, incarnation_key: IncarnationKey, sent_at: float) -> bool:
+    def _is_unresponsive(self, sent_at: float) -> bool:
         """Return whether the engine is unresponsive and the request may be resumed."""
         if self._route.kind is not RepeatKind.STREAM or not self._route.may_resume:
             return False
@@ -375,16 +377,13 @@
         if not self.via and self._parts.paths.is_cut(self._placement.instance):
             # What other requests receive from it takes another way.
             return True
-        return not self._parts.health.received_since(
-            incarnation_key, now - silence_limit_s
-        )
+        key = self._placement.instance.incarnation_key
+        return not self._parts.health.received_since(key, now - silence_limit_s)
 
-    def _read_head(self, response: httpx.Response) -> UpstreamHead:
+    def _read_head(self, response: Answer) -> UpstreamHead:
         """Parse and validate the response head."""
         parts = self._parts
-        head = parts.protocol.read_head(
-            self._req, response.status_code, response.headers.raw
-        )
+        head = parts.protocol.read_head(self._req, response.status, response.headers)
         parts.health.record_data(self._placement.instance.incarnation_key)
         if not head.is_ours:
             raise WrongAnswerError("the answer belongs to another request", sent=True)
@@ -396,6 +395,7 @@
         if not other:
             parts.permits.observe(self._placement.instance, head.signals, self.sent_at)
             self.settle(turned_away=head.not_run)
+            self._target.reported(self._placement, head.load)
         self._target.head(self._placement, head)
         if head.not_run or head.is_misdirected:
             raise NotRunError(f"refused with status {head.status}", sent=False)
@@ -439,4 +439,5 @@
         if head.status < SERVER_ERROR:
             await relay.relay_answer(head, exchange, on_data)
             return
-        raise ServerFailureError(head, await read_whole(exchange, on_data))
+        hold = self._job.caller.hold_answer
+        raise ServerFailureError(head, await read_whole(exchange, on_data, hold))
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -2,20 +2,32 @@
 
 from __future__ import annotations
 
-from typing import Any
+import math
+from typing import Any, Final
 
+import trio
+
+from corianderlb_core.held_memory import Holding
 from corianderlb_core.request import Refusal
-from corianderlb_core.result import RESULT_INFO
+from corianderlb_core.result import RESULT_INFO, ResultCode
 
+from ._http_connection import CONNECTION, HttpConnection
 from .caller import (
     JSON_TYPE,
     CallerExchange,
     CallerGoneError,
+    CallerStalledError,
     Headers,
     Receive,
     Send,
     error_body,
+    refuse,
 )
+from .caller_memory import STREAM_BYTES, CallerMemory
+
+HELD_RETRY_S: Final = 1.0
+"""Retry-after time of a request for which nothing may be held: about the time after
+which callers that don't read are cut off."""
 
 
 class StreamCutError(CallerGoneError):
@@ -33,11 +45,91 @@
         super().__init__(scope, receive, send)
         self.status = 0
         """Status of the answer, once it has begun."""
+        self.is_cut = False
+        """Whether the router closed the connection since its caller does not read."""
+        self._connection: HttpConnection | None = scope.get(CONNECTION)
+        self._memory: CallerMemory | None = None
+        self._holding: Holding | None = None
+
+    def account_for(self, memory: CallerMemory, owner: str, is_stream: bool) -> None:
+        """Account from now on for what is held for this caller."""
+        self._memory, self._holding = memory, memory.open(owner, self._cut)
+        if self._connection is not None:
+            # The timeout of each write is then that of the connection.
+            self.stall_s = math.inf
+            self._connection.on_progress = self._progressed
+        if is_stream:
+            self.hold_body(STREAM_BYTES)
+
+    def release(self) -> None:
+        """Account for nothing any more."""
+        if self._memory is not None and self._holding is not None:
+            self._memory.close(self._holding)
+        if self._connection is not None:
+            self._connection.on_progress = lambda: None
+
+    def hold_body(self, n_bytes: int) -> None:
+        """Account for a part of the body, or refuse the request."""
+        if not self._may_hold(n_bytes):
+            detail = "This router holds too much for this account."
+            raise refuse(ResultCode.MEMORY_FULL, detail, HELD_RETRY_S)
+
+    def hold_answer(self, n_bytes: int) -> None:
+        """Account for a part of an answer, or end the request."""
+        if not self._may_hold(n_bytes):
+            detail = "This router holds too much for this account."
+            raise refuse(ResultCode.ANSWER_NOT_HELD, detail)
+
+    def _may_hold(self, n_bytes: int) -> bool:
+        if self._memory is None or self._holding is None:
+            return True
+        return self._memory.hold(self._holding, n_bytes)
+
+    def _cut(self) -> None:
+        self.is_cut = True
+        if self._connection is not None:
+            self._connection.close()
+
+    def _progressed(self) -> None:
+        if self._holding is not None and self._holding.unread_since < math.inf:
+            self._holding.unread_since = trio.current_time()
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body; block while the caller does not read."""
+        holding = self._holding
+        if holding is None:
+            await super().write(data)
+            return
+        holding.unread_since = trio.current_time()
+        try:
+            await super().write(data)
+        finally:
+            holding.unread_since = math.inf
+        self._check_connection()
+
+    async def _send_uncancelled(self, message: dict[str, Any]) -> None:
+        holding = self._holding
+        if holding is None:
+            await super()._send_uncancelled(message)
+            return
+        holding.unread_since = trio.current_time()
+        try:
+            await super()._send_uncancelled(message)
+        finally:
+            holding.unread_since = math.inf
+        self._check_connection()
+
+    def _check_connection(self) -> None:
+        """Raise if the connection was closed during a write, which ends without one."""
+        if self.is_cut or (self._connection and self._connection.has_timed_out):
+            raise CallerStalledError("the caller stopped reading its answer")
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, more_follows: bool = False
+    ) -> None:
         """Send the head of the answer."""
         self.status = status
-        await super().start(status, headers)
+        await super().start(status, headers, more_follows)
 
     async def fail(self, refusal: Refusal) -> None:
         """Answer with a refusal; raise ``StreamCutError`` if an answer has begun."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -44,6 +44,7 @@
     Target,
     pick_upstream,
 )
+from .log_writer import log_request
 from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
 from .stream_origins import ResumedOrigin
@@ -94,6 +95,10 @@
                 request_log.detail = str(exc)
             except (CallerGoneError, CallerStalledError):
                 caller.result = ResultCode.CALLER_GONE
+            finally:
+                caller.release()
+        if caller.is_cut:
+            caller.result = ResultCode.CALLER_TOO_SLOW
         if entry.is_cancelled and not caller.finished:
             caller.result = ResultCode.CUT_BY_SHUTDOWN
         request_log.write(self._parts)
@@ -134,6 +139,10 @@
         if route.kind is RepeatKind.STREAM and not self._exchanges.accepts_streams:
             detail = "This router is draining; a stream might not complete."
             raise refuse(ResultCode.DRAINING, detail, DRAINING_RETRY_S)
+        if self._parts.memory is not None:
+            owner = account.name if account else ""
+            is_stream = route.kind is RepeatKind.STREAM
+            caller.account_for(self._parts.memory, owner, is_stream)
         left_s = min(route.timeout_s, req.deadline_s)
         deadline = caller.arrived_at + left_s - DEADLINE_MARGIN_S
         body = await caller.read_body(cfg.limits.max_body_bytes, deadline)
@@ -310,7 +319,7 @@
         read_s = self.read_at - caller.arrived_at if self.read_at is not None else None
         kind = self.route.kind.value if self.route else "none"
         parts.metrics.request_ended(caller.result.name, kind, whole_s, first_s)
-        eliot.log_message(
+        log_request(
             message_type="request:ended",
             request=self.req.request_id if self.req else "",
             route=self.route.name if self.route else "",
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import ModuleType
 from typing import TYPE_CHECKING, Final
 
@@ -31,6 +31,7 @@
         self._exporter: MetricExporter | None = None
         self._pending: list[tuple[str, float, dict[str, str]]] = []
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._by_instance: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._is_full = trio.Event()
 
     async def run(self) -> None:
@@ -67,6 +68,12 @@
         """Register a gauge that is read at each scrape."""
         self._gauges[f"corianderlb_{name}"] = read
 
+    def watch_instances(
+        self, name: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge by upstream instance that is read at each scrape."""
+        self._by_instance[f"corianderlb_{name}"] = read
+
     async def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return (await self._load_exporter()).exposition()
@@ -84,7 +91,7 @@
             # In a thread, since requests would wait for the import.
             module = await trio.to_thread.run_sync(_import_exporter)
             if self._exporter is None:
-                self._exporter = module.MetricExporter(self._gauges)
+                self._exporter = module.MetricExporter(self._gauges, self._by_instance)
                 for name, value, labels in self._pending:
                     self._exporter.record(name, value, labels)
                 self._pending.clear()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -19,12 +19,15 @@
 from corianderlb_core.settings import OrderSettings, PeerSettings
 
 from ._websocket_transport import WebSocketTransport
+from .caller_memory import HELD_SHARE, CallerMemory
 from .connection import TcpConnector
 from .connection_guard import ConnectionGuard
 from .engine_orders import EngineOrders
 from .engine_table import EngineTable
 from .exchange_registry import ExchangeRegistry
+from .fleet_memory import FleetMemory
 from .fleet_quarantine import FleetQuarantine
+from .fleet_rooms import FleetRooms
 from .fleet_usage import FleetUsage
 from .forward_app import ForwardApp, StatusApp
 from .forward_dispatcher import CALLER_STALL_TIMEOUT_S, ForwardDispatcher
@@ -158,7 +161,22 @@
         )
         self._peers.serve_tunnel = self._tunnel_server.serve
         self._engines = EngineTable(
-            ports.state, health, self._peers, self._permits, self._rng
+            ports.state,
+            health,
+            self._peers,
+            self._permits,
+            self._rng,
+            cfg.forward.level_queues,
+            cfg.forward.avoid_crashed,
+        )
+        if cfg.forward.bounded_engines:
+            self._engines.memory = FleetMemory(self._peers)
+        self._rooms = FleetRooms(
+            ports.state,
+            self._engines,
+            self._peers,
+            cfg.forward.fair_room,
+            lambda: self._parts.n_sharing,
         )
         self._follower = StateFollower(ports.feed, ports.state, self._peers, self._rng)
         self._controller = self._make_controller()
@@ -177,10 +195,12 @@
             permits=self._permits,
             rng=self._rng,
             paths=self._paths,
+            rooms=self._rooms,
             origins=StreamOrigins(ports.state, self._peers),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             copier=self._make_copier(),
+            memory=self._make_memory(),
         )
         self._watch_gauges()
 
@@ -232,6 +252,7 @@
             self._limits.run,
             self._refusals.run,
             self._paths.run,
+            self._rooms.run,
             self._parts.origins.run,
         ]
 
@@ -356,6 +377,12 @@
         copier = self._ports.copier
         return PermittedCopier(copier, self._permits) if copier else None
 
+    def _make_memory(self) -> CallerMemory | None:
+        cfg = self._cfg.forward
+        if not cfg.bounded_memory:
+            return None
+        return CallerMemory(HELD_SHARE * cfg.memory_bytes)
+
     def _make_controller(self) -> WeightsController:
         cfg = self._cfg
         node = cfg.forward.node
@@ -402,8 +429,23 @@
         metrics.watch("resting_instances", lambda: self._permits.n_resting)
         metrics.watch("doubted_instances", lambda: self._paths.n_doubted)
         metrics.watch("carried_tunnels", lambda: self._tunnel_server.n_open)
+        metrics.watch("room_waiting", lambda: self._rooms.n_waiting)
+        metrics.watch("room_refused", lambda: self._rooms.n_refused)
         metrics.watch("known_streams", lambda: len(self._parts.origins))
         metrics.watch("known_parts", lambda: len(self._engines.index))
+        memory = self._parts.memory
+        metrics.watch("held_bytes", lambda: memory.n_bytes if memory else 0)
+        metrics.watch("callers_cut", lambda: memory.n_cut if memory else 0)
+        at_engines = self._engines.memory
+        metrics.watch(
+            "engines_found_full", lambda: at_engines.n_full if at_engines else 0
+        )
+        metrics.watch("paced_instances", lambda: len(self._engines.paces))
+        metrics.watch("slowest_pace", lambda: self._engines.paces.slowest)
+        metrics.watch("parts_told", lambda: self._engines.part_gossip.n_told)
+        metrics.watch("parts_heard", lambda: self._engines.part_gossip.n_heard)
+        metrics.watch_instances("engine_tokens_per_s", self._engines.tokens_per_s)
+        metrics.watch_instances("engine_slowdown", self._engines.slowdowns)
         metrics.watch("failed_connections", lambda: self._guard.n_failed.total())
         metrics.watch("log_lines_left_out", lambda: self._log.n_dropped_lines)
         metrics.watch(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -4,19 +4,26 @@
 
 import math
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.fleet_retry_budget import BudgetTerms, FleetRetryBudget
 from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.return_schedule import ReturnSchedule
+from corianderlb_core.room_share import RoomKey
 from corianderlb_core.service_choice import ServiceLoad
 from corianderlb_core.usage_cap import UsageTerms
 
+from .caller_memory import CallerMemory
 from .engine_table import EngineTable
 from .fleet_quarantine import FleetQuarantine
+from .fleet_rooms import FleetRooms
 from .fleet_usage import FleetUsage
 from .forward_metric import ForwardMetrics
 from .forward_request import ForwardProtocol
@@ -31,6 +38,12 @@
 from .stream_origins import StreamOrigins
 from .transport import UpstreamTransport
 
+POLL_S: Final = 0.025
+"""Least interval at which a waiting request retries placement."""
+
+MAX_POLLS_PER_S: Final = 160.0
+"""Rate at which all waiting requests of a router together retry placement."""
+
 
 @dataclass(frozen=True)
 class ForwardSettings:
@@ -44,11 +57,53 @@
     usage: UsageTerms = field(default_factory=UsageTerms)
     weights_limit_s: float = math.inf
     """Longest time for which replaced weights may still be used for answers."""
+    bounded_memory: bool = False
+    """Whether what is held for callers is bounded."""
+    memory_bytes: float = math.inf
+    """Memory that the process may use."""
+    bounded_engines: bool = False
+    """Whether all routers together keep what they send an engine within its memory."""
+    fair_room: bool = False
+    """Whether client accounts get fair shares of the engines where room is scarce."""
+    level_queues: bool = False
+    """Whether routers spread requests so that the engines' queues stay level, in place
+    of choosing the engine that the last reports show as the first to begin."""
+    avoid_crashed: bool = False
+    """Whether no router sends to an engine, or has parts fetched from it, that one of
+    them has found crashed."""
+    urgent_places: bool = False
+    """Whether some of each engine's places are left to the most urgent requests."""
     connect_timeout_s: float = 0.25
     """Timeout for connecting to an upstream: well above the latency between
     availability zones, well below the objective of an urgent call."""
 
 
+class WaitingRequests:
+    """Requests that wait for an instance; bounds how often all of them look for one.
+
+    Each look costs the router what sending a request does, and most requests wait
+    when there is the least processor time to spare.
+    """
+
+    def __init__(self) -> None:
+        self.n = 0
+        """Number of requests that wait at present."""
+
+    @property
+    def pause_s(self) -> float:
+        """Pause after which a waiting request looks again."""
+        return max(POLL_S, self.n / MAX_POLLS_PER_S)
+
+    @contextmanager
+    def waiting(self) -> Iterator[None]:
+        """Count a request as waiting."""
+        self.n += 1
+        try:
+            yield
+        finally:
+            self.n -= 1
+
+
 @dataclass(frozen=True)
 class ForwardParts:
     """Components that all forwarded requests of a router share."""
@@ -67,6 +122,7 @@
     permits: SendPermits
     rng: random.Random
     paths: PathWatch
+    rooms: FleetRooms
     origins: StreamOrigins
     tunnels: Tunnels | None = None
     """Connections to instances through other routers; None without any."""
@@ -76,8 +132,11 @@
     """Assumed number of routers until the peers are known."""
     copier: MemoryCopier | None = None
     """Copies runs between engines; None if the engines do not support it."""
+    memory: CallerMemory | None = None
+    """Accounts for what is held for callers; None if it is not bounded."""
     services: dict[IncarnationKey, ServiceLoad] = field(default_factory=dict)
     budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
+    waiting: WaitingRequests = field(default_factory=WaitingRequests)
     return_schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     """Schedules of the retries of refused callers, by upstream."""
 
@@ -136,9 +195,24 @@
             wait_s, prefill_time_s, most_s, self.n_routers, now
         )
 
+    def room_retry_delay_s(
+        self, upstream: str, key: RoomKey, refusal: RoomRefusal, most_s: float
+    ) -> float:
+        """Return when a caller refused for lack of room should retry.
+
+        Callers of an account and urgency return one after the other, at the rate of
+        their own part of the room at this router.
+        """
+        name = f"{upstream} {key.urgency} {key.account}"
+        schedule = self.return_schedules.setdefault(name, ReturnSchedule())
+        now = trio.current_time()
+        return schedule.retry_delay_s(refusal.wait_s, refusal.spacing_s, most_s, 1, now)
+
     def service(self, incarnation_key: IncarnationKey, slots: int) -> ServiceLoad:
         """Return the load of one incarnation of a service instance."""
         found = self.services.get(incarnation_key)
         if found is None:
-            found = self.services[incarnation_key] = ServiceLoad(slots)
+            found = self.services[incarnation_key] = ServiceLoad(
+                slots, reported=self.engines.reported(incarnation_key)
+            )
         return found
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -79,18 +79,24 @@
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
         """Relay an answer once it is complete."""
-        body = await read_whole(exchange, on_data)
+        body = await read_whole(exchange, on_data, self.caller.hold_answer)
         await self.caller.answer(head.status, list(head.headers), body)
 
 
-async def read_whole(exchange: Exchange, on_data: Callable[[], None]) -> bytes:
-    """Read a body to its end; raise ``BrokenError`` if it is incomplete or too long."""
+async def read_whole(
+    exchange: Exchange, on_data: Callable[[], None], hold: Callable[[int], None]
+) -> bytes:
+    """Read a body to its end; raise ``BrokenError`` if it is incomplete or too long.
+
+    ``hold`` accounts for each chunk and raises an error if it may not be held.
+    """
     chunks: list[bytes] = []
     n_bytes = 0
     while chunk := await exchange.receive_chunk():
         on_data()
         chunks.append(chunk)
         n_bytes += len(chunk)
+        hold(len(chunk))
         if n_bytes > MAX_ANSWER_BYTES:
             message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
             raise BrokenError(message, sent=True)
@@ -196,6 +202,6 @@
         scope.deadline = now + caller.stall_s
         if not caller.started:
             self.on_begin()
-            await caller.start(head.status, list(head.headers))
+            await caller.start(head.status, list(head.headers), more_follows=True)
         await caller.write(data)
         scope.deadline = math.inf
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeAlias
 
 from corianderlb_core.forwarding import Prompt
+from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -62,15 +63,6 @@
     """Copy of the run's KV cache to continue from, as address/name; empty for none."""
 
 
-@dataclass(frozen=True)
-class InstanceLoadReport:
-    """Load that an instance reports of itself."""
-
-    n_running: int
-    n_waiting: int
-    n_slots: int
-
-
 @dataclass(frozen=True)
 class UpstreamHead:
     """Head of an upstream's answer."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.forwarding import ForwardInstance, RepeatKind
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
@@ -22,6 +23,7 @@
 
 from .caller import RequestRefusedError, refuse
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
+from .fleet_rooms import RoomFullError
 from .forward_attempt import (
     ForwardAttempt,
     ForwardJob,
@@ -30,11 +32,13 @@
     WithdrawnError,
 )
 from .forward_caller import StreamCutError
+from .forward_parts import POLL_S
 from .forward_relay import RESERVE_INTERVAL_S, WrongAnswerError
 from .forward_target import (
     NO_INSTANCE_RETRY_S,
     VERSION_GONE,
     WITHHELD,
+    EngineTarget,
     NoPlacement,
     Placement,
 )
@@ -48,9 +52,6 @@
 MIN_RETRY_SHARE: Final = 0.5
 """Least share of the objective that a retry gets."""
 
-POLL_S: Final = 0.025
-"""Interval at which a waiting request retries placement, besides on state changes."""
-
 MIN_RETRY_AFTER_S: Final = 0.2
 """Lower bound for the retry-after time of a refusal."""
 
@@ -116,6 +117,7 @@
         self._parts = job.parts
         self._route = job.route
         self._target = job.target
+        self._target.deadline = job.deadline
         self._relay = job.relay
         self._caller = job.caller
         self._deadline = job.deadline
@@ -205,6 +207,7 @@
         if self._caller.started and self._target.is_bound:
             wait_s = max(wait_s, VERSION_WAIT_S)
         waits_until = trio.current_time() + wait_s
+        await self._enter_room(wait_s)
         while True:
             now = trio.current_time()
             found = self._target.choose(self._avoid, self._objective_left_s(now))
@@ -222,9 +225,41 @@
             may_wait = is_withheld and self._caller.started
             if ready_at >= (self._deadline if may_wait else waits_until):
                 raise self._no_placement_refusal(found)
-            changed = self._parts.state.changed
-            with trio.move_on_after(POLL_S):
-                await changed.wait()
+            changed, waiting = self._parts.state.changed, self._parts.waiting
+            if is_withheld:
+                # What instances have said costs little to look at.
+                with trio.move_on_after(POLL_S):
+                    await changed.wait()
+                continue
+            with waiting.waiting():
+                looks_at = now + waiting.pause_s
+                if now < waits_until:
+                    looks_at = min(looks_at, waits_until)
+                if waiting.pause_s > POLL_S:
+                    # A change would wake all of them at once.
+                    await trio.sleep_until(looks_at)
+                else:
+                    with trio.move_on_at(looks_at):
+                        await changed.wait()
+
+    async def _enter_room(self, limit_s: float) -> None:
+        """Wait for the turn of a new request; refuse it if that is too far off."""
+        target = self._target
+        if not isinstance(target, EngineTarget) or self._n_sent or target.is_bound:
+            return
+        try:
+            await target.enter_room(limit_s)
+        except RoomFullError as exc:
+            raise self._room_refusal(target, exc.refusal, f"room: {exc}") from None
+
+    def _room_refusal(
+        self, target: EngineTarget, refusal: RoomRefusal, detail: str
+    ) -> RequestRefusedError:
+        most_s = (self._deadline - trio.current_time()) * MAX_RETRY_AFTER_SHARE
+        delay_s = self._parts.room_retry_delay_s(
+            target.upstream, target.room_key, refusal, most_s
+        )
+        return refuse(ResultCode.QUEUE_FULL, detail, self._retry_after_s(delay_s))
 
     def _objective_left_s(self, now: float, is_retry: bool = False) -> float:
         """Return the time left until the first byte of the next attempt is due.
@@ -253,6 +288,10 @@
         else:
             code = ResultCode.NO_UPSTREAM
         detail = f"{found.reason}: {found.detail}" if found.detail else found.reason
+        if found.reason == "queue" and isinstance(self._target, EngineTarget):
+            refusal = self._target.turn_away()
+            if refusal is not None:
+                return self._room_refusal(self._target, refusal, detail)
         left_s = self._deadline - trio.current_time()
         estimate_s = self._parts.retry_delay_s(
             self._target.upstream,
@@ -616,6 +655,7 @@
                 return
             tunnels = parts.tunnels
             if tunnels is None or not await tunnels.reaches(instance):
+                self._target.crashed(placement)
                 parts.quarantine.report_crash(
                     name, instance.born_ms, suspects, suspected_parts
                 )
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -5,7 +5,7 @@
 import math
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -13,23 +13,30 @@
 
 from corianderlb_core.engine_choice import (
     DEFAULT_FETCH_S_PER_TOKEN,
+    MAX_TTFT_SHARE,
     EngineChoice,
     EngineQuery,
     allowed_or_all,
 )
+from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.forwarding import (
     LOWEST_PRIORITY,
     ForwardAccount,
+    ForwardConfiguration,
     ForwardInstance,
     ForwardRoute,
     Prompt,
 )
+from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.prefill_estimate import OVERHEAD_S
-from corianderlb_core.service_choice import choose_service
+from corianderlb_core.reading_once import applies, is_worth_saving
+from corianderlb_core.room_share import RoomKey
+from corianderlb_core.service_choice import ServiceLoad, choose_service
 
 from .forward_parts import ForwardParts
 from .forward_request import ForwardRequest, SendTerms, UpstreamHead
+from .instance_paces import InstancePaces
 
 WITHHELD: Final = "withheld"
 """Reason of ``NoPlacement`` if every instance has said that it takes nothing now."""
@@ -94,7 +101,10 @@
         self.account = account
         self.stream_key: bytes | None = None
         """Key of the stream; None for a request whose answer can't be resumed."""
+        self.deadline = math.inf
+        """Router's clock at which the caller stops waiting."""
         self._software_version: str | None = None
+        self._attempt_key = ""
 
     @abstractmethod
     def choose(self, avoid: Collection[IncarnationKey], objective_left_s: float):
@@ -172,20 +182,48 @@
         account = self.account.name if self.account else ""
         return SendTerms(placement.instance.instance, left_s, account)
 
+    @property
+    def _paces(self) -> InstancePaces:
+        return self.parts.engines.paces
+
+    @abstractmethod
+    def _capacity_s(self, placement: Placement) -> float:
+        """Return for how long the request takes all that the instance can do."""
+
     def sent(self, key: str, placement: Placement) -> None:
         """Record that an attempt is sent."""
+        self._attempt_key = key
+        self._paces.sent(
+            placement.instance,
+            key,
+            self._capacity_s(placement),
+            placement.estimate_s,
+            self.route.objective_s,
+        )
 
     def first_byte(self, key: str, placement: Placement, seconds: float) -> None:
         """Record the first byte of an answer's body."""
+        self._paces.answered(placement.instance, key)
 
     def head(self, placement: Placement, head: UpstreamHead) -> None:
         """Record the head of an answer."""
+        if head.not_run and not head.is_misdirected:
+            self._paces.refused(placement.instance, self._attempt_key)
+
+    def reported(self, placement: Placement, load: InstanceLoadReport | None) -> None:
+        """Record the load that the instance reports in the head of an answer."""
+        if load is not None:
+            self._paces.reported(placement.instance, load)
 
     def unreached(self, placement: Placement) -> None:
         """Record that a connection to the instance failed."""
 
+    def crashed(self, placement: Placement) -> None:
+        """Record that the instance refuses connections after one to it broke."""
+
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Record that an attempt has ended."""
+        self._paces.ended(placement.instance, key)
 
     def _withheld(self, upstream: str) -> NoPlacement | None:
         """Return the reason if no instance takes a request now, by their own word."""
@@ -236,6 +274,8 @@
         known = allowed_or_all(
             known, lambda item: parts.health.may_send(item.incarnation_key)
         )
+        waiting = self._paces.without_turn(known, lambda item: item, self.upstream)
+        known = [item for item in known if item not in waiting]
         loads = [
             (item, parts.service(item.incarnation_key, item.slots)) for item in known
         ]
@@ -252,27 +292,60 @@
             ),
         )
         assert chosen is not None
-        load = parts.service(chosen.incarnation_key, chosen.slots)
-        return Placement(chosen, load.wait_s(now))
+        wait_s = parts.service(chosen.incarnation_key, chosen.slots).wait_s(now)
+        late = self._late(loads, now)
+        if late is not None:
+            return late
+        return Placement(chosen, wait_s)
+
+    def _late(
+        self, loads: Sequence[tuple[ForwardInstance, ServiceLoad]], now: float
+    ) -> NoPlacement | None:
+        """Return the reason if no instance can answer before the caller leaves.
+
+        Only instances that report how long work takes are held to it.
+        """
+        if not all(load.reported.has_slowdown for _, load in loads):
+            return None
+        left_s = self.deadline - now
+        wait_s = min(load.wait_s(now) for _, load in loads)
+        if wait_s <= left_s:
+            return None
+        n_slots = sum(max(1, load.slots) for _, load in loads)
+        latency_s = sum(load.latency_s for _, load in loads) / len(loads)
+        detail = f"answered in {wait_s * 1000:.0f} ms, {left_s * 1000:.0f} ms left"
+        return NoPlacement("queue", wait_s, detail, latency_s / n_slots)
 
     def sent(self, key: str, placement: Placement) -> None:
         """Count the call as in flight."""
+        super().sent(key, placement)
         self._load(placement).started()
 
     def first_byte(self, key: str, placement: Placement, seconds: float) -> None:
         """Update the latency estimate of the instance."""
-        self._load(placement).answered(seconds)
+        super().first_byte(key, placement, seconds)
+        self._load(placement).answered(seconds, trio.current_time())
 
-    def head(self, placement: Placement, head: UpstreamHead) -> None:
-        """Update the load that the instance reports."""
-        if head.load is not None:
-            n_busy = head.load.n_running + head.load.n_waiting
-            self._load(placement).record_report(n_busy, trio.current_time())
+    def reported(self, placement: Placement, load: InstanceLoadReport | None) -> None:
+        """Record the load that the instance reports in the head of an answer."""
+        super().reported(placement, load)
+        if load is not None:
+            # The load shares what was reported with the table of engines.
+            self._load(placement).record_report(load, trio.current_time())
+            self.parts.engines.announce_report(placement.instance, load)
 
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Remove the call from the calls in flight."""
+        super().ended(key, placement, has_first_token)
         self._load(placement).ended()
 
+    def unreached(self, placement: Placement) -> None:
+        """Pace the instance when it is back."""
+        self._paces.found_down(placement.instance)
+
+    def _capacity_s(self, placement: Placement) -> float:
+        return self._load(placement).latency_s / placement.instance.slots
+
     def _load(self, placement: Placement):
         instance = placement.instance
         return self.parts.service(instance.incarnation_key, instance.slots)
@@ -286,6 +359,10 @@
         self.upstream = upstream
         self.prompt = prompt
         self._part_ids = [part.part_id for part in prompt.shared_parts]
+        self._due_s = math.inf
+        """Time from its sending at which the first token of an attempt is due."""
+        self._is_admitted = False
+        self._has_sent = False
 
     def choose(
         self, avoid: Collection[IncarnationKey], objective_left_s: float
@@ -300,20 +377,68 @@
             no_engine = NoPlacement("no_engine", NO_INSTANCE_RETRY_S)
             withheld = self._withheld(self.upstream)
             return self._gone(self.upstream) or withheld or no_engine
-        if not choice.in_time:
+        if not choice.has_room:
+            detail = f"{choice.n_held} tokens have no room at any engine"
+            spacing_s = self.parts.engines.spacing_s(choice, self.upstream)
+            return NoPlacement("queue", choice.wait_s, detail, spacing_s)
+        self._due_s = MAX_TTFT_SHARE * objective_left_s
+        if not choice.in_time and not self._is_rated:
             detail = (
                 f"{choice.view.instance.instance} would start in "
                 f"{choice.wait_s * 1000:.0f} ms, {objective_left_s * 1000:.0f} ms left"
             )
-            estimator = choice.view.estimator
-            n_engines = len(self.parts.state.instances(self.upstream))
-            spacing_s = estimator.prefill_time_s(choice.n_missing) / max(1, n_engines)
+            spacing_s = self.parts.engines.spacing_s(choice, self.upstream)
             return NoPlacement("queue", choice.wait_s, detail, spacing_s)
         save_to = query.kv_cache_address if self._is_worth_saving(choice) else ""
         return Placement(
             choice.view.instance, choice.estimated_ttft_s, choice, save_to=save_to
         )
 
+    @property
+    def room_key(self) -> RoomKey:
+        """Whose room the request uses: its priority and its account."""
+        account = self.account
+        priority = self.route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        name = account.name if account is not None else ""
+        return RoomKey(min(LOWEST_PRIORITY, priority), name)
+
+    async def enter_room(self, limit_s: float) -> None:
+        """Wait for the request's turn; raise ``RoomFullError`` if it is too far off."""
+        rooms = self.parts.rooms
+        if rooms.is_enabled and not self._is_admitted:
+            await rooms.enter(
+                self.upstream, self.room_key, self.prompt, limit_s, self._begins_now
+            )
+            self._is_admitted = True
+
+    def _begins_now(self) -> bool:
+        """Return whether an engine with a free place is estimated to begin in time."""
+        query = self._query(self.route.objective_s)
+        if query is None:
+            return False
+        choice = self.parts.engines.choose(query, self.upstream, ())
+        if choice is None or not choice.in_time or not choice.has_room:
+            return False
+        n_requests = choice.view.estimator.n_reported_requests(query.now)
+        return n_requests < choice.view.instance.slots
+
+    def turn_away(self) -> RoomRefusal | None:
+        """Record that no engine can begin the request in time."""
+        if not self._is_admitted:
+            return None
+        self._is_admitted = False
+        return self.parts.rooms.turn_away(self.upstream, self.room_key, self.prompt)
+
+    @property
+    def _is_rated(self) -> bool:
+        """Whether the room's rate takes the place of the estimated wait.
+
+        The estimate rests on reports that are older than urgent objectives.
+        """
+        return self._is_admitted and self.parts.rooms.is_rated(self.upstream)
+
     def fallback(self, placement: Placement) -> Placement | None:
         """Return the engine of the same weights version with the fewest requests."""
         if not self._can_copy_runs:
@@ -361,6 +486,8 @@
         """
         if not self._part_ids:
             return False
+        if choice.told_parts and not is_worth_saving(self.prompt, choice.is_held_whole):
+            return False
         return not self.parts.engines.index.is_saved(choice.scope, self._part_ids)
 
     def terms(self, placement: Placement, left_s: float) -> SendTerms:
@@ -368,9 +495,6 @@
         choice = placement.choice
         assert choice is not None
         account = self.account
-        priority = self.route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
         return SendTerms(
             instance=placement.instance.instance,
             deadline_s=left_s,
@@ -380,24 +504,38 @@
             fetch_from="" if placement.continue_from else choice.fetch_from,
             save_to=placement.save_to,
             continue_from=placement.continue_from,
-            priority=min(LOWEST_PRIORITY, priority),
+            priority=self.room_key.urgency,
         )
 
     def sent(self, key: str, placement: Placement) -> None:
         """Count the prompt's tokens as in flight."""
+        super().sent(key, placement)
         choice = placement.choice
         assert choice is not None
+        self._has_sent = True
         self.parts.engines.sent(key, choice, self._part_ids)
+        self.parts.rooms.sent(
+            self.upstream,
+            key,
+            placement.instance.incarnation_key,
+            choice.n_missing,
+            self.prompt,
+            self.route.objective_s,
+            self._due_s,
+        )
         self.parts.metrics.prompt_sent(choice.n_missing, self.prompt.n_prompt)
 
     def first_byte(self, key: str, placement: Placement, seconds: float) -> None:
         """Record that the prefill is complete."""
+        super().first_byte(key, placement, seconds)
         assert placement.choice is not None
         saved = bool(placement.save_to)
+        self.parts.rooms.first_token(self.upstream, key)
         self.parts.engines.first_token(key, placement.choice, self._part_ids, saved)
 
     def head(self, placement: Placement, head: UpstreamHead) -> None:
         """Record the engine's weights version and whether it refused the request."""
+        super().head(placement, head)
         engines = self.parts.engines
         if head.weights_version:
             model = self.prompt.model
@@ -405,22 +543,53 @@
         if head.not_run or head.is_misdirected:
             engines.refused(placement.instance)
 
+    def reported(self, placement: Placement, load: InstanceLoadReport | None) -> None:
+        """Record the load that the engine reports in the head of an answer."""
+        super().reported(placement, load)
+        if load is not None:
+            self.parts.engines.record_report(placement.instance, load)
+
     def ended(self, key: str, placement: Placement, has_first_token: bool) -> None:
         """Remove the prompt's tokens from those in flight."""
+        super().ended(key, placement, has_first_token)
         assert placement.choice is not None
+        self.parts.rooms.ended(self.upstream, key)
         self.parts.engines.ended(key, placement.choice, self._part_ids, has_first_token)
 
     def unreached(self, placement: Placement) -> None:
         """Back off from the engine, and announce to peers that it is unreachable."""
         self.parts.engines.unreached(placement.instance)
 
+    def crashed(self, placement: Placement) -> None:
+        """Avoid the engine."""
+        self.parts.engines.crashed(placement.instance)
+
+    def _capacity_s(self, placement: Placement) -> float:
+        choice = placement.choice
+        assert choice is not None
+        return choice.view.estimator.prefill_time_s(choice.n_missing)
+
+    def _leaves_places(self, cfg: ForwardConfiguration) -> bool:
+        """Return whether some places are left to more urgent requests.
+
+        Not by one that has been sent or has begun, since a refusal would lose it. The
+        account's priority goes before the route's, but may be the same for all.
+        """
+        priority = min(self.room_key.urgency, self.route.priority)
+        return (
+            self.parts.cfg.urgent_places
+            and not self._has_sent
+            and self.req.resume_after is None
+            and priority > cfg.most_urgent(self.upstream)
+        )
+
     def _query(self, objective_left_s: float) -> EngineQuery | None:
         cfg = self.parts.state.configuration
         upstream = cfg.upstream(self.upstream) if cfg else None
         if cfg is None or upstream is None or upstream.engine is None:
             return None
         kv_cache = cfg.kv_cache(self._part_ids[-1]) if self._part_ids else None
-        account = self.account
+        account, rooms = self.account, self.parts.rooms
         now = trio.current_time()
         return EngineQuery(
             prompt=self.prompt,
@@ -432,8 +601,11 @@
             kv_cache_zone=kv_cache.zone if kv_cache else "",
             transfer_s_per_token=upstream.engine.transfer_s_per_token
             or DEFAULT_FETCH_S_PER_TOKEN,
+            reads_once=applies(upstream.engine),
             zone=self.parts.cfg.zone,
             now=now,
+            own_share=rooms.own_share(self.upstream) if self._is_rated else 0.0,
+            leaves_places=self._leaves_places(cfg),
         )
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -155,6 +155,13 @@
     def broadcast(self, message: Message) -> int:
         """Queue a message to all connected peers; return their number."""
 
+    def broadcast_later(self, message: Message) -> int:
+        """Queue a message that may wait for another one, to leave in the same write.
+
+        It waits for about a heartbeat interval at most.
+        """
+        return self.broadcast(message)
+
     def forward_update(self, message: Message, n_peers: int = N_FORWARDS) -> int:
         """Queue a peer's update to some peers that may lack it; return their number."""
         return self.broadcast(message)
@@ -193,6 +200,10 @@
         """Return the number of routers that may use a part of an allowance."""
         return self.n_running()
 
+    def running_names(self) -> tuple[InstanceId, ...]:
+        """Return the routers that may be running, with this one, in order."""
+        return tuple(sorted(state.instance for state in self.members()))
+
     def has_met_peers(self) -> bool:
         """Return whether another router was ever heard."""
         return True
--- a/packages/corianderlb-router/src/corianderlb_router/lease_coordinator.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_coordinator.py
@@ -288,7 +288,7 @@
     async def _offer_when_overdue(self) -> None:
         """Offer the lease to the peers while the store does not answer renewals."""
         while True:
-            await trio.sleep(TICK_S)
+            await trio.sleep(TICK_S if self._lease.is_mine else OFFER_INTERVAL_S)
             now = trio.current_time()
             is_due = now - self._offered_at >= OFFER_INTERVAL_S
             if self._must_hand_over() and is_due and not self.stopping:
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -10,6 +10,8 @@
 
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final, TypeVar
 
 import httpx
@@ -160,6 +162,33 @@
             await self._pool.give_back(self._conn)
 
 
+@dataclass(frozen=True)
+class SendSettings:
+    """How one request is sent."""
+
+    connect_s: float
+    write_s: float
+    read_s: float = math.inf
+    """Timeout of the head and of each chunk of the body."""
+    is_fresh: bool = False
+    """Whether to use a new connection instead of a pooled one."""
+    connector: Connector | None = None
+    """``Connector`` in place of the pool's; see ``VIA``."""
+    send_before: float = math.inf
+    """Time by the router's clock after which nothing may be sent."""
+    on_send: Callable[[], None] = lambda: None
+    """Called right before the first byte is sent."""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Head of a response, and the exchange from which its body is read."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    exchange: Exchange
+
+
 class UpstreamTransport(httpx.AsyncBaseTransport):
     """Transport that sends each request once, over a pooled or a new connection."""
 
@@ -169,66 +198,84 @@
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request; return the response with its body as a stream."""
-        timeout = request.extensions["timeout"]
-        address = request.url.netloc.decode()
-        fresh = bool(request.extensions.get(FRESH))
-        connector: Connector | None = request.extensions.get(VIA)
-        if connector is None:
-            conn = await self.pool.take(address, fresh, timeout["connect"])
+        timeout, extensions = request.extensions["timeout"], request.extensions
+        cfg = SendSettings(
+            timeout["connect"],
+            timeout["write"],
+            timeout["read"],
+            bool(extensions.get(FRESH)),
+            extensions.get(VIA),
+            extensions.get(SEND_BEFORE, math.inf),
+            extensions.get(ON_SEND, _do_nothing),
+        )
+        outgoing = OutgoingRequest(
+            method=request.method.encode(),
+            target=extensions.get(TARGET, request.url.raw_path),
+            headers=request.headers.raw,
+            body=request.content,
+            until_close=bool(extensions.get(UNTIL_CLOSE)),
+        )
+        answer = await self.send(request.url.netloc.decode(), outgoing, cfg)
+        return httpx.Response(
+            answer.status,
+            headers=answer.headers,
+            stream=answer.exchange,
+            extensions={EXCHANGE: answer.exchange},
+        )
+
+    async def send(
+        self, address: str, request: OutgoingRequest, cfg: SendSettings
+    ) -> Answer:
+        """Send a request; return the head of its response and the exchange.
+
+        The caller closes the exchange. Objects of httpx would cost as much as the rest.
+        """
+        try:
+            _check_address(address)
+        except httpx.InvalidURL as exc:
+            raise ConnectFailedError(f"{address!r}: {exc}", refused=True) from exc
+        if cfg.connector is None:
+            conn = await self.pool.take(address, cfg.is_fresh, cfg.connect_s)
         else:
-            conn = await self.pool.open_via(connector, address, timeout["connect"])
+            conn = await self.pool.open_via(cfg.connector, address, cfg.connect_s)
         try:
-            _check_send_deadline(request, address)
-            request.extensions.get(ON_SEND, _do_nothing)()
-            await _with_timeout(timeout["write"], conn, lambda: _send(conn, request))
-            head = await _with_timeout(timeout["read"], conn, conn.receive_head)
+            if trio.current_time() >= cfg.send_before:
+                # The router may have been paused since the decision, and connecting
+                # takes time. After the deadline another router may act, so the request
+                # could run twice.
+                message = f"{address}: send deadline passed"
+                raise ConnectFailedError(message, refused=False)
+            cfg.on_send()
+            await _with_timeout(cfg.write_s, conn, lambda: conn.send_request(request))
+            head = await _with_timeout(cfg.read_s, conn, conn.receive_head)
         except BaseException:
             with trio.CancelScope(shield=True):
                 await conn.close()
             raise
-        exchange = Exchange(self.pool, conn, timeout["read"])
-        return httpx.Response(
-            head.status_code,
-            headers=list(head.headers.raw_items()),
-            stream=exchange,
-            extensions={EXCHANGE: exchange},
-        )
+        exchange = Exchange(self.pool, conn, cfg.read_s)
+        return Answer(head.status_code, list(head.headers.raw_items()), exchange)
 
     async def aclose(self) -> None:
         """Close the idle connections."""
         await self.pool.close()
 
 
-def _do_nothing() -> None:
-    pass
+@lru_cache(maxsize=1024)
+def _check_address(address: str) -> None:
+    """Raise ``httpx.InvalidURL`` for an address that no URL can have."""
+    httpx.URL(f"http://{address}/")
 
 
-def _check_send_deadline(request: httpx.Request, address: str) -> None:
-    """Raise ``ConnectFailedError`` if the send deadline of a request has passed.
-
-    The router may have been paused since the decision, and connecting takes time. After
-    the deadline another router may act, so the request could run twice.
-    """
-    limit = request.extensions.get(SEND_BEFORE, math.inf)
-    if trio.current_time() >= limit:
-        raise ConnectFailedError(f"{address}: send deadline passed", refused=False)
-
-
-async def _send(conn: Connection, request: httpx.Request) -> None:
-    outgoing = OutgoingRequest(
-        method=request.method.encode(),
-        target=request.extensions.get(TARGET, request.url.raw_path),
-        headers=request.headers.raw,
-        body=request.content,
-        until_close=bool(request.extensions.get(UNTIL_CLOSE)),
-    )
-    await conn.send_request(outgoing)
+def _do_nothing() -> None:
+    pass
 
 
 async def _with_timeout(
     limit_s: float, conn: Connection, step: Callable[[], Awaitable[T]]
 ) -> T:
     """Run one step of an exchange; raise ``SilentError`` on timeout."""
+    if limit_s == math.inf:
+        return await step()
     try:
         with trio.fail_after(limit_s):
             return await step()
--- a/packages/corianderlb-router/src/corianderlb_router/weights_load.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_load.py
@@ -139,7 +139,7 @@
                 return
             order_state.unanswered_at = None
             order_state.n_orders = report.n_orders
-            self._record_versions(engine, report)
+            self._record(engine, report)
             if report.versions.get(model, 0) >= version:
                 return
         if not self._coordinator.may_act():
@@ -228,7 +228,7 @@
             if report.is_busy:
                 busy_at = now
                 continue
-            self._record_versions(engine, report)
+            self._record(engine, report)
             if report.versions.get(model, 0) >= version:
                 return
             if now - busy_at >= IDLE_TIMEOUT_S:
@@ -254,11 +254,13 @@
             report = await self._orders.report(engine)
             if report is None:
                 continue
-            self._record_versions(engine, report)
+            self._record(engine, report)
             if report.is_busy or report.versions.get(model, 0) >= version:
                 return True
         return False
 
-    def _record_versions(self, engine: ForwardInstance, report: EngineReport) -> None:
+    def _record(self, engine: ForwardInstance, report: EngineReport) -> None:
         for model, version in report.versions.items():
             self._table.weights.learn(engine, model, version)
+        if report.load is not None:
+            self._table.record_report(engine, report.load)
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -67,8 +68,14 @@
 class WeightsTable:
     """Table of each engine's weights version and phase, shared with the peers."""
 
-    def __init__(self, state: ServingState, peers: PeerNetwork) -> None:
+    def __init__(
+        self,
+        state: ServingState,
+        peers: PeerNetwork,
+        on_loaded: Callable[[ForwardInstance], None] = lambda instance: None,
+    ) -> None:
         self._state = state
+        self._on_loaded = on_loaded
         self._peers = peers
         self._engines: dict[IncarnationKey, _Engine] = {}
         self.n_versions_learned = 0
@@ -93,8 +100,11 @@
         """Record the version that an engine has reported."""
         engine = self._engine(instance)
         if version > engine.versions.get(model, 0):
+            is_load = 0 < self.version(instance, model) < version
             engine.versions[model] = version
             self.n_versions_learned += 1
+            if is_load:
+                self._on_loaded(instance)
             self._state.record_engine_weights(model, version)
 
     def phase(self, instance: ForwardInstance) -> EnginePhase:
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 import trio
 import trio.testing
 
@@ -27,6 +28,7 @@
     UpstreamShare,
     key_digest,
 )
+from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.instance_signals import InstanceSignals
 from corianderlb_core.message import SharedObject
 from corianderlb_core.usage_cap import UsageTerms
@@ -34,6 +36,7 @@
 from corianderlb_router.engine_table import EngineTable
 from corianderlb_router.exchange_registry import ExchangeRegistry
 from corianderlb_router.fleet_quarantine import FleetQuarantine
+from corianderlb_router.fleet_rooms import FleetRooms
 from corianderlb_router.fleet_usage import FleetUsage
 from corianderlb_router.forward_caller import ForwardCaller
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
@@ -211,6 +214,9 @@
             is_sealed="x-seal" in found,
             is_encoded="content-encoding" in found,
             instance=found.get("x-instance", ""),
+            load=msgspec.json.decode(found["x-load"], type=InstanceLoadReport)
+            if "x-load" in found
+            else None,
             signals=InstanceSignals(
                 limit_per_s=float(found.get("x-limit", math.inf)),
                 refusals_per_s=float(found.get("x-brittle", math.inf)),
@@ -399,6 +405,7 @@
         self.engine_table = EngineTable(
             self.state, self.health, self.peers, self.permits, rng
         )
+        self.rooms = FleetRooms(self.state, self.engine_table, self.peers, False)
         self.exchanges = ExchangeRegistry()
         self.parts = ForwardParts(
             cfg=ForwardSettings(name, "zone-a", budget=budget),
@@ -415,6 +422,7 @@
             permits=self.permits,
             rng=rng,
             paths=PathWatch(self.state, self.permits),
+            rooms=self.rooms,
             origins=StreamOrigins(self.state, self.peers),
         )
         self.dispatcher = ForwardDispatcher(self.parts, self.exchanges)
@@ -438,6 +446,12 @@
         changes = FeedChanges((FeedChange(stored, False),), 20 + version)
         self.state.apply_changes(WEIGHTS, changes)
 
+    def share_room(self, nursery: trio.Nursery) -> None:
+        """Give accounts fair shares of the engines."""
+        self.rooms.is_enabled = True
+        nursery.start_soon(self.rooms.run)
+        nursery.start_soon(self.engine_table.run)
+
     def mark_process_start(self) -> None:
         """Set the start time of the router's process to now."""
         now = trio.current_time()
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import math
+from unittest import mock
 
 import eliot
 import trio
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.prefill_estimate import PeerWork
 from corianderlb_router.object_feed import FeedListing, NamedWeights
 from corianderlb_standins.trio_case import TrioTestCase
@@ -256,6 +258,44 @@
             self.assertLessEqual(n_runs, 3)
 
 
+class ReportTest(TrioTestCase):
+    async def test_engine_and_service_report_in_every_answer(self) -> None:
+        # Guards against reports that are read but used from some answers only.
+        load = '{"n_running": 4, "n_waiting": 5, "slowdown": 2.5}'
+        refusal = an_answer(b"", 503, x_not_run="1", x_load=load)
+        ups = {name: Upstream([refusal]) for name in ("e1", "s1")}
+        async with a_router(**ups) as router:
+            await router.ask("/quick/7", x_prompt=PROMPT)
+            await router.ask("/book/7")
+            engine, service = (router.state.instance(name) for name in ups)
+            reports = (
+                router.engine_table.view(engine, MODEL).estimator.reported,
+                router.parts.service(service.incarnation_key, 6).reported,
+            )
+            for reported in reports:
+                self.assertEqual(reported.n_busy(trio.current_time()), 9)
+                self.assertGreater(reported.slowdown(trio.current_time()), 1.1)
+
+    async def test_call_that_no_instance_can_answer_in_time(self) -> None:
+        # Guards against calls that run when their caller has left.
+        services = {name: Upstream([an_answer()]) for name in ("s1", "s2")}
+        async with a_router(**services) as router:
+            for name in services:
+                instance = router.state.instance(name)
+                load = router.parts.service(instance.incarnation_key, instance.slots)
+                load.record_report(InstanceLoadReport(9, 4_000, 6, 1.0), 0.0)
+                load.record_report(
+                    InstanceLoadReport(9, 4_000, 6, 2.0), trio.current_time()
+                )
+            caller = await router.ask("/book/7")
+            self.assertEqual(caller.status, 503)
+            self.assertEqual([len(item.requests) for item in services.values()], [0, 0])
+            # A report that is old refuses nothing.
+            await trio.sleep(1.0)
+            caller = await router.ask("/book/7")
+            self.assertEqual(caller.status, 200)
+
+
 class StreamTest(TrioTestCase):
     async def test_stream_is_relayed_completely(self) -> None:
         async with a_router(e1=Upstream([a_stream(1, 4)])) as router:
@@ -552,3 +592,38 @@
     while True:
         router.health.record_data(engine.incarnation_key)
         await trio.sleep(0.1)
+
+
+class WaitingTest(TrioTestCase):
+    async def test_waiting_requests_look_for_an_engine_at_a_bounded_rate(self) -> None:
+        """Guards against a choice by each waiting request every 25 ms."""
+        async with a_router(s1=Upstream([])) as router:
+            with mock.patch.object(
+                router.engine_table, "choose", wraps=router.engine_table.choose
+            ) as choose:
+                async with trio.open_nursery() as nursery:
+                    for number in range(100):
+                        nursery.start_soon(ask_in_vain, router, f"q{number}")
+            self.assertLessEqual(choose.call_count, 100 * 3 + 2)
+            self.assertGreaterEqual(choose.call_count, 100 * 2)
+
+    async def test_attempt_needs_one_task_beside_its_own(self) -> None:
+        """Guards against tasks that only watch the clock."""
+        spawned: list[str] = []
+
+        class Watcher(trio.abc.Instrument):
+            def task_spawned(self, task: trio.lowlevel.Task) -> None:
+                spawned.append(task.name)
+
+        async with a_router(s1=Upstream([an_answer()])) as router:
+            trio.lowlevel.add_instrument(Watcher())
+            caller = await router.ask("/read/7")
+            self.assertEqual(caller.status, 200)
+        of_attempt = [name for name in spawned if "forward_attempt" in name]
+        self.assertEqual(len(of_attempt), 1, spawned)
+
+
+async def ask_in_vain(router: ForwardRouter, request_id: str) -> None:
+    """Ask for an answer that no engine can begin in time."""
+    caller = await router.ask("/long/7", x_prompt=PROMPT, x_id=request_id)
+    assert caller.status == 503
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -12,7 +12,7 @@
 
 from corianderlb_core.admission import GateCounts
 from corianderlb_core.catalogue import ServiceClass
-from corianderlb_core.chart import _load
+from corianderlb_core.chart import read_chart
 from corianderlb_core.result import ResultCode
 from corianderlb_core.settings import RouterSettings
 from corianderlb_router import _main
@@ -102,6 +102,13 @@
 forward.usage.overshoot
 forward.usage.slack
 forward.weights_limit_s
+forward.bounded_memory
+forward.memory_bytes
+forward.bounded_engines
+forward.fair_room
+forward.level_queues
+forward.avoid_crashed
+forward.urgent_places
 forward.connect_timeout_s
 region
 listen.front
@@ -168,12 +175,20 @@
 FORWARD_METRICS = """\
 corianderlb_brittle_instances
 corianderlb_brittle_instances gauge
+corianderlb_callers_cut
+corianderlb_callers_cut gauge
 corianderlb_carried_tunnels
 corianderlb_carried_tunnels gauge
 corianderlb_configuration_version
 corianderlb_configuration_version gauge
 corianderlb_doubted_instances
 corianderlb_doubted_instances gauge
+corianderlb_engine_slowdown gauge
+corianderlb_engine_slowdown instance
+corianderlb_engine_tokens_per_s gauge
+corianderlb_engine_tokens_per_s instance
+corianderlb_engines_found_full
+corianderlb_engines_found_full gauge
 corianderlb_failed_connections
 corianderlb_failed_connections gauge
 corianderlb_forward_attempts_total counter
@@ -190,6 +205,8 @@
 corianderlb_forward_whole_seconds_sum kind
 corianderlb_forwarded_total counter
 corianderlb_forwarded_total kind result
+corianderlb_held_bytes
+corianderlb_held_bytes gauge
 corianderlb_holds_orders
 corianderlb_holds_orders gauge
 corianderlb_in_flight
@@ -202,10 +219,22 @@
 corianderlb_limited_instances gauge
 corianderlb_log_lines_left_out
 corianderlb_log_lines_left_out gauge
+corianderlb_paced_instances
+corianderlb_paced_instances gauge
+corianderlb_parts_heard
+corianderlb_parts_heard gauge
+corianderlb_parts_told
+corianderlb_parts_told gauge
 corianderlb_resting_instances
 corianderlb_resting_instances gauge
+corianderlb_room_refused
+corianderlb_room_refused gauge
+corianderlb_room_waiting
+corianderlb_room_waiting gauge
 corianderlb_routers
 corianderlb_routers gauge
+corianderlb_slowest_pace
+corianderlb_slowest_pace gauge
 corianderlb_store_lost
 corianderlb_store_lost gauge
 corianderlb_streams_resumed_total counter
@@ -271,6 +300,7 @@
 LOG_LINES = """\
 (traceback)
 (traceback)
+caller:cut account held_bytes unread_ms
 catalogue:bad_offer peer reason
 catalogue:in_force version
 catalogue:snapshot_failed reason
@@ -278,6 +308,7 @@
 catalogue:{store_failing|store_read_again} reason
 configuration:in_force n_accounts n_routes revision version
 connection:failed detail error peer raised_at server
+engine:speeds slowdowns tokens_per_s
 instance_list:{failing|read_again} detail
 journal:sealed shard
 journal:store_failing shard
@@ -303,6 +334,7 @@
     first_ms longest_pause_ms objective_ms pause_objective_ms read_ms request result
     resumes route status stream_version took_ms version_source whole
 retry:charged live_routers request requests retries routers upstream
+room:accounts accounts admitted_per_s capacity upstream
 roster:not_entered reason
 roster:unreadable key reason
 router:cut request_ids
@@ -329,6 +361,7 @@
 upstream:limit born_ms instance per_s source
 upstream:listed address born_ms instance upstream
 upstream:new_life epoch instance
+upstream:pace backoffs born_ms instance pace reason routers
 upstream:removed instance
 upstream:rest born_ms instance rest_ms
 upstream:rest epoch instance rest_ms
@@ -412,7 +445,8 @@
     def test_states(self) -> None:
         """States of the charts, which log lines and the status show, stay."""
         names = [path.stem for path in sorted((CORE / "charts").glob("*.yaml"))]
-        found = {name: " ".join(sorted(_load(name).states)) for name in names}
+        states = {name: ("root", *read_chart(name).states) for name in names}
+        found = {name: " ".join(sorted(states[name])) for name in names}
         self.assertEqual(found, CHARTS)
 
 
@@ -451,10 +485,12 @@
     metrics.prompt_sent(1, 3)
     metrics.stream_resumed("peer")
     node = mock.MagicMock()
-    node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=())
+    node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=(), memory=None)
     node._ports.state.configuration = None
     node._log.n_dropped_lines = 0
     node._guard.n_failed = Counter()
+    node._engines.tokens_per_s = lambda: {"e1": 40_000.0}
+    node._engines.slowdowns = lambda: {"e1": 1.7}
     ForwardNode._watch_gauges(node)
     return trio.run(metrics.exposition)
 
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -123,6 +123,7 @@
 SuspectCleared body_digest
 StateOffer revisions[](2)
 StateOffer ask
+StateOffer needs_confirmation
 StateAnswer ask
 StateAnswer revisions[](2)
 StateAnswer is_confirmed
@@ -160,6 +161,17 @@
 EngineNews parts[].is_ready
 EngineNews parts[].is_saved
 EngineNews unreached[](2)
+EngineNews paces[].instance
+EngineNews paces[].born_ms
+EngineNews paces[].n_backoffs
+EngineNews paces[].base
+EngineNews paces[].threshold
+EngineNews paces[].answered_s
+EngineNews held_parts
+EngineNews speeds.run
+EngineNews speeds.sent_ms
+EngineNews speeds.reports[]\
+(instance born_ms n_tokens usual_ms n_running n_waiting slowdown age_ms)
 WeightsNews words[].instance
 WeightsNews words[].born_ms
 WeightsNews words[].model
@@ -205,6 +217,15 @@
 RefusalLimitUpdate usage[].epoch
 RefusalLimitUpdate usage[].number
 RefusalLimitUpdate usage[].total
+RoomUpdate rooms[].upstream
+RoomUpdate rooms[].capacity
+RoomUpdate rooms[].is_pressed
+RoomUpdate rooms[].served
+RoomUpdate rooms[].in_time
+RoomUpdate rooms[].late
+RoomUpdate rooms[].waiting
+RoomUpdate rooms[].asked[](3)
+RoomUpdate rooms[].speed
 TunnelRequest instance
 TunnelRequest born_ms
 TunnelAnswer outcome = open|refused|silent|unknown|cut_off|busy
@@ -222,6 +243,26 @@
 StreamOriginAnswer origins[].left_ms
 StreamOriginAnswer versions[](2)
 StreamOriginAnswer observed_ms
+EngineReport work[]\
+(instance born_ms n_unread_tokens n_requests n_read_tokens n_held_tokens)
+EngineReport parts[].scope
+EngineReport parts[].part_ids[]
+EngineReport parts[].instance
+EngineReport parts[].born_ms
+EngineReport parts[].is_ready
+EngineReport parts[].is_saved
+EngineReport unreached[](2)
+EngineReport paces[].instance
+EngineReport paces[].born_ms
+EngineReport paces[].n_backoffs
+EngineReport paces[].base
+EngineReport paces[].threshold
+EngineReport paces[].answered_s
+EngineReport held_parts
+EngineReport speeds.run
+EngineReport speeds.sent_ms
+EngineReport speeds.reports[]\
+(instance born_ms n_tokens usual_ms n_running n_waiting slowdown age_ms)
 """
 
 FRAMES = {
@@ -482,6 +523,26 @@
             ),
         },
     ),
+    "RoomUpdate": (
+        "83016a526f6f6d557064617465a165726f6f6d7381a868757073747265616d63"
+        "6c6c6d6863617061636974791a000dbba06a69735f70726573736564f5667365"
+        "727665641a000cf85067696e5f74696d651a000c3500646c61746519c3506777"
+        "616974696e671a00061a806561736b656481836461636d65001a0001d4c0",
+        {
+            "rooms": (
+                {
+                    "upstream": "llm",
+                    "capacity": 900000,
+                    "is_pressed": True,
+                    "served": 850000,
+                    "in_time": 800000,
+                    "late": 50000,
+                    "waiting": 400000,
+                    "asked": (("acme", 0, 120000),),
+                },
+            ),
+        },
+    ),
     "RefusalLimitUpdate": (
         "8301725265667573616c4c696d6974557064617465a2666c696d69747381a468"
         "696e7374616e636562653167626f726e5f6d731903e8657065725f73fb400400"
@@ -538,6 +599,16 @@
         "696f6e738182636c6c6d6276316b6f627365727665645f6d73190fa0",
         {"ask": 7, "versions": (("llm", "v1"),), "observed_ms": 4000},
     ),
+    "EngineReport": (
+        "83016c456e67696e655265706f7274a364776f726b81866265311903e814030a"
+        "19019069756e7265616368656481826265321903846a68656c645f7061727473"
+        "4c010101010101010101010101",
+        {
+            "work": (("e1", 1000, 20, 3, 10, 400),),
+            "unreached": (("e2", 900),),
+            "held_parts": b"\x01" * 12,
+        },
+    ),
     "EngineNews": (
         "83016a456e67696e654e657773a364776f726b81a668696e7374616e63656265"
         "3167626f726e5f6d731903e86f6e5f756e726561645f746f6b656e73146a6e5f"
@@ -636,6 +707,7 @@
 STALE_CONFIGURATION 210 503 no
 STREAM_ORIGIN_UNKNOWN 211 503 no
 STREAM_VERSION_GONE 212 503 no
+MEMORY_FULL 213 503 no
 OUTCOME_UNKNOWN 300 502 unknown
 CALL_IN_PROGRESS 301 409 unknown
 STREAM_BROKEN 302 502 yes
@@ -645,6 +717,8 @@
 DEADLINE_EXCEEDED 306 504 unknown
 CUT_BY_SHUTDOWN 307 503 unknown
 CALLER_GONE 308 499 unknown
+CALLER_TOO_SLOW 309 499 unknown
+ANSWER_NOT_HELD 310 502 unknown
 CATALOGUE_INVALID 400 422 no
 EDIT_CONFLICT 401 409 no
 EDIT_OUTCOME_UNKNOWN 402 502 unknown
@@ -848,21 +922,21 @@
 """
 
 MAP_KEYS = """\
-CatalogueChanges CatalogueRequest Challenge CrashReport EngineNews Grant GrantRequest
-Heartbeat Hello HotPrefixes InstanceLimitUpdate InstancesListed InstancesRequest
-LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector
-RefusalLimitUpdate StateAnswer
-StateChanges StateObjects StateOffer StateRequest StreamOriginAnswer
-StreamOriginRequest StreamOriginsUpdate SuspectCleared TunnelAnswer
-TunnelRequest UpstreamLeaving
-UpstreamLife UsageUpdate WeightsNews Welcome adapter after attempt_id authorization body
-changed_in chat.completion.chunk choices class code connect connection content data
-delta entries entry error etag gossip_bytes headers http id if-match if-none-match
-import_orders import_orders_late imported imported_pieces index keys kind library limit
-listening load_read_bytes load_read_failures load_reads message message_type messages
-method model more_body n_lines name object order_id outcome owned_by path peer pool
-prefix prompt prompt_tokens_details put query_string ran raw_path read removed repeat
-request result retry retry-after retry_after_s revision role salt source status stream
+CatalogueChanges CatalogueRequest Challenge CrashReport EngineNews EngineReport Grant
+GrantRequest Heartbeat Hello HotPrefixes InstanceLimitUpdate InstancesListed
+InstancesRequest LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector
+RefusalLimitUpdate RoomUpdate StateAnswer StateChanges StateObjects StateOffer
+StateRequest StreamOriginAnswer StreamOriginRequest StreamOriginsUpdate SuspectCleared
+TunnelAnswer TunnelRequest UpstreamLeaving UpstreamLife UsageUpdate WeightsNews Welcome
+adapter after asgi attempt_id authorization body changed_in chat.completion.chunk
+choices class client code connect connection content data delta entries entry error etag
+extensions gossip_bytes headers http http_version id if-match if-none-match
+import_orders import_orders_late imported imported_pieces index instance keys kind
+library limit listening load_read_bytes load_read_failures load_reads message
+message_type messages method model more_body n_lines name object order_id outcome
+owned_by path peer prefix prompt prompt_tokens_details put query_string ran raw_path
+read removed repeat request result retry retry-after retry_after_s revision role
+root_path salt scheme server shutdown source spec_version startup state status stream
 text text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
 weights_version write x-revision
 """
@@ -875,7 +949,9 @@
     '"created":\\s*\\d+,?',
     "(?:^|\\n)id:[ ]?(\\d+)\\r?(?=\\n|$)",
     ',"usage"',
+    "Content-Length",
     "HEAD",
+    "Host",
     "[DONE]\n\n",
     "accept",
     "acceptor",
@@ -889,9 +965,11 @@
     "connection",
     "content-length",
     "content-type",
+    "date",
     "dialler",
     "dialler frames",
     "event: error\ndata: ",
+    "host",
     "id: ",
     "id: %d\ndata: ",
     "idempotency-key",
--- a/packages/corianderlb-standins/src/corianderlb_standins/memory_transport.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/memory_transport.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Final
 
@@ -69,6 +69,25 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise LinkClosedError("closed") from exc
 
+    @property
+    def can_send_now(self) -> bool:
+        """Whether the opposite end's queue has room for many frames."""
+        other = self._opposite_end
+        if other is None:
+            return False
+        n_queued = other._send.statistics().current_buffer_used
+        return n_queued <= MAX_QUEUED_FRAMES // 2
+
+    def send_now(self, frames: Sequence[bytes]) -> None:
+        """Put frames into the opposite end's queue, or drop them."""
+        if self.silent or not self._fabric.passes(self.source, self.target):
+            return
+        try:
+            for frame in frames:
+                self._opposite_end._send.send_nowait(frame)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise LinkClosedError("closed") from exc
+
     async def receive(self) -> bytes:
         """Return the next frame from the opposite end."""
         try:
--- a/tests/wire_names.py
+++ b/tests/wire_names.py
@@ -37,8 +37,8 @@
 def field_paths(cls: Any) -> list[str]:
     """Return the dotted paths of a type's fields in order, nested ones included.
 
-    ``[]`` marks a sequence, ``{}`` a map, ``(2)`` a tuple of two; the words after
-    ``=`` are the allowed values.
+    ``[]`` marks a sequence, ``{}`` a map, ``(2)`` a tuple of two, ``(a b)`` one
+    with named items; the words after ``=`` are the allowed values.
     """
     return list(_paths(shape.type_info(cls), ""))
 
@@ -57,6 +57,9 @@
         yield f"{path} = {'|'.join(map(str, kind.values))}"
     elif isinstance(kind, shape.TupleType):
         yield f"{path}({len(kind.item_types)})"
+    elif isinstance(kind, shape.NamedTupleType):
+        # It travels as an array, so that the order of its fields matters.
+        yield f"{path}({' '.join(item.name for item in kind.fields)})"
     elif isinstance(kind, shape.DictType):
         yield from _paths(kind.value_type, f"{path}{{}}")
     elif isinstance(kind, shape.CollectionType):
@@ -133,7 +136,14 @@
 
 
 _LOG_CALLS: Final = frozenset(
-    {"log_message", "start_action", "start_task", "log_call", "write_traceback"}
+    {
+        "log_call",
+        "log_message",
+        "log_request",
+        "start_action",
+        "start_task",
+        "write_traceback",
+    }
 )
 
 
