Data classes whose initializers are compiled when first called

Cause: the standard library compiles up to six functions for each data class while its module is imported. A router on the platform has 208 of them, which took 0.116 to 0.166 s of the 0.35 to 0.48 s of processor time from its first import until its parts are made (four profiled runs), and uses 31 of them in its first two seconds.

Change: corianderlb_core.data_class.dataclass has the contract of the standard one for the options that are used here. Comparison, hash and text share functions that need no compiling; the initializer is compiled at its first call.

Ruled out: classes without comparison or text, since tests and tables use both; compiling through the standard decorator at first use, which compiles what frozen classes need three times over; patching the standard library. Classes without a docstring got their signature computed as one, which took longer than the rest: they get their name.

--- a/packages/corianderlb-core/src/corianderlb_core/_usage_bucket.py
+++ b/packages/corianderlb-core/src/corianderlb_core/_usage_bucket.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
+from .data_class import dataclass
 from .identity import Incarnation, InstanceId
 from .usage_cap import UsageCap
 
--- a/packages/corianderlb-core/src/corianderlb_core/admission.py
+++ b/packages/corianderlb-core/src/corianderlb_core/admission.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final, Generic, TypeVar
 
 from .catalogue import ServiceClass
+from .data_class import dataclass
 from .fair_queue import FairQueue, Ticket
 from .request import Refusal, RequestFacts
 from .result import ResultCode
--- a/packages/corianderlb-core/src/corianderlb_core/allowance.py
+++ b/packages/corianderlb-core/src/corianderlb_core/allowance.py
@@ -13,10 +13,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 from .catalogue import Limits
+from .data_class import dataclass
 from .grant import Bucket, GrantTerms
 from .identity import InstanceId
 from .message import Grant, GrantRequest
--- a/packages/corianderlb-core/src/corianderlb_core/catalogue.py
+++ b/packages/corianderlb-core/src/corianderlb_core/catalogue.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from types import MappingProxyType
 from typing import ClassVar, Final
 
+from .data_class import dataclass
 from .identity import AccountId
 from .service_class import ServiceClass
 
--- a/packages/corianderlb-core/src/corianderlb_core/catalogue_check.py
+++ b/packages/corianderlb-core/src/corianderlb_core/catalogue_check.py
@@ -11,7 +11,6 @@
 import math
 import re
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Final, TypeVar
 
@@ -28,6 +27,7 @@
     UpstreamKind,
     key_of,
 )
+from .data_class import dataclass
 from .error import CorianderError
 from .result import ResultCode
 
--- a/packages/corianderlb-core/src/corianderlb_core/catalogue_review.py
+++ b/packages/corianderlb-core/src/corianderlb_core/catalogue_review.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from typing import Final
 
 from .catalogue import (
@@ -22,6 +21,7 @@
     Route,
     key_of,
 )
+from .data_class import dataclass
 
 LIMIT_FIELDS: Final = ("requests_per_s", "concurrent", "tokens_per_s")
 """Fields of ``Limits`` that are compared between entries."""
--- a/packages/corianderlb-core/src/corianderlb_core/change.py
+++ b/packages/corianderlb-core/src/corianderlb_core/change.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
 from .catalogue import Catalogue, Entry, EntryKey, key_of
+from .data_class import dataclass
 from .error import CorianderError
 from .result import ResultCode
 
--- a/packages/corianderlb-core/src/corianderlb_core/chart.py
+++ b/packages/corianderlb-core/src/corianderlb_core/chart.py
@@ -11,12 +11,13 @@
 
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from functools import cache
 from pathlib import Path
 from types import MappingProxyType
 from typing import Final
 
+from .data_class import dataclass
 from .error import CorianderError
 
 CHARTS: Final = Path(__file__).parent / "charts"
--- a/packages/corianderlb-core/src/corianderlb_core/default_placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/default_placement.py
@@ -9,10 +9,10 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import ClassVar, Final
 
 from .catalogue import ServiceClass
+from .data_class import dataclass
 from .hint import CacheEvent, HintTable
 from .hot_prefix import HotPrefix, HotPrefixTracker
 from .identity import Incarnation
--- a/packages/corianderlb-core/src/corianderlb_core/edit.py
+++ b/packages/corianderlb-core/src/corianderlb_core/edit.py
@@ -8,12 +8,12 @@
 
 import dataclasses
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 from .catalogue import Catalogue, Entry, EntryKey, key_of
 from .catalogue_check import require_valid
 from .change import Change, apply_change
 from .codec import to_plain
+from .data_class import dataclass
 from .error import CorianderError
 from .result import ResultCode
 
--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -9,9 +9,9 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Final, TypeVar
 
+from .data_class import dataclass
 from .forwarding import ForwardInstance, Prompt, PromptPart
 from .part_index import NO_COVERAGE, Coverage, IncarnationKey, PartIndex
 from .prefill_estimate import OVERHEAD_S, PrefillEstimator
--- a/packages/corianderlb-core/src/corianderlb_core/engine_memory.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_memory.py
@@ -20,9 +20,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .decayed_rate import DecayedRate
 from .prefill_estimate import PeerWork
 from .rendezvous import rank
--- a/packages/corianderlb-core/src/corianderlb_core/fair_queue.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fair_queue.py
@@ -18,9 +18,10 @@
 import heapq
 from collections import defaultdict, deque
 from collections.abc import Callable, Hashable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final, Generic, TypeVar
 
+from .data_class import dataclass
 from .identity import AccountId
 from .service_class import ServiceClass
 
--- a/packages/corianderlb-core/src/corianderlb_core/fair_room.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fair_room.py
@@ -14,9 +14,10 @@
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Hashable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final, Generic, TypeVar
 
+from .data_class import dataclass
 from .decayed_rate import DecayedRate
 from .fair_queue import FairQueue, Ticket
 from .forwarding import LOWEST_PRIORITY
--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
+
 SAFETY_FACTOR: Final = 0.8
 """Fraction of the allowance that the routers use. The rest is a margin for a fleet that
 has just grown, and for routers whose windows start at different times."""
--- a/packages/corianderlb-core/src/corianderlb_core/forwarding.py
+++ b/packages/corianderlb-core/src/corianderlb_core/forwarding.py
@@ -9,11 +9,12 @@
 
 import hashlib
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from functools import cached_property
 from typing import Final
 
+from .data_class import dataclass
 from .rendezvous import rank
 from .usage_cap import UsageCap
 
--- a/packages/corianderlb-core/src/corianderlb_core/grant.py
+++ b/packages/corianderlb-core/src/corianderlb_core/grant.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 from .catalogue import Limits
+from .data_class import dataclass
 from .identity import InstanceId
 from .message import Grant, GrantRequest
 
--- a/packages/corianderlb-core/src/corianderlb_core/held_memory.py
+++ b/packages/corianderlb-core/src/corianderlb_core/held_memory.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
+
 SLOW_AFTER_S: Final = 1.0
 """Time without progress from which a caller may be cut off for the room that it holds.
 Shorter pauses come with lost packets."""
--- a/packages/corianderlb-core/src/corianderlb_core/hint.py
+++ b/packages/corianderlb-core/src/corianderlb_core/hint.py
@@ -10,9 +10,9 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .identity import Incarnation
 
 MAX_HINTS: Final = 16384
--- a/packages/corianderlb-core/src/corianderlb_core/hot_prefix.py
+++ b/packages/corianderlb-core/src/corianderlb_core/hot_prefix.py
@@ -12,9 +12,10 @@
 import math
 import struct
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
+
 SHORT_KEY_BYTES: Final = 8
 """Bytes of a key that are sent to peers; a collision only widens a prefix
 needlessly."""
--- a/packages/corianderlb-core/src/corianderlb_core/identity.py
+++ b/packages/corianderlb-core/src/corianderlb_core/identity.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
 
+from .data_class import dataclass
+
 InstanceId = NewType("InstanceId", str)
 """The platform's name of an instance; unchanged by restarts."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/instance_load.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_load.py
@@ -9,9 +9,10 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from . import rendezvous
+from .data_class import dataclass
 from .identity import Incarnation, RequestId
 from .load import LoadReport
 
--- a/packages/corianderlb-core/src/corianderlb_core/instance_pace.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_pace.py
@@ -18,9 +18,10 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Final, TypeVar
 
+from .data_class import dataclass
+
 T = TypeVar("T")
 
 FIRST_PACE: Final = 0.25
--- a/packages/corianderlb-core/src/corianderlb_core/instance_paths.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_paths.py
@@ -10,9 +10,9 @@
 
 import math
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .part_index import IncarnationKey
 
 MIN_DOUBTED: Final = 2
--- a/packages/corianderlb-core/src/corianderlb_core/instance_report.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from .data_class import dataclass
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/instance_rest.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_rest.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .part_index import IncarnationKey
 
 MAX_REST_S: Final = 300.0
--- a/packages/corianderlb-core/src/corianderlb_core/instance_signals.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_signals.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from .data_class import dataclass
 
 
 @dataclass(frozen=True)
--- a/packages/corianderlb-core/src/corianderlb_core/instance_speed.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_speed.py
@@ -15,9 +15,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
+from .data_class import dataclass
 from .instance_report import InstanceLoadReport
 from .message import InstanceSpeedReport, SpeedUpdate
 from .part_index import IncarnationKey
--- a/packages/corianderlb-core/src/corianderlb_core/journal.py
+++ b/packages/corianderlb-core/src/corianderlb_core/journal.py
@@ -12,11 +12,12 @@
 import dataclasses
 import hashlib
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from typing import Final, TypeAlias
 
 from .chart import transitions
+from .data_class import dataclass
 from .identity import AccountId, AttemptId, InstanceId
 
 KEY_BYTES: Final = 16
--- a/packages/corianderlb-core/src/corianderlb_core/lease.py
+++ b/packages/corianderlb-core/src/corianderlb_core/lease.py
@@ -11,9 +11,9 @@
 
 import dataclasses
 import math
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .error import CorianderError
 from .identity import InstanceId
 from .order_record import Order, OrderOutcome
--- a/packages/corianderlb-core/src/corianderlb_core/load_vector.py
+++ b/packages/corianderlb-core/src/corianderlb_core/load_vector.py
@@ -15,11 +15,12 @@
 import bisect
 import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 import xxhash
 
+from .data_class import dataclass
+
 MAX_DETAILED_INSTANCES: Final = 100
 """Maximum number of instances in a vector of detailed entries."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -12,10 +12,10 @@
 import math
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+from .data_class import dataclass
 from .identity import InstanceId, InstanceRecord, Presence, Role
 from .message import MemberState, Suspicion
 
--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import dataclasses
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final, NamedTuple, TypeAlias
 
 import cbor2
 
 from .codec import DecodeError, from_plain, plain_from_cbor, to_plain
+from .data_class import dataclass
 from .identity import InstanceId, InstanceRecord, Presence
 from .weights_rollout import EnginePhase
 
--- a/packages/corianderlb-core/src/corianderlb_core/order.py
+++ b/packages/corianderlb-core/src/corianderlb_core/order.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 from .catalogue import Adapter, Catalogue, EntryKind, Model
+from .data_class import dataclass
 from .identity import InstanceId
 from .load import LoadReport
 from .order_record import Order, OrderKind
--- a/packages/corianderlb-core/src/corianderlb_core/order_record.py
+++ b/packages/corianderlb-core/src/corianderlb_core/order_record.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from .data_class import dataclass
 from .identity import InstanceId
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
@@ -12,12 +12,12 @@
 import random
 import struct
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from itertools import islice
 from typing import Final
 
 import xxhash
 
+from .data_class import dataclass
 from .forwarding import PromptPart
 from .part_index import IncarnationKey, PartIndex, part_key
 
--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -10,11 +10,13 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import xxhash
 
+from .data_class import dataclass
+
 MAX_PARTS: Final = 20_000
 """Bounds the memory of the index; the least recently used part is evicted. At about 300
 bytes a part it stays below 6 MB."""
--- a/packages/corianderlb-core/src/corianderlb_core/placement.py
+++ b/packages/corianderlb-core/src/corianderlb_core/placement.py
@@ -10,10 +10,10 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from typing import ClassVar, Final
 
 from .catalogue import Model
+from .data_class import dataclass
 from .hot_prefix import HotPrefix
 from .identity import Incarnation, InstanceId
 from .instance_load import InstanceLoad, InstanceSet
--- a/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
@@ -9,9 +9,9 @@
 
 import math
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
 from .reported_load import ReportedLoad
 
 INITIAL_TOKENS_PER_S: Final = 40_000.0
--- a/packages/corianderlb-core/src/corianderlb_core/prefix.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefix.py
@@ -11,9 +11,10 @@
 import hashlib
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any, Final
 
+from .data_class import dataclass
+
 KEY_BYTES: Final = 16
 """Length of a prefix key. Callers choose the text, so the hash must resist
 collisions."""
--- a/packages/corianderlb-core/src/corianderlb_core/prefix_primaries.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefix_primaries.py
@@ -12,10 +12,10 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from . import rendezvous
+from .data_class import dataclass
 from .instance_load import InstanceLoad, InstanceSet
 
 N_SPILL: Final = 2
--- a/packages/corianderlb-core/src/corianderlb_core/published_versions.py
+++ b/packages/corianderlb-core/src/corianderlb_core/published_versions.py
@@ -14,9 +14,10 @@
 
 import math
 from bisect import bisect_right
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
+
 MAX_PUBLISHED_VERSIONS: Final = 32
 """Maximum number of publications kept for a model."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/quarantine.py
+++ b/packages/corianderlb-core/src/corianderlb_core/quarantine.py
@@ -16,9 +16,10 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
+from .data_class import dataclass
 from .message import SuspectPart
 
 CRASH_LIMIT: Final = 2
--- a/packages/corianderlb-core/src/corianderlb_core/request.py
+++ b/packages/corianderlb-core/src/corianderlb_core/request.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from .data_class import dataclass
 from .identity import AccountId, Incarnation, InstanceId, RequestId
 from .result import ResultCode
 from .service_class import ServiceClass
--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, IntEnum, unique
 from typing import Final
 
+from .data_class import dataclass
+
 
 @unique
 class ResultCode(IntEnum):
--- a/packages/corianderlb-core/src/corianderlb_core/result_table.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result_table.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from .data_class import dataclass
 from .result import RESULT_INFO, ResultCode
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/retry.py
+++ b/packages/corianderlb-core/src/corianderlb_core/retry.py
@@ -9,10 +9,10 @@
 
 import random
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from enum import Enum
 from typing import ClassVar, Final
 
+from .data_class import dataclass
 from .result import ResultCode
 
 BASE_DELAY_S: Final = 0.05
--- a/packages/corianderlb-core/src/corianderlb_core/room_rate.py
+++ b/packages/corianderlb-core/src/corianderlb_core/room_rate.py
@@ -15,9 +15,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import Final
 
+from .data_class import dataclass
+
 FLOW_WINDOW_S: Final = 0.5
 """Time over which the engines' answers are averaged."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/room_share.py
+++ b/packages/corianderlb-core/src/corianderlb_core/room_share.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final, NamedTuple
 
+from .data_class import dataclass
+
 MIN_URGENCY_SHARE: Final = 0.75
 """Least share of the room of an urgency, relative to its share of what is asked for."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/service_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/service_choice.py
@@ -4,9 +4,10 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
+from .data_class import dataclass
 from .forwarding import ForwardInstance
 from .instance_report import InstanceLoadReport
 from .reported_load import ReportedLoad
--- a/packages/corianderlb-core/src/corianderlb_core/settings.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Annotated, Literal, TypeAlias
 
 from msgspec import Meta
 
+from .data_class import dataclass
+
 Port: TypeAlias = Annotated[int, Meta(ge=0, le=65535)]
 """A TCP port; 0 lets the kernel pick one."""
 
--- a/packages/corianderlb-core/src/corianderlb_core/settings_table.py
+++ b/packages/corianderlb-core/src/corianderlb_core/settings_table.py
@@ -10,11 +10,11 @@
 import dataclasses
 import inspect
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Annotated, Any, get_args, get_origin, get_type_hints
 
 from msgspec import Meta
 
+from .data_class import dataclass
 from .settings import RouterSettings
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/status.py
+++ b/packages/corianderlb-core/src/corianderlb_core/status.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from .data_class import dataclass
 from .load import LoadReport
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -11,9 +11,10 @@
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
+from .data_class import dataclass
 from .message import StreamOrigin
 from .part_index import IncarnationKey
 
--- a/packages/corianderlb-core/src/corianderlb_core/usage_cap.py
+++ b/packages/corianderlb-core/src/corianderlb_core/usage_cap.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from .data_class import dataclass
+
 
 class UsageUnit(Enum):
     """What a cap counts."""
--- a/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
+++ b/packages/corianderlb-core/src/corianderlb_core/weights_rollout.py
@@ -13,10 +13,11 @@
 import math
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+from .data_class import dataclass
+
 MIN_CONCURRENT_LOADS: Final = 2
 """Concurrent loads in a small fleet; the weight store serves two at full speed."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/_handshake.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_handshake.py
@@ -12,12 +12,12 @@
 import hmac
 import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final, TypeVar
 
 import cbor2
 
 from corianderlb_core.codec import DecodeError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import (
     LEVEL,
--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -9,7 +9,6 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from email.utils import formatdate
 from http import HTTPStatus
 from typing import Any, Final, TypeAlias
@@ -18,6 +17,8 @@
 import h11
 import trio
 
+from corianderlb_core.data_class import dataclass
+
 READ_BYTES: Final = 1 << 16
 """Most bytes taken from a socket at once."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_peer_connection.py
@@ -4,12 +4,12 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Final
 
 import trio
 
 from corianderlb_core.codec import DecodeError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.message import (
     EngineReport,
     LinkClosing,
--- a/packages/corianderlb-router/src/corianderlb_router/admin_view.py
+++ b/packages/corianderlb-router/src/corianderlb_router/admin_view.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
 
 from corianderlb_core.catalogue import Catalogue, EntryKind
 from corianderlb_core.chart import LifeCycle
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import DecisionId
 from corianderlb_core.message import MemberState
 from corianderlb_core.settings import RouterSettings
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -8,12 +8,13 @@
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import trio
 
 from corianderlb_core.catalogue import Catalogue
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, InstanceId
 from corianderlb_core.request import (
--- a/packages/corianderlb-router/src/corianderlb_router/call_journal.py
+++ b/packages/corianderlb-router/src/corianderlb_router/call_journal.py
@@ -11,12 +11,13 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import trio
 
 from corianderlb_core.codec import to_cbor
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import AttemptId, InstanceId
 from corianderlb_core.journal import (
     Abandon,
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_follower.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import Final
 
@@ -17,6 +16,7 @@
 import trio
 
 from corianderlb_core.catalogue_chain import CatalogueChain, ChainError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import CatalogueChanges, CatalogueRequest, Heartbeat
 from corianderlb_core.settings import CatalogueSettings
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_log.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_log.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 from corianderlb_core.catalogue import Catalogue
@@ -19,6 +18,7 @@
     change_key,
 )
 from corianderlb_core.codec import DecodeError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.result import ResultCode
 
--- a/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
+++ b/packages/corianderlb-router/src/corianderlb_router/catalogue_reader.py
@@ -10,13 +10,13 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
 import trio
 
 from corianderlb_core.change import CHANGE_PREFIX
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.identity import InstanceId, Presence
 from corianderlb_core.rendezvous import primary_node, rank
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -11,12 +11,12 @@
 import select
 import socket
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import Final
 
 import h11
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.result import ResultCode
 
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -5,12 +5,13 @@
 import math
 import random
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import field, replace
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.decayed_rate import DecayedRate
 from corianderlb_core.engine_choice import (
     OUTDATED_WEIGHTS_GRACE_S,
--- a/packages/corianderlb-router/src/corianderlb_router/event_splitter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/event_splitter.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import Final
 
+from corianderlb_core.data_class import dataclass
+
 MAX_EVENT_BYTES: Final = 1 << 20
 """Longest event; bounds memory use for a stream without event boundaries."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import field
 
 import trio
 
+from corianderlb_core.data_class import dataclass
+
 from .caller import CallerExchange
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_rooms.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_rooms.py
@@ -9,12 +9,13 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import FairRoom, RoomRefusal, RoomReport
 from corianderlb_core.forwarding import ForwardAccount, ForwardConfiguration, Prompt
 from corianderlb_core.identity import InstanceId
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_usage.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_usage.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardAccount, ForwardConfiguration, Prompt
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import AccountUsage, UsageUpdate
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -4,11 +4,11 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 
 from .connection import (
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -7,13 +7,14 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Any, Final
 
 import eliot
 import trio
 
 from corianderlb_core.chart import LifeCycle
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
 from corianderlb_core.message import MemberState
 from corianderlb_core.settings import OrderSettings, PeerSettings
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -6,12 +6,13 @@
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.fleet_retry_budget import BudgetTerms, FleetRetryBudget
 from corianderlb_core.part_index import IncarnationKey
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import Any, TypeAlias
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import Prompt
 from corianderlb_core.instance_report import InstanceLoadReport
 from corianderlb_core.instance_signals import NO_SIGNALS, InstanceSignals
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -6,12 +6,12 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from functools import partial
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.forwarding import ForwardInstance, RepeatKind
 from corianderlb_core.health import Verdict
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -6,11 +6,12 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.engine_choice import (
     DEFAULT_FETCH_S_PER_TOKEN,
     MAX_TTFT_SHARE,
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.health import InstanceHealth, Verdict
 from corianderlb_core.part_index import IncarnationKey
 
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -5,12 +5,13 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any, Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
+
 from ._http_connection import ConnectionSettings, HttpConnection
 from ._lifespan import Lifespan
 from .connection_guard import ConnectionGuard
--- a/packages/corianderlb-router/src/corianderlb_router/in_flight.py
+++ b/packages/corianderlb-router/src/corianderlb_router/in_flight.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
 from corianderlb_core.quarantine import PartRequest
 
--- a/packages/corianderlb-router/src/corianderlb_router/inbound.py
+++ b/packages/corianderlb-router/src/corianderlb_router/inbound.py
@@ -8,7 +8,6 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass
 from typing import Any, Final
 
 import msgspec
@@ -23,6 +22,7 @@
     Route,
     ServiceClass,
 )
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import AccountId
 from corianderlb_core.prefix import (
     PrefixScope,
--- a/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_limits.py
@@ -8,12 +8,12 @@
 
 import math
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import ClassVar, Final, TypeAlias
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.limit_ledger import LimitLedger, limit_name
--- a/packages/corianderlb-router/src/corianderlb_router/instance_paces.py
+++ b/packages/corianderlb-router/src/corianderlb_router/instance_paces.py
@@ -6,13 +6,14 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final, TypeVar
 
 import eliot
 import trio
 import xxhash
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.instance_pace import (
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -10,9 +10,9 @@
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Collection, Sequence
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final, TypeAlias
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import (
     AttemptId,
     Incarnation,
--- a/packages/corianderlb-router/src/corianderlb_router/lease_coordinator.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_coordinator.py
@@ -11,12 +11,12 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.identity import InstanceId, Presence
 from corianderlb_core.lease import NO_HOLDER, LeaseLostError, LeaseRecord
--- a/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/limit_holder.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
@@ -18,6 +17,7 @@
 from corianderlb_core.catalogue import Entry, Limits, key_of
 from corianderlb_core.catalogue_codec import key_from_str
 from corianderlb_core.codec import DecodeError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.grant import GrantTerms, PrimaryLedger
 from corianderlb_core.identity import InstanceId, Presence
 from corianderlb_core.message import Grant, GrantRequest
--- a/packages/corianderlb-router/src/corianderlb_router/memory_copier.py
+++ b/packages/corianderlb-router/src/corianderlb_router/memory_copier.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from enum import Enum
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/node_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node_metric.py
@@ -5,9 +5,9 @@
 import dataclasses
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from corianderlb_core.admission import GateCounts
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.status import CounterStatus
 
 from ._journal_shard import ShardCounts
--- a/packages/corianderlb-router/src/corianderlb_router/object_feed.py
+++ b/packages/corianderlb-router/src/corianderlb_router/object_feed.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardConfiguration, ForwardInstance
 from corianderlb_core.message import SharedObject
 
--- a/packages/corianderlb-router/src/corianderlb_router/order_task.py
+++ b/packages/corianderlb-router/src/corianderlb_router/order_task.py
@@ -11,7 +11,6 @@
 import random
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
@@ -19,6 +18,7 @@
 
 from corianderlb_core.catalogue import Catalogue, Fencing
 from corianderlb_core.chart import LifeCycle
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.lease import LeaseLostError
 from corianderlb_core.order import (
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -11,13 +11,14 @@
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
 from corianderlb_core.codec import DecodeError
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
--- a/packages/corianderlb-router/src/corianderlb_router/send_permits.py
+++ b/packages/corianderlb-router/src/corianderlb_router/send_permits.py
@@ -11,12 +11,12 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.instance_rest import RestTable
 from corianderlb_core.instance_signals import InstanceSignals
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -8,12 +8,13 @@
 
 import math
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardConfiguration, ForwardInstance
 from corianderlb_core.message import SharedObject, StateChanges, WeightsVersionAge
 from corianderlb_core.published_versions import PublishedVersion, PublishedVersions
--- a/packages/corianderlb-router/src/corianderlb_router/stall_watch.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stall_watch.py
@@ -9,11 +9,13 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
+
 TICK_S: Final = 0.25
 """Polling interval; a stall is detected up to this much late."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store.py
@@ -9,8 +9,8 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.error import CorianderError
 from corianderlb_core.identity import InstanceRecord
 from corianderlb_core.result import ResultCode
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -11,12 +11,13 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import (
     ForwardConfiguration,
     ForwardInstance,
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -10,13 +10,14 @@
 
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
 from functools import lru_cache
 from typing import Final, TypeVar
 
 import httpx
 import trio
 
+from corianderlb_core.data_class import dataclass
+
 from .connection import (
     BrokenError,
     ConnectFailedError,
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -5,13 +5,13 @@
 import json
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
 import httpx
 import trio
 
 from corianderlb_core import header
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import AttemptId
 from corianderlb_core.result import ResultCode
 
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_directory.py
@@ -10,12 +10,12 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import (
     Incarnation,
     InstanceId,
--- a/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
@@ -4,12 +4,13 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.weights_rollout import (
     EnginePhase,
--- a/packages/corianderlb-router/src/corianderlb_router/weights_load.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_load.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import Final
 
 import eliot
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.weights_rollout import EnginePhase
 
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -8,11 +8,12 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import WeightsAnnouncement, WeightsUpdate
