--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -243,7 +243,7 @@
             return 0.0
         tokens_per_s = sum(view.estimator.tokens_per_s for view in views)
         load = demand.per_s(trio.current_time()) / tokens_per_s
-        return min(1.0, load) * max(UPDATE_INTERVAL_S, self._update_pause_s)
+        return min(1.0, load) * self.update_interval_s
 
     def _other_sources(
         self,
@@ -723,6 +723,11 @@
                     slowdowns={name: round(x, 2) for name, x in slowdowns.items()},
                 )
 
+    @property
+    def update_interval_s(self) -> float:
+        """Usual time between two updates to the peers."""
+        return max(UPDATE_INTERVAL_S, self._update_pause_s)
+
     @property
     def _update_pause_s(self) -> float:
         """Shortest time between two updates to the peers."""
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_rooms.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_rooms.py
@@ -24,11 +24,7 @@
 from corianderlb_core.room_rate import RoomFlow
 from corianderlb_core.room_share import RoomKey
 
-from .engine_table import (
-    UPDATE_INTERVAL_PER_PEER_S,
-    UPDATE_INTERVAL_S,
-    EngineTable,
-)
+from .engine_table import EngineTable
 from .interface import PeerNetwork
 from .serving_state import ServingState
 
@@ -226,9 +222,7 @@
 
     async def _report(self) -> None:
         while True:
-            n_peers = self._peers.n_members() - 1
-            interval_s = max(UPDATE_INTERVAL_S, UPDATE_INTERVAL_PER_PEER_S * n_peers)
-            await trio.sleep(interval_s)
+            await trio.sleep(self._engines.update_interval_s)
             self.update()
 
     def update(self) -> None:
--- a/packages/corianderlb-router/tests/test_urgent_places.py
+++ b/packages/corianderlb-router/tests/test_urgent_places.py
@@ -47,9 +47,7 @@
         self.assertFalse(leaves_places(a_target(routes=(ADVICE,))))
 
     def test_accounts_with_one_priority(self) -> None:
-        """Guards against places that no request takes, since the priority of its
-        account, the same for all, is lower than that of an urgent route.
-        """
+        """Guards against places that no request takes where accounts are alike."""
         account = ForwardAccount("a", (), priority=1)
         self.assertFalse(leaves_places(a_target(CHECK, account=account)))
         self.assertTrue(leaves_places(a_target(account=account)))
