Parts told to the fleet: repeated items are dropped early

Cause: each item about a part reaches a router four times, and each copy was recorded anew.

Change: items heard since the update before the last one are recognized by their bytes. An item that is heard again before it was passed on is not passed on; for that eight of 16 links are to pass an item on in place of four.

--- a/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
@@ -21,9 +21,10 @@
 from .forwarding import PromptPart
 from .part_index import IncarnationKey, PartIndex, part_key
 
-N_PASSING_ON: Final = 4
-"""Number of a router's links, on average, that pass on an item which it announced. Each
-does so to all its links, so that 0.98 of a fleet of any size hear of it."""
+N_PASSING_ON: Final = 8
+"""Number of a router's links, on average, that are to pass on an item which it
+announced. Each does so to all its links unless it hears the item again before, so that
+0.98 of a fleet of any size hear of it, each router three times on average."""
 
 MIN_PASSED_ON_TOKENS: Final = 512
 """Smallest part that is passed on, except for first parts: they are few, and many
@@ -38,6 +39,9 @@
 MAX_WAITING_ITEMS: Final = 4_000
 """Maximum number of items that wait; further ones are dropped."""
 
+MAX_RECENT_ITEMS: Final = 20_000
+"""Maximum number of items by which repeated ones are recognized."""
+
 _ITEM: Final = struct.Struct("<QI")
 _N_FLAG_BITS: Final = 16
 _READY, _SAVED, _PASS_ON = 1, 2, 4
@@ -76,16 +80,7 @@
 
 def pack(items: Iterable[HeldPart]) -> bytes:
     """Encode items, 12 bytes each."""
-    return b"".join(
-        _ITEM.pack(
-            item.part << _N_FLAG_BITS
-            | item.is_ready * _READY
-            | item.is_saved * _SAVED
-            | item.pass_on * _PASS_ON,
-            item.engine,
-        )
-        for item in items
-    )
+    return b"".join(_ITEM.pack(_first_of(item), item.engine) for item in items)
 
 
 def unpack(packed: bytes) -> list[HeldPart]:
@@ -93,6 +88,16 @@
     return [_item(first, engine) for first, engine in _items_of(packed)]
 
 
+def _first_of(item: HeldPart) -> int:
+    """Return the first field of a packed item: the part and the flags."""
+    return (
+        item.part << _N_FLAG_BITS
+        | item.is_ready * _READY
+        | item.is_saved * _SAVED
+        | item.pass_on * _PASS_ON
+    )
+
+
 def _items_of(packed: bytes) -> Iterator[tuple[int, int]]:
     return _ITEM.iter_unpack(packed[: len(packed) - len(packed) % _ITEM.size])
 
@@ -114,6 +119,13 @@
         self._index = index
         self._rng = rng
         self._items: dict[tuple[int, int], HeldPart] = {}
+        """Own items that wait, by part and engine."""
+        self._passing: dict[tuple[int, int], None] = {}
+        """Heard items that wait to be passed on, as packed."""
+        self._recent: set[tuple[int, int]] = set()
+        """Items that were heard since the last update, as packed."""
+        self._recent_before: set[tuple[int, int]] = set()
+        """Those of the interval before that."""
         self.n_told = 0
         """Items that were taken for updates, own ones and passed-on ones."""
         self.n_heard = 0
@@ -153,22 +165,46 @@
         """Record the items of an update, and pass on a share of those that are news.
 
         ``incarnations`` are the known ones by digest; items about others are dropped.
-        ``share`` is that of ``share_passed_on``.
+        ``share`` is that of ``share_passed_on``. An item that is heard again before it
+        was passed on is known to most of the linked routers, so it isn't passed on.
         """
         index, rng = self._index, self._rng
-        for first, engine in _items_of(packed):
+        recent, before = self._recent, self._recent_before
+        if len(recent) >= MAX_RECENT_ITEMS:
+            self._forget_recent()
+        for item in _items_of(packed):
+            if item in recent or item in before:
+                self._passing.pop(item, None)
+                continue
+            first, engine = item
             incarnation = incarnations.get(engine)
             if incarnation is None:
                 continue
-            is_ready, is_saved = bool(first & _READY), bool(first & _SAVED)
-            key = first >> _N_FLAG_BITS
-            n_holders = index.hear_key(key, incarnation, is_ready, is_saved)
+            recent.add(item)
+            n_holders = index.hear_key(
+                first >> _N_FLAG_BITS,
+                incarnation,
+                bool(first & _READY),
+                bool(first & _SAVED),
+            )
             if n_holders is None:
                 continue
             self.n_heard += 1
             is_rare = n_holders < MAX_TOLD_HOLDERS
             if is_rare and first & _PASS_ON and rng.random() < share:
-                self._add(_item(first, engine))
+                self._pass_on(item)
+
+    def _forget_recent(self) -> None:
+        self._recent_before = self._recent
+        self._recent = set()
+
+    def _pass_on(self, item: tuple[int, int]) -> None:
+        first, engine = item
+        if first & _READY:
+            # Replaces the item that says that the part is still being read.
+            self._passing.pop((first & ~_READY, engine), None)
+        if len(self) < MAX_WAITING_ITEMS:
+            self._passing[item] = None
 
     def _add(self, item: HeldPart) -> None:
         """Add an item; a later state of the same part and engine replaces it."""
@@ -182,16 +218,21 @@
                 item.is_saved or waiting.is_saved,
                 item.pass_on or waiting.pass_on,
             )
-        if len(self._items) < MAX_WAITING_ITEMS:
+        if len(self) < MAX_WAITING_ITEMS:
             self._items[key] = item
 
     def take(self) -> list[HeldPart]:
-        """Remove and return the items for the next update, the oldest first."""
+        """Remove and return the items for the next update, own ones first."""
         taken = list(islice(self._items.values(), MAX_ITEMS))
         for item in taken:
             del self._items[item.part, item.engine]
+        passed = list(islice(self._passing, MAX_ITEMS - len(taken)))
+        for packed in passed:
+            del self._passing[packed]
+        taken += [_item(*packed) for packed in passed]
         self.n_told += len(taken)
+        self._forget_recent()
         return taken
 
     def __len__(self) -> int:
-        return len(self._items)
+        return len(self._items) + len(self._passing)
--- a/packages/corianderlb-core/tests/test_part_gossip.py
+++ b/packages/corianderlb-core/tests/test_part_gossip.py
@@ -107,6 +107,35 @@
         self.assertLess(fleet.n_bytes, 0.5 * len(fleet.routers) * 16 * n_bytes)
         self.assertFalse(any(len(router.gossip) for router in fleet.routers))
 
+    def test_item_that_others_pass_on_is_dropped(self) -> None:
+        """Guards against routers that each tell what all have heard already."""
+        for n_routers in (35, 63):
+            n_heard = n_aware = 0
+            for seed in range(20):
+                fleet = PartFleet(n_routers, seed=seed)
+                a_read(fleet)
+                for step in range(6):
+                    for router in fleet.rng.sample(fleet.routers, n_routers):
+                        fleet.tell(step * fleet.interval_s, [router])
+                n_heard += fleet.n_bytes // len(pack([HeldPart(KEY, 1)]))
+                n_aware += fleet.n_aware(KEY)
+            with self.subTest(n_routers=n_routers):
+                self.assertLess(n_heard, 3.5 * 20 * n_routers)
+                self.assertGreater(n_aware, 0.97 * 20 * n_routers)
+
+    def test_item_heard_later_again_is_recorded(self) -> None:
+        """Guards against parts that count as evicted although they are in use."""
+        index = PartIndex()
+        queue = PartGossip(index, random.Random(1))
+        key = ENGINES[0].incarnation_key
+        packed = pack([HeldPart(KEY, engine_digest(key))])
+        for _ in range(4):
+            queue.hear(packed, DIGESTS, 0.0)
+            index.count_prefilled(key, 100.0)
+            queue.take()
+        held = index.coverage("m.1.", [PART], key, 1_000)
+        self.assertEqual(held.n_since_use, 200.0)
+
     def test_items_survive_packing(self) -> None:
         items = [HeldPart(KEY, 7, False, True, True), HeldPart(0, 2**32 - 1)]
         self.assertEqual(unpack(pack(items)), items)
