Parts and speeds told by peers are recorded with fewer look-ups

The median of an instance's slowdowns is computed when it is read, no total is made only to be thrown away, and a report older than the known figures makes no object. No behaviour changes.

--- a/packages/corianderlb-core/src/corianderlb_core/instance_speed.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_speed.py
@@ -220,7 +220,9 @@
             if upstream is None:
                 continue
             found = self._found(key, upstream)
-            known = found.by_router.setdefault(router, _Total())
+            known = found.by_router.get(router)
+            if known is None:
+                known = found.by_router[router] = _Total()
             known.age(now)
             n_tokens, usual_s = float(report.n_tokens), report.usual_ms / 1000
             self._add(found, n_tokens - known.n_tokens, usual_s - known.usual_s, now)
@@ -246,7 +248,9 @@
         self, found: _Incarnation, n_tokens: float, usual_s: float, now: float
     ) -> None:
         found.all.add(n_tokens, usual_s, now)
-        common = self._common.setdefault(found.upstream, _Total())
+        common = self._common.get(found.upstream)
+        if common is None:
+            common = self._common[found.upstream] = _Total()
         common.add(n_tokens, usual_s, now)
         rate = self.common_tokens_per_s(found.upstream)
         if rate is not None:
@@ -274,8 +278,10 @@
 def record_told(reported: ReportedLoad, told: InstanceSpeedReport, at: float) -> None:
     """Record what an engine reported to another router, which told it at a time."""
     slowdown = None if told.slowdown is None else told.slowdown / 100
-    report = InstanceLoadReport(told.n_running, told.n_waiting, slowdown=slowdown)
-    reported.record(report, at - told.age_ms / 1000)
+    at -= told.age_ms / 1000
+    if reported.is_news(at):
+        report = InstanceLoadReport(told.n_running, told.n_waiting, slowdown=slowdown)
+        reported.record(report, at)
 
 
 class IncarnationSpeed(FleetSpeed):
--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -120,11 +120,16 @@
         Return None if that is no news.
         """
         part = self._part(key)
-        part.is_saved = part.is_saved or is_saved
-        n_holders = len(part.holders)
-        if not self._record_holder(part, incarnation, is_ready, math.inf):
-            return None
-        return n_holders
+        if is_saved:
+            part.is_saved = True
+        holders = part.holders
+        if incarnation not in holders:
+            n_prefilled = self._n_prefilled.get(incarnation, 0.0)
+            holders[incarnation] = _Holder(is_ready, n_prefilled, n_prefilled)
+            return len(holders) - 1
+        if self._record_holder(part, incarnation, is_ready, math.inf):
+            return len(holders)
+        return None
 
     def _record_holder(
         self, part: _Part, incarnation: IncarnationKey, is_ready: bool, capacity: float
@@ -257,11 +262,12 @@
         return len(self._parts)
 
     def _part(self, key: int) -> _Part:
-        part = self._parts.get(key)
+        parts = self._parts
+        part = parts.get(key)
         if part is None:
-            part = self._parts[key] = _Part()
-            if len(self._parts) > MAX_PARTS:
-                self._parts.popitem(last=False)
+            part = parts[key] = _Part()
+            if len(parts) > MAX_PARTS:
+                parts.popitem(last=False)
         else:
-            self._parts.move_to_end(key)
+            parts.move_to_end(key)
         return part
--- a/packages/corianderlb-core/src/corianderlb_core/reported_load.py
+++ b/packages/corianderlb-core/src/corianderlb_core/reported_load.py
@@ -40,7 +40,8 @@
         self._slowdown = 1.0
         self._slowdown_at = -math.inf
         self._recent: deque[float] = deque(maxlen=N_RECENT)
-        self._usual = 1.0
+        self._usual: float | None = 1.0
+        """The median of the recent slowdowns; None until it is computed again."""
 
     @property
     def has_slowdown(self) -> bool:
@@ -52,6 +53,12 @@
         """When the newest number of requests was reported."""
         return max(self._running_at, self._waiting_at)
 
+    def is_news(self, at: float) -> bool:
+        """Return whether a report of a time is newer than a known figure."""
+        return (
+            at >= self._running_at or at >= self._waiting_at or at >= self._slowdown_at
+        )
+
     def record(self, report: InstanceLoadReport, at: float) -> None:
         """Record a report made at a time; figures older than the known are dropped."""
         if report.n_running is not None and at >= self._running_at:
@@ -62,7 +69,7 @@
             bounded = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, report.slowdown))
             self._slowdown, self._slowdown_at = bounded, at
             self._recent.append(bounded)
-            self._usual = sorted(self._recent)[(len(self._recent) - 1) // 2]
+            self._usual = None
 
     def n_busy(self, now: float) -> int | None:
         """Return the running and waiting requests; None if no report is recent."""
@@ -79,13 +86,16 @@
 
         An instance on a slower machine reports more than 1 also at its usual.
         """
+        if self._usual is None:
+            self._usual = sorted(self._recent)[(len(self._recent) - 1) // 2]
         return self._usual
 
     def slowdown(self, now: float) -> float:
         """Return how long work probably takes now; 1 is as usual on all machines."""
         age_s = max(0.0, now - self._slowdown_at)
-        moment = self._slowdown - self._usual
-        return self._usual + moment * math.exp(-age_s / SLOWDOWN_DECAY_S)
+        usual = self.usual_slowdown
+        moment = self._slowdown - usual
+        return usual + moment * math.exp(-age_s / SLOWDOWN_DECAY_S)
 
     def stretched_s(self, usual_s: float, now: float) -> float:
         """Return how long work takes, from now, that usually takes ``usual_s`` there.
@@ -95,7 +105,7 @@
         exp(usual / tau) - a). Short work is stretched by the slowdown; long work by no
         more than tau log(1 + a), since the moment passes.
         """
-        excess = self.slowdown(now) / self._usual - 1.0
+        excess = self.slowdown(now) / self.usual_slowdown - 1.0
         if not excess:
             return usual_s
         exponent = usual_s / SLOWDOWN_DECAY_S
