Links: frames of whole messages are read and made without the library's parser

Cause: the library's generator and frame objects are most of what a received message costs between the socket and its proof.

Change: a complete, unfragmented binary frame is taken out of what was read, and made, by the transport. All other frames go to the library, whole, and what it refuses stays refused.

--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -1,7 +1,9 @@
 """Transport of frames between routers over websockets.
 
 The protocol is the library's; the reading and writing of the socket stands here. A link
-then costs one task that reads, and all frames that are due leave in one write.
+then costs one task that reads, and all frames that are due leave in one write. Frames
+of whole messages, which are nearly all, are taken apart and made here too: the library
+spends several times as long on each. It gets all others, and decides what is an error.
 """
 
 from __future__ import annotations
@@ -20,9 +22,9 @@
     InvalidURI,
     PayloadTooBig,
 )
-from websockets.frames import Frame, Opcode
+from websockets.frames import Frame, Opcode, apply_mask
 from websockets.http11 import Request
-from websockets.protocol import Protocol, State
+from websockets.protocol import Protocol, Side, State
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
@@ -49,6 +51,12 @@
 READ_BYTES: Final = 1 << 16
 """Most bytes taken from a socket at once."""
 
+MAX_HEAD_BYTES: Final = 1 << 14
+"""Length from which the library gets an opening handshake before it is complete."""
+
+_WHOLE_MESSAGE: Final = 0x80 | Opcode.BINARY
+"""First byte of a frame with a whole message."""
+
 
 class WebSocketTransport(PeerTransport):
     """Dial and accept websockets; port 0 lets the kernel choose a port.
@@ -137,6 +145,11 @@
         self._fragments: list[bytes] = []
         self._unwritten = b""
         """What ``send_now`` could not write."""
+        self._unparsed = b""
+        """What was read and is no complete frame yet."""
+        self._has_head = False
+        """Whether the head of the opening handshake was received."""
+        self._is_server = protocol.side is Side.SERVER
 
     async def open_as_client(self) -> None:
         """Run the opening handshake of the side that dialled."""
@@ -168,6 +181,7 @@
         await self._flush()
         if protocol.handshake_exc is not None:
             raise protocol.handshake_exc
+        self._take_messages()
 
     async def send(self, frame: bytes) -> None:
         await self.send_all((frame,))
@@ -190,9 +204,7 @@
         )
 
     def send_now(self, frames: Sequence[bytes]) -> None:
-        for frame in frames:
-            self._protocol.send_binary(frame)
-        payload = b"".join(self._protocol.data_to_send())
+        payload = b"".join([self._framed(frame) for frame in frames])
         try:
             n_written = os.write(self._stream.socket.fileno(), payload)
         except BlockingIOError:
@@ -227,9 +239,7 @@
     async def _read(self) -> None:
         """Read what has arrived and take the messages out of it."""
         await self._read_bytes()
-        for event in self._protocol.events_received():
-            if isinstance(event, Frame):
-                self._add_frame(event)
+        self._take_events()
         if isinstance(self._protocol.parser_exc, PayloadTooBig):
             # Before any await: a concurrent send would fail first and hide the reason.
             raise FrameRefusedError("frame exceeds the size limit")
@@ -256,10 +266,73 @@
             self._protocol.receive_eof()
             raise LinkClosedError(f"receive failed: {exc!r}") from exc
         if data:
-            self._protocol.receive_data(data)
+            self._unparsed += data
+            self._parse()
         else:
             self._protocol.receive_eof()
 
+    def _parse(self) -> None:
+        """Take the handshake or the messages out of what has arrived."""
+        if not self._has_head:
+            head, end, rest = self._unparsed.partition(b"\r\n\r\n")
+            if not end and len(head) < MAX_HEAD_BYTES:
+                return
+            self._has_head = True
+            self._unparsed = rest
+            self._protocol.receive_data(head + end)
+            if self._is_server:
+                # What follows is read once the handshake is answered.
+                return
+        self._take_messages()
+
+    def _take_messages(self) -> None:
+        """Take the complete frames out of what has arrived."""
+        data, at = self._unparsed, 0
+        while self._protocol.state is State.OPEN:
+            start, end = _frame_bounds(data, at)
+            is_too_long = end - start > MAX_FRAME_BYTES
+            if end > len(data) and not is_too_long:
+                break
+            is_masked = data[at + 1] >= 0x80
+            if (
+                data[at] == _WHOLE_MESSAGE
+                and is_masked == self._is_server
+                and not is_too_long
+                and not self._fragments
+            ):
+                payload = data[start:end]
+                if is_masked:
+                    payload = apply_mask(payload, data[start - 4 : start])
+                self._received.append(payload)
+            else:
+                self._protocol.receive_data(data[at:end])
+                self._take_events()
+            at = end
+        self._unparsed = data[at:]
+        if self._unparsed and self._protocol.state is not State.OPEN:
+            self._protocol.receive_data(self._unparsed)
+            self._unparsed = b""
+
+    def _take_events(self) -> None:
+        for event in self._protocol.events_received():
+            if isinstance(event, Frame):
+                self._add_frame(event)
+
+    def _framed(self, message: bytes) -> bytes:
+        """Return a message as one frame."""
+        length = len(message)
+        mask_bit = 0 if self._is_server else 0x80
+        if length < 126:
+            head = bytes((_WHOLE_MESSAGE, mask_bit | length))
+        elif length < 1 << 16:
+            head = bytes((_WHOLE_MESSAGE, mask_bit | 126)) + length.to_bytes(2)
+        else:
+            head = bytes((_WHOLE_MESSAGE, mask_bit | 127)) + length.to_bytes(8)
+        if self._is_server:
+            return head + message
+        mask = os.urandom(4)
+        return head + mask + apply_mask(message, mask)
+
     def _add_frame(self, frame: Frame) -> None:
         if frame.opcode not in (Opcode.TEXT, Opcode.BINARY, Opcode.CONT):
             return
@@ -281,3 +354,23 @@
                     await self._stream.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise LinkClosedError(f"send failed: {exc!r}") from exc
+
+
+def _frame_bounds(data: bytes, at: int) -> tuple[int, int]:
+    """Return where the payload of a frame starts and ends; its header may be partial.
+
+    The end is beyond the data then.
+    """
+    if len(data) < at + 2:
+        return at + 2, len(data) + 1
+    length = data[at + 1] & 0x7F
+    start = at + 2
+    if length >= 126:
+        n_bytes = 2 if length == 126 else 8
+        if len(data) < start + n_bytes:
+            return start, len(data) + 1
+        length = int.from_bytes(data[start : start + n_bytes])
+        start += n_bytes
+    if data[at + 1] >= 0x80:
+        start += 4
+    return start, start + length
