--- a/packages/corianderlb-core/src/corianderlb_core/data_class.py
+++ b/packages/corianderlb-core/src/corianderlb_core/data_class.py
@@ -1,4 +1,4 @@
-"""Data classes whose initializers are compiled when they are first called.
+"""Data classes whose methods are compiled when they are first called.
 
 The standard library compiles up to six functions for each data class while its module
 is imported, which took a third of the start of a router. Most of its messages and
@@ -9,14 +9,12 @@
 
 import dataclasses
 from collections.abc import Callable
-from operator import attrgetter
+from functools import partial
 from reprlib import recursive_repr
 from typing import Any, Final, TypeVar, dataclass_transform
 
 T = TypeVar("T")
 
-_INIT: Final = "__init__"
-
 _UNSET: Final = object()
 """Default of a parameter whose field has a factory."""
 
@@ -46,12 +44,14 @@
         cls = dataclasses.dataclass(
             init=False, repr=False, eq=False, kw_only=kw_only, slots=slots
         )(cls)
-        _add(cls, _INIT, _deferred_init(cls, frozen))
+        _defer(cls, "__init__", partial(_compile_init, frozen=frozen))
         _add(cls, "__repr__", _repr)
         if eq:
-            values = _values_of(cls)
-            _add(cls, "__eq__", _equality(values))
-            _add(cls, "__hash__", _hash(values) if frozen else None)
+            _defer(cls, "__eq__", _compile_eq)
+            if frozen:
+                _defer(cls, "__hash__", _compile_hash)
+            else:
+                _add(cls, "__hash__", None)
         if frozen:
             _add(cls, "__setattr__", _refuse_to_set)
             _add(cls, "__delattr__", _refuse_to_delete)
@@ -66,25 +66,15 @@
         setattr(cls, name, method)
 
 
-def _values_of(cls: type) -> Callable[[Any], Any]:
-    names = [field.name for field in dataclasses.fields(cls) if field.compare]
-    return attrgetter(*names) if names else lambda _: ()
-
-
-def _equality(values: Callable[[Any], Any]) -> Callable[[Any, object], bool]:
-    def __eq__(self: Any, other: object) -> bool:
-        if other.__class__ is not self.__class__:
-            return NotImplemented
-        return values(self) == values(other)
-
-    return __eq__
+def _defer(cls: type, name: str, compile_it: Callable[[type], Any]) -> None:
+    """Add a method that replaces itself with a compiled one when it is called."""
 
+    def method(self: Any, *args: Any, **kwargs: Any) -> Any:
+        compiled = compile_it(cls)
+        setattr(cls, name, compiled)
+        return compiled(self, *args, **kwargs)
 
-def _hash(values: Callable[[Any], Any]) -> Callable[[Any], int]:
-    def __hash__(self: Any) -> int:
-        return hash(values(self))
-
-    return __hash__
+    _add(cls, name, method)
 
 
 @recursive_repr()
@@ -105,17 +95,7 @@
     raise dataclasses.FrozenInstanceError(f"cannot delete field {name!r}")
 
 
-def _deferred_init(cls: type, frozen: bool) -> Callable[..., None]:
-    def __init__(self: Any, *args: Any, **kwargs: Any) -> None:
-        init = _compile_init(cls, frozen)
-        cls.__init__ = init  # type: ignore[misc]
-        init(self, *args, **kwargs)
-
-    return __init__
-
-
 def _compile_init(cls: type, frozen: bool) -> Callable[..., None]:
-    """Compile the initializer from the fields of a data class."""
     scope: dict[str, Any] = {}
     scope.update(_UNSET=_UNSET, _set=object.__setattr__)
     positional, named, lines = ["self"], ["*"], []
@@ -140,9 +120,30 @@
     if hasattr(cls, "__post_init__"):
         lines.append("self.__post_init__()")
     parameters = ", ".join(positional + (named if len(named) > 1 else []))
-    body = "\n    ".join(lines or ["pass"])
-    exec(f"def {_INIT}({parameters}):\n    {body}", scope)
-    init: Callable[..., None] = scope[_INIT]
-    init.__qualname__ = f"{cls.__qualname__}.{_INIT}"
-    init.__module__ = cls.__module__
-    return init
+    return _compile(cls, f"__init__({parameters})", lines or ["pass"], scope)
+
+
+def _compile_eq(cls: type) -> Callable[[Any, object], bool]:
+    different = "if other.__class__ is not self.__class__: return NotImplemented"
+    same = f"return {_values(cls, 'self')} == {_values(cls, 'other')}"
+    return _compile(cls, "__eq__(self, other)", [different, same], {})
+
+
+def _compile_hash(cls: type) -> Callable[[Any], int]:
+    line = f"return hash({_values(cls, 'self')})"
+    return _compile(cls, "__hash__(self)", [line], {})
+
+
+def _values(cls: type, name: str) -> str:
+    """Return the source of a tuple of the fields that are compared."""
+    names = [field.name for field in dataclasses.fields(cls) if field.compare]
+    return "(" + "".join(f"{name}.{field}, " for field in names) + ")"
+
+
+def _compile(cls: type, head: str, lines: list[str], scope: dict[str, Any]) -> Any:
+    """Compile a method from its source."""
+    exec(f"def {head}:\n    " + "\n    ".join(lines), scope)
+    method = scope[head.partition("(")[0]]
+    method.__qualname__ = f"{cls.__qualname__}.{method.__name__}"
+    method.__module__ = cls.__module__
+    return method
