Reports of peers are merged together, when an engine is chosen

Cause: each report alone finds the processor's caches filled by other work, so that merging it costs over twice what it does in a row.

Change: reports wait with the moment of their arrival until an engine is chosen, the own next report is made or the oldest is 0.1 s old. Choices rest on the same reports as before.

--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -112,6 +112,11 @@
 DEMAND_WINDOW_S: Final = 2.0
 """Time constant over which the rate of tokens to prefill is averaged."""
 
+MERGE_DELAY_S: Final = 0.1
+"""Age of the oldest update of a peer from which those that have arrived are merged
+though no engine is to be chosen. Merged together they take half of the processor time:
+each one alone finds the processor's caches filled by other work."""
+
 MAX_PART_ANNOUNCEMENTS: Final = 200
 """Maximum number of part announcements per update; the rest wait for the next one."""
 
@@ -194,7 +199,9 @@
         self._update_requested = trio.Event()
         self.memory: FleetMemory | None = None
         """Bounds what all routers hold at an engine; None if that isn't bounded."""
-        peers.subscribe(EngineUpdate, self.on_engine_update)
+        self._unmerged: list[tuple[InstanceId, EngineUpdate, float]] = []
+        """Updates of peers that are not merged yet, with their arrival, in order."""
+        peers.subscribe(EngineUpdate, self._keep_engine_update)
         self._avoid_crashed = avoid_crashed
         if avoid_crashed:
             peers.subscribe(CrashReport, self.on_crash_report)
@@ -303,6 +310,7 @@
 
     def _views(self, upstream: str, model: str) -> Sequence[EngineView]:
         """Return the state of all engines of an upstream; kept until it changes."""
+        self._merge_kept()
         changes = (self._state.n_engine_changes, self.weights.n_versions_learned)
         if changes != self._views_of_changes:
             self._views_of_changes = changes
@@ -610,9 +618,34 @@
         if instance is not None and str(instance.born_ms) == epoch:
             self.crashed(instance)
 
-    async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
-        """Merge a peer's requests in flight, unreachable engines and cached parts."""
+    async def _keep_engine_update(
+        self, sender: InstanceId, update: EngineUpdate
+    ) -> None:
+        """Keep an update until an engine is chosen, or the next own update is sent."""
         now = trio.current_time()
+        self._unmerged.append((sender, update, now))
+        if now - self._unmerged[0][2] >= MERGE_DELAY_S:
+            self._merge_kept()
+
+    def _merge_kept(self) -> None:
+        """Merge the updates of peers that have arrived."""
+        if self._unmerged:
+            kept, self._unmerged = self._unmerged, []
+            for sender, update, arrived_at in kept:
+                self._merge_update(sender, update, arrived_at)
+
+    async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
+        """Merge an update of a peer now."""
+        self._merge_kept()
+        self._merge_update(sender, update, trio.current_time())
+
+    def _merge_update(
+        self, sender: InstanceId, update: EngineUpdate, now: float
+    ) -> None:
+        """Merge a peer's requests in flight, unreachable engines and cached parts.
+
+        ``now`` is when they arrived.
+        """
         # Assume that peers without a link have as much in flight as those with one.
         reach = self._peers.reach()
         scale = 1 / max(MIN_REACHED_SHARE, reach)
@@ -635,7 +668,7 @@
                     n_read += n_read_by_upstream.get(upstream, 0.0)
                     n_read_by_upstream[upstream] = n_read
         for upstream, n_read in n_read_by_upstream.items():
-            self._count_prefill(upstream, n_read, now)
+            self._count_prefill(upstream, n_read, trio.current_time())
         for incarnation_key in update.unreached:
             instance = self._state.instance(incarnation_key[0])
             if instance is not None and instance.incarnation_key == tuple(
@@ -751,6 +784,7 @@
         while True:
             await self._wait_for_update()
             self._update_requested = trio.Event()
+            self._merge_kept()
             self._drop_stale()
             work = tuple(
                 _work_of(incarnation_key, engine)
