--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -310,7 +310,7 @@
 
     def _views(self, upstream: str, model: str) -> Sequence[EngineView]:
         """Return the state of all engines of an upstream; kept until it changes."""
-        self._merge_kept()
+        self.merge_reports()
         changes = (self._state.n_engine_changes, self.weights.n_versions_learned)
         if changes != self._views_of_changes:
             self._views_of_changes = changes
@@ -359,6 +359,7 @@
         An engine that loads weights or is about to, is down or does not answer is left
         out; one that is paced or slow counts with what it can do at present.
         """
+        self.merge_reports()
         now = trio.current_time()
         common = self.speeds.common_tokens_per_s(upstream)
         rates, n_taken, n_places = {}, 0, 0
@@ -625,10 +626,10 @@
         now = trio.current_time()
         self._unmerged.append((sender, update, now))
         if now - self._unmerged[0][2] >= MERGE_DELAY_S:
-            self._merge_kept()
+            self.merge_reports()
 
-    def _merge_kept(self) -> None:
-        """Merge the updates of peers that have arrived."""
+    def merge_reports(self) -> None:
+        """Merge the updates of peers that have arrived, before a choice."""
         if self._unmerged:
             kept, self._unmerged = self._unmerged, []
             for sender, update, arrived_at in kept:
@@ -636,7 +637,7 @@
 
     async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
         """Merge an update of a peer now."""
-        self._merge_kept()
+        self.merge_reports()
         self._merge_update(sender, update, trio.current_time())
 
     def _merge_update(
@@ -784,7 +785,7 @@
         while True:
             await self._wait_for_update()
             self._update_requested = trio.Event()
-            self._merge_kept()
+            self.merge_reports()
             self._drop_stale()
             work = tuple(
                 _work_of(incarnation_key, engine)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -210,6 +210,7 @@
 
     def service(self, incarnation_key: IncarnationKey, slots: int) -> ServiceLoad:
         """Return the load of one incarnation of a service instance."""
+        self.engines.merge_reports()
         found = self.services.get(incarnation_key)
         if found is None:
             found = self.services[incarnation_key] = ServiceLoad(
--- a/packages/corianderlb-router/tests/test_engine_table.py
+++ b/packages/corianderlb-router/tests/test_engine_table.py
@@ -79,6 +79,34 @@
             await trio.sleep(UNREACHED_BACKOFF_S)
             self.assertEqual(self.chosen(table), preferred)
 
+    async def test_choice_rests_on_all_reports_that_have_arrived(self) -> None:
+        """Guards against reports that count from when they are merged, or never."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            table, other = self.make_table("r1", hub), self.make_table("r2", hub)
+            other._peers.broadcast(EngineUpdate((EngineWork("e1", 1, 9_000, 3),)))
+            await trio.sleep(0.05)
+            arrived_by = trio.current_time()
+            await trio.sleep(0.3)
+            self.assertEqual(table._engines, {})
+            self.chosen(table)
+            estimator = table.view(self.state.instance("e1"), MODEL).estimator
+            self.assertLessEqual(estimator.peers["r2"].at, arrived_by)
+
+    async def test_reports_are_merged_without_a_choice(self) -> None:
+        """Guards against reports that pile up at a router without requests."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            table, other = self.make_table("r1", hub), self.make_table("r2", hub)
+            for _ in range(30):
+                other._peers.broadcast(EngineUpdate((EngineWork("e1", 1, 9_000, 3),)))
+                await trio.sleep(0.025)
+                self.assertLessEqual(len(table._unmerged), 5)
+            nursery.start_soon(table.run)
+            await trio.sleep(1)
+            self.assertEqual(table._unmerged, [])
+            nursery.cancel_scope.cancel()
+
     async def test_engine_that_a_peer_found_crashed(self) -> None:
         """Guards against routers that each lose requests at a crashed engine."""
         async with trio.open_nursery() as nursery:
