A report that cannot be merged is dropped alone

Reports are merged while an engine is chosen, so a bad one would fail that request. Two tests that read the table's inner state now have the reports merged first.

--- a/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
@@ -39,7 +39,7 @@
 MAX_WAITING_ITEMS: Final = 4_000
 """Maximum number of items that wait; further ones are dropped."""
 
-MAX_RECENT_ITEMS: Final = 20_000
+MAX_RECENT_ITEMS: Final = 8_000
 """Maximum number of items by which repeated ones are recognized."""
 
 _ITEM: Final = struct.Struct("<QI")
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -51,6 +51,7 @@
 from corianderlb_core.update_schedule import UpdateSchedule
 from corianderlb_core.weights_rollout import EnginePhase
 
+from .connection_guard import ConnectionGuard
 from .fleet_memory import FleetMemory
 from .health_table import HealthTable
 from .instance_paces import InstancePaces
@@ -199,9 +200,10 @@
         self._update_requested = trio.Event()
         self.memory: FleetMemory | None = None
         """Bounds what all routers hold at an engine; None if that isn't bounded."""
+        self._guard = ConnectionGuard()
         self._unmerged: list[tuple[InstanceId, EngineUpdate, float]] = []
         """Updates of peers that are not merged yet, with their arrival, in order."""
-        peers.subscribe(EngineUpdate, self._keep_engine_update)
+        peers.subscribe(EngineUpdate, self.on_engine_update)
         self._avoid_crashed = avoid_crashed
         if avoid_crashed:
             peers.subscribe(CrashReport, self.on_crash_report)
@@ -619,9 +621,7 @@
         if instance is not None and str(instance.born_ms) == epoch:
             self.crashed(instance)
 
-    async def _keep_engine_update(
-        self, sender: InstanceId, update: EngineUpdate
-    ) -> None:
+    async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
         """Keep an update until an engine is chosen, or the next own update is sent."""
         now = trio.current_time()
         self._unmerged.append((sender, update, now))
@@ -633,12 +633,9 @@
         if self._unmerged:
             kept, self._unmerged = self._unmerged, []
             for sender, update, arrived_at in kept:
-                self._merge_update(sender, update, arrived_at)
-
-    async def on_engine_update(self, sender: InstanceId, update: EngineUpdate) -> None:
-        """Merge an update of a peer now."""
-        self.merge_reports()
-        self._merge_update(sender, update, trio.current_time())
+                # The request that needs them must not fail for a report.
+                with self._guard.confine("peers", sender):
+                    self._merge_update(sender, update, arrived_at)
 
     def _merge_update(
         self, sender: InstanceId, update: EngineUpdate, now: float
--- a/packages/corianderlb-router/tests/test_engine_table.py
+++ b/packages/corianderlb-router/tests/test_engine_table.py
@@ -93,6 +93,18 @@
             estimator = table.view(self.state.instance("e1"), MODEL).estimator
             self.assertLessEqual(estimator.peers["r2"].at, arrived_by)
 
+    async def test_report_that_cannot_be_merged_is_dropped_alone(self) -> None:
+        """Guards against requests that fail for what a peer reported."""
+        async with trio.open_nursery() as nursery:
+            hub = FakeHub(nursery)
+            table, other = self.make_table("r1", hub), self.make_table("r2", hub)
+            for work in (EngineWork("e1", 1, 10**400, 3), EngineWork("e2", 1, 9, 3)):
+                other._peers.broadcast(EngineUpdate((work,)))
+            await trio.sleep(0.05)
+            self.chosen(table)
+            estimator = table.view(self.state.instance("e2"), MODEL).estimator
+            self.assertEqual(list(estimator.peers), ["r2"])
+
     async def test_reports_are_merged_without_a_choice(self) -> None:
         """Guards against reports that pile up at a router without requests."""
         async with trio.open_nursery() as nursery:
@@ -168,6 +180,7 @@
                 self.assertEqual(speeds is not None, level_queues)
                 update = EngineUpdate(speeds=speeds)
                 await hears.on_engine_update(InstanceId("r1"), update)
+                hears.merge_reports()
                 n_busy = hears.reported(("e1", 1)).n_busy(now)
                 self.assertEqual(n_busy, 28 if level_queues else None)
 
@@ -267,6 +280,7 @@
                 for _ in range(3):
                     await peer.on_engine_update(InstanceId("r1"), unknown)
                     await peer.on_engine_update(InstanceId("r1"), update)
+                peer.merge_reports()
             held = peer.index.coverage(
                 choice.scope,
                 [("shared", 5000)],
