--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -115,8 +115,8 @@
 
 MERGE_DELAY_S: Final = 0.1
 """Age of the oldest update of a peer from which those that have arrived are merged
-though no engine is to be chosen. Merged together they take half of the processor time:
-each one alone finds the processor's caches filled by other work."""
+though no engine is to be chosen. Merged together they take less processor time: each
+one alone finds the processor's caches filled by other work."""
 
 MAX_PART_ANNOUNCEMENTS: Final = 200
 """Maximum number of part announcements per update; the rest wait for the next one."""
