--- a/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
@@ -23,8 +23,8 @@
 
 N_PASSING_ON: Final = 8
 """Number of a router's links, on average, that are to pass on an item which it
-announced. Each does so to all its links unless it hears the item again before, so that
-0.98 of a fleet of any size hear of it, each router three times on average."""
+announced. Each does so to all its links unless another router tells it too before, so
+that 0.98 of a fleet hear of it, each router three times on average."""
 
 MIN_PASSED_ON_TOKENS: Final = 512
 """Smallest part that is passed on, except for first parts: they are few, and many
@@ -170,10 +170,10 @@
         before it was passed on is known to most of the linked ones, so it isn't passed
         on.
         """
+        if len(self._recent) >= MAX_RECENT_ITEMS:
+            self._forget_recent()
         index, rng = self._index, self._rng
         recent, before = self._recent, self._recent_before
-        if len(recent) >= MAX_RECENT_ITEMS:
-            self._forget_recent()
         items = list(_items_of(packed))
         fresh = [item for item in items if item not in recent and item not in before]
         if len(fresh) < len(items):
