Read once: saves heard by all routers, stores before engines that may have evicted

Cause: under high load an engine evicts a shared part after some 3 s, while each part is asked for each 7 s. Saves of parts below 512 tokens reached linked routers only, and prompts less than half shared were not saved.

Change, where reading once applies: a save is told with the last shared part only, and to all routers; it implies the parts before it. Where a save is known, an engine is named only if it has prefilled less than a tenth of its memory since it used the parts, and of several the one that used them last.

--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -16,6 +16,7 @@
 from .part_index import NO_COVERAGE, Coverage, IncarnationKey, PartIndex
 from .prefill_estimate import OVERHEAD_S, PrefillEstimator
 from .queue_level import choose_below_level
+from .reading_once import is_safer_stored
 from .rendezvous import primary_node, rank
 
 T = TypeVar("T")
@@ -377,10 +378,14 @@
         for holding in holdings.values()
         if holding is not held and holding.view.weights_version == view.weights_version
     ]
-    source = _find_source(view, others)
-    if query.kv_cache_address and index.is_saved(scope, part_ids):
+    source = _find_source(view, others, query.reads_once)
+    if query.kv_cache_address and index.is_saved(scope, part_ids, query.reads_once):
         is_same_zone = query.kv_cache_zone == view.instance.zone
-        if source.n_held < n_shared or (is_same_zone and not source.is_same_zone):
+        if query.reads_once:
+            is_better = is_safer_stored(source.n_since_use, query.kv_capacity)
+        else:
+            is_better = is_same_zone and not source.is_same_zone
+        if is_better or source.n_held < n_shared:
             source = _Source(query.kv_cache_address, n_shared, is_same_zone)
     n_here = max(own_coverage.n_expected, own_coverage.n_held)
     n_fetched = max(0, source.n_held - n_here)
@@ -447,23 +452,34 @@
     n_held: int = 0
     is_same_zone: bool = False
     """Whether it is in the engine's own availability zone."""
+    n_since_use: float = 0.0
+    """Tokens that an engine has prefilled since it used the parts."""
 
 
-def _find_source(view: EngineView, others: Sequence[_Holding]) -> _Source:
-    """Return the engine that holds most of the prompt, preferring the same zone."""
+def _find_source(
+    view: EngineView, others: Sequence[_Holding], prefers_fresh: bool
+) -> _Source:
+    """Return the engine that holds most of the prompt.
+
+    Among equal ones the same zone is preferred or, with ``prefers_fresh``, the engine
+    that has prefilled least since it used the parts.
+    """
     sources = (
         _Source(
             other.view.instance.address,
             other.coverage.n_held,
             other.view.instance.zone == view.instance.zone,
+            other.coverage.n_since_use,
         )
         for other in others
         if other.coverage.n_held
     )
-    best = max(
-        sources, key=lambda source: (source.n_held, source.is_same_zone), default=None
-    )
-    return best or _Source()
+
+    def rank_of(source: _Source) -> tuple[float, float]:
+        second = -source.n_since_use if prefers_fresh else source.is_same_zone
+        return source.n_held, second
+
+    return max(sources, key=rank_of, default=_Source())
 
 
 def _likely_source(
--- a/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_gossip.py
@@ -130,19 +130,22 @@
     ) -> None:
         """Record parts that an engine reads for this router, and tell what is news.
 
-        ``capacity`` is the engine's memory in tokens.
+        A save is told with the last part only, and to all routers: it implies that of
+        the parts before it. ``capacity`` is the engine's memory in tokens.
         """
         engine = engine_digest(incarnation)
+        parts = tuple(parts)
         for n, part in enumerate(parts):
+            is_told_saved = is_saved and n == len(parts) - 1
             key = part_key(scope, part.part_id)
             is_large = n == 0 or part.n_tokens >= MIN_PASSED_ON_TOKENS
             is_rare = self._index.n_holders(key) < MAX_TOLD_HOLDERS
             is_news = self._index.record_key(key, incarnation, is_ready, capacity)
-            if is_saved:
+            if is_told_saved:
                 self._index.record_saved_key(key)
-            if is_news or is_saved:
-                pass_on = is_rare and is_large
-                self._add(HeldPart(key, engine, is_ready, is_saved, pass_on))
+            if is_news or is_told_saved:
+                pass_on = is_told_saved or (is_rare and is_large)
+                self._add(HeldPart(key, engine, is_ready, is_told_saved, pass_on))
 
     def hear(
         self,
--- a/packages/corianderlb-core/src/corianderlb_core/part_index.py
+++ b/packages/corianderlb-core/src/corianderlb_core/part_index.py
@@ -117,14 +117,16 @@
     ) -> int | None:
         """Record one part that a peer told; return how many holders were known.
 
-        Return None if that is no news.
+        Return 0 if it wasn't known to be saved, which all routers should hear, and None
+        if nothing is news.
         """
         part = self._part(key)
+        is_first_save = is_saved and not part.is_saved
         part.is_saved = part.is_saved or is_saved
         n_holders = len(part.holders)
-        if not self._record_holder(part, incarnation, is_ready, math.inf):
-            return None
-        return n_holders
+        if self._record_holder(part, incarnation, is_ready, math.inf):
+            return 0 if is_first_save else n_holders
+        return 0 if is_first_save else None
 
     def _record_holder(
         self, part: _Part, incarnation: IncarnationKey, is_ready: bool, capacity: float
@@ -245,9 +247,15 @@
                 n_held += n_tokens
         return Coverage(n_held, n_expected, n_known, n_since_use)
 
-    def is_saved(self, scope: str, part_ids: Sequence[str]) -> bool:
-        """Return whether all parts were sent to the KV cache store."""
-        for part_id in part_ids:
+    def is_saved(
+        self, scope: str, part_ids: Sequence[str], implies_earlier: bool = False
+    ) -> bool:
+        """Return whether all parts were sent to the KV cache store.
+
+        With ``implies_earlier``, the last part is looked up only: prompts are saved
+        whole.
+        """
+        for part_id in part_ids[-1:] if implies_earlier else part_ids:
             part = self._parts.get(part_key(scope, part_id))
             if part is None or not part.is_saved:
                 return False
--- a/packages/corianderlb-core/tests/test_engine_choice.py
+++ b/packages/corianderlb-core/tests/test_engine_choice.py
@@ -58,6 +58,19 @@
             self.assertEqual(choice.view.instance.instance, "b")
             self.assertEqual((choice.fetch_from, choice.n_missing), (source, 5100))
 
+    def test_stored_parts_are_fetched_where_they_are_safest(self) -> None:
+        """Guards against a part read again since a busy engine had evicted it."""
+        views = [a_view("a", unread=40_000), a_view("b"), a_view("c", unread=40_000)]
+        for n_a, n_c, source in ((30, 0, "c:80"), (0, 30, "a:80"), (30, 30, "store:1")):
+            index = PartIndex()
+            query = a_query(a_prompt(BIG), reads_once=True, kv_cache_address="store:1")
+            index.record_saved(query.scope(1), ["big"])
+            for view, n_read in ((views[0], n_a), (views[2], n_c)):
+                incarnation = view.instance.incarnation_key
+                index.record_parts(query.scope(1), ["big"], incarnation, True)
+                index.count_prefilled(incarnation, n_read * 1000)
+            self.assertEqual(choose_engine(query, views, index).fetch_from, source)
+
     def test_engine_with_the_first_part_only_is_no_source_for_all(self) -> None:
         """Guards against a leaf read again since an engine with its root was named."""
         index = PartIndex()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -488,7 +488,9 @@
             return False
         if choice.told_parts and not is_worth_saving(self.prompt, choice.is_held_whole):
             return False
-        return not self.parts.engines.index.is_saved(choice.scope, self._part_ids)
+        implies_earlier = bool(choice.told_parts)
+        index = self.parts.engines.index
+        return not index.is_saved(choice.scope, self._part_ids, implies_earlier)
 
     def terms(self, placement: Placement, left_s: float) -> SendTerms:
         """Return what the router adds to the request for one attempt."""
