--- a/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_choice.py
@@ -10,13 +10,14 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Final, TypeVar
 
 from .forwarding import ForwardInstance, Prompt, PromptPart
 from .part_index import NO_COVERAGE, Coverage, IncarnationKey, PartIndex
 from .prefill_estimate import OVERHEAD_S, PrefillEstimator
 from .queue_level import choose_below_level
-from .rendezvous import primary_node, rank
+from .rendezvous import rank, seed, seeded_weight
 
 T = TypeVar("T")
 
@@ -101,6 +102,11 @@
     replaced_at: float = math.inf
     """Router's clock when a newer version was announced; infinite for the newest."""
 
+    @cached_property
+    def node_seed(self) -> int:
+        """Seed of the engine's weights in rendezvous hashing."""
+        return seed(self.instance.instance)
+
 
 @dataclass(frozen=True)
 class EngineQuery:
@@ -188,7 +194,12 @@
     With ``rng``, only a sample of the engines is evaluated when there are many.
     ``other_sources`` take no requests now, but others can fetch cached parts from them.
     """
-    views = [view for view in views if _is_fresh_enough(query, view)]
+    if query.weights_limit_s < math.inf:
+        views = [
+            view
+            for view in views
+            if view.replaced_at == math.inf or _is_fresh_enough(query, view)
+        ]
     if not views:
         return None
     parts = [(part.part_id, part.n_tokens) for part in query.prompt.shared_parts]
@@ -201,8 +212,19 @@
     if rng is not None and len(views) > N_SAMPLED:
         sampled = _shortlist(query, views, holdings, home, part_ids, rng)
 
+    by_version: dict[int, _VersionHolders] = {}
+
     def evaluate(view: EngineView) -> tuple[float, EngineChoice]:
-        return _evaluate(query, view, holdings, home, index, part_ids)
+        version = view.weights_version
+        holders = by_version.get(version)
+        if holders is None:
+            scope = query.scope(version)
+            holders = by_version[version] = _VersionHolders(
+                scope,
+                bool(query.kv_cache_address) and index.is_saved(scope, part_ids),
+                [held for held in holdings.values() if held.version == version],
+            )
+        return _evaluate(query, view, holdings, home, holders)
 
     evaluated = [evaluate(view) for view in sampled]
     if rng is not None and not any(choice.in_time for _, choice in evaluated):
@@ -237,8 +259,6 @@
 
     Callers reject answers that begin on outdated weights after the limit.
     """
-    if math.isinf(query.weights_limit_s) or math.isinf(view.replaced_at):
-        return True
     starts_in_s = view.estimator.wait_s(query.now) + OVERHEAD_S + WEIGHTS_LIMIT_MARGIN_S
     return query.now + starts_in_s - view.replaced_at < query.weights_limit_s
 
@@ -250,6 +270,65 @@
     view: EngineView
     coverage: Coverage
 
+    @property
+    def version(self) -> int:
+        """Weights version for which it holds them."""
+        return self.view.weights_version
+
+
+class _VersionHolders:
+    """Engines that hold parts of a prompt for one weights version.
+
+    Sorted once for all engines that are evaluated, each of which asks for the best of
+    the others.
+    """
+
+    def __init__(
+        self, scope: str, is_saved: bool, holdings: Sequence[_Holding]
+    ) -> None:
+        self.scope = scope
+        self.is_saved = is_saved
+        """Whether the KV cache store of the prompt holds its parts."""
+        self._by_held = sorted(
+            (held for held in holdings if held.coverage.n_held),
+            key=lambda held: -held.coverage.n_held,
+        )
+        self._by_expected = sorted(
+            holdings, key=lambda held: -held.coverage.n_expected
+        )[:2]
+        self._by_known = sorted(
+            holdings,
+            key=lambda held: (-held.coverage.n_known, held.coverage.n_since_use),
+        )[:2]
+
+    def source(self, view: EngineView, own: _Holding | None) -> _Source:
+        """Return another that holds most of the prompt, preferring the same zone."""
+        best: _Holding | None = None
+        for held in self._by_held:
+            if held is own:
+                continue
+            if best is not None and held.coverage.n_held < best.coverage.n_held:
+                break
+            if held.view.instance.zone == view.instance.zone:
+                return _Source(held.view.instance.address, held.coverage.n_held, True)
+            best = best or held
+        if best is None:
+            return _NO_SOURCE
+        return _Source(best.view.instance.address, best.coverage.n_held)
+
+    def n_expected(self, own: _Holding | None) -> int:
+        """Return the most tokens that another holds or is prefilling."""
+        best = _first_but(self._by_expected, own)
+        return best.coverage.n_expected if best is not None else 0
+
+    def likely(self, own: _Holding | None) -> _Holding | None:
+        """Return the other that was last known to hold most; None without any."""
+        return _first_but(self._by_known, own)
+
+
+def _first_but(holdings: Sequence[_Holding], own: _Holding | None) -> _Holding | None:
+    return next((held for held in holdings if held is not own), None)
+
 
 def _holdings(
     query: EngineQuery,
@@ -258,12 +337,16 @@
     parts: Sequence[tuple[str, int]],
 ) -> dict[IncarnationKey, _Holding]:
     """Return the engines that hold parts of a prompt for their weights version."""
-    by_version: dict[int, list[EngineView]] = {}
+    if not parts:
+        return {}
+    by_version: dict[int, dict[IncarnationKey, EngineView]] = {}
     for view in views:
-        by_version.setdefault(view.weights_version, []).append(view)
+        group = by_version.get(view.weights_version)
+        if group is None:
+            group = by_version[view.weights_version] = {}
+        group[view.instance.incarnation_key] = view
     found: dict[IncarnationKey, _Holding] = {}
-    for version, group in by_version.items():
-        by_incarnation = {view.instance.incarnation_key: view for view in group}
+    for version, by_incarnation in by_version.items():
         coverages = index.coverages(
             query.scope(version),
             parts,
@@ -350,8 +433,11 @@
     query: EngineQuery, views: Sequence[EngineView], part_ids: Sequence[str]
 ) -> EngineView:
     """Return the engine that rendezvous hashing ranks first for a prompt's parts."""
-    names = {view.instance.instance: view for view in views}
-    return names[primary_node(_rendezvous_key(query, part_ids), names)]
+    key = _rendezvous_key(query, part_ids)
+    return max(
+        views,
+        key=lambda view: (seeded_weight(key, view.node_seed), view.instance.instance),
+    )
 
 
 def _rendezvous_key(query: EngineQuery, part_ids: Sequence[str]) -> bytes:
@@ -363,22 +449,16 @@
     view: EngineView,
     holdings: dict[IncarnationKey, _Holding],
     home: EngineView | None,
-    index: PartIndex,
-    part_ids: Sequence[str],
+    holders: _VersionHolders,
 ) -> tuple[float, EngineChoice]:
     """Return the cost of an engine, in seconds, and the resulting choice."""
     estimator = view.estimator
-    scope = query.scope(view.weights_version)
     held = holdings.get(view.instance.incarnation_key)
     own_coverage = held.coverage if held else NO_COVERAGE
     n_shared = query.prompt.n_shared
-    others = [
-        holding
-        for holding in holdings.values()
-        if holding is not held and holding.view.weights_version == view.weights_version
-    ]
-    source = _find_source(view, others)
-    if query.kv_cache_address and index.is_saved(scope, part_ids):
+    n_expected = holders.n_expected(held)
+    source = holders.source(view, held)
+    if holders.is_saved:
         is_same_zone = query.kv_cache_zone == view.instance.zone
         if source.n_held < n_shared or (is_same_zone and not source.is_same_zone):
             source = _Source(query.kv_cache_address, n_shared, is_same_zone)
@@ -396,7 +476,7 @@
     own_only = query.own_share > 0.0
     ttft_s = estimator.start_to_token_s(begins_s, n_missing, query.now, own_only)
     ttft_s += OVERHEAD_S
-    is_held_elsewhere = any(other.coverage.n_expected > n_here for other in others)
+    is_held_elsewhere = n_expected > n_here
     cost = ttft_s
     if is_held_elsewhere:
         cost += RECOMPUTE_WEIGHT * estimator.prefill_time_s(n_recomputed)
@@ -415,7 +495,7 @@
     if query.reads_once and source.n_held < n_shared:
         if home is view or (home and home.weights_version != view.weights_version):
             home = None
-        address = _likely_source(query, source, others, home)
+        address = _likely_source(query, source, holders.likely(held), home)
     if not address and query.kv_cache_address and n_shared:
         # A router that has just started has an empty index; a miss at the KV cache is
         # cheap.
@@ -423,7 +503,7 @@
     is_first_prefill = n_recomputed > 0 and not is_held_elsewhere
     choice = EngineChoice(
         view,
-        scope,
+        holders.scope,
         wait_s,
         ttft_s,
         n_missing,
@@ -432,8 +512,7 @@
         is_first_prefill,
         n_occupied,
         transfer_s,
-        n_here >= n_shared
-        or any(other.coverage.n_expected >= n_shared for other in others),
+        max(n_here, n_expected) >= n_shared,
         query.prompt.shared_parts if query.reads_once else (),
     )
     return cost, choice
@@ -449,43 +528,25 @@
     """Whether it is in the engine's own availability zone."""
 
 
-def _find_source(view: EngineView, others: Sequence[_Holding]) -> _Source:
-    """Return the engine that holds most of the prompt, preferring the same zone."""
-    sources = (
-        _Source(
-            other.view.instance.address,
-            other.coverage.n_held,
-            other.view.instance.zone == view.instance.zone,
-        )
-        for other in others
-        if other.coverage.n_held
-    )
-    best = max(
-        sources, key=lambda source: (source.n_held, source.is_same_zone), default=None
-    )
-    return best or _Source()
+_NO_SOURCE: Final = _Source()
 
 
 def _likely_source(
     query: EngineQuery,
     source: _Source,
-    others: Sequence[_Holding],
+    possible: _Holding | None,
     home: EngineView | None,
 ) -> str:
     """Return the address from which most tokens can be expected; empty for none.
 
-    ``home`` is another engine that is the home of the parts.
+    ``possible`` is the other engine that was last known to hold most of the prompt,
+    ``home`` another one that is the home of the parts.
 
     An engine that surely holds only the first of the parts is a worse source than one
     that is prefilling all of them, or than the KV cache store that the other routers
     name for them. A miss costs a millisecond.
     """
     chances = [(float(source.n_held), source.address)]
-    possible = max(
-        others,
-        key=lambda other: (other.coverage.n_known, -other.coverage.n_since_use),
-        default=None,
-    )
     if possible is not None:
         n_expected = POSSIBLE_HOLDER_CHANCE * possible.coverage.n_known
         chances.append((n_expected, possible.view.instance.address))
--- a/packages/corianderlb-core/src/corianderlb_core/forwarding.py
+++ b/packages/corianderlb-core/src/corianderlb_core/forwarding.py
@@ -14,7 +14,7 @@
 from functools import cached_property
 from typing import Final
 
-from .rendezvous import rank
+from .rendezvous import primary_node
 from .usage_cap import UsageCap
 
 LOWEST_PRIORITY: Final = 9
@@ -163,6 +163,8 @@
                 priority = most_urgent.get(share.upstream, route.priority)
                 most_urgent[share.upstream] = min(priority, route.priority)
         object.__setattr__(self, "_most_urgent", most_urgent)
+        stores = {item.name: item for item in self.upstreams if item.kv_cache_address}
+        object.__setattr__(self, "_kv_caches", stores)
 
     def match(self, host: str, path: str) -> ForwardRoute | None:
         """Return the route with the longest prefix of a path, or None."""
@@ -202,10 +204,8 @@
         Each store keeps its own share of the parts, and every router picks the same
         store for a part, so that all stores' capacity and links are used.
         """
-        stores = {item.name: item for item in self.upstreams if item.kv_cache_address}
-        if not stores:
-            return None
-        return stores[rank(part_id.encode(), stores)[0]]
+        name = primary_node(part_id.encode(), self._kv_caches)
+        return self._kv_caches[name] if name is not None else None
 
 
 @dataclass(frozen=True)
@@ -227,12 +227,12 @@
     n_output: int
     """Maximum tokens of output."""
 
-    @property
+    @cached_property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts that other requests may share."""
         return self.parts[:-1]
 
-    @property
+    @cached_property
     def n_shared(self) -> int:
         """Tokens of the shared parts."""
         return sum(part.n_tokens for part in self.shared_parts)
--- a/packages/corianderlb-core/src/corianderlb_core/health.py
+++ b/packages/corianderlb-core/src/corianderlb_core/health.py
@@ -60,6 +60,11 @@
         """Whether the instance gets no requests."""
         return self._cycle.state == "retired"
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the health state bounds the requests that the instance gets."""
+        return self.state in ("retired", "proving")
+
     def has_capacity(self, n_in_flight: int) -> bool:
         """Return whether the health state allows one more concurrent request."""
         return self.state != "proving" or n_in_flight < MAX_PROVING_REQUESTS
--- a/packages/corianderlb-core/src/corianderlb_core/instance_pace.py
+++ b/packages/corianderlb-core/src/corianderlb_core/instance_pace.py
@@ -350,14 +350,14 @@
     Of preferred ones, too, one is left: that whose turn comes first.
     """
     paced: list[tuple[T, InstancePace]] = []
-    n_preferred = 0
+    others: list[T] = []
     for item in items:
         pace = pace_of(item)
         if pace is not None and not pace.may_send(now, fleet):
             paced.append((item, pace))
-        elif is_preferred(item):
-            n_preferred += 1
-    if paced and not n_preferred:
+        else:
+            others.append(item)
+    if paced and not any(map(is_preferred, others)):
         preferred = [pair for pair in paced if is_preferred(pair[0])]
         if preferred or len(paced) == len(items):
             first = min(preferred or paced, key=lambda pair: pair[1].owed_s(now, fleet))
--- a/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
+++ b/packages/corianderlb-core/src/corianderlb_core/prefill_estimate.py
@@ -154,19 +154,16 @@
 
         Until the fleet has observed any engine of the upstream, it is the own estimate.
         """
-        fleet = self._fleet_tokens_per_s()
-        if fleet is not None:
-            return fleet
-        return math.exp(self._common.log_tokens_per_s + self._log_relative_rate)
-
-    def _fleet_tokens_per_s(self) -> float | None:
+        # Asked for every engine of every prompt.
         rate = self._speed.tokens_per_s if self._speed is not None else None
-        return None if rate is None else rate / self.reported.usual_slowdown
+        if rate is not None:
+            return rate / self.reported.usual_slowdown
+        return math.exp(self._common.log_tokens_per_s + self._log_relative_rate)
 
     @property
     def is_uneven(self) -> bool:
         """Whether the rate is learned over the fleet."""
-        return self._fleet_tokens_per_s() is not None
+        return self._speed is not None and self._speed.tokens_per_s is not None
 
     @property
     def queued_tokens(self) -> int:
@@ -181,8 +178,11 @@
     @property
     def n_held(self) -> int:
         """Tokens of engine memory that this router's requests occupy."""
-        requests = (*self._prefills.values(), *self._running.values())
-        return sum(request.n_held for request in requests)
+        n_held = 0
+        for requests in (self._prefills, self._running):
+            for request in requests.values():
+                n_held += request.n_held
+        return n_held
 
     def n_reported_requests(self, now: float) -> int:
         """Return the requests in flight at the engine from all routers, as reported."""
@@ -221,7 +221,11 @@
         It has ``n_tokens`` to prefill and occupies ``n_held`` tokens of engine memory.
         """
         self._prefills[key] = _SentRequest(
-            n_tokens, self._tokens_ahead(now), now, n_held, self.reported.slowdown(now)
+            n_tokens,
+            self._tokens_ahead(now, self.tokens_per_s),
+            now,
+            n_held,
+            self.reported.slowdown(now),
         )
 
     def first_token(self, key: str, now: float) -> None:
@@ -266,7 +270,8 @@
             return self._stretched_s(prefill_s, now)
         n_excess = max(0, self.n_reported_requests(now) + 1 - self._slots)
         slot_s = n_excess * self._common.run_s / self._slots
-        prefill_s = self._tokens_ahead(now) / self.tokens_per_s
+        tokens_per_s = self.tokens_per_s
+        prefill_s = self._tokens_ahead(now, tokens_per_s) / tokens_per_s
         prefill_s = self._stretched_s(prefill_s, now)
         return prefill_s + slot_s + self.memory_wait_s(now, n_held)
 
@@ -324,16 +329,16 @@
             return
         self.peers[router] = work
 
-    def _tokens_ahead(self, now: float) -> float:
+    def _tokens_ahead(self, now: float, tokens_per_s: float) -> float:
         n_ahead = 0.0
         for prefill in self._prefills.values():
             # Requests are prefilled in order, so subtract the part that is done by now.
             age_s = now - prefill.sent_at
-            n_prefilled = max(0.0, age_s * self.tokens_per_s - prefill.n_ahead)
+            n_prefilled = max(0.0, age_s * tokens_per_s - prefill.n_ahead)
             n_ahead += max(0.0, prefill.n_tokens - n_prefilled)
-        return n_ahead + self._peer_tokens_ahead(now)
+        return n_ahead + self._peer_tokens_ahead(now, tokens_per_s)
 
-    def _peer_tokens_ahead(self, now: float) -> float:
+    def _peer_tokens_ahead(self, now: float, tokens_per_s: float) -> float:
         """Return the queued tokens of other routers, less those prefilled since.
 
         The engine serves all routers at one rate, so the progress is subtracted once
@@ -343,6 +348,4 @@
         if not sums.n_unread:
             return 0.0
         mean_age_s = sums.token_age_s / sums.n_unread
-        return max(
-            0.0, sums.n_unread - mean_age_s * self.tokens_per_s * PEER_PREFILL_SHARE
-        )
+        return max(0.0, sums.n_unread - mean_age_s * tokens_per_s * PEER_PREFILL_SHARE)
--- a/packages/corianderlb-core/src/corianderlb_core/reported_load.py
+++ b/packages/corianderlb-core/src/corianderlb_core/reported_load.py
@@ -40,7 +40,9 @@
         self._slowdown = 1.0
         self._slowdown_at = -math.inf
         self._recent: deque[float] = deque(maxlen=N_RECENT)
-        self._usual = 1.0
+        self.usual_slowdown = 1.0
+        """How long work usually takes there: the median of the recent reports. An
+        instance on a slower machine reports more than 1 also at its usual."""
 
     @property
     def has_slowdown(self) -> bool:
@@ -62,7 +64,8 @@
             bounded = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, report.slowdown))
             self._slowdown, self._slowdown_at = bounded, at
             self._recent.append(bounded)
-            self._usual = sorted(self._recent)[(len(self._recent) - 1) // 2]
+            middle = (len(self._recent) - 1) // 2
+            self.usual_slowdown = sorted(self._recent)[middle]
 
     def n_busy(self, now: float) -> int | None:
         """Return the running and waiting requests; None if no report is recent."""
@@ -73,19 +76,11 @@
         n_running = self._n_running if is_running_known else 0
         return n_running + (self._n_waiting if is_waiting_known else 0)
 
-    @property
-    def usual_slowdown(self) -> float:
-        """How long work usually takes there: the median of the recent reports.
-
-        An instance on a slower machine reports more than 1 also at its usual.
-        """
-        return self._usual
-
     def slowdown(self, now: float) -> float:
         """Return how long work probably takes now; 1 is as usual on all machines."""
         age_s = max(0.0, now - self._slowdown_at)
-        moment = self._slowdown - self._usual
-        return self._usual + moment * math.exp(-age_s / SLOWDOWN_DECAY_S)
+        moment = self._slowdown - self.usual_slowdown
+        return self.usual_slowdown + moment * math.exp(-age_s / SLOWDOWN_DECAY_S)
 
     def stretched_s(self, usual_s: float, now: float) -> float:
         """Return how long work takes, from now, that usually takes ``usual_s`` there.
@@ -95,7 +90,7 @@
         exp(usual / tau) - a). Short work is stretched by the slowdown; long work by no
         more than tau log(1 + a), since the moment passes.
         """
-        excess = self.slowdown(now) / self._usual - 1.0
+        excess = self.slowdown(now) / self.usual_slowdown - 1.0
         if not excess:
             return usual_s
         exponent = usual_s / SLOWDOWN_DECAY_S
--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -9,6 +9,7 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from email.utils import formatdate
 from http import HTTPStatus
@@ -39,6 +40,9 @@
 
 Application: TypeAlias = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
+_CHUNKED: Final = b"\r\ntransfer-encoding: chunked\r\n"
+"""Header of an answer whose body is sent in chunks."""
+
 _DISCONNECT: Final = {"type": "http.disconnect"}
 _BODILESS_STATUSES: Final = (204, 304)
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
@@ -111,7 +115,11 @@
         self._n_requests = 0
         # Of the request that is being served.
         self._method = b""
+        self._n_body_bytes: int | None = 0
+        """Length of its body; None if that is not known before its end."""
         self._status: int | None = None
+        self._is_chunked = False
+        """Whether the body of the answer is sent in chunks."""
         self._is_complete = False
         """Whether the whole answer was sent."""
         self._is_read = False
@@ -127,12 +135,10 @@
         """Serve requests; any exception may be raised for what the caller sends."""
         try:
             while not self._cfg.is_stopping:
-                with trio.move_on_after(self._cfg.keep_alive_s):
-                    request = await self._next_request()
-                    if request is not None:
-                        self.is_idle = False
-                if self.is_idle:
+                request = await self._next_request()
+                if request is None:
                     break
+                self.is_idle = False
                 await self._serve(app, request)
                 if not self._may_go_on():
                     break
@@ -150,29 +156,43 @@
     # The request.
 
     async def _next_request(self) -> h11.Request | None:
-        """Return the next request; None if none comes any more."""
-        is_new = not self._n_requests
-        while True:
-            try:
-                event = self._state.next_event()
-            except h11.RemoteProtocolError as exc:
-                await self._fail(exc)
-                return None
-            if isinstance(event, h11.Request):
-                return event
-            if event is not h11.NEED_DATA:
-                return None
-            data = await self._receive(at_once=is_new)
-            is_new = False
-            if data is None:
-                return None
-            self._feed(data)
+        """Return the next request; None if none comes any more, or none in time."""
+        if not self._n_requests:
+            self._feed_arrived()
+        event = await self._next_head()
+        if event is not h11.NEED_DATA:
+            return event
+        with trio.move_on_after(self._cfg.keep_alive_s):
+            while event is h11.NEED_DATA:
+                data = await self._receive()
+                if data is None:
+                    return None
+                self._feed(data)
+                event = await self._next_head()
+            return event
+        return None
+
+    async def _next_head(self) -> Any:
+        """Return a request, that more data is needed, or None for any other event."""
+        try:
+            event = self._state.next_event()
+        except h11.RemoteProtocolError as exc:
+            await self._fail(exc)
+            return None
+        is_known = event is h11.NEED_DATA or isinstance(event, h11.Request)
+        return event if is_known else None
+
+    def _feed_arrived(self) -> None:
+        """Pass on what has arrived, which is mostly the first request."""
+        with suppress(OSError, ValueError):
+            self._feed(self._sock.recv(READ_BYTES))
 
     async def _serve(self, app: Application, request: h11.Request) -> None:
         """Serve one request; its application may close the connection."""
         self._n_requests += 1
         self._method, self._status, self._held = request.method, None, b""
         self._is_complete = self._is_read = self._is_gone = False
+        self._n_body_bytes, self._is_chunked = _n_body_bytes(request), False
         try:
             await app(self._scope(request), self._receive_message, self._send_message)
         except Exception:
@@ -256,17 +276,17 @@
         """Pass bytes to the protocol; empty ones are the end of the stream."""
         self._state.receive_data(data)
 
-    async def _receive(self, at_once: bool = False) -> bytes | None:
-        """Return bytes, empty at the end of the stream; None if it is broken.
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether all of the request has arrived, so that reading it takes no wait."""
+        n_unread = self._n_body_bytes
+        return n_unread is not None and len(self._state.trailing_data[0]) >= n_unread
 
-        ``at_once`` tries first whether some have arrived, which those of a new
-        connection mostly have. Others mostly have not.
-        """
+    async def _receive(self) -> bytes | None:
+        """Return bytes, empty at the end of the stream; None if it is broken."""
         try:
             while True:
-                if not at_once:
-                    await trio.lowlevel.wait_readable(self._sock)
-                at_once = False
+                await trio.lowlevel.wait_readable(self._sock)
                 try:
                     return self._sock.recv(READ_BYTES)
                 except BlockingIOError:
@@ -324,10 +344,7 @@
             and self._status is not None
             and not self._is_complete
         ):
-            data = self._take_held()
-            body = message.get("body", b"")
-            if body and not self._has_no_body:
-                data += self._encode(h11.Data(data=bytes(body)))
+            data = self._take_held() + self._encode_part(message.get("body", b""))
             if not message.get("more_body", False):
                 data += self._encode(h11.EndOfMessage())
             if data:
@@ -336,6 +353,22 @@
         else:
             raise UnexpectedMessageError(f"{kind} after status {self._status}")
 
+    async def send_part(self, data: bytes) -> None:
+        """Write a part of the body that others follow; dropped as by a message."""
+        if self._status is None or self._is_complete:
+            raise UnexpectedMessageError(f"a part of the body, status {self._status}")
+        data = self._take_held() + self._encode_part(data)
+        if data:
+            await self._write(data)
+
+    def _encode_part(self, body: bytes) -> bytes:
+        if not body or self._has_no_body:
+            return b""
+        if self._is_chunked:
+            # What the library would write, at a fraction of the cost.
+            return b"%x\r\n%b\r\n" % (len(body), body)
+        return self._encode(h11.Data(data=bytes(body)))
+
     @property
     def _has_no_body(self) -> bool:
         return self._method == b"HEAD" or self._status in _BODILESS_STATUSES
@@ -350,6 +383,7 @@
         if self._n_requests > MAX_REQUESTS:
             headers.append((b"connection", b"close"))
         data = self._encode(h11.Response(status_code=status, headers=headers))
+        self._is_chunked = _CHUNKED in data.lower()
         if more_follows:
             self._held = data
         else:
@@ -431,3 +465,15 @@
     def _leave(self) -> None:
         self._is_gone = True
         self.close()
+
+
+def _n_body_bytes(request: h11.Request) -> int | None:
+    """Return the length of a body; None if it is not known before its end."""
+    n_bytes = 0
+    for name, value in request.headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            # The library accepts digits alone.
+            n_bytes = int(value)
+    return n_bytes
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -123,13 +123,26 @@
         in vain.
         """
         body = None
-        with trio.move_on_at(deadline):
+        if self._has_whole_request:
             body = await self._receive_body(limit)
+        else:
+            with trio.move_on_at(deadline):
+                body = await self._receive_body(limit)
         if body is None or trio.current_time() >= deadline:
             detail = "The deadline passed before the request was read."
             raise refuse(ResultCode.DEADLINE_UNREACHABLE, detail, LATE_RETRY_S)
         return body
 
+    @property
+    def _has_whole_request(self) -> bool:
+        """Whether the body can be read without a wait."""
+        return False
+
+    @property
+    def _sends_at_once(self) -> bool:
+        """Whether the server writes an answer as a whole and never cancels a write."""
+        return False
+
     async def _receive_body(self, limit: int) -> bytes:
         parts: list[bytes] = []
         n_bytes = 0
@@ -213,8 +226,12 @@
         Once begun it is sent to its end, even if the deadline passes meanwhile.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
+        headers = [*headers, (b"content-length", b"%d" % len(body))]
+        if self._sends_at_once:
+            await self.start(status, headers, more_follows=True)
+            await self.finish(body)
+            return
         with trio.CancelScope(shield=True):
-            headers = [*headers, (b"content-length", b"%d" % len(body))]
             await self.start(status, headers, more_follows=True)
             await self.finish(body)
 
--- a/packages/corianderlb-router/src/corianderlb_router/caller_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_run.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import math
+from collections.abc import Awaitable, Callable, Iterator
 
 import trio
 
@@ -11,24 +12,68 @@
 from .caller import CallerExchange
 
 
+class RequestWatch:
+    """Watches a request from one task: its caller, and the clock for an attempt."""
+
+    def __init__(self) -> None:
+        self._steps: Iterator[float] = iter(())
+        self._step_at = math.inf
+        self._scope = trio.CancelScope()
+        """Cancel scope of the wait for the caller."""
+
+    def begin(self, steps: Iterator[float]) -> None:
+        """Take a step now, and each further one at the time that the last one gave."""
+        self._steps = steps
+        self._take_step()
+
+    def end(self) -> None:
+        """Take no further steps."""
+        self._steps, self._step_at = iter(()), math.inf
+        self._scope.deadline = math.inf
+
+    async def run(
+        self,
+        caller: CallerExchange,
+        run_scope: trio.CancelScope,
+        may_abandon: Callable[[], bool],
+    ) -> None:
+        """Take the steps, and cancel ``run_scope`` once the caller disconnects."""
+        wait: Callable[[], Awaitable[None]] = caller.wait_until_disconnected
+        while True:
+            with trio.CancelScope(deadline=self._step_at) as self._scope:
+                await wait()
+                # The server reports a disconnect after the last byte too, while it
+                # still closes the connection in our task. Cancelling it there would
+                # leak the socket.
+                if not caller.finished and may_abandon():
+                    run_scope.cancel()
+                wait = trio.sleep_forever
+            if trio.current_time() >= self._step_at:
+                self._take_step()
+
+    def _take_step(self) -> None:
+        self._step_at = next(self._steps, math.inf)
+        self._scope.deadline = self._step_at
+
+
 async def run_for_caller(
     caller: CallerExchange,
     deadline: float,
     run: Callable[[], Awaitable[None]],
     may_abandon: Callable[[], bool] = lambda: True,
+    watch: RequestWatch | None = None,
 ) -> bool:
     """Run until a disconnect or the deadline; return whether the deadline passed.
 
     Work for a caller that has disconnected would use upstream capacity that waiting
     callers need. ``may_abandon`` is called on a disconnect; False lets the work
-    continue.
+    continue. ``watch`` is that of the run, if it needs one.
     """
+    watch = watch or RequestWatch()
     failure: CorianderError | None = None
     with trio.move_on_at(deadline) as scope:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, caller, nursery.cancel_scope, may_abandon
-            )
+            nursery.start_soon(watch.run, caller, nursery.cancel_scope, may_abandon)
             try:
                 await run()
             except CorianderError as exc:
@@ -38,13 +83,3 @@
     if failure is not None:
         raise failure
     return scope.cancelled_caught
-
-
-async def _cancel_when_gone(
-    caller: CallerExchange, scope: trio.CancelScope, may_abandon: Callable[[], bool]
-) -> None:
-    await caller.wait_until_disconnected()
-    # The server reports a disconnect after the last byte too, while it still closes the
-    # connection in our task. Cancelling it there would leak the socket.
-    if not caller.finished and may_abandon():
-        scope.cancel()
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -20,6 +20,8 @@
 from corianderlb_core.error import CorianderError
 from corianderlb_core.result import ResultCode
 
+from ._chunked_body import ChunkedBody, ChunkError
+
 RECEIVE_BYTES: Final = 65536
 """Most bytes read from a socket at once; bounds the memory per slow caller."""
 
@@ -142,7 +144,19 @@
         except OSError as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
-    async def send_all(self, data: bytes) -> None:
+    def send_at_once(self, data: bytes) -> memoryview:
+        """Send what can be sent without waiting; return the rest."""
+        if self._is_closed:
+            raise trio.ClosedResourceError("the stream was closed")
+        rest = memoryview(data)
+        try:
+            return rest[self._raw.send(rest) :]
+        except BlockingIOError:
+            return rest
+        except OSError as exc:
+            raise trio.BrokenResourceError(str(exc)) from exc
+
+    async def send_all(self, data: bytes | memoryview) -> None:
         """Send all bytes."""
         if self._is_closed:
             raise trio.ClosedResourceError("the stream was closed")
@@ -200,6 +214,7 @@
     """Pooled connection that carries one exchange at a time."""
 
     __slots__ = (
+        "_body",
         "_h11",
         "_is_head",
         "_raw_rest",
@@ -212,7 +227,7 @@
 
     def __init__(self, stream: trio.abc.Stream, address: str, generation: int) -> None:
         self._stream = stream
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = _new_parser()
         self.address = address
         self.generation = generation
         """The pool's generation when opened; older ones are not reused."""
@@ -220,17 +235,36 @@
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
         self._raw_rest = b""
+        self._body: ChunkedBody | None = None
+        """Body of the response, if it arrives in chunks."""
         self._is_head = False
 
     async def send_request(self, request: OutgoingRequest) -> None:
         """Send a request in one write."""
+        await self.send_rest(self.begin_request(request))
+
+    def begin_request(self, request: OutgoingRequest) -> bytes | memoryview:
+        """Send what can be sent of a request without waiting; return the rest."""
         try:
             data = self._encode(request)
         except h11.LocalProtocolError as exc:
             message = f"{self.address}: the request cannot be encoded: {exc}"
             raise BrokenError(message, sent=False) from exc
+        if not isinstance(self._stream, SocketStream):
+            return data
         try:
-            await self._stream.send_all(data)
+            return self._stream.send_at_once(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise BrokenError(
+                f"{self.address}: connection closed during send", sent=True
+            ) from exc
+
+    async def send_rest(self, rest: bytes | memoryview) -> None:
+        """Send the rest of a request that has begun."""
+        if not rest:
+            return
+        try:
+            await self._stream.send_all(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise BrokenError(
                 f"{self.address}: connection closed during send", sent=True
@@ -266,6 +300,9 @@
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
         if self.ends_by_close:
             self._raw_rest = self._h11.trailing_data[0]
+        elif has_body and b"transfer-encoding" in names:
+            # The parser of the head supports no other one than chunked.
+            self._body = ChunkedBody(self._h11.trailing_data[0])
 
     async def receive_raw(self) -> bytes:
         """Return body bytes as they arrive, empty at the end of the connection.
@@ -284,6 +321,8 @@
         Bytes that arrived together are returned as one chunk, so that the caller needs
         one write for them.
         """
+        if self._body is not None:
+            return await self._receive_decoded(self._body)
         event = await self._next_event()
         if type(event) is not h11.Data:
             return b""
@@ -295,6 +334,19 @@
             chunk += event.data
         return chunk
 
+    async def _receive_decoded(self, body: ChunkedBody) -> bytes:
+        while True:
+            try:
+                data = body.take()
+            except ChunkError as exc:
+                raise BrokenError(f"{self.address}: {exc}", sent=True) from exc
+            if data or body.is_complete:
+                return data
+            received = await self._receive_some()
+            if not received:
+                raise BrokenError(f"{self.address}: closed mid-response", sent=True)
+            body.add(received)
+
     async def _next_event(self) -> h11.Event:
         while True:
             event = self._parse()
@@ -325,21 +377,37 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange is complete and the connection stays open."""
+        if self._body is not None:
+            is_whole = self._body.is_complete and not self._body.rest
+            # Both sides' headers decide whether our state is done or has to close.
+            return is_whole and self._h11.our_state is h11.DONE
         states = (self._h11.our_state, self._h11.their_state)
         return states == (h11.DONE, h11.DONE) and not self._h11.trailing_data[0]
 
     def start_next_exchange(self) -> None:
         """Reset the parser for the next exchange after a complete one."""
-        self._h11.start_next_cycle()
+        if self._body is None:
+            self._h11.start_next_cycle()
+        else:
+            self._h11, self._body = _new_parser(), None
 
     @property
     def is_dropped(self) -> bool:
         """Whether the upstream closed or sent unsolicited data while idle."""
         return isinstance(self._stream, SocketStream) and self._stream.is_readable
 
+    @property
+    def closes_at_once(self) -> bool:
+        """Whether ``close`` never waits."""
+        return isinstance(self._stream, SocketStream)
+
     async def close(self) -> None:
         """Close the socket without waiting for the upstream."""
         if isinstance(self._stream, SocketStream):
             self._stream.close()
         else:
             await trio.aclose_forcefully(self._stream)
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -112,6 +112,10 @@
 DEMAND_WINDOW_S: Final = 2.0
 """Time constant over which the rate of tokens to prefill is averaged."""
 
+MEAN_RATE_TTL_S: Final = 0.1
+"""Time for which the mean rate of an upstream's engines is kept. It is an average over
+seconds."""
+
 MAX_PART_ANNOUNCEMENTS: Final = 200
 """Maximum number of part announcements per update; the rest wait for the next one."""
 
@@ -178,6 +182,8 @@
         self._common_estimates: dict[str, CommonEstimates] = {}
         self._prefill_demands: dict[str, DecayedRate] = {}
         """By upstream: prompt tokens assigned to its engines by all routers."""
+        self._mean_rates: dict[str, tuple[float, float | None]] = {}
+        """Mean rate of an upstream's engines, and when it was worked out."""
         self._part_announcements: list[PartsAnnouncement] = []
         self.part_gossip = PartGossip(self.index, rng)
         """Announcements of parts that spread over the whole fleet."""
@@ -205,21 +211,34 @@
         self, query: EngineQuery, upstream: str, avoid: Sequence[IncarnationKey]
     ) -> EngineChoice | None:
         """Return the best engine of an upstream, or None when none is available."""
-        awake = [
-            view
-            for view in self._views(upstream, query.prompt.model)
-            if view.instance.incarnation_key not in avoid
-            and self.weights.phase(view.instance) is not EnginePhase.LOADING
-        ]
+        # Most of the time nothing is wrong with any engine; each is then looked at for
+        # the choice alone.
+        awake = self._views(upstream, query.prompt.model)
+        all_serve = self.weights.all_serve
+        if avoid or not all_serve:
+            awake = [
+                view
+                for view in awake
+                if view.instance.incarnation_key not in avoid
+                and self.weights.phase(view.instance) is not EnginePhase.LOADING
+            ]
         views = [view for view in awake if self._permits.may_send(view.instance)]
         if not views:
             return None
-        for allowed in (
-            lambda view: self.weights.phase(view.instance) is EnginePhase.SERVING,
-            lambda view: self._health.may_send(view.instance.incarnation_key),
-            lambda view: not self._is_in_backoff(view.instance, query.now),
-        ):
-            views = allowed_or_all(views, allowed)
+        if not all_serve:
+            views = allowed_or_all(
+                views,
+                lambda view: self.weights.phase(view.instance) is EnginePhase.SERVING,
+            )
+        if not self._health.is_unlimited:
+            views = allowed_or_all(
+                views,
+                lambda view: self._health.may_send(view.instance.incarnation_key),
+            )
+        if self._in_trouble:
+            views = allowed_or_all(
+                views, lambda view: not self._is_in_backoff(view.instance, query.now)
+            )
         query = self._with_turns(query, views, upstream)
         if self._level_queues and not views[0].estimator.is_uneven:
             unseen_s = self._unseen_s(views, upstream)
@@ -330,7 +349,12 @@
         if instance.incarnation_key not in self._in_trouble:
             return False
         engine = self._engine(instance)
-        return engine.refused_until > now or self._is_unreachable(instance, now)
+        if engine.refused_until > now or self._is_unreachable(instance, now):
+            return True
+        reported_at = max(engine.unreachable_reports.values(), default=-math.inf)
+        if now - max(reported_at, engine.crashed_at) >= UNREACHED_BACKOFF_S:
+            self._in_trouble.discard(instance.incarnation_key)
+        return False
 
     def _is_unreachable(self, instance: ForwardInstance, now: float) -> bool:
         engine = self._engine(instance)
@@ -442,7 +466,18 @@
         return choice.n_missing / tokens_per_s / n_engines
 
     def _mean_tokens_per_s(self, upstream: str) -> float | None:
-        """Return the mean rate of an upstream's engines; None if not learned."""
+        """Return the mean rate of an upstream's engines; None if not learned.
+
+        It is kept for a moment, since each look of a request that waits asks for it.
+        """
+        now = trio.current_time()
+        kept_at, rate = self._mean_rates.get(upstream, (-math.inf, None))
+        if now - kept_at >= MEAN_RATE_TTL_S:
+            rate = self._find_mean_tokens_per_s(upstream)
+            self._mean_rates[upstream] = (now, rate)
+        return rate
+
+    def _find_mean_tokens_per_s(self, upstream: str) -> float | None:
         if self.speeds.common_tokens_per_s(upstream) is None:
             return None
         rates = [
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 from typing import Final
 
 import trio
 
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 
+from .caller_run import RequestWatch
 from .connection import (
     BrokenError,
     ConnectFailedError,
@@ -101,6 +102,8 @@
     """Digest of account, method, target and body, equal for repeats of a request."""
     part_digests: tuple[bytes, ...] = ()
     """Digests of the shared parts of its prompt."""
+    watch: RequestWatch = field(default_factory=RequestWatch)
+    """Watches the clock for the attempts."""
 
 
 class ForwardAttempt:
@@ -230,21 +233,14 @@
         That may happen after a timeout or if the engine is unresponsive.
         """
         self.sent_at = sent_at = trio.current_time()
-        answer: Answer | None = None
-        failure: UpstreamError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_send, sent_at, nursery.cancel_scope)
+        with trio.CancelScope() as scope:
+            self._job.watch.begin(self._watch_send(sent_at, scope))
             try:
                 answer = await self._send()
-            except UpstreamError as exc:
-                # Raised after the nursery, which would wrap it in an exception group.
-                failure = exc
-            nursery.cancel_scope.cancel()
-        if answer is not None:
+            finally:
+                self._job.watch.end()
             self._head_received_at = trio.current_time()
             return answer
-        if failure is not None:
-            raise failure
         if not self._is_withdrawn:
             self._doubt_path(sent_at, "no response head in time")
         if not self.may_have_run:
@@ -253,11 +249,11 @@
             raise WithdrawnError("withdrawn before its weights expired", sent=True)
         raise SilentError("no response head in time", sent=True)
 
-    async def _watch_send(self, sent_at: float, scope: trio.CancelScope) -> None:
+    def _watch_send(self, sent_at: float, scope: trio.CancelScope) -> Iterator[float]:
         """Cancel the scope of a request once it is withdrawn or another takes over.
 
         Meanwhile settle the permit once a refusal for want of room would have arrived,
-        and have the path probed if nothing arrives. One task does all of this.
+        and have the path probed if nothing arrives. Yields when to look again.
         """
         limit_s = self._head_timeout_s()
         check_s = min(limit_s, UNRESPONSIVE_S)
@@ -284,7 +280,7 @@
                         break
                     check_s = RESERVE_INTERVAL_S
                 check_at = now + check_s
-            await trio.sleep_until(min(withdraws_at, settle_at, question_at, check_at))
+            yield min(withdraws_at, settle_at, question_at, check_at)
         scope.cancel()
 
     async def _send(self) -> Answer:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -102,7 +102,11 @@
             return
         holding.unread_since = trio.current_time()
         try:
-            await super().write(data)
+            if self._connection is None:
+                await super().write(data)
+            else:
+                await trio.lowlevel.checkpoint_if_cancelled()
+                await self._connection.send_part(data)
         finally:
             holding.unread_since = math.inf
         self._check_connection()
@@ -114,11 +118,23 @@
             return
         holding.unread_since = trio.current_time()
         try:
-            await super()._send_uncancelled(message)
+            if self._connection is None:
+                await super()._send_uncancelled(message)
+            else:
+                # It cancels no write, and has a timeout of its own.
+                await self._send(message)
         finally:
             holding.unread_since = math.inf
         self._check_connection()
 
+    @property
+    def _has_whole_request(self) -> bool:
+        return self._connection is not None and self._connection.has_whole_request
+
+    @property
+    def _sends_at_once(self) -> bool:
+        return self._connection is not None
+
     def _check_connection(self) -> None:
         """Raise if the connection was closed during a write, which ends without one."""
         if self.is_cut or (self._connection and self._connection.has_timed_out):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -183,7 +183,7 @@
         run = ForwardRun(job)
         request_log.run = run
         try:
-            await self._run_until_deadline(caller, run, deadline)
+            await self._run_until_deadline(caller, run, job)
         finally:
             if not run.may_have_run:
                 usage.refund()
@@ -212,10 +212,12 @@
         return origin
 
     async def _run_until_deadline(
-        self, caller: ForwardCaller, run: ForwardRun, deadline: float
+        self, caller: ForwardCaller, run: ForwardRun, job: ForwardJob
     ) -> None:
         """Run until the deadline or until the caller disconnects."""
-        is_late = await run_for_caller(caller, deadline, run.run, run.may_abandon)
+        is_late = await run_for_caller(
+            caller, job.deadline, run.run, run.may_abandon, job.watch
+        )
         if caller.finished:
             return
         if is_late:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -114,8 +114,14 @@
         self._stall_s = stall_s
         self._last_write_at: float | None = None
         self._is_interrupted = False
-        self._wait_scope = trio.CancelScope()
-        """Cancel scope of the wait for the next chunk."""
+        self._is_checked = False
+        """Whether the source of the answer was checked."""
+        self._is_waiting = False
+        """Whether it waits for the next chunk."""
+        self._late_chunk = b""
+        """Chunk that arrived at the moment at which the wait for it was ended."""
+        self._scope = trio.CancelScope()
+        """Cancel scope of the waits for chunks and of the writes."""
 
     @property
     def resume_after(self) -> int | None:
@@ -126,46 +132,76 @@
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
         """Relay the events that the caller has not received yet."""
-        self._is_interrupted = False
-        is_checked = False
+        self._is_interrupted = self._is_checked = False
         splitter = EventSplitter()
-        with trio.CancelScope() as write_scope:
-            while chunk := await self._receive(exchange):
-                on_data()
-                ready = b"".join(self._new_events(splitter, chunk))
-                if ready and not is_checked:
-                    self.check_source()
-                    is_checked = True
-                if ready:
-                    await self._write(head, ready, write_scope)
-        if write_scope.cancelled_caught:
-            raise CallerGoneError("the caller stopped reading its stream")
+        limit_s = self._stall_s
+        while not await self._relay_until_pause(
+            head, exchange, on_data, splitter, limit_s
+        ):
+            if self._late_chunk:
+                continue
+            if not self._is_waiting:
+                raise CallerGoneError("the caller stopped reading its stream")
+            if self._is_interrupted:
+                raise TakenOffError("interrupted for a weights load", sent=True)
+            if self.reserve_retry():
+                raise SilentError(f"no event for {self._stall_s} s", sent=True)
+            limit_s = RESERVE_INTERVAL_S
         if splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
         if not self.caller.started:
             await self.caller.start(head.status, list(head.headers))
         await self.caller.finish()
 
+    async def _relay_until_pause(
+        self,
+        head: UpstreamHead,
+        exchange: Exchange,
+        on_data: Callable[[], None],
+        splitter: EventSplitter,
+        limit_s: float,
+    ) -> bool:
+        """Relay events until the end; return False if a wait or a write was ended.
+
+        ``limit_s`` is the limit of the first wait. One scope serves all waits and
+        writes, since entering one for each event costs more.
+        """
+        receive_chunk, caller = exchange.receive_chunk, self.caller
+        with trio.CancelScope() as scope:
+            self._scope = scope
+            while True:
+                chunk, self._late_chunk = self._late_chunk, b""
+                if not chunk:
+                    _set_deadline(scope, limit_s if self.n_events else math.inf)
+                    self._is_waiting = True
+                    if self._is_interrupted:
+                        scope.cancel()
+                    chunk = await receive_chunk()
+                    self._is_waiting = False
+                    if not chunk:
+                        return True
+                    if scope.cancel_called:
+                        # Cancelling its write would lose what is counted as sent.
+                        self._late_chunk = chunk
+                        break
+                limit_s = self._stall_s
+                on_data()
+                ready = b"".join(self._new_events(splitter, chunk))
+                if ready:
+                    if not self._is_checked:
+                        self.check_source()
+                        self._is_checked = True
+                    _set_deadline(scope, caller.stall_s)
+                    await self._write(head, ready)
+                    if scope.cancel_called:
+                        break
+        return False
+
     def interrupt(self) -> None:
         """Interrupt ``relay_answer`` while it waits for the next chunk."""
         self._is_interrupted = True
-        self._wait_scope.cancel()
-
-    async def _receive(self, exchange: Exchange) -> bytes:
-        # Only the wait is cancelled: cancelling a write could lose an event that is
-        # already counted as sent.
-        limit_s = self._stall_s if self.n_events else math.inf
-        while True:
-            deadline = trio.current_time() + limit_s
-            with trio.CancelScope(deadline=deadline) as self._wait_scope:
-                if self._is_interrupted:
-                    self._wait_scope.cancel()
-                return await exchange.receive_chunk()
-            if self._is_interrupted:
-                raise TakenOffError("interrupted for a weights load", sent=True)
-            if self.reserve_retry():
-                raise SilentError(f"no event for {self._stall_s} s", sent=True)
-            limit_s = RESERVE_INTERVAL_S
+        if self._is_waiting:
+            self._scope.cancel()
 
     def _new_events(self, splitter: EventSplitter, chunk: bytes) -> list[bytes]:
         try:
@@ -189,19 +225,22 @@
             ready.append(event.data)
         return ready
 
-    async def _write(
-        self, head: UpstreamHead, data: bytes, scope: trio.CancelScope
-    ) -> None:
-        """Send events; ``scope`` is cancelled when the caller stops reading them."""
+    async def _write(self, head: UpstreamHead, data: bytes) -> None:
+        """Send events to the caller."""
         caller = self.caller
         now = trio.current_time()
         if self._last_write_at is not None:
             self.longest_pause_s = max(self.longest_pause_s, now - self._last_write_at)
         self._last_write_at = now
-        # One scope for all writes: entering one for each event costs more.
-        scope.deadline = now + caller.stall_s
         if not caller.started:
             self.on_begin()
             await caller.start(head.status, list(head.headers), more_follows=True)
         await caller.write(data)
+
+
+def _set_deadline(scope: trio.CancelScope, limit_s: float) -> None:
+    """Limit what follows in a scope; a limit that stays infinite costs nothing."""
+    if limit_s < math.inf:
+        scope.deadline = trio.current_time() + limit_s
+    elif scope.deadline < math.inf:
         scope.deadline = math.inf
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
-from typing import Final
+from typing import Any, Final
 
 import trio
 
@@ -234,7 +233,9 @@
             with waiting.waiting():
                 looks_at = now + waiting.pause_s
                 if now < waits_until:
-                    looks_at = min(looks_at, waits_until)
+                    # Evenly spaced: a last look soon after another finds little new.
+                    left_s = waits_until - now
+                    looks_at = now + left_s / max(1, round(left_s / waiting.pause_s))
                 if waiting.pause_s > POLL_S:
                     # A change would wake all of them at once.
                     await trio.sleep_until(looks_at)
@@ -670,18 +671,10 @@
         detail: str = "",
     ) -> None:
         took_s = trio.current_time() - (started_at or self._caller.arrived_at)
-        record = AttemptRecord(
-            placement.instance.instance,
-            outcome,
-            round(took_s * 1000),
-            round(placement.estimate_s * 1000),
-            detail,
-            software=placement.instance.software_version,
-        )
+        fields: dict[str, Any] = {}
         choice = placement.choice
         if choice is not None:
-            record = dataclasses.replace(
-                record,
+            fields.update(
                 wait_ms=round(choice.wait_s * 1000),
                 n_missing=choice.n_missing,
                 weights=choice.view.weights_version,
@@ -690,8 +683,7 @@
         attempt = self._current_attempt
         if attempt is not None and attempt.sent_at is not None:
             age_s = attempt.sent_at - (choice.view.replaced_at if choice else math.inf)
-            record = dataclasses.replace(
-                record,
+            fields.update(
                 weights_age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
                 began_ms=attempt.began_ms,
                 n_events=attempt.n_events,
@@ -699,5 +691,14 @@
                 left_ms=round((self._deadline - trio.current_time()) * 1000),
                 via=attempt.via,
             )
+        record = AttemptRecord(
+            placement.instance.instance,
+            outcome,
+            round(took_s * 1000),
+            round(placement.estimate_s * 1000),
+            detail,
+            software=placement.instance.software_version,
+            **fields,
+        )
         self.attempt_records.append(record)
         self._parts.metrics.attempt_ended(outcome, len(self.attempt_records) > 1)
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -39,12 +39,14 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._entries: dict[IncarnationKey, _Entry] = {}
+        self._limited: set[IncarnationKey] = set()
+        """Incarnations that may receive fewer requests than others, or none."""
 
     def may_send(self, incarnation: IncarnationKey) -> bool:
         """Return whether an instance may receive one more request."""
-        entry = self._entries.get(incarnation)
-        if entry is None:
+        if incarnation not in self._limited:
             return True
+        entry = self._entries[incarnation]
         health = entry.health
         now = trio.current_time()
         if health.is_retired and health.is_probe_due(now):
@@ -52,6 +54,11 @@
             self._log(incarnation, entry)
         return not health.is_retired and health.has_capacity(entry.n_in_flight)
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether every instance may receive requests."""
+        return not self._limited
+
     def failure_rate(self, incarnation: IncarnationKey) -> float:
         """Return the moving average of failed attempts, from 0 to 1."""
         entry = self._entries.get(incarnation)
@@ -101,13 +108,19 @@
     ) -> None:
         if entry.health.record(verdict, trio.current_time(), self._rng):
             self._log(incarnation, entry)
+            if entry.health.is_limited:
+                self._limited.add(incarnation)
+            else:
+                self._limited.discard(incarnation)
 
     def _entry_of(self, incarnation: IncarnationKey) -> _Entry:
         entry = self._entries.get(incarnation)
         if entry is None:
             entry = self._entries[incarnation] = _Entry()
             if len(self._entries) > MAX_INCARNATIONS:
-                del self._entries[next(iter(self._entries))]
+                oldest = next(iter(self._entries))
+                del self._entries[oldest]
+                self._limited.discard(oldest)
         return entry
 
     @staticmethod
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -31,23 +31,12 @@
 FRESH: Final = "fresh"
 """Request extension: use a new connection instead of a pooled one."""
 
-VIA: Final = "via"
-"""Request extension: ``Connector`` to use in place of the pool's; its connections carry
-one exchange."""
-
 UNTIL_CLOSE: Final = "until_close"
 """Request extension: see ``OutgoingRequest.until_close``."""
 
 SEND_BEFORE: Final = "send_before"
 """Request extension: time by the router's clock after which nothing may be sent."""
 
-ON_SEND: Final = "on_send"
-"""Request extension: function that is called right before the first byte is sent."""
-
-TARGET: Final = "target"
-"""Request extension: the exact request target. The client would normalise a URL, and
-the upstream would receive another path than the caller sent."""
-
 EXCHANGE: Final = "exchange"
 """Response extension: the ``Exchange``, for reading chunks without httpx overhead."""
 
@@ -158,6 +147,9 @@
         if self._closed:
             return
         self._closed = True
+        if self._conn.closes_at_once:
+            await self._pool.give_back(self._conn)
+            return
         with trio.CancelScope(shield=True):
             await self._pool.give_back(self._conn)
 
@@ -173,7 +165,7 @@
     is_fresh: bool = False
     """Whether to use a new connection instead of a pooled one."""
     connector: Connector | None = None
-    """``Connector`` in place of the pool's; see ``VIA``."""
+    """``Connector`` in place of the pool's; its connections carry one exchange."""
     send_before: float = math.inf
     """Time by the router's clock after which nothing may be sent."""
     on_send: Callable[[], None] = lambda: None
@@ -204,13 +196,11 @@
             timeout["write"],
             timeout["read"],
             bool(extensions.get(FRESH)),
-            extensions.get(VIA),
-            extensions.get(SEND_BEFORE, math.inf),
-            extensions.get(ON_SEND, _do_nothing),
+            send_before=extensions.get(SEND_BEFORE, math.inf),
         )
         outgoing = OutgoingRequest(
             method=request.method.encode(),
-            target=extensions.get(TARGET, request.url.raw_path),
+            target=request.url.raw_path,
             headers=request.headers.raw,
             body=request.content,
             until_close=bool(extensions.get(UNTIL_CLOSE)),
@@ -246,7 +236,9 @@
                 message = f"{address}: send deadline passed"
                 raise ConnectFailedError(message, refused=False)
             cfg.on_send()
-            await _with_timeout(cfg.write_s, conn, lambda: conn.send_request(request))
+            rest = conn.begin_request(request)
+            if rest:
+                await _with_timeout(cfg.write_s, conn, lambda: conn.send_rest(rest))
             head = await _with_timeout(cfg.read_s, conn, conn.receive_head)
         except BaseException:
             with trio.CancelScope(shield=True):
@@ -266,10 +258,6 @@
     httpx.URL(f"http://{address}/")
 
 
-def _do_nothing() -> None:
-    pass
-
-
 async def _with_timeout(
     limit_s: float, conn: Connection, step: Callable[[], Awaitable[T]]
 ) -> T:
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -107,6 +107,11 @@
                 self._on_loaded(instance)
             self._state.record_engine_weights(model, version)
 
+    @property
+    def all_serve(self) -> bool:
+        """Whether every engine is serving for sure."""
+        return not self._not_serving
+
     def phase(self, instance: ForwardInstance) -> EnginePhase:
         """Return the current phase of an engine."""
         if instance.incarnation_key not in self._not_serving:
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_chunked_body.py
@@ -0,0 +1,67 @@
+"""Tests of the decoder of chunked bodies, beside the parser that it stands in for."""
+
+from __future__ import annotations
+
+import unittest
+
+import h11
+
+from corianderlb_router._chunked_body import ChunkedBody, ChunkError
+
+BODY = (
+    b"5\r\nhello\r\n00a;note=1\r\n\r\n0\r\n\r\nab\r\r\n1\r\n!\r\n"
+    b"0\r\nx-trailer: 1\r\n\r\n"
+)
+"""Chunks whose bytes look like lines, an extension and a trailer."""
+
+MALFORMED = (
+    b"hello\r\n",
+    b"5\nhello\r\n0\r\n\r\n",
+    b"5\r\nhello5\r\nhello\r\n0\r\n\r\n",
+    b"5\r\nhello\r\n-1\r\n",
+    b"5\r\nhello\r\n\r\n\r\n",
+    b"11112222333344445\r\n",
+)
+
+
+def decoded(*segments: bytes) -> bytes:
+    """Return the body that arrives in these segments."""
+    body = ChunkedBody(b"")
+    content = b""
+    for segment in segments:
+        body.add(segment)
+        content += body.take()
+    assert body.is_complete
+    return content
+
+
+class ChunkedBodyTest(unittest.TestCase):
+    def test_body_is_that_of_the_parser_wherever_it_is_split(self) -> None:
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        parser.receive_data(head + BODY)
+        content = b""
+        while type(event := parser.next_event()) is not h11.EndOfMessage:
+            content += getattr(event, "data", b"")
+        for place in range(len(BODY) + 1):
+            self.assertEqual(decoded(BODY[:place], BODY[place:]), content)
+        self.assertEqual(decoded(*(bytes([byte]) for byte in BODY)), content)
+
+    def test_bytes_after_the_end_are_left(self) -> None:
+        body = ChunkedBody(BODY + b"HTTP/1.1")
+        body.take()
+        self.assertEqual((body.is_complete, body.rest), (True, b"HTTP/1.1"))
+
+    def test_malformed_bodies_are_refused(self) -> None:
+        """Guards against chunks that are taken for the body."""
+        for text in MALFORMED:
+            body = ChunkedBody(text)
+            with self.assertRaises(ChunkError, msg=text):
+                body.take()
+
+    def test_endless_line_is_refused(self) -> None:
+        """Guards against memory that an upstream can fill."""
+        body = ChunkedBody(b"5\r\nhello\r\n0\r\nx: " + b"a" * 70_000)
+        with self.assertRaises(ChunkError):
+            body.take()
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -8,6 +8,7 @@
 
 import eliot
 import trio
+import trio.testing
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_core.forwarding import ForwardInstance
@@ -20,7 +21,10 @@
     MODEL,
     NOT_RUN,
     ROUTES,
+    STREAM_END,
+    STREAM_HEAD,
     WEIGHTS,
+    Answer,
     ForwardRouter,
     Upstream,
     a_configuration,
@@ -29,6 +33,7 @@
     an_answer,
     an_event,
     an_instance,
+    chunk,
     never_answer,
 )
 
@@ -607,7 +612,7 @@
             self.assertLessEqual(choose.call_count, 100 * 3 + 2)
             self.assertGreaterEqual(choose.call_count, 100 * 2)
 
-    async def test_attempt_needs_one_task_beside_its_own(self) -> None:
+    async def test_request_needs_one_task_beside_its_own(self) -> None:
         """Guards against tasks that only watch the clock."""
         spawned: list[str] = []
 
@@ -615,12 +620,43 @@
             def task_spawned(self, task: trio.lowlevel.Task) -> None:
                 spawned.append(task.name)
 
-        async with a_router(s1=Upstream([an_answer()])) as router:
-            trio.lowlevel.add_instrument(Watcher())
-            caller = await router.ask("/read/7")
-            self.assertEqual(caller.status, 200)
-        of_attempt = [name for name in spawned if "forward_attempt" in name]
-        self.assertEqual(len(of_attempt), 1, spawned)
+        upstreams = {"s1": Upstream([an_answer()]), "e1": Upstream([a_stream(1, 2)])}
+        async with a_router(**upstreams) as router:
+            for path, fields in (("/read/7", {}), ("/long/7", {"x_prompt": PROMPT})):
+                watcher = Watcher()
+                trio.lowlevel.add_instrument(watcher)
+                caller = await router.ask(path, **fields)
+                trio.lowlevel.remove_instrument(watcher)
+                self.assertEqual(caller.status, 200)
+                ours = [name for name in spawned if "forward_builders" not in name]
+                self.assertEqual(len(ours), 1, spawned)
+                spawned.clear()
+
+    async def test_events_of_a_stream_enter_no_scopes(self) -> None:
+        """Guards against a cancel scope for each event."""
+        n_entered = []
+        for last in (2, 40):
+            async with a_router(e1=Upstream([one_by_one(last)])) as router:
+                with mock.patch.object(
+                    trio, "CancelScope", wraps=trio.CancelScope
+                ) as scope:
+                    caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertEqual(caller.answer.count(b"data:"), last)
+            n_entered.append(scope.call_count)
+        self.assertEqual(*n_entered)
+
+
+def one_by_one(last: int) -> Answer:
+    """Build a stream whose events arrive one by one."""
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        await stream.send_all(STREAM_HEAD)
+        for number in range(1, last + 1):
+            await stream.send_all(chunk(an_event(number)))
+            await trio.testing.wait_all_tasks_blocked()
+        await stream.send_all(STREAM_END)
+
+    return answer
 
 
 async def ask_in_vain(router: ForwardRouter, request_id: str) -> None:
