Retries: log the first byte of each beside its charge, and the age of the process

What was charged could be counted, what was sent and when could not, so hypotheses 1, 3 and 5 of docs/incidents/retries-that-arrive-together.md could not be told apart. New: the line retry:sent (time since the charge, none if there was none), runs_ms in retry:charged, corianderlb_retries_sent_total by whether a retry was charged, corianderlb_retry_delay_seconds. No logic changes.

The guard of shown names has the new names.

--- a/packages/corianderlb-core/src/corianderlb_core/catalogue_review.py
+++ b/packages/corianderlb-core/src/corianderlb_core/catalogue_review.py
@@ -45,9 +45,8 @@
     For example, an account without keys gives one warning,
     ``account/a: key_digests: no caller can use the account without a key``.
     """
-    warnings = [
-        warning for review in _REVIEWS for warning in review(_Usable(catalogue))
-    ]
+    usable = _Usable(catalogue)
+    warnings = [warning for review in _REVIEWS for warning in review(usable)]
     return tuple(sorted(warnings, key=str))
 
 
@@ -64,14 +63,14 @@
 
     def targets(self, account: Account) -> list[Entry]:
         """Return the models, adapters and routes that an account may use."""
+        models, routes = account.models, account.routes
         return [
-            *(m for m in self.models if not account.models or m.name in account.models),
             *(
-                a
-                for a in self.adapters
-                if not account.models or a.name in account.models
+                entry
+                for entry in (*self.models, *self.adapters)
+                if not models or entry.name in models
             ),
-            *(r for r in self.routes if not account.routes or r.name in account.routes),
+            *(entry for entry in self.routes if not routes or entry.name in routes),
         ]
 
 
--- a/packages/corianderlb-core/src/corianderlb_core/engine_memory.py
+++ b/packages/corianderlb-core/src/corianderlb_core/engine_memory.py
@@ -55,8 +55,8 @@
 requests of all routers would meet at the one that late reports show as empty."""
 
 MAX_SILENT_S: Final = 1.0
-"""Longest silence of all routers that adds to what may have been sent. Those that are
-silent for longer aren't heard; where nobody has work, nothing is reported."""
+"""Longest time without any report that adds to what may have been sent. Routers that
+are silent for longer count as not heard, and routers without work send no reports."""
 
 LATE_WEIGHT: Final = 0.1
 """Weight of one report in how late they are."""
--- a/packages/corianderlb-core/tests/test_data_class.py
+++ b/packages/corianderlb-core/tests/test_data_class.py
@@ -94,10 +94,7 @@
         self.assertEqual(seen(ours, args, kwargs), seen(standard, args, kwargs))
 
     def test_frozen_instances_refuse_every_name(self) -> None:
-        """Guards against attributes that are no fields.
-
-        The standard library fails on them where classes have slots.
-        """
+        """Guards against attributes that are no fields, where classes have slots."""
         for slots in (False, True):
             made = make_class(dataclass, "Named", frozen=True, slots=slots)(count=1)
             for name in ("count", "second"):
--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -20,8 +20,7 @@
 
 from corianderlb_core.data_class import dataclass
 
-READ_BYTES: Final = 1 << 16
-"""Most bytes taken from a socket at once."""
+from .connection import BODILESS_STATUSES, SocketStream
 
 WRITE_BYTES: Final = 1 << 16
 """Most bytes written at once; the write timeout applies to each such piece."""
@@ -45,7 +44,6 @@
 """Header of an answer whose body is sent in chunks."""
 
 _DISCONNECT: Final = {"type": "http.disconnect"}
-_BODILESS_STATUSES: Final = (204, 304)
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 
 log = logging.getLogger(__name__)
@@ -94,13 +92,13 @@
 class HttpConnection:
     """Serves the requests of one connection until either side closes it.
 
-    ``caller`` is the remote address of the socket, which does not block.
+    ``caller`` is the remote address of ``sock``, which was accepted.
     """
 
     def __init__(
         self, sock: socket.socket, caller: tuple[Any, ...], cfg: ConnectionSettings
     ) -> None:
-        self._sock = sock
+        self._stream = SocketStream(sock)
         self._caller = caller
         self._cfg = cfg
         self.on_progress: Callable[[], None] = lambda: None
@@ -109,7 +107,6 @@
         """Whether it was closed since the remote side did not read."""
         self.is_idle = True
         """Whether no request is being served."""
-        self._is_closed = False
         self._state = Http1State(
             h11.SERVER, max_incomplete_event_size=cfg.max_head_bytes
         )
@@ -149,10 +146,7 @@
 
     def close(self) -> None:
         """Close the socket, which ends a write that waits for the caller to read."""
-        if not self._is_closed:
-            self._is_closed = True
-            trio.lowlevel.notify_closing(self._sock)
-            self._sock.close()
+        self._stream.close()
 
     # The request.
 
@@ -186,7 +180,7 @@
     def _feed_arrived(self) -> None:
         """Pass on what has arrived, which is mostly the first request."""
         with suppress(OSError, ValueError):
-            self._feed(self._sock.recv(READ_BYTES))
+            self._feed(self._stream.receive_at_once())
 
     async def _serve(self, app: Application, request: h11.Request) -> None:
         """Serve one request; its application may close the connection."""
@@ -221,7 +215,7 @@
             "root_path": "",
             "headers": [item for item in request.headers if item[0] != b"upgrade"],
             "client": self._caller[:2],
-            "server": self._sock.getsockname()[:2],
+            "server": self._stream.local_address,
             "state": {},
             "extensions": {},
             CONNECTION: self,
@@ -286,19 +280,14 @@
     async def _receive(self) -> bytes | None:
         """Return bytes, empty at the end of the stream; None if it is broken."""
         try:
-            while True:
-                await trio.lowlevel.wait_readable(self._sock)
-                try:
-                    return self._sock.recv(READ_BYTES)
-                except BlockingIOError:
-                    continue
-        except (OSError, ValueError, trio.ClosedResourceError):
+            return await self._stream.receive_some()
+        except (ValueError, trio.BrokenResourceError, trio.ClosedResourceError):
             # The socket may be closed by another task.
             return None
 
     def _may_go_on(self) -> bool:
         """Return whether another request may follow, and prepare for it."""
-        if self._is_gone or self._is_closed or not self._is_complete:
+        if self._is_gone or self._stream.is_closed or not self._is_complete:
             return False
         try:
             self._skip_unread()
@@ -324,7 +313,7 @@
             if event is not h11.NEED_DATA or self._state.their_state is h11.DONE:
                 return
             try:
-                self._feed(self._sock.recv(READ_BYTES))
+                self._feed(self._stream.receive_at_once())
             except OSError:
                 return
 
@@ -372,7 +361,7 @@
 
     @property
     def _has_no_body(self) -> bool:
-        return self._method == b"HEAD" or self._status in _BODILESS_STATUSES
+        return self._method == b"HEAD" or self._status in BODILESS_STATUSES
 
     async def _respond(
         self,
@@ -430,13 +419,13 @@
         write; ``close`` and the timeout do. The timeout is for each piece: whoever
         reads slowly still reads.
         """
-        if self._is_closed or self._failure is not None or not data:
+        if self._stream.is_closed or self._failure is not None or not data:
             return
         try:
             if len(data) <= WRITE_BYTES:
-                n_sent = self._send_some(data)
-                if n_sent < len(data):
-                    await self._write_piece(memoryview(data)[n_sent:])
+                rest = self._stream.send_at_once(data)
+                if rest:
+                    await self._write_piece(rest)
             else:
                 pieces = memoryview(data)
                 for start in range(0, len(data), WRITE_BYTES):
@@ -445,21 +434,20 @@
         except trio.TooSlowError:
             self.has_timed_out = True
             self._leave()
-        except (OSError, ValueError, trio.ClosedResourceError):
+        except (
+            OSError,
+            ValueError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
             self._leave()
 
-    def _send_some(self, data: bytes | memoryview) -> int:
-        try:
-            return self._sock.send(data)
-        except BlockingIOError:
-            return 0
-
     async def _write_piece(self, data: memoryview) -> None:
         deadline = trio.current_time() + self._cfg.write_timeout_s
         with trio.CancelScope(shield=True, deadline=deadline) as scope:
             while data:
-                await trio.lowlevel.wait_writable(self._sock)
-                data = data[self._send_some(data) :]
+                await self._stream.wait_send_all_might_not_block()
+                data = self._stream.send_at_once(data)
         if scope.cancelled_caught:
             raise trio.TooSlowError
 
--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -42,12 +42,14 @@
                 "corianderlb_forwarded_total",
                 "corianderlb_forward_attempts_total",
                 "corianderlb_forward_prompt_tokens_total",
+                "corianderlb_retries_sent_total",
                 "corianderlb_streams_resumed_total",
             )
         }
         for name in (
             "corianderlb_forward_first_seconds",
             "corianderlb_forward_whole_seconds",
+            "corianderlb_retry_delay_seconds",
         ):
             self._record[name] = histogram(name).record
         for name, read in gauges.items():
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -37,7 +37,7 @@
 _COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """Parser states after a complete response; in the last two the upstream also closes."""
 
-_BODILESS_STATUSES: Final = (204, 304)
+BODILESS_STATUSES: Final = (204, 304)
 """Statuses whose responses have no body."""
 
 MAX_HEAD_BYTES: Final = 65536
@@ -89,7 +89,9 @@
         """Return a connected socket stream with Nagle's algorithm disabled."""
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        stream = SocketStream(socket.socket(family, socket.SOCK_STREAM))
+        raw = socket.socket(family, socket.SOCK_STREAM)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = SocketStream(raw)
         try:
             await stream.connect(host.strip("[]"), int(port))
         except BaseException:
@@ -101,7 +103,8 @@
 class SocketStream(trio.abc.Stream):
     """Socket stream that waits for readability before it reads.
 
-    The events of a response arrive one by one, so a first read almost always blocks.
+    For both sides of a connection. Events, and requests of a connection that is kept
+    open, arrive one by one, so a first read almost always blocks.
     Trio's own stream attempts that read and yields once more after the wait, which
     doubles the cost per chunk. Connects and writes are tried first, as those to a near
     host almost never block.
@@ -109,7 +112,6 @@
 
     def __init__(self, raw: socket.socket) -> None:
         raw.setblocking(False)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._raw = raw
         self._is_closed = False
 
@@ -144,7 +146,11 @@
         except OSError as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
-    def send_at_once(self, data: bytes) -> memoryview:
+    def receive_at_once(self) -> bytes:
+        """Return the bytes that have arrived; raise ``OSError`` if there are none."""
+        return self._raw.recv(RECEIVE_BYTES)
+
+    def send_at_once(self, data: bytes | memoryview) -> memoryview:
         """Send what can be sent without waiting; return the rest."""
         if self._is_closed:
             raise trio.ClosedResourceError("the stream was closed")
@@ -188,6 +194,17 @@
         self.close()
         await trio.lowlevel.checkpoint()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether this side has closed it."""
+        return self._is_closed
+
+    @property
+    def local_address(self) -> tuple[str, int]:
+        """Address and port of this side."""
+        host, port, *_ = self._raw.getsockname()
+        return host, port
+
     @property
     def is_readable(self) -> bool:
         """Whether a read would return bytes or end of stream without blocking."""
@@ -296,7 +313,7 @@
 
     def _record_framing(self, head: h11.Response) -> None:
         names = {name for name, _ in head.headers}
-        has_body = not self._is_head and head.status_code not in _BODILESS_STATUSES
+        has_body = not self._is_head and head.status_code not in BODILESS_STATUSES
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
         if self.ends_by_close:
             self._raw_rest = self._h11.trailing_data[0]
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -508,18 +508,17 @@
 
     def sent(self, key: str, choice: EngineChoice, part_ids: Sequence[str]) -> None:
         """Record an attempt that is being sent."""
-        incarnation_key = choice.view.instance.incarnation_key
-        estimator = choice.view.estimator
-        estimator.sent(key, choice.n_missing, trio.current_time(), choice.n_held)
-        estimator.record_transfer(choice.transfer_s, trio.current_time())
+        instance, estimator = choice.view.instance, choice.view.estimator
+        incarnation_key, now = instance.incarnation_key, trio.current_time()
+        estimator.sent(key, choice.n_missing, now, choice.n_held)
+        estimator.record_transfer(choice.transfer_s, now)
         if estimator.is_uneven and (
             estimator.prefill_time_s(choice.n_missing) > LONG_PREFILL_S
         ):
             self._update_requested.set()
         self.index.count_prefilled(incarnation_key, choice.n_missing)
-        self._engine(choice.view.instance).n_unannounced_tokens += choice.n_missing
-        upstream = choice.view.instance.upstream
-        self._count_prefill(upstream, choice.n_missing, trio.current_time())
+        self._engine(instance).n_unannounced_tokens += choice.n_missing
+        self._count_prefill(instance.upstream, choice.n_missing, now)
         if self.memory is not None:
             self.memory.sent(choice.n_held)
         if part_ids:
@@ -685,8 +684,8 @@
         scale = 1 / max(MIN_REACHED_SHARE, reach)
         n_read_by_upstream: dict[str, float] = {}
         for work in update.work:
-            instance = self._state.instance(work.instance)
-            if instance is not None and instance.born_ms == work.born_ms:
+            instance = self._state.incarnation((work.instance, work.born_ms))
+            if instance is not None:
                 estimator = self._engine(instance).estimator
                 peer_work = PeerWork(
                     scale * work.n_unread_tokens,
@@ -704,10 +703,8 @@
         for upstream, n_read in n_read_by_upstream.items():
             self._count_prefill(upstream, n_read, trio.current_time())
         for incarnation_key in update.unreached:
-            instance = self._state.instance(incarnation_key[0])
-            if instance is not None and instance.incarnation_key == tuple(
-                incarnation_key
-            ):
+            instance = self._state.incarnation(tuple(incarnation_key))
+            if instance is not None:
                 self._engine(instance).unreachable_reports[sender] = now
                 self.paces.unreachable(instance, sender)
                 self._in_trouble.add(instance.incarnation_key)
@@ -745,8 +742,8 @@
         """Merge what a peer observed of the listed incarnations."""
         told_of: dict[IncarnationKey, str] = {}
         for told in update.reports:
-            instance = self._state.instance(told.instance)
-            if instance is not None and instance.born_ms == told.born_ms:
+            instance = self._state.incarnation((told.instance, told.born_ms))
+            if instance is not None:
                 told_of[instance.incarnation_key] = instance.upstream
         late_s = self.speeds.merge(sender, update, told_of, now)
         if late_s is None:
@@ -867,10 +864,7 @@
     def _drop_stale(self) -> None:
         """Drop incarnations that are not listed and have no requests in flight."""
         for incarnation_key, engine in list(self._engines.items()):
-            known = self._state.instance(incarnation_key[0])
-            if engine.estimator.n_requests or (
-                known and known.incarnation_key == incarnation_key
-            ):
+            if engine.estimator.n_requests or self._state.incarnation(incarnation_key):
                 continue
             del self._engines[incarnation_key]
             self._in_trouble.discard(incarnation_key)
@@ -885,8 +879,7 @@
             )
 
         for key in [key for key in self._reported if key not in self._engines]:
-            known = self._state.instance(key[0])
-            if known is None or known.incarnation_key != key:
+            if self._state.incarnation(key) is None:
                 del self._reported[key]
                 self.speeds.forget(key)
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -117,10 +117,12 @@
         is_last: bool,
         charge_repeat: Callable[[], bool],
         reserve_retry: Callable[[], bool],
+        record_sent: Callable[[], None] = lambda: None,
     ) -> None:
         self._job = job
         self._charge_repeat = charge_repeat
         self._reserve_retry = reserve_retry
+        self._record_sent = record_sent
         self._parts = job.parts
         self._req = job.req
         self._route = job.route
@@ -220,6 +222,7 @@
 
     def _mark_sent(self) -> None:
         self.may_have_run = True
+        self._record_sent()
         self._taken_at = trio.current_time() + REFUSAL_S
 
     def _resumed_request(self) -> ForwardRequest:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -25,6 +25,8 @@
 )
 from .caller_memory import STREAM_BYTES, CallerMemory
 
+NOT_HELD_DETAIL: Final = "This router holds too much for this account."
+
 HELD_RETRY_S: Final = 1.0
 """Retry-after time of a request for which nothing may be held: about the time after
 which callers that don't read are cut off."""
@@ -71,14 +73,12 @@
     def hold_body(self, n_bytes: int) -> None:
         """Account for a part of the body, or refuse the request."""
         if not self._may_hold(n_bytes):
-            detail = "This router holds too much for this account."
-            raise refuse(ResultCode.MEMORY_FULL, detail, HELD_RETRY_S)
+            raise refuse(ResultCode.MEMORY_FULL, NOT_HELD_DETAIL, HELD_RETRY_S)
 
     def hold_answer(self, n_bytes: int) -> None:
         """Account for a part of an answer, or end the request."""
         if not self._may_hold(n_bytes):
-            detail = "This router holds too much for this account."
-            raise refuse(ResultCode.ANSWER_NOT_HELD, detail)
+            raise refuse(ResultCode.ANSWER_NOT_HELD, NOT_HELD_DETAIL)
 
     def _may_hold(self, n_bytes: int) -> bool:
         if self._memory is None or self._holding is None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -54,6 +54,13 @@
         labels = {"outcome": outcome, "repeat": str(is_repeat).lower()}
         self._record("corianderlb_forward_attempts_total", 1, labels)
 
+    def retry_sent(self, delay_s: float | None) -> None:
+        """Count a retry, and record the time since its charge if it was charged."""
+        labels = {"charged": str(delay_s is not None).lower()}
+        self._record("corianderlb_retries_sent_total", 1, labels)
+        if delay_s is not None:
+            self._record("corianderlb_retry_delay_seconds", delay_s, {})
+
     def prompt_sent(self, n_missing: int, n_prompt: int) -> None:
         """Count prompt tokens by whether the engine is expected to prefill them."""
         name = "corianderlb_forward_prompt_tokens_total"
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -183,9 +183,27 @@
             requests=budget.n_requests,
             routers=budget.n_routers,
             live_routers=self.n_routers,
+            runs_ms=_ms(trio.current_time() - self.started_at),
         )
         return True
 
+    def record_retry_sent(
+        self, upstream: str, request_id: str, instance: str, charged_at: float | None
+    ) -> None:
+        """Record that the first byte of a retry is about to be sent.
+
+        ``charged_at`` is the time of its charge, or None without one.
+        """
+        delay_s = None if charged_at is None else trio.current_time() - charged_at
+        eliot.log_message(
+            message_type="retry:sent",
+            request=request_id,
+            upstream=upstream,
+            instance=instance,
+            charged_ms=None if delay_s is None else _ms(delay_s),
+        )
+        self.metrics.retry_sent(delay_s)
+
     def retry_delay_s(
         self, upstream: str, wait_s: float, prefill_time_s: float, most_s: float
     ) -> float:
@@ -218,3 +236,8 @@
                 slots, reported=self.engines.reported(incarnation_key)
             )
         return found
+
+
+def _ms(seconds: float) -> int | None:
+    """Convert seconds to milliseconds for the log; None if infinite."""
+    return round(seconds * 1000) if math.isfinite(seconds) else None
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -126,6 +126,10 @@
         self._last_sent: PartRequest | None = None
         """The last attempt that has ended, for the parts of its prompt."""
         self._n_sent = 0
+        self._n_begun_sends = 0
+        """Attempts of which at least one byte was sent."""
+        self._charged_at: float | None = None
+        """When the next attempt was charged to the retry budget; None if it was not."""
         self._n_runs = 0
         """Runs counted against the route's ``max_attempts``."""
         self._n_not_run = 0
@@ -332,6 +336,7 @@
             not self._has_attempt_left(1),
             self._charge_budget,
             lambda: self._reserve_retry(placement),
+            lambda: self._record_sent(placement),
         )
 
         def on_data() -> None:
@@ -590,7 +595,22 @@
 
     def _charge_budget(self) -> bool:
         upstream, request_id = self._target.upstream, self._job.req.request_id
-        return self._parts.charge_retry(upstream, request_id)
+        if not self._parts.charge_retry(upstream, request_id):
+            return False
+        self._charged_at = trio.current_time()
+        return True
+
+    def _record_sent(self, placement: Placement) -> None:
+        """Record that the first byte of an attempt is about to be sent."""
+        charged_at, self._charged_at = self._charged_at, None
+        self._n_begun_sends += 1
+        if self._n_begun_sends > 1:
+            self._parts.record_retry_sent(
+                self._target.upstream,
+                self._job.req.request_id,
+                placement.instance.instance,
+                charged_at,
+            )
 
     async def _fail_request(self, exc: UpstreamError) -> bool:
         """End a failed request that may have run."""
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -173,7 +173,6 @@
         )
 
     async def _serve_connection(self, accepted: socket.socket) -> None:
-        accepted.setblocking(False)
         try:
             caller = accepted.getpeername()
         except OSError:
--- a/packages/corianderlb-router/src/corianderlb_router/serving_state.py
+++ b/packages/corianderlb-router/src/corianderlb_router/serving_state.py
@@ -129,14 +129,15 @@
         """Return an instance by name, including one that is leaving."""
         return self._instances.get(name)
 
+    def incarnation(self, key: tuple[str, int]) -> ForwardInstance | None:
+        """Return the instance of an incarnation; None if that isn't listed any more."""
+        known = self._instances.get(key[0])
+        return known if known and known.incarnation_key == key else None
+
     def accepts_requests(self, instance: ForwardInstance) -> bool:
         """Return whether an incarnation is still listed and not leaving."""
-        known = self._instances.get(instance.instance)
-        if (
-            known is None
-            or known.incarnation_key != instance.incarnation_key
-            or known.is_leaving
-        ):
+        known = self.incarnation(instance.incarnation_key)
+        if known is None or known.is_leaving:
             return False
         return instance.incarnation_key not in self._leaving
 
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -165,14 +165,14 @@
 
         Its version is not known then before it renews its entry.
         """
-        known = self._state.instance(instance.instance)
-        if known is not None and known.incarnation_key == instance.incarnation_key:
+        known = self._state.incarnation(instance.incarnation_key)
+        if known is not None:
             self._doubted_revisions[known.incarnation_key] = known.revision
 
     def runs_version(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance is known to run a software version now."""
-        known = self._state.instance(instance.instance)
-        if known is None or known.incarnation_key != instance.incarnation_key:
+        known = self._state.incarnation(instance.incarnation_key)
+        if known is None:
             return False
         doubted_revision = self._doubted_revisions.get(known.incarnation_key, -1)
         return known.software_version == version and known.revision > doubted_revision
--- a/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_controller.py
@@ -235,8 +235,7 @@
         is_new_token = self._coordinator.token != self._token
         self._token = self._coordinator.token
         for incarnation_key, engine in list(self._engines.items()):
-            known = self._state.instance(incarnation_key[0])
-            is_gone = known is None or known.incarnation_key != incarnation_key
+            is_gone = self._state.incarnation(incarnation_key) is None
             if not engine.is_loading and (is_gone or is_new_token):
                 del self._engines[incarnation_key]
 
--- a/packages/corianderlb-router/src/corianderlb_router/weights_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/weights_table.py
@@ -199,8 +199,8 @@
         if len(self._latest_sequences) > MAX_KNOWN_INCARNATIONS:
             del self._latest_sequences[next(iter(self._latest_sequences))]
         self._sequence = max(self._sequence, announcement.number)
-        instance = self._state.instance(announcement.instance)
-        if instance is not None and instance.incarnation_key == incarnation_key:
+        instance = self._state.incarnation(incarnation_key)
+        if instance is not None:
             self.learn(instance, announcement.model, announcement.version)
             self.set_phase(instance, announcement.phase)
             self._engine(instance).replaced_weights = (
--- a/packages/corianderlb-router/tests/test_caller_memory.py
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -15,6 +15,7 @@
 from corianderlb_router.forward_caller import ForwardCaller
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
+from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from forward_builders import (
     ForwardRouter,
@@ -110,11 +111,8 @@
     async def asgi(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer with much, accounted for by the path."""
         if scope["type"] == "lifespan":
-            while True:
-                kind = (await receive())["type"]
-                await send({"type": f"{kind}.complete"})
-                if kind == "lifespan.shutdown":
-                    return
+            await serve_lifespan(receive, send)
+            return
         caller = ForwardCaller(scope, receive, send)
         self.callers.append(caller)
         caller.account_for(self.memory, caller.path, False)
--- a/packages/corianderlb-router/tests/test_http_server.py
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -14,6 +14,7 @@
 from corianderlb_router.caller import CallerExchange
 from corianderlb_router.connection_guard import PROCESS_FAULTS, ConnectionGuard
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
+from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.connection_texts import (
     HTTP2_PREFACE,
     bad_texts,
@@ -46,11 +47,8 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            while True:
-                kind = (await receive())["type"]
-                await send({"type": f"{kind}.complete"})
-                if kind == "lifespan.shutdown":
-                    return
+            await serve_lifespan(receive, send)
+            return
         self.n_begun += 1
         try:
             await send({"type": "http.response.start", "status": 200, "headers": []})
@@ -234,7 +232,7 @@
 
         async def app(scope: Any, receive: Any, send: Any) -> None:
             if scope["type"] == "lifespan":
-                await Application()(scope, receive, send)
+                await serve_lifespan(receive, send)
                 return
             for message in (
                 {"type": "http.response.start", "status": 200, "headers": []},
@@ -321,7 +319,7 @@
 
         async def app(scope: Any, receive: Any, send: Any) -> None:
             if scope["type"] == "lifespan":
-                await Application()(scope, receive, send)
+                await serve_lifespan(receive, send)
                 return
             caller = CallerExchange(scope, receive, send)
             await caller.answer(429, [], b"later")
@@ -358,7 +356,7 @@
 
         async def app(scope: Any, receive: Any, send: Any) -> None:
             if scope["type"] == "lifespan":
-                await Application()(scope, receive, send)
+                await serve_lifespan(receive, send)
                 return
             await CallerExchange(scope, receive, send).answer(413, [], b"long")
 
@@ -376,7 +374,7 @@
     async def test_body_that_waits_to_be_asked_for(self) -> None:
         async def app(scope: Any, receive: Any, send: Any) -> None:
             if scope["type"] == "lifespan":
-                await Application()(scope, receive, send)
+                await serve_lifespan(receive, send)
                 return
             caller = CallerExchange(scope, receive, send)
             body = await caller.read_body(100, trio.current_time() + BOUND_S)
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -7,7 +7,7 @@
 import random
 import unittest
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from unittest import mock
 
@@ -112,6 +112,20 @@
             case.assertEqual(self.members_of(name), names, name)
 
 
+@asynccontextmanager
+async def a_link_to(
+    accept: Callable[[PeerLink], Awaitable[None]],
+) -> AsyncIterator[PeerLink]:
+    """Dial a websocket whose other end is ``accept``; all ends within 20 s."""
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            transport = WebSocketTransport("127.0.0.1", 0)
+            address = await nursery.start(transport.serve, accept)
+            async with transport.dial(address) as link:
+                yield link
+            nursery.cancel_scope.cancel()
+
+
 class StepCounter(trio.abc.Instrument):
     """Counts the steps of tasks by the name of their function."""
 
@@ -674,21 +688,16 @@
             while len(received) < len(frames):
                 received.append(await link.receive())
 
-        with trio.fail_after(20):
-            async with trio.open_nursery() as nursery:
-                transport = WebSocketTransport("127.0.0.1", 0)
-                address = await nursery.start(transport.serve, accept)
-                async with transport.dial(address) as link:
-                    left = list(frames)
-                    while link.can_send_now:
-                        link.send_now([left.pop(0), left.pop(0)])
-                    self.assertTrue(left)
-                    may_read.set()
-                    await link.send_all(left)
-                    while len(received) < len(frames):
-                        await trio.sleep(0.01)
-                    self.assertTrue(link.can_send_now)
-                nursery.cancel_scope.cancel()
+        async with a_link_to(accept) as link:
+            left = list(frames)
+            while link.can_send_now:
+                link.send_now([left.pop(0), left.pop(0)])
+            self.assertTrue(left)
+            may_read.set()
+            await link.send_all(left)
+            while len(received) < len(frames):
+                await trio.sleep(0.01)
+            self.assertTrue(link.can_send_now)
         self.assertEqual(received, frames)
 
     async def test_link_to_a_silent_peer_is_closed_twice(self) -> None:
@@ -697,14 +706,9 @@
         async def accept(link: PeerLink) -> None:
             await trio.sleep_forever()
 
-        with trio.fail_after(20):
-            async with trio.open_nursery() as nursery:
-                transport = WebSocketTransport("127.0.0.1", 0)
-                address = await nursery.start(transport.serve, accept)
-                async with transport.dial(address) as link:
-                    # The peer does not answer the close.
-                    await link.aclose()
-                nursery.cancel_scope.cancel()
+        async with a_link_to(accept) as link:
+            # The peer does not answer the close.
+            await link.aclose()
 
     async def test_link_that_ends_without_a_closing_handshake(self) -> None:
         """Guards against a reader that waits for, or spins on, a dead connection."""
@@ -722,13 +726,8 @@
             async def accept(link: PeerLink, end=end) -> None:
                 await end(link, "acceptor")
 
-            with trio.fail_after(20):
-                async with trio.open_nursery() as nursery:
-                    transport = WebSocketTransport("127.0.0.1", 0)
-                    address = await nursery.start(transport.serve, accept)
-                    async with transport.dial(address) as link:
-                        await end(link, "dialler")
-                        while not ends or ends[-1] == aborting:
-                            await trio.sleep(0.01)
-                    nursery.cancel_scope.cancel()
+            async with a_link_to(accept) as link:
+                await end(link, "dialler")
+                while not ends or ends[-1] == aborting:
+                    await trio.sleep(0.01)
         self.assertEqual(ends, ["acceptor", "dialler"])
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -227,6 +227,12 @@
 corianderlb_parts_told gauge
 corianderlb_resting_instances
 corianderlb_resting_instances gauge
+corianderlb_retries_sent_total charged
+corianderlb_retries_sent_total counter
+corianderlb_retry_delay_seconds histogram
+corianderlb_retry_delay_seconds_bucket le
+corianderlb_retry_delay_seconds_count
+corianderlb_retry_delay_seconds_sum
 corianderlb_room_refused
 corianderlb_room_refused gauge
 corianderlb_room_waiting
@@ -333,7 +339,8 @@
 request:ended account attempts configuration configuration_age_ms confirmed detail
     first_ms longest_pause_ms objective_ms pause_objective_ms read_ms request result
     resumes route status stream_version took_ms version_source whole
-retry:charged live_routers request requests retries routers upstream
+retry:charged live_routers request requests retries routers runs_ms upstream
+retry:sent charged_ms instance request upstream
 room:accounts accounts admitted_per_s capacity upstream
 roster:not_entered reason
 roster:unreadable key reason
@@ -484,6 +491,7 @@
     metrics.attempt_ended("ok", is_repeat=False)
     metrics.prompt_sent(1, 3)
     metrics.stream_resumed("peer")
+    metrics.retry_sent(0.1)
     node = mock.MagicMock()
     node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=(), memory=None)
     node._ports.state.configuration = None
--- a/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -108,7 +108,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve as an ASGI application."""
         if scope["type"] != "http":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         call = await _read_call(scope, receive, send)
         try:
@@ -189,7 +189,8 @@
     )
 
 
-async def _lifespan(receive: Any, send: Any) -> None:
+async def serve_lifespan(receive: Any, send: Any) -> None:
+    """Confirm the start and the stop of a server."""
     while True:
         kind = (await receive())["type"]
         await send({"type": f"{kind}.complete"})
