--- a/packages/corianderlb-router/tests/test_retry_budget.py
+++ b/packages/corianderlb-router/tests/test_retry_budget.py
@@ -46,7 +46,7 @@
             parts,
             peers=self.fleet.networks[name],
             started_at=trio.current_time(),
-            n_routers_at_start=len(self.fleet.networks),
+            n_routers_at_start=min(4, len(self.fleet.networks)),
         )
 
     async def spend(self, seconds: float) -> None:
@@ -104,6 +104,19 @@
             await retrying.spend(40)
         self.assertLessEqual(retrying.most, retrying.allowed())
 
+    async def test_routers_that_start_in_pairs_share_the_fixed_part(self) -> None:
+        """Guards against a router that met one peer forgetting the listed others."""
+        fleet = Fleet(8, silent_after_s=2.5, suspect_after_s=2.5)
+        fleet.fabric.passes = lambda source, target: (
+            int(source[1:]) // 2 == (int(target[1:]) // 2)
+        )
+        async with fleet.running() as nursery:
+            retrying = RetryingFleet(nursery, fleet)
+            for parts in retrying.parts.values():
+                self.assertFalse(parts.peers.has_met_peers())
+            await retrying.spend(40)
+        self.assertLessEqual(retrying.most, retrying.allowed())
+
     async def test_routers_restart_several_times_within_a_window(self) -> None:
         """Guards against each incarnation spending the share of a whole window."""
         fleet = Fleet(4)
