Retries: count each until a window after it has arrived

What callers' upstreams saw: more repeats in a window than the allowance (BUDGET). Cause: the budget counted a retry for a window from its charge, while the allowance is about the time at which an instance reads it. Retries that were held up on the way, at an instance that stands still, behind a wait for placement, in a router that is paused, stood in one window with all those that followed once their charges had expired; so did first attempts that arrive after their retry. The fifth that routers leave unspent covers neither.

A charge now is open until its request's attempts have arrived: a response head, or the instance closing the connection, tells. An attempt without an answer counts as possibly arriving for one more window. From then on it counts for a window. A charge of which nothing was sent is used by the next attempt or given back, and one that was taken before a long wait is checked again before the first byte. So at any time the retries that count include all that arrived in the window before.

--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -4,10 +4,15 @@
 router limits itself to that fraction of its own requests plus an even share of the
 fixed number among the routers that may have run in the window. The total stays within
 the allowance without coordination, however the requests are distributed.
+
+The allowance is about the times at which instances read the attempts. A retry therefore
+counts from its charge until a window after all attempts of its request have arrived.
 """
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections import deque
 from typing import Final
 
@@ -29,6 +34,34 @@
     window_s: float = 10.0
 
 
+class RetryCharge:
+    """One retry, from its charge until a window after its request has arrived.
+
+    For example ``charge = budget.take(now, 4)``, then ``charge.settle(now)`` once the
+    instance has answered. Returned by ``FleetRetryBudget.take``.
+    """
+
+    __slots__ = ("_budget", "_is_open", "charged_at")
+
+    def __init__(self, budget: FleetRetryBudget, now: float) -> None:
+        self._budget = budget
+        self._is_open = True
+        self.charged_at = now
+
+    def settle(self, arrived_by: float) -> None:
+        """Count the retry for one more window after ``arrived_by``, which may be
+        later than now."""
+        if self._is_open:
+            self._is_open = False
+            self._budget._close(arrived_by)
+
+    def cancel(self) -> None:
+        """Stop counting the retry, of which nothing was sent."""
+        if self._is_open:
+            self._is_open = False
+            self._budget._close(None)
+
+
 class FleetRetryBudget:
     """Sliding-window retry budget of one upstream at one router.
 
@@ -46,15 +79,18 @@
         self._terms = terms
         self._started_at = started_at
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._n_open = 0
+        """Retries that may not have arrived yet."""
+        self._count_until: list[float] = []
+        """Heap of the times until which the other retries count."""
         self._n_routers = deque([(started_at, max(1, n_routers))])
         """Time and number of routers that share the fixed number; a monotonic queue
         for the window's maximum, largest first."""
 
     @property
     def n_retries(self) -> int:
-        """Retries in the window."""
-        return len(self._retries)
+        """Retries that count: those that arrived in the window, or still may."""
+        return self._n_open + len(self._count_until)
 
     @property
     def n_requests(self) -> int:
@@ -73,15 +109,22 @@
         self._trim(now)
         self._record_n_routers(now, n_routers)
 
-    def take(self, now: float, n_routers: int) -> bool:
-        """Take one retry from the budget; return False if none is left."""
+    def take(self, now: float, n_routers: int) -> RetryCharge | None:
+        """Charge one retry; return None if none is left."""
         if not self.allows_retry(now, n_routers):
-            return False
-        self._retries.append(now)
-        return True
+            return None
+        self._n_open += 1
+        return RetryCharge(self, now)
 
     def allows_retry(self, now: float, n_routers: int) -> bool:
         """Return whether the budget allows one more retry."""
+        return self._has_room(1, now, n_routers)
+
+    def is_within(self, now: float, n_routers: int) -> bool:
+        """Return whether the retries that count are within the budget."""
+        return self._has_room(0, now, n_routers)
+
+    def _has_room(self, n_more: int, now: float, n_routers: int) -> bool:
         self._trim(now)
         self._record_n_routers(now, n_routers)
         # Routers that were lost within the window may have spent their shares too.
@@ -93,7 +136,13 @@
         else:
             fixed *= SAFETY_FACTOR
         from_requests = SAFETY_FACTOR * self._terms.ratio * len(self._requests)
-        return len(self._retries) + 1 <= from_requests + fixed
+        return self.n_retries + n_more <= from_requests + fixed
+
+    def _close(self, arrived_by: float | None) -> None:
+        """Count an open retry until a window after its arrival, or no longer."""
+        self._n_open -= 1
+        if arrived_by is not None:
+            heapq.heappush(self._count_until, arrived_by + self._terms.window_s)
 
     def _record_n_routers(self, now: float, n_routers: int) -> None:
         n_routers = max(1, n_routers)
@@ -103,8 +152,68 @@
 
     def _trim(self, now: float) -> None:
         oldest = now - self._terms.window_s
-        for times in (self._requests, self._retries):
-            while times and times[0] < oldest:
-                times.popleft()
+        while self._requests and self._requests[0] < oldest:
+            self._requests.popleft()
+        while self._count_until and self._count_until[0] < now:
+            heapq.heappop(self._count_until)
         while self._n_routers and self._n_routers[0][0] < oldest:
             self._n_routers.popleft()
+
+
+class RequestRetries:
+    """Charges of the retries of one request.
+
+    ``unanswered_s`` is the time for which an attempt without an answer may still
+    arrive, for example at an instance that stands still. Call ``sent`` for each attempt
+    of which a byte is sent, then ``answered`` or ``unanswered``, and ``ended`` at last.
+    """
+
+    def __init__(self, unanswered_s: float) -> None:
+        self._unanswered_s = unanswered_s
+        self._unused: RetryCharge | None = None
+        """Charge of the next attempt, of which nothing was sent yet."""
+        self._open: list[RetryCharge] = []
+        self._may_arrive_until = -math.inf
+        self.n_sent = 0
+        """Attempts of which at least one byte was sent."""
+
+    @property
+    def has_unused(self) -> bool:
+        """Whether the next attempt is charged already."""
+        return self._unused is not None
+
+    def charged(self, charge: RetryCharge) -> None:
+        """Add the charge of the next attempt."""
+        self._unused = charge
+
+    def sent(self) -> RetryCharge | None:
+        """Record that an attempt is sent; return its charge if it has one."""
+        self.n_sent += 1
+        charge, self._unused = self._unused, None
+        if charge is not None:
+            self._open.append(charge)
+        return charge
+
+    def answered(self, now: float) -> None:
+        """Record that the attempt sent last has arrived by now."""
+        self._settle(now)
+
+    def unanswered(self, now: float) -> None:
+        """Record that the attempt sent last has ended, and may arrive later."""
+        self._may_arrive_until = now + self._unanswered_s
+
+    def drop_unused(self) -> None:
+        """Give back the charge of an attempt that is not sent."""
+        if self._unused is not None:
+            self._unused.cancel()
+            self._unused = None
+
+    def ended(self, now: float) -> None:
+        """Record that no attempt follows."""
+        self.drop_unused()
+        self._settle(now)
+
+    def _settle(self, now: float) -> None:
+        for charge in self._open:
+            charge.settle(max(now, self._may_arrive_until))
+        self._open.clear()
--- a/packages/corianderlb-core/tests/test_forwarding.py
+++ b/packages/corianderlb-core/tests/test_forwarding.py
@@ -9,7 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderlb_core.fleet_retry_budget import BudgetTerms, FleetRetryBudget
+from corianderlb_core.fleet_retry_budget import (
+    BudgetTerms,
+    FleetRetryBudget,
+    RequestRetries,
+)
 from corianderlb_core.forwarding import (
     ForwardAccount,
     ForwardConfiguration,
@@ -101,8 +105,12 @@
 
     @staticmethod
     def spend(budget: FleetRetryBudget, now: float, n_routers: int) -> int:
-        """Take all there is; return the number of retries."""
-        return sum(budget.take(now, n_routers) for _ in range(1000))
+        """Take all there is, which arrives at once; return the number of retries."""
+        charges = [budget.take(now, n_routers) for _ in range(1000)]
+        taken = [charge for charge in charges if charge is not None]
+        for charge in taken:
+            charge.settle(now)
+        return len(taken)
 
     def test_restarted_router_does_not_spend_the_fixed_part_again(self) -> None:
         """Guard against spending the fixed part again after a router's restart."""
@@ -131,9 +139,24 @@
     def test_window_slides(self) -> None:
         terms = BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0)
         budget = FleetRetryBudget(terms, started_at=-60.0)
-        self.assertTrue(budget.take(0.0, 1))
-        self.assertFalse(budget.take(5.0, 1))
-        self.assertTrue(budget.take(10.1, 1))
+        self.assertEqual(self.spend(budget, 0.0, 1), 1)
+        self.assertEqual(self.spend(budget, 5.0, 1), 0)
+        self.assertEqual(self.spend(budget, 10.1, 1), 1)
+
+    def test_retry_counts_until_a_window_after_it_arrived(self) -> None:
+        """Guards against a second window's retries beside those still on their way."""
+        terms = BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0)
+        budget = FleetRetryBudget(terms, started_at=-60.0)
+        request = RequestRetries(unanswered_s=10.0)
+        request.sent()
+        request.unanswered(1.0)
+        request.charged(budget.take(1.0, 1))
+        request.sent()
+        self.assertEqual(self.spend(budget, 20.0, 1), 0)
+        # The first attempt, sent until 1 s, may arrive as the second one until 11 s.
+        request.answered(10.5)
+        self.assertEqual(self.spend(budget, 20.9, 1), 0)
+        self.assertEqual(self.spend(budget, 21.1, 1), 1)
 
 
 class ServiceChoiceTest(unittest.TestCase):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -117,12 +117,14 @@
         is_last: bool,
         charge_repeat: Callable[[], bool],
         reserve_retry: Callable[[], bool],
-        record_sent: Callable[[], None] = lambda: None,
+        record_sent: Callable[[], None],
+        record_answer: Callable[[float], None],
     ) -> None:
         self._job = job
         self._charge_repeat = charge_repeat
         self._reserve_retry = reserve_retry
         self._record_sent = record_sent
+        self._record_answer = record_answer
         self._parts = job.parts
         self._req = job.req
         self._route = job.route
@@ -133,6 +135,8 @@
         self._is_last = is_last
         self.may_have_run = False
         """Whether the instance may have begun to run the request."""
+        self.is_sent = False
+        """Whether a byte of the request was sent."""
         self.sent_at: float | None = None
         """Time of sending, by the router's clock."""
         self._head_received_at: float | None = None
@@ -221,7 +225,7 @@
         return await parts.transport.send(address, request, cfg)
 
     def _mark_sent(self) -> None:
-        self.may_have_run = True
+        self.may_have_run = self.is_sent = True
         self._record_sent()
         self._taken_at = trio.current_time() + REFUSAL_S
 
@@ -244,6 +248,7 @@
             finally:
                 self._job.watch.end()
             self._head_received_at = trio.current_time()
+            self._record_answer(self._head_received_at)
             return answer
         if not self._is_withdrawn:
             self._doubt_path(sent_at, "no response head in time")
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -14,7 +14,11 @@
 
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import RoomRefusal
-from corianderlb_core.fleet_retry_budget import BudgetTerms, FleetRetryBudget
+from corianderlb_core.fleet_retry_budget import (
+    BudgetTerms,
+    FleetRetryBudget,
+    RetryCharge,
+)
 from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.return_schedule import ReturnSchedule
 from corianderlb_core.room_share import RoomKey
@@ -170,22 +174,22 @@
         """Record a request in the retry budget of its upstream."""
         self.budget(upstream).record_request(trio.current_time(), self.n_sharing)
 
-    def charge_retry(self, upstream: str, request_id: str = "") -> bool:
-        """Charge a retry to the budget of an upstream; return False without room."""
-        budget = self.budget(upstream)
-        if not budget.take(trio.current_time(), self.n_sharing):
-            return False
-        eliot.log_message(
-            message_type="retry:charged",
-            request=request_id,
-            upstream=upstream,
-            retries=budget.n_retries,
-            requests=budget.n_requests,
-            routers=budget.n_routers,
-            live_routers=self.n_routers,
-            runs_ms=_ms(trio.current_time() - self.started_at),
-        )
-        return True
+    def charge_retry(self, upstream: str, request_id: str = "") -> RetryCharge | None:
+        """Charge a retry to the budget of an upstream; return None without room."""
+        budget, now = self.budget(upstream), trio.current_time()
+        charge = budget.take(now, self.n_sharing)
+        if charge is not None:
+            eliot.log_message(
+                message_type="retry:charged",
+                request=request_id,
+                upstream=upstream,
+                retries=budget.n_retries,
+                requests=budget.n_requests,
+                routers=budget.n_routers,
+                live_routers=self.n_routers,
+                runs_ms=_ms(now - self.started_at),
+            )
+        return charge
 
     def record_retry_sent(
         self, upstream: str, request_id: str, instance: str, charged_at: float | None
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -12,6 +12,7 @@
 
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import RoomRefusal
+from corianderlb_core.fleet_retry_budget import RequestRetries
 from corianderlb_core.forwarding import ForwardInstance, RepeatKind
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
@@ -126,10 +127,7 @@
         self._last_sent: PartRequest | None = None
         """The last attempt that has ended, for the parts of its prompt."""
         self._n_sent = 0
-        self._n_begun_sends = 0
-        """Attempts of which at least one byte was sent."""
-        self._charged_at: float | None = None
-        """When the next attempt was charged to the retry budget; None if it was not."""
+        self._retries = RequestRetries(job.parts.cfg.budget.window_s)
         self._n_runs = 0
         """Runs counted against the route's ``max_attempts``."""
         self._n_not_run = 0
@@ -188,6 +186,8 @@
                 raise
             # The upstream's own error response is more informative than the refusal.
             await self._relay_failure(failure)
+        finally:
+            self._retries.ended(trio.current_time())
 
     async def _run(self) -> None:
         while True:
@@ -323,6 +323,7 @@
         if not self._target.may_run(instance):
             raise NotRunError("not the stream's software version", sent=False)
         self._check_quarantine()
+        self._check_budget()
         if not parts.permits.take(instance):
             raise NotRunError("the instance takes no request now", sent=False)
         self._begin_stream(placement)
@@ -336,7 +337,8 @@
             not self._has_attempt_left(1),
             self._charge_budget,
             lambda: self._reserve_retry(placement),
-            lambda: self._record_sent(placement),
+            partial(self._record_sent, placement),
+            self._retries.answered,
         )
 
         def on_data() -> None:
@@ -354,8 +356,9 @@
             try:
                 await attempt.run(on_data)
                 has_ended = True
-            except UpstreamError:
+            except UpstreamError as exc:
                 has_ended = True
+                self._record_unanswered(attempt, exc)
                 raise
             finally:
                 attempt.settle(turned_away=False)
@@ -364,6 +367,8 @@
                 if not has_ended:
                     # Cancelled, because the caller left or the deadline passed, or
                     # failed otherwise: log which instance had the request.
+                    if attempt.is_sent and attempt.began_ms is None:
+                        self._retries.unanswered(trio.current_time())
                     self._record_attempt(placement, "abandoned", started_at)
         parts.health.succeeded(instance.incarnation_key)
         parts.quarantine.clear(self._digest, self._part_digests)
@@ -594,24 +599,49 @@
         return self._job.usage.repeat()
 
     def _charge_budget(self) -> bool:
+        """Charge the next attempt to the retry budget, unless it is charged already."""
+        if self._retries.has_unused:
+            return True
         upstream, request_id = self._target.upstream, self._job.req.request_id
-        if not self._parts.charge_retry(upstream, request_id):
-            return False
-        self._charged_at = trio.current_time()
-        return True
+        charge = self._parts.charge_retry(upstream, request_id)
+        if charge is not None:
+            self._retries.charged(charge)
+        return charge is not None
+
+    def _check_budget(self) -> None:
+        """Raise ``NotRunError`` if the allowance has fallen since the charge.
+
+        A request may wait for its placement while others stop coming.
+        """
+        budget = self._parts.budget(self._target.upstream)
+        if self._retries.has_unused and not budget.is_within(
+            trio.current_time(), self._parts.n_sharing
+        ):
+            self._retries.drop_unused()
+            raise NotRunError("the retry budget is spent", sent=False)
 
     def _record_sent(self, placement: Placement) -> None:
         """Record that the first byte of an attempt is about to be sent."""
-        charged_at, self._charged_at = self._charged_at, None
-        self._n_begun_sends += 1
-        if self._n_begun_sends > 1:
+        charge = self._retries.sent()
+        if self._retries.n_sent > 1:
             self._parts.record_retry_sent(
                 self._target.upstream,
                 self._job.req.request_id,
                 placement.instance.instance,
-                charged_at,
+                charge.charged_at if charge else None,
             )
 
+    def _record_unanswered(self, attempt: ForwardAttempt, exc: UpstreamError) -> None:
+        """Record whether an attempt that failed may still reach its instance."""
+        if not attempt.is_sent or attempt.began_ms is not None:
+            return
+        now = trio.current_time()
+        if isinstance(exc, BrokenError) and not attempt.via:
+            # An instance that closes a connection reads nothing from it any more.
+            self._retries.answered(now)
+        else:
+            self._retries.unanswered(now)
+
     async def _fail_request(self, exc: UpstreamError) -> bool:
         """End a failed request that may have run."""
         if self._caller.started:
--- a/packages/corianderlb-router/tests/test_retry_arrivals.py
+++ b/packages/corianderlb-router/tests/test_retry_arrivals.py
@@ -40,7 +40,7 @@
         self.assert_within_allowance(fleet, 100)
 
     async def test_retries_follow_the_second_of_two_surges(self) -> None:
-        """Guards against retries for requests of a window that isn't the allowance's."""
+        """Guards against retries for requests that the rule's window lacks."""
         start = trio.current_time()
         erring = CountedUpstream(
             fails=lambda now: start + 18.9 <= now < start + 19.5,
--- a/packages/corianderlb-router/tests/test_retry_budget.py
+++ b/packages/corianderlb-router/tests/test_retry_budget.py
@@ -58,7 +58,8 @@
             for parts in self.parts.values():
                 if step % self.steps_per_request == 0:
                     parts.record_request("app")
-                while parts.charge_retry("app"):
+                while charge := parts.charge_retry("app"):
+                    charge.settle(now)
                     self.charged_at.append(now)
             self.most = max(self.most, len(self.charged_at))
             await trio.sleep(STEP_S)
