Retries: count the requests that each window around a retry counts

What callers' upstreams saw: after two surges a window apart, more repeats in a window than the allowance (BUDGET). Cause: a router allowed a fifth of the requests of the window before the charge. The rule counts those of its own window, of the one before or of the one half a window before, whichever are most; of two surges 6 to 10 s apart it counts one, the router counted both.

RequestWindows counts by fortieths of a window and takes, over all windows that the retry can belong to, the least of what they count. For steady traffic that is all of a window; the first window after a start counts a little less. Each router does it for its own requests: where surges at some routers come when others have none, the sum can still exceed what the rule counts.

--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -14,6 +14,7 @@
 import heapq
 import math
 from collections import deque
+from itertools import accumulate
 from typing import Final
 
 from .data_class import dataclass
@@ -23,6 +24,10 @@
 has just grown, and for routers whose windows start at different times."""
 
 
+SLOTS_PER_WINDOW: Final = 40
+"""Resolution in which requests are counted."""
+
+
 @dataclass(frozen=True)
 class BudgetTerms:
     """Retry allowance of one upstream."""
@@ -34,6 +39,59 @@
     window_s: float = 10.0
 
 
+class RequestWindows:
+    """Requests of the last two windows, and how many of them an allowance counts.
+
+    The allowance of a window counts the requests of that window, of the one before or
+    of the one half a window before, whichever are most. A retry belongs to all windows
+    around it, so ``n_counted`` is the least that any of them counts. For example, of
+    two surges 8 s apart in windows of 10 s it has the larger one only.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._slot_s = window_s / SLOTS_PER_WINDOW
+        self._counts = [0] * (2 * SLOTS_PER_WINDOW + 1)
+        """Requests by slot, the newest last."""
+        self._newest = 0
+        """Number of the newest slot."""
+
+    @property
+    def n_recent(self) -> int:
+        """Requests of the last window."""
+        return sum(self._counts[-SLOTS_PER_WINDOW:])
+
+    def record(self, now: float) -> None:
+        """Record a request."""
+        self.advance(now)
+        self._counts[-1] += 1
+
+    def advance(self, now: float) -> None:
+        """Drop what is older than two windows."""
+        slot = math.floor(now / self._slot_s)
+        n_slots, n_new = len(self._counts), slot - self._newest
+        if n_new > 0:
+            self._newest = slot
+            self._counts = [*self._counts, *[0] * min(n_new, n_slots)][-n_slots:]
+
+    def n_counted(self) -> int:
+        """Return the requests that count in each window around the newest slot."""
+        sums = [0, *accumulate(self._counts)]
+        n_slots, half = SLOTS_PER_WINDOW, SLOTS_PER_WINDOW // 2
+
+        def n_between(first: int, end: int) -> int:
+            return sums[min(max(0, end), len(self._counts))] - sums[max(0, first)]
+
+        # A window that begins within a slot has the slots at its ends only in part.
+        return min(
+            max(
+                n_between(start - n_slots + 1, start),
+                n_between(start - half + 1, start + half),
+                n_between(start + 1, len(self._counts)),
+            )
+            for start in range(n_slots, 2 * n_slots + 1)
+        )
+
+
 class RetryCharge:
     """One retry, from its charge until a window after its request has arrived.
 
@@ -78,7 +136,7 @@
     ) -> None:
         self._terms = terms
         self._started_at = started_at
-        self._requests: deque[float] = deque()
+        self._requests = RequestWindows(terms.window_s)
         self._n_open = 0
         """Retries that may not have arrived yet."""
         self._count_until: list[float] = []
@@ -95,7 +153,7 @@
     @property
     def n_requests(self) -> int:
         """Requests in the window."""
-        return len(self._requests)
+        return self._requests.n_recent
 
     @property
     def n_routers(self) -> int:
@@ -105,8 +163,7 @@
 
     def record_request(self, now: float, n_routers: int) -> None:
         """Record a request for the upstream."""
-        self._requests.append(now)
-        self._trim(now)
+        self._requests.record(now)
         self._record_n_routers(now, n_routers)
 
     def take(self, now: float, n_routers: int) -> RetryCharge | None:
@@ -135,7 +192,8 @@
             fixed = max(fixed * runs_s / self._terms.window_s, min(1.0, fixed))
         else:
             fixed *= SAFETY_FACTOR
-        from_requests = SAFETY_FACTOR * self._terms.ratio * len(self._requests)
+        n_requests = self._requests.n_counted()
+        from_requests = SAFETY_FACTOR * self._terms.ratio * n_requests
         return self.n_retries + n_more <= from_requests + fixed
 
     def _close(self, arrived_by: float | None) -> None:
@@ -152,8 +210,7 @@
 
     def _trim(self, now: float) -> None:
         oldest = now - self._terms.window_s
-        while self._requests and self._requests[0] < oldest:
-            self._requests.popleft()
+        self._requests.advance(now)
         while self._count_until and self._count_until[0] < now:
             heapq.heappop(self._count_until)
         while self._n_routers and self._n_routers[0][0] < oldest:
--- a/packages/corianderlb-core/tests/test_forwarding.py
+++ b/packages/corianderlb-core/tests/test_forwarding.py
@@ -13,6 +13,7 @@
     BudgetTerms,
     FleetRetryBudget,
     RequestRetries,
+    RequestWindows,
 )
 from corianderlb_core.forwarding import (
     ForwardAccount,
@@ -143,6 +144,30 @@
         self.assertEqual(self.spend(budget, 5.0, 1), 0)
         self.assertEqual(self.spend(budget, 10.1, 1), 1)
 
+    def test_requests_count_in_each_window_around_a_retry(self) -> None:
+        """Guards against requests that a window with the retry doesn't count."""
+        rng = random.Random(1)
+        for _ in range(50):
+            surges = [rng.uniform(0, 20) for _ in range(3)]
+            times = sorted(rng.choice(surges) + rng.random() for _ in range(200))
+            windows, now = RequestWindows(10.0), rng.uniform(10, 22)
+            times = [at for at in times if at <= now]
+            for at in times:
+                windows.record(at)
+            windows.advance(now)
+            for since in (rng.uniform(now - 10, now) for _ in range(50)):
+                counts = [
+                    sum(start <= at <= start + 10 for at in times)
+                    for start in (since - 10, since - 5, since)
+                ]
+                self.assertLessEqual(windows.n_counted(), max(counts))
+
+    def test_steady_requests_count_in_full(self) -> None:
+        windows = RequestWindows(10.0)
+        for n in range(300):
+            windows.record(n * 0.1)
+        self.assertGreaterEqual(windows.n_counted(), 97)
+
     def test_retry_counts_until_a_window_after_it_arrived(self) -> None:
         """Guards against a second window's retries beside those still on their way."""
         terms = BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0)
