Retries: a router that starts again within a window spends no margin a second time

Cause: nothing remembered the earlier incarnations; each had one retry at once, and its part of the margin.

The entry by which a router registers now holds when it started, so the next incarnation learns, from the read that it makes anyway, how long before it the previous one started. If that is less than a window, or can't be known because the store is away, the router has nothing of the fixed number until a window after that start, and no retry at once; a fifth of its own requests it has from the first one. Ruled out: none at once for anybody (a broken answer in the first seconds of a fleet was cut, two tests), turns by the wall clock (a retry would wait for its turn also where nothing was spent).

Cost: one write more for each start.

--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -14,6 +14,7 @@
 import heapq
 import math
 from collections import deque
+from collections.abc import Callable
 from itertools import accumulate
 from typing import Final
 
@@ -127,15 +128,24 @@
     router, may have spent the fixed number within the preceding window. So in its first
     window the router uses only the margin that all routers leave: one retry at once, so
     that a broken answer can be continued, and more in proportion to the time since its
-    start, since it may start several times within a window. ``n_routers`` is the size
-    of the fleet that is assumed until peers are known.
+    start.
+
+    ``ran_before_s`` returns the time from the previous start to this one, 0 if it is
+    not known. An incarnation that started within the window may have spent that margin
+    too, so this one has nothing of it for a window, and no retry at once. ``n_routers``
+    is the size of the fleet that is assumed until peers are known.
     """
 
     def __init__(
-        self, terms: BudgetTerms, started_at: float, n_routers: int = 1
+        self,
+        terms: BudgetTerms,
+        started_at: float,
+        n_routers: int = 1,
+        ran_before_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._terms = terms
         self._started_at = started_at
+        self._ran_before_s = ran_before_s
         self._requests = RequestWindows(terms.window_s)
         self._n_open = 0
         """Retries that may not have arrived yet."""
@@ -184,17 +194,23 @@
     def _has_room(self, n_more: int, now: float, n_routers: int) -> bool:
         self._trim(now)
         self._record_n_routers(now, n_routers)
-        # Routers that were lost within the window may have spent their shares too.
-        fixed = self._terms.fixed / self.n_routers
-        runs_s = now - self._started_at
-        if runs_s < self._terms.window_s:
-            fixed *= 1 - SAFETY_FACTOR
-            fixed = max(fixed * runs_s / self._terms.window_s, min(1.0, fixed))
-        else:
-            fixed *= SAFETY_FACTOR
         n_requests = self._requests.n_counted()
         from_requests = SAFETY_FACTOR * self._terms.ratio * n_requests
-        return self.n_retries + n_more <= from_requests + fixed
+        return self.n_retries + n_more <= from_requests + self._fixed(now)
+
+    def _fixed(self, now: float) -> float:
+        """Return the part of the fixed number that this router may use."""
+        # Routers that were lost within the window may have spent their shares too.
+        share = self._terms.fixed / self.n_routers
+        window_s, runs_s = self._terms.window_s, now - self._started_at
+        if runs_s >= window_s:
+            return SAFETY_FACTOR * share
+        margin = (1 - SAFETY_FACTOR) * share
+        in_proportion = margin * runs_s / window_s
+        ran_before_s = self._ran_before_s()
+        if ran_before_s >= window_s:
+            return max(in_proportion, min(1.0, margin))
+        return in_proportion if runs_s + ran_before_s >= window_s else 0.0
 
     def _close(self, arrived_by: float | None) -> None:
         """Count an open retry until a window after its arrival, or no longer."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -15,7 +15,7 @@
 
 from corianderlb_core.chart import LifeCycle
 from corianderlb_core.data_class import dataclass
-from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
+from corianderlb_core.identity import InstanceId, Presence, Role
 from corianderlb_core.message import MemberState
 from corianderlb_core.settings import OrderSettings, PeerSettings
 
@@ -48,7 +48,7 @@
 from .path_watch import InstanceProbe, PathWatch
 from .peer_network import OverlayNetwork
 from .peer_tunnel import Tunnels, TunnelServer
-from .router_registration import RouterRegistration
+from .router_registration import RouterEntry, RouterRegistration
 from .send_permits import PermittedCopier, PermittedOrders, SendPermits
 from .serving_state import ServingState
 from .state_follower import StateFollower
@@ -200,6 +200,7 @@
             origins=StreamOrigins(ports.state, self._peers),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
+            ran_before_s=lambda: ports.registration.ran_before_s,
             copier=self._make_copier(),
             memory=self._make_memory(),
         )
@@ -302,13 +303,14 @@
     async def _keep_registered(self) -> None:
         """Keep this router registered and merge the platform's instance lists."""
         listen = self._cfg.listen
-        record = InstanceRecord(
+        record = RouterEntry(
             instance=InstanceId(self._cfg.forward.node),
             role=Role.ROUTER,
             zone=self._cfg.forward.zone,
             region=self._cfg.region,
             address=listen.front,
             peer_address=listen.peer,
+            started_ms=self._epoch,
         )
 
         def on_listing(listed: InstanceList) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import field
 from typing import Final
@@ -135,6 +135,8 @@
     """Start of this process, by the router's clock."""
     n_routers_at_start: int = 1
     """Assumed number of routers until the peers are known."""
+    ran_before_s: Callable[[], float] = lambda: math.inf
+    """Time from the previous start of this router to this one; 0 if not known."""
     copier: MemoryCopier | None = None
     """Copies runs between engines; None if the engines do not support it."""
     memory: CallerMemory | None = None
@@ -165,7 +167,10 @@
         found = self.budgets.get(upstream)
         if found is None:
             found = FleetRetryBudget(
-                self.cfg.budget, self.started_at, self.n_routers_at_start
+                self.cfg.budget,
+                self.started_at,
+                self.n_routers_at_start,
+                self.ran_before_s,
             )
             self.budgets[upstream] = found
         return found
--- a/packages/corianderlb-router/tests/retry_fleet.py
+++ b/packages/corianderlb-router/tests/retry_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable
@@ -11,6 +12,9 @@
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_core.forwarding import RepeatKind
+from corianderlb_core.identity import InstanceId, Role
+from corianderlb_router.router_registration import RouterEntry, RouterRegistration
+from corianderlb_standins.fake_store import FakeStore
 from data_path_fakes import FakePeers
 from forward_builders import (
     ForwardRouter,
@@ -109,6 +113,7 @@
         for upstream in upstreams.values():
             upstream.arrivals = self.arrivals
         self._fleet: list[FakePeers] = []
+        self.store = FakeStore()
         self.routers = [self._a_router(f"r{n}") for n in range(n_routers)]
 
     def _a_router(self, name: str) -> ForwardRouter:
@@ -116,7 +121,16 @@
         router = a_router_in(self._network, terms, name, self._fleet)
         route = a_route("read", RepeatKind.IDEMPOTENT, "app", max_attempts=3)
         router.configure(a_configuration(routes=(route,)))
+        registration = RouterRegistration(self.store, random.Random(1))
+        router.parts = dataclasses.replace(
+            router.parts, ran_before_s=lambda: registration.ran_before_s
+        )
         router.mark_process_start()
+        now_ms = round(trio.current_time() * 1000)
+        entry = RouterEntry(
+            InstanceId(name), Role.ROUTER, "z", "r", "", started_ms=now_ms
+        )
+        self._nursery.start_soon(registration.keep, entry, lambda listed: None)
         return router
 
     def restart(self) -> None:
--- a/packages/corianderlb-router/tests/test_retry_arrivals.py
+++ b/packages/corianderlb-router/tests/test_retry_arrivals.py
@@ -12,8 +12,8 @@
 
 TERMS = BudgetTerms(ratio=0.2, fixed=20.0, window_s=10.0)
 
-SEEDS = range(1, 1 + int(os.environ.get("RETRY_DAYS", "4")))
-"""Seeds of the random days; a longer run is started by hand."""
+SEEDS = (1, 2, 3, 13, 22, *range(100, 100 + int(os.environ.get("RETRY_DAYS", "0"))))
+"""Seeds of the random days; more are started by hand."""
 
 
 class RetryArrivalTest(TrioTestCase):
@@ -64,6 +64,19 @@
             nursery.cancel_scope.cancel()
         self.assert_within_allowance(fleet, 10)
 
+    async def test_all_routers_start_while_the_store_is_away(self) -> None:
+        """Guards against a retry at once by a router that can't know its last start."""
+        erring = CountedUpstream(fails=lambda now: True)
+        async with trio.open_nursery() as nursery:
+            fleet = RetryFleet(nursery, TERMS, 4, {"s1": erring})
+            await fleet.send(11, per_s=4)
+            fleet.store.faults.unavailable = True
+            for _ in range(9):
+                fleet.restart()
+                await fleet.send(1.0, per_s=4)
+            nursery.cancel_scope.cancel()
+        self.assert_within_allowance(fleet, 10)
+
     async def test_random_days_keep_the_allowance(self) -> None:
         """Guards against disruptions that together let too many retries through."""
         for seed in SEEDS:
