Retries: listed routers share the fixed number also once one peer was met

What callers' upstreams saw: more repeats in a window than the allowance (BUDGET). Cause: the divisor of the fixed number fell to those whom a router had met, as soon as it had met one: the other listed routers count as gone after some seconds of silence, and those that the settings name no longer count. Routers that start in small groups that don't hear each other each took the parts of all others.

A router that left by itself doesn't count, as before.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -232,12 +232,8 @@
         than ``FORGET_AFTER_S`` or known only from the list, which keeps stopped routers
         for long.
         """
-        now = self._checked_at
         return sum(
-            known.is_known_from_peers
-            and known.suspected_since is not None
-            and (now is None or now - known.suspected_since < FORGET_AFTER_S)
-            and self._with_listed_presence(known.state).presence is Presence.LIVE
+            known.is_known_from_peers and self._may_run(known)
             for known in self._suspected_routers()
         )
 
@@ -250,13 +246,29 @@
     def n_sharing(self) -> int:
         """Number of routers, with this one, that may use a part of an allowance.
 
-        Suspected routers count, since they may run beyond a partition. A router that
-        has met no other yet counts all that are listed.
+        Suspected routers count, since they may run beyond a partition, also if they are
+        only listed. A router that has met no other yet counts all that are listed.
         """
         if self.has_met_peers:
-            return 1 + self.n_candidates + self.n_lost
+            return (
+                1
+                + self.n_candidates
+                + sum(map(self._may_run, self._suspected_routers()))
+            )
         return 1 + len(self._known)
 
+    @property
+    def has_list(self) -> bool:
+        """Whether the platform's list was ever merged."""
+        return self._list_revision >= 0
+
+    def _may_run(self, known: _KnownRouter) -> bool:
+        """Return whether a suspected router may run beyond a partition."""
+        since, now = known.suspected_since, self._checked_at
+        if since is None or (now is not None and now - since >= FORGET_AFTER_S):
+            return False
+        return self._with_listed_presence(known.state).presence is Presence.LIVE
+
     @property
     def running_names(self) -> tuple[InstanceId, ...]:
         """Names of all routers that may run, this one included, in order."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -156,9 +156,10 @@
     def n_sharing(self) -> int:
         """Number of routers among which a fixed allowance is divided.
 
-        Routers that can't hear each other still spend from the same allowance.
+        Routers that can't hear each other still spend from the same allowance. Without
+        the store's list, a router may have met only some of them.
         """
-        if self.peers.has_met_peers():
+        if self.peers.has_met_peers() and self.peers.has_list():
             return max(1, self.peers.n_sharing())
         return max(self.n_routers_at_start, self.peers.n_sharing())
 
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -208,6 +208,10 @@
         """Return whether another router was ever heard."""
         return True
 
+    def has_list(self) -> bool:
+        """Return whether the store's list of routers was ever read."""
+        return True
+
     def heard_share(self, within_s: float) -> float:
         """Return the fraction of the other running routers that are heard.
 
--- a/packages/corianderlb-router/src/corianderlb_router/peer_network.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_network.py
@@ -264,6 +264,10 @@
         """Return whether another router was ever heard."""
         return self._membership.has_met_peers
 
+    def has_list(self) -> bool:
+        """Return whether the store's list of routers was ever read."""
+        return self._membership.has_list
+
     def heard_share(self, within_s: float) -> float:
         """Return the fraction of the other running routers that are heard.
 
