Streams: a router whose view is old doesn't name the version of a stream

Cause: two answers came from the router's own view, whatever its age. `resolve` took the one version that it had seen for long enough without asking anybody, and `_exclude` took the version that was alone until this router saw another one join, though the others may have joined long before that.

Now peers are always asked; half of those asked have to answer, with the versions that they know. A router without peers that answer reads the instances again, and refuses if it can't. The version that was alone counts only if the instances of the others have just started by their own entries. Where one version serves, half of the answers end the question, so that a peer that has just died isn't waited for.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -197,7 +197,9 @@
             rng=self._rng,
             paths=self._paths,
             rooms=self._rooms,
-            origins=StreamOrigins(ports.state, self._peers),
+            origins=StreamOrigins(
+                ports.state, self._peers, refresh=self._follower.refresh_instances
+            ),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -22,6 +22,7 @@
 from .object_feed import FeedListing, HistoryGoneError, ObjectFeed
 from .pause_watch import PauseWatch
 from .serving_state import AppliedChanges, ServingState
+from .shared_read import SharedRead
 from .store import StoreError
 
 WATCH_S: Final = 3.0
@@ -129,6 +130,10 @@
 begins to leave still serves requests during the delay."""
 
 
+READ_TIMEOUT_S: Final = 0.5
+"""Timeout of a read for which a request waits."""
+
+
 class StateFollower:
     """Follows each kind of object in the store and exchanges state with peers."""
 
@@ -155,6 +160,7 @@
         """Set, and replaced by a new event, when the store answers."""
         self._due_at: dict[str, float] = {}
         """By kind: when the store's next answer is due."""
+        self._instances_read = SharedRead(self._read_instances, READ_TIMEOUT_S)
         peers.subscribe(StateOffer, self.on_state_offer)
         peers.subscribe(StateAnswer, self.on_state_answer)
         peers.subscribe(StateRequest, self.on_state_request)
@@ -169,6 +175,15 @@
                 nursery.start_soon(self._follow, kind)
             nursery.start_soon(self._run_offers)
 
+    async def refresh_instances(self) -> bool:
+        """Read the instances now; return whether the store answered in time."""
+        return await self._instances_read.read()
+
+    async def _read_instances(self) -> None:
+        kind, started_at = self._state.instances_kind, trio.current_time()
+        listing = await self._feed.list(kind)
+        self._pass_on(kind, self._state.apply_listing(kind, listing, started_at))
+
     async def _follow(self, kind: str) -> None:
         n_failed = 0
         must_list = True
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -10,7 +10,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import field
 from typing import Final
 
@@ -58,6 +58,9 @@
 OBSERVE_INTERVAL_S: Final = 0.05
 """Shortest interval at which the instances are looked at without a request."""
 
+CLOCK_ERROR_S: Final = 0.5
+"""Largest difference between the wall clocks of a router and an instance."""
+
 MAX_ORIGINS_PER_MESSAGE: Final = 500
 """Maximum number of streams in one message."""
 
@@ -65,6 +68,11 @@
 """Maximum number of requests to the peers at the same time."""
 
 
+async def _never_current() -> bool:
+    """Return that the instances could not be read again."""
+    return False
+
+
 @dataclass(frozen=True)
 class ResumedOrigin:
     """Where a resumed stream has to go on."""
@@ -80,6 +88,8 @@
     """A request to the peers and the answers received so far."""
 
     n_expected: int
+    sole: tuple[str, str] | None = None
+    """Upstream and version that this router knows as the only one."""
     answers: list[StreamOriginAnswer] = field(default_factory=list)
     done: trio.Event = field(default_factory=trio.Event)
 
@@ -88,6 +98,20 @@
         found = (answer.origins[0] for answer in self.answers if answer.origins)
         return next(found, None)
 
+    @property
+    def has_majority(self) -> bool:
+        """Whether at least half of the peers that were asked have answered."""
+        return 0 < self.n_expected <= 2 * len(self.answers)
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether further answers would change nothing."""
+        if self.origin is not None or len(self.answers) >= self.n_expected:
+            return True
+        # With one version, a peer that has just died need not be waited for.
+        known = {version for answer in self.answers for version in answer.versions}
+        return self.has_majority and self.sole is not None and known == {self.sole}
+
 
 class StreamOrigins:
     """Knows the software version that began each stream, or asks the peers for it."""
@@ -97,7 +121,9 @@
         state: ServingState,
         peers: PeerNetwork,
         wall_clock: Callable[[], float] = time.time,
+        refresh: Callable[[], Awaitable[bool]] = _never_current,
     ) -> None:
+        """Read the instances again with ``refresh``, which returns whether it could."""
         self._state = state
         self._peers = peers
         self._wall_clock = wall_clock
@@ -109,6 +135,7 @@
         self._observed_change = -1
         self._lifetime_of: ForwardConfiguration | None = None
         self._kept_lifetime_s = MIN_LIFETIME_S
+        self._refresh = refresh
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
         self._doubted_revisions: dict[IncarnationKey, int] = {}
@@ -203,17 +230,24 @@
         known = self._table.find(key, now) if key else None
         if known is not None:
             return ResumedOrigin(known.upstream, known.version, "own")
-        versions = self._recent(route, now)
-        is_covered = self._observed_s(route, now) >= self._lifetime_s
-        if len(versions) == 1 and is_covered:
-            return ResumedOrigin(*next(iter(versions)), "only")
-        answers: Sequence[StreamOriginAnswer] = ()
-        if key:
-            ask = await self._ask(key, route)
-            if ask.origin is not None:
-                return self._learn(ask.origin)
-            answers = ask.answers
-        return self._exclude(route, answers)
+        ask = await self._ask(key, route)
+        if ask.origin is not None:
+            return self._learn(ask.origin)
+        if not self._is_vouched(ask):
+            # Peers can't tell whether another version has joined lately.
+            if not await self._refresh():
+                return None
+            self._observe()
+        return self._exclude(route, ask.answers)
+
+    def _is_vouched(self, ask: _Ask) -> bool:
+        """Return whether enough routers have told which versions they know.
+
+        A router that is cut off, or was paused, may lack the newest version.
+        """
+        if ask.n_expected == 0:
+            return self._peers.n_running() <= 1
+        return ask.has_majority
 
     def _exclude(
         self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
@@ -230,34 +264,53 @@
             observed_s = max(observed_s, answer.observed_ms / 1000)
         if len(versions) == 1:
             is_covered = observed_s >= self._lifetime_s
-            if is_covered or not self._has_newcomer(route):
+            if is_covered or not self._has_newcomer(route, self._lifetime_s):
                 return ResumedOrigin(*versions.pop(), "only")
             return None
         sole = {
             (name, history.sole_before_mix(now, UNANNOUNCED_S))
             for name, history in self._histories_of(route)
         }
-        if len(sole) == 1 and next(iter(sole))[1]:
-            return ResumedOrigin(*sole.pop(), "before")
-        return None
+        if len(sole) != 1 or not next(iter(sole))[1]:
+            return None
+        origin = ResumedOrigin(*sole.pop(), "before")
+        # The others may have joined long before this router saw them.
+        has_just_joined = all(
+            self._has_started_within(instance, UNANNOUNCED_S + CLOCK_ERROR_S)
+            for instance in self._instances_of(route)
+            if instance.software_version != origin.version
+        )
+        return origin if has_just_joined else None
+
+    def _instances_of(self, route: ForwardRoute) -> list[ForwardInstance]:
+        names = {share.upstream for share in route.shares}
+        return [i for i in self._state.all_instances() if i.upstream in names]
+
+    def _has_started_within(self, instance: ForwardInstance, seconds: float) -> bool:
+        oldest_ms = (self._wall_clock() - seconds) * 1000
+        return instance.born_ms > oldest_ms
 
-    def _has_newcomer(self, route: ForwardRoute) -> bool:
-        """Return whether an instance of the route started lately.
+    def _has_newcomer(self, route: ForwardRoute, seconds: float) -> bool:
+        """Return whether an instance of the route started within some seconds.
 
         It may have replaced one of another version. Without a newcomer, the versions of
         now are those of before.
         """
-        oldest_ms = (self._wall_clock() - self._lifetime_s) * 1000
-        names = {share.upstream for share in route.shares}
         return any(
-            instance.upstream in names
-            and (not instance.born_ms or instance.born_ms > oldest_ms)
-            for instance in self._state.all_instances()
+            not instance.born_ms or self._has_started_within(instance, seconds)
+            for instance in self._instances_of(route)
         )
 
-    async def _ask(self, key: bytes, route: ForwardRoute) -> _Ask:
-        """Ask the peers for a stream; return once one knows it or all have answered."""
-        ask = _Ask(0)
+    async def _ask(self, key: bytes | None, route: ForwardRoute) -> _Ask:
+        """Ask the peers for a stream; return once one knows it or all have answered.
+
+        Without a key they tell which versions they know.
+        """
+        now = trio.current_time()
+        versions = self._recent(route, now)
+        is_covered = self._observed_s(route, now) >= self._lifetime_s
+        has_sole = is_covered and len(versions) == 1
+        ask = _Ask(0, next(iter(versions)) if has_sole else None)
         if len(self._asks) >= MAX_ASKS:
             return ask
         self._n_asks += 1
@@ -265,7 +318,7 @@
         names = tuple(share.upstream for share in route.shares)
         self._asks[number] = ask
         try:
-            request = StreamOriginRequest(number, key, names)
+            request = StreamOriginRequest(number, key or b"", names)
             ask.n_expected = self._peers.broadcast(request)
             if ask.n_expected:
                 with trio.move_on_after(ASK_TIMEOUT_S):
@@ -311,7 +364,7 @@
         if ask is None:
             return
         ask.answers.append(answer)
-        if answer.origins or len(ask.answers) >= ask.n_expected:
+        if ask.is_decided:
             ask.done.set()
 
     def _record_announced(self, announced: StreamOrigin) -> KnownOrigin:
