Streams: begun streams are recorded in the store while several versions serve

Cause: which version began a stream was only in the routers' memory.

Each router now writes what it has begun to one object of its own, at most four times a second and forty times for the whole fleet, and only while several versions have served within a stream's lifetime, or an instance has joined since the router began to watch. A stream that no router knows is looked up there; reads are shared and at most ten a second. A record takes a stream from 0.2 s after its first event, so that a corrected version comes first; two records that differ name nothing. A restarted router keeps what its object held. Without the store such streams are refused, as before.

Ruled out: a version chosen from the stream's id and recorded shares (a release moves the share from 0 to 1 within a stream's lifetime, so that most ids fit either version), asking the engines (their caches name parts that several requests share, and they forget a run when its connection ends), a write for each stream (more than the store bears).

Not covered: a stream that begins less than about half a second before all routers are killed.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -10,7 +10,7 @@
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
 from typing import Final
 
@@ -54,6 +54,8 @@
     """The incarnation that began it; None if another router began it."""
     began_ms: int = 0
     """Unix milliseconds at which this router sent the request."""
+    first_event_at: float = math.inf
+    """When its first event went to the caller, on the router's clock."""
 
     def announcement(self, now: float) -> StreamOrigin:
         """Return the announcement for other routers."""
@@ -61,6 +63,53 @@
         return StreamOrigin(self.key, self.upstream, self.version, left_ms)
 
 
+@dataclass(frozen=True)
+class StoredStreams:
+    """Streams of one upstream and software version in a router's record."""
+
+    upstream: str
+    version: str
+    keys: bytes
+    """Their keys, one after the other."""
+
+    def each_key(self) -> Iterator[bytes]:
+        """Return each key."""
+        for start in range(0, len(self.keys), KEY_BYTES):
+            yield self.keys[start : start + KEY_BYTES]
+
+    def without(self, keys: Collection[bytes]) -> StoredStreams:
+        """Return the streams that are not among some keys."""
+        kept = b"".join(key for key in self.each_key() if key not in keys)
+        return replace(self, keys=kept)
+
+
+@dataclass(frozen=True)
+class StreamRecord:
+    """What one router stores of the streams that it has begun."""
+
+    written_ms: int
+    """Unix milliseconds at which it was written."""
+    keep_ms: int
+    """Time for which its streams can be resumed after that."""
+    streams: tuple[StoredStreams, ...]
+
+    @property
+    def until_ms(self) -> int:
+        """Unix milliseconds until which it counts."""
+        return self.written_ms + self.keep_ms
+
+
+def group_streams(origins: Iterable[KnownOrigin]) -> tuple[StoredStreams, ...]:
+    """Return streams by upstream and software version, as they are stored."""
+    keys: dict[tuple[str, str], list[bytes]] = {}
+    for origin in origins:
+        keys.setdefault((origin.upstream, origin.version), []).append(origin.key)
+    return tuple(
+        StoredStreams(upstream, version, b"".join(found))
+        for (upstream, version), found in keys.items()
+    )
+
+
 class OriginTable:
     """Origins of streams by key, bounded in number and time."""
 
@@ -82,6 +131,12 @@
         origin = self._origins.get(key)
         return origin if origin is not None and origin.expires_at > now else None
 
+    def record_first_event(self, key: bytes, now: float) -> None:
+        """Record that the first event of a stream goes to its caller."""
+        origin = self._origins.get(key)
+        if origin is not None:
+            self._origins[key] = replace(origin, first_event_at=now)
+
     def own(self, upstream: str, now: float) -> tuple[KnownOrigin, ...]:
         """Return the streams of an upstream that this router has begun."""
         return tuple(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -54,6 +54,7 @@
 from .state_follower import StateFollower
 from .store import InstanceList, ObjectStore
 from .stream_origins import StreamOrigins
+from .stream_records import StreamRecords
 from .transport import UpstreamTransport
 from .weights_controller import WeightsController
 
@@ -198,7 +199,15 @@
             paths=self._paths,
             rooms=self._rooms,
             origins=StreamOrigins(
-                ports.state, self._peers, refresh=self._follower.refresh_instances
+                ports.state,
+                self._peers,
+                refresh=self._follower.refresh_instances,
+                records=StreamRecords(
+                    ports.store,
+                    InstanceId(cfg.forward.node),
+                    lambda: self._parts.n_sharing,
+                    self._rng,
+                ),
             ),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -399,9 +399,15 @@
             # An event of another version, once sent, can't be taken back.
             self._relay.check_source = partial(self._check_source, instance, version)
             return
-        self._relay.on_begin = partial(target.bind, instance.software_version)
+        self._relay.on_begin = partial(self._bind_stream, instance)
         origins.began(target.stream_key, instance, self._route)
 
+    def _bind_stream(self, instance: ForwardInstance) -> None:
+        """Keep the stream at the version of the instance that wrote its first event."""
+        self._target.bind(instance.software_version)
+        if self._target.stream_key is not None:
+            self._parts.origins.first_event(self._target.stream_key)
+
     def _check_source(self, instance: ForwardInstance, version: str) -> None:
         if self._parts.origins.has_changed(instance, version):
             detail = f"{instance.instance} restarted with another software version"
--- a/packages/corianderlb-router/src/corianderlb_router/shared_read.py
+++ b/packages/corianderlb-router/src/corianderlb_router/shared_read.py
@@ -4,11 +4,15 @@
 
 import math
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import trio
 
 from .store import StoreError
 
+MIN_GAP_S: Final = 0.1
+"""Shortest time between the begin of two reads; each call to the store is billed."""
+
 
 class SharedRead:
     """A read that answers all who asked before it began.
@@ -29,6 +33,7 @@
         asked_at = trio.current_time()
         async with self._lock:
             if self._began_at < asked_at:
+                await trio.sleep_until(max(asked_at, self._began_at + MIN_GAP_S))
                 self._began_at = trio.current_time()
                 self._was_answered = False
                 with trio.move_on_after(self._timeout_s):
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -10,7 +10,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
 from dataclasses import field
 from typing import Final
 
@@ -36,6 +36,7 @@
 
 from .interface import PeerNetwork
 from .serving_state import ServingState
+from .stream_records import StreamRecords
 
 N_KEEPERS: Final = 8
 """Peers to which the origin of a stream is announced. Of 78 routers with 16 links each,
@@ -58,6 +59,10 @@
 OBSERVE_INTERVAL_S: Final = 0.05
 """Shortest interval at which the instances are looked at without a request."""
 
+SETTLED_S: Final = 0.2
+"""Time after its first event from which a stream is recorded. The new entry of an
+instance that has restarted with another version takes less."""
+
 CLOCK_ERROR_S: Final = 0.5
 """Largest difference between the wall clocks of a router and an instance."""
 
@@ -80,7 +85,8 @@
     upstream: str
     version: str
     source: str
-    """How it was learnt: ``own``, ``peer``, ``only`` version, or alone ``before``."""
+    """How it was learnt: ``own``, ``peer``, ``only`` version, ``stored`` by its router,
+    or alone ``before``."""
 
 
 @dataclass
@@ -122,8 +128,12 @@
         peers: PeerNetwork,
         wall_clock: Callable[[], float] = time.time,
         refresh: Callable[[], Awaitable[bool]] = _never_current,
+        records: StreamRecords | None = None,
     ) -> None:
-        """Read the instances again with ``refresh``, which returns whether it could."""
+        """Read the instances again with ``refresh``, which returns whether it could.
+
+        Without ``records``, streams are forgotten once all their routers are gone.
+        """
         self._state = state
         self._peers = peers
         self._wall_clock = wall_clock
@@ -136,6 +146,7 @@
         self._lifetime_of: ForwardConfiguration | None = None
         self._kept_lifetime_s = MIN_LIFETIME_S
         self._refresh = refresh
+        self._records = records
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
         self._doubted_revisions: dict[IncarnationKey, int] = {}
@@ -148,6 +159,14 @@
 
     async def run(self) -> None:
         """Watch the software versions of the instances until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch)
+            if self._records is not None:
+                nursery.start_soon(
+                    self._records.run, self._to_record, lambda: self._lifetime_s
+                )
+
+    async def _watch(self) -> None:
         while True:
             changed = self._state.changed
             self._observe()
@@ -180,6 +199,25 @@
         if not is_covered or len(self._recent(route, now)) > 1:
             self._announce([origin])
 
+    def first_event(self, key: bytes) -> None:
+        """Record that the first event of a stream is about to go to its caller."""
+        self._table.record_first_event(key, trio.current_time())
+
+    def _to_record(self) -> Iterator[KnownOrigin]:
+        """Return the streams that the store has to know if all routers end now.
+
+        These are none while one version has served for long enough.
+        """
+        now = trio.current_time()
+        latest = now - SETTLED_S
+        for name, history in list(self._histories.items()):
+            is_new = now - history.since < self._lifetime_s
+            is_mixed = len(history.recent(now, self._lifetime_s)) > 1
+            if is_mixed or (is_new and self._has_newcomer({name}, self._lifetime_s)):
+                for origin in self._table.own(name, now):
+                    if origin.first_event_at <= latest:
+                        yield origin
+
     def version_of(self, key: bytes) -> str | None:
         """Return the version that began a stream; None if it is not known here."""
         origin = self._table.find(key, trio.current_time())
@@ -233,12 +271,38 @@
         ask = await self._ask(key, route)
         if ask.origin is not None:
             return self._learn(ask.origin)
-        if not self._is_vouched(ask):
+        is_current = self._is_vouched(ask)
+        if not is_current:
             # Peers can't tell whether another version has joined lately.
-            if not await self._refresh():
-                return None
+            is_current = await self._refresh()
             self._observe()
-        return self._exclude(route, ask.answers)
+        sole = self._sole_version(route, ask.answers) if is_current else None
+        if sole is not None:
+            return ResumedOrigin(*sole, "only")
+        stored = await self._records.find(key) if self._records and key else None
+        if stored is not None:
+            return ResumedOrigin(*stored, "stored")
+        return self._exclude(route, ask.answers) if is_current else None
+
+    def _sole_version(
+        self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
+    ) -> tuple[str, str] | None:
+        """Return the upstream and version that alone served for long enough."""
+        versions, observed_s = self._known_versions(route, answers)
+        is_covered = observed_s >= self._lifetime_s
+        return versions.pop() if is_covered and len(versions) == 1 else None
+
+    def _known_versions(
+        self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
+    ) -> tuple[set[tuple[str, str]], float]:
+        """Return the recent versions that any router has seen, and for how long."""
+        now = trio.current_time()
+        versions = set(self._recent(route, now))
+        observed_s = self._observed_s(route, now)
+        for answer in answers:
+            versions.update(answer.versions)
+            observed_s = max(observed_s, answer.observed_ms / 1000)
+        return versions, observed_s
 
     def _is_vouched(self, ask: _Ask) -> bool:
         """Return whether enough routers have told which versions they know.
@@ -256,17 +320,12 @@
 
         ``answers`` are those of the peers, none of which knows it.
         """
-        now = trio.current_time()
-        versions = set(self._recent(route, now))
-        observed_s = self._observed_s(route, now)
-        for answer in answers:
-            versions.update(answer.versions)
-            observed_s = max(observed_s, answer.observed_ms / 1000)
+        versions, _ = self._known_versions(route, answers)
+        names = {share.upstream for share in route.shares}
         if len(versions) == 1:
-            is_covered = observed_s >= self._lifetime_s
-            if is_covered or not self._has_newcomer(route, self._lifetime_s):
-                return ResumedOrigin(*versions.pop(), "only")
-            return None
+            has_newcomer = self._has_newcomer(names, self._lifetime_s)
+            return None if has_newcomer else ResumedOrigin(*versions.pop(), "only")
+        now = trio.current_time()
         sole = {
             (name, history.sole_before_mix(now, UNANNOUNCED_S))
             for name, history in self._histories_of(route)
@@ -277,28 +336,27 @@
         # The others may have joined long before this router saw them.
         has_just_joined = all(
             self._has_started_within(instance, UNANNOUNCED_S + CLOCK_ERROR_S)
-            for instance in self._instances_of(route)
+            for instance in self._instances_of(names)
             if instance.software_version != origin.version
         )
         return origin if has_just_joined else None
 
-    def _instances_of(self, route: ForwardRoute) -> list[ForwardInstance]:
-        names = {share.upstream for share in route.shares}
-        return [i for i in self._state.all_instances() if i.upstream in names]
+    def _instances_of(self, upstreams: Collection[str]) -> list[ForwardInstance]:
+        return [i for i in self._state.all_instances() if i.upstream in upstreams]
 
     def _has_started_within(self, instance: ForwardInstance, seconds: float) -> bool:
         oldest_ms = (self._wall_clock() - seconds) * 1000
         return instance.born_ms > oldest_ms
 
-    def _has_newcomer(self, route: ForwardRoute, seconds: float) -> bool:
-        """Return whether an instance of the route started within some seconds.
+    def _has_newcomer(self, upstreams: Collection[str], seconds: float) -> bool:
+        """Return whether an instance of some upstreams started within some seconds.
 
         It may have replaced one of another version. Without a newcomer, the versions of
         now are those of before.
         """
         return any(
             not instance.born_ms or self._has_started_within(instance, seconds)
-            for instance in self._instances_of(route)
+            for instance in self._instances_of(upstreams)
         )
 
     async def _ask(self, key: bytes | None, route: ForwardRoute) -> _Ask:
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -0,0 +1,157 @@
+"""Records of begun streams in the store, which outlast all routers.
+
+While several software versions serve, each router writes the streams that it has begun
+to one object of its own, a few times a second. A stream that no router knows any more
+is looked up there.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final
+
+import eliot
+import trio
+
+from corianderlb_core.codec import DecodeError, from_cbor, to_cbor
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.stream_origin import (
+    KnownOrigin,
+    StoredStreams,
+    StreamRecord,
+    group_streams,
+)
+
+from .shared_read import SharedRead
+from .store import ObjectStore, StoredObject, StoreError
+
+STREAMS_PREFIX: Final = "streams/"
+"""Key prefix of the records in the store."""
+
+MIN_INTERVAL_S: Final = 0.25
+"""Shortest time between two writes of a router."""
+
+MAX_WRITES_PER_S: Final = 40.0
+"""Writes of all routers together, a tenth of what a small store bears."""
+
+READ_TIMEOUT_S: Final = 0.5
+"""Longest time for which a resumed stream waits for the store."""
+
+
+class StreamRecords:
+    """Writes the streams of this router, and reads those of all."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        router: InstanceId,
+        n_routers: Callable[[], int],
+        rng: random.Random,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._key = STREAMS_PREFIX + router
+        self._n_routers = n_routers
+        self._rng = rng
+        self._wall_clock = wall_clock
+        self._shared_read = SharedRead(self._read, READ_TIMEOUT_S)
+        self._found: dict[bytes, tuple[str, str] | None] = {}
+        """Upstream and version by key; None where two records differ."""
+        self._version: str | None = None
+        """Version of this router's object, empty if there is none; None until it is
+        read."""
+        self._inherited: tuple[StoredStreams, ...] = ()
+        """Streams that earlier incarnations of this router have begun."""
+        self._inherited_until = -math.inf
+        self._written: dict[bytes, str] = {}
+
+    # Lookup.
+
+    async def find(self, key: bytes) -> tuple[str, str] | None:
+        """Return the upstream and software version of a stream, or None.
+
+        Every record that was written before the call is taken into account.
+        """
+        if self._found.get(key) is None:
+            await self._shared_read.read()
+        return self._found.get(key)
+
+    async def _read(self) -> None:
+        found: dict[bytes, tuple[str, str] | None] = {}
+        now_ms = self._wall_clock() * 1000
+        for stored in await self._store.read_all(STREAMS_PREFIX):
+            record = _record_of(stored)
+            if record is None or record.until_ms < now_ms:
+                continue
+            for streams in record.streams:
+                origin = (streams.upstream, streams.version)
+                for key in streams.each_key():
+                    known = found.setdefault(key, origin)
+                    if known != origin:
+                        found[key] = None
+        self._found = found
+
+    # Records of this router.
+
+    async def run(
+        self,
+        begun: Callable[[], Iterable[KnownOrigin]],
+        keep_s: Callable[[], float],
+    ) -> None:
+        """Write the streams that ``begun`` returns until cancelled.
+
+        A record counts for ``keep_s`` after it was written.
+        """
+        while True:
+            await trio.sleep(self._interval_s() * self._rng.uniform(0.8, 1.2))
+            try:
+                await self._write(list(begun()), keep_s())
+            except StoreError as exc:
+                # The write may have taken effect, or another one may have.
+                self._version = None
+                eliot.log_message(message_type="streams:not_recorded", reason=str(exc))
+
+    def _interval_s(self) -> float:
+        return max(MIN_INTERVAL_S, self._n_routers() / MAX_WRITES_PER_S)
+
+    async def _write(self, begun: Sequence[KnownOrigin], keep_s: float) -> None:
+        versions = {origin.key: origin.version for origin in begun}
+        if versions.items() <= self._written.items():
+            return
+        if self._version is None:
+            await self._inherit()
+        now_ms = round(self._wall_clock() * 1000)
+        streams = group_streams(begun)
+        if now_ms < self._inherited_until:
+            streams = (*streams, *self._inherited)
+        value = to_cbor(StreamRecord(now_ms, round(keep_s * 1000), streams))
+        if self._version:
+            version = await self._store.update(self._key, value, self._version)
+        else:
+            version = await self._store.create(self._key, value)
+        self._version, self._written = version, versions
+
+    async def _inherit(self) -> None:
+        """Keep what this router's object holds already."""
+        stored = await self._store.get(self._key)
+        record = _record_of(stored) if stored else None
+        if record is not None and record.until_ms > self._inherited_until:
+            own = set(self._written)
+            self._inherited = tuple(
+                kept for s in record.streams if (kept := s.without(own)).keys
+            )
+            self._inherited_until = record.until_ms
+        self._version = stored.version if stored else ""
+
+
+def _record_of(stored: StoredObject) -> StreamRecord | None:
+    try:
+        return from_cbor(StreamRecord, stored.value)
+    except DecodeError as exc:
+        eliot.log_message(
+            message_type="streams:unreadable", key=stored.key, reason=str(exc)
+        )
+        return None
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -358,6 +358,8 @@
 store:history_gone kind
 store:lost
 store:regained away_s
+streams:not_recorded reason
+streams:unreadable key reason
 tunnel:not_opened instance peer reason
 upstream:brittle born_ms instance refusals_per_s source
 upstream:forgotten born_ms instance
--- a/packages/corianderlb-router/tests/test_stored_names.py
+++ b/packages/corianderlb-router/tests/test_stored_names.py
@@ -23,12 +23,14 @@
 from corianderlb_core.lease import LeaseRecord
 from corianderlb_core.order import LoadSlots
 from corianderlb_core.snapshot import fold_stored
+from corianderlb_core.stream_origin import StreamRecord
 from corianderlb_router._journal_object import chunk_key
 from corianderlb_router.forward_node import LEASE_NAME
 from corianderlb_router.lease_holder import LEASE_PREFIX
 from corianderlb_router.load_slot_store import SLOTS_KEY
-from corianderlb_router.router_registration import REGISTRATION_PREFIX
+from corianderlb_router.router_registration import REGISTRATION_PREFIX, RouterEntry
 from corianderlb_router.store import InstanceList
+from corianderlb_router.stream_records import STREAMS_PREFIX
 from wire_names import field_paths, lines
 
 ENTRIES = """\
@@ -155,6 +157,11 @@
 instances instances[].presence = live|leaving
 instances instances[].upstream
 instances instances[].peer_address
+streams written_ms
+streams keep_ms
+streams streams[].upstream
+streams streams[].version
+streams streams[].keys
 """
 
 RECORDS = (
@@ -286,6 +293,37 @@
             "peer_address": "r1:81",
         },
     ),
+    (
+        RouterEntry,
+        "a968696e7374616e636562723164726f6c6566726f75746572647a6f6e65627a"
+        "3166726567696f6e656e6f72746867616464726573736572313a383068707265"
+        "73656e6365646c69766568757073747265616d606c706565725f616464726573"
+        "736572313a38316a737461727465645f6d7307",
+        {
+            "instance": "r1",
+            "role": "router",
+            "zone": "z1",
+            "region": "north",
+            "address": "r1:80",
+            "presence": "live",
+            "upstream": "",
+            "peer_address": "r1:81",
+            "started_ms": 7,
+        },
+    ),
+    (
+        StreamRecord,
+        "a36a7772697474656e5f6d7307676b6565705f6d73193a986773747265616d73"
+        "81a368757073747265616d65656d6265726776657273696f6e627631646b6579"
+        "734c303132333435363738396162",
+        {
+            "written_ms": 7,
+            "keep_ms": 15_000,
+            "streams": (
+                {"upstream": "ember", "version": "v1", "keys": b"0123456789ab"},
+            ),
+        },
+    ),
     (
         StoredAnswer,
         "a46673746174757318c9676865616465727381826161616264626f6479417868"
@@ -387,6 +425,7 @@
             "instance": InstanceRecord,
             "answer": StoredAnswer,
             "instances": InstanceList,
+            "streams": StreamRecord,
         }
         found = [f"{k} {path}" for k, cls in types.items() for path in field_paths(cls)]
         self.assertEqual(found, lines(STORED))
@@ -429,6 +468,7 @@
         self.assertEqual(LEASE_PREFIX + LEASE_NAME, "leases/orders/weights")
         self.assertEqual(SLOTS_KEY, "orders/loads")
         self.assertEqual(REGISTRATION_PREFIX, "routers/")
+        self.assertEqual(STREAMS_PREFIX, "streams/")
 
 
 def _names(cls: Any) -> str:
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -2,18 +2,32 @@
 
 from __future__ import annotations
 
+import dataclasses
+import random
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import trio
 
+from corianderlb_core.codec import to_cbor
+from corianderlb_core.identity import InstanceId
+from corianderlb_core.stream_origin import StoredStreams, StreamRecord, stream_key
+from corianderlb_router.forward_dispatcher import ForwardDispatcher
+from corianderlb_router.store import StoredObject
+from corianderlb_router.stream_origins import StreamOrigins
+from corianderlb_router.stream_records import StreamRecords
+from corianderlb_standins.fake_store import FakeStore
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
     ForwardRouter,
     Upstream,
+    UpstreamNetwork,
     a_fleet,
     a_late_answer,
     a_router,
+    a_router_in,
     a_stream,
     an_instance,
     break_off,
@@ -262,3 +276,114 @@
 
             second.parts.origins._refresh = refresh
             self.assertEqual((await resume(second, resumes="unknown")).status, 200)
+
+
+class StreamRecordTest(TrioTestCase):
+    """Routers that were all killed while several versions served."""
+
+    @asynccontextmanager
+    async def restarted_routers(
+        self, store: FakeStore, after_s: float, n_streams: int = 4
+    ) -> AsyncIterator[tuple[ForwardRouter, dict[str, Upstream], dict[str, str]]]:
+        """Begin streams, kill all routers after some time, and start them again.
+
+        Yields a new router, the engines, and the engine that began each stream.
+        """
+        upstreams = {f"e{n}": Upstream([a_stream(1, 2)]) for n in (1, 2)}
+        async with trio.open_nursery() as nursery:
+            network = UpstreamNetwork(nursery, upstreams)
+            first = a_recording_router(network, store, "r1")
+            list_versions(first, e1="v1", e2="v2")
+            nursery.start_soon(first.parts.origins.run)
+            began = {}
+            for number in range(n_streams):
+                before = n_requests(upstreams)
+                await first.ask("/long/7", x_prompt=PROMPT, x_id=f"s{number}")
+                now = n_requests(upstreams)
+                began[f"s{number}"] = next(n for n in now if now[n] > before[n])
+            await trio.sleep(after_s)
+            nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            for engine in upstreams.values():
+                engine.script = [a_stream(3, 4)]
+                engine.requests.clear()
+            second = a_recording_router(
+                UpstreamNetwork(nursery, upstreams), store, "r2"
+            )
+            list_versions(second, e1="v1", e2="v2")
+            nursery.start_soon(second.parts.origins.run)
+            yield second, upstreams, began
+            nursery.cancel_scope.cancel()
+
+    async def test_streams_go_on_at_their_version(self) -> None:
+        """Guards against streams that are lost, or joined from two versions."""
+        async with self.restarted_routers(FakeStore(), 1.0) as (router, engines, began):
+            for number, (stream, engine) in enumerate(began.items()):
+                before = n_requests(engines)[engine]
+                caller = await resume(router, resumes=stream, x_id=f"t{number}")
+                self.assertEqual(caller.status, 200)
+                self.assertEqual(n_requests(engines)[engine], before + 1)
+
+    async def test_stream_that_was_not_recorded_yet(self) -> None:
+        """Guards against a guess where no record can have been written."""
+        async with self.restarted_routers(FakeStore(), 0.1) as (router, engines, _):
+            self.assertEqual((await resume(router, resumes="s3")).status, 503)
+            self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
+
+    async def test_store_is_away(self) -> None:
+        """Guards against a caller that waits for the store until its deadline."""
+        store = FakeStore()
+        async with self.restarted_routers(store, 1.0) as (router, engines, _):
+            store.faults.delay_s = 30.0
+            asked_at = trio.current_time()
+            self.assertEqual((await resume(router, resumes="s0")).status, 503)
+            self.assertLess(trio.current_time() - asked_at, 1.5)
+            self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
+
+    async def test_records_that_cannot_be_read(self) -> None:
+        """Guards against one record that hides all others."""
+        store = FakeStore()
+        store.objects["streams/other"] = StoredObject("streams/other", b"\xff", "1")
+        async with self.restarted_routers(store, 1.0) as (router, _, began):
+            self.assertEqual((await resume(router, resumes="s0")).status, 200)
+
+    async def test_records_that_differ(self) -> None:
+        """Guards against a choice between two versions that claim a stream."""
+        store = FakeStore()
+        key = stream_key("acme", "s0")
+        other = StreamRecord(
+            round(time.time() * 1000),
+            60_000,
+            (StoredStreams("llm", "v1", key), StoredStreams("llm", "v2", key)),
+        )
+        value = to_cbor(other)
+        store.objects["streams/other"] = StoredObject("streams/other", value, "1")
+        async with self.restarted_routers(store, 1.0) as (router, engines, _):
+            self.assertEqual((await resume(router, resumes="s0")).status, 503)
+
+    async def test_restarted_router_keeps_what_it_recorded(self) -> None:
+        """Guards against a restart that overwrites the streams before it."""
+        store = FakeStore()
+        async with self.restarted_routers(store, 1.0) as (router, engines, began):
+            again = a_recording_router(router.network, store, "r1")
+            list_versions(again, e1="v1", e2="v2")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(again.parts.origins.run)
+                await again.ask("/long/7", x_prompt=PROMPT, x_id="new")
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            for number, stream in enumerate(("s0", "new")):
+                caller = await resume(router, resumes=stream, x_id=f"t{number}")
+                self.assertEqual(caller.status, 200)
+
+
+def a_recording_router(
+    network: UpstreamNetwork, store: FakeStore, name: str
+) -> ForwardRouter:
+    """Build a router without peers that records its streams in a store."""
+    router = a_router_in(network, name=name)
+    records = StreamRecords(store, InstanceId(name), lambda: 1, random.Random(1))
+    origins = StreamOrigins(router.state, router.peers, records=records)
+    router.parts = dataclasses.replace(router.parts, origins=origins)
+    router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+    return router
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -914,6 +914,7 @@
 orders/{}
 routers/
 snapshots/
+streams/
 upstream/{}
 ws://{}/
 {}/head
