--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -12,7 +12,9 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
-from typing import Final
+from typing import Annotated, Final
+
+import msgspec
 
 from .data_class import dataclass
 from .message import StreamOrigin
@@ -29,6 +31,10 @@
 restart."""
 
 
+MAX_MS: Final = 2**53
+"""Largest number of milliseconds in a record."""
+
+
 def stream_key(account: str, request_id: str) -> bytes:
     """Return the key of a stream, which only its own account can name.
 
@@ -87,9 +93,9 @@
 class StreamRecord:
     """What one router stores of the streams that it has begun."""
 
-    written_ms: int
+    written_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
     """Unix milliseconds at which it was written."""
-    keep_ms: int
+    keep_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
     """Time for which its streams can be resumed after that."""
     streams: tuple[StoredStreams, ...]
 
--- a/packages/corianderlb-router/src/corianderlb_router/router_registration.py
+++ b/packages/corianderlb-router/src/corianderlb_router/router_registration.py
@@ -5,9 +5,10 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Annotated, Final
 
 import eliot
+import msgspec
 import trio
 
 from corianderlb_core.codec import DecodeError, from_cbor, to_cbor
@@ -35,11 +36,15 @@
 """Mean seconds between two reads by any router of a large fleet."""
 
 
+MAX_MS: Final = 2**53
+"""Latest time that an entry may name, in Unix milliseconds."""
+
+
 @dataclass(frozen=True)
 class RouterEntry(InstanceRecord):
     """What a router registers: its record, and when it started."""
 
-    started_ms: int = 0
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
     """Unix milliseconds of the start; 0 if an earlier version wrote the entry."""
 
 
