Quarantine: what crashes instances is recorded in the store

What upstreams saw: after all routers were killed at once, a request or prompt part that they had refused ran again and crashed instances as if it were new (BUDGET counts its retries beyond the third crash). Cause, the class of the lost streams: a conviction was in the routers' memory alone, and those that start ask each other.

Each router writes what it has in quarantine to an object of its own when something joins it, and reads those of all when it starts, until the store answers. A suspect with fewer crashes than a conviction needs isn't recorded: most are innocent. After the quarantine one more crash, or the probe of a part, decides as without the restart.

--- a/packages/corianderlb-core/src/corianderlb_core/quarantine.py
+++ b/packages/corianderlb-core/src/corianderlb_core/quarantine.py
@@ -56,6 +56,9 @@
 """Time after a complete answer in which other requests with the same digest are no
 suspects: the digest does not cover all of a request."""
 
+RESTORED: Final = "restored"
+"""Stands for the instances of crashes before a restart."""
+
 MAX_SUSPECTS: Final = 10_000
 """Maximum number of suspects, and of reports kept to recognize duplicates; the oldest
 are evicted first."""
@@ -73,6 +76,16 @@
     """Seconds left in quarantine; 0 if not in quarantine."""
 
 
+@dataclass(frozen=True)
+class Conviction:
+    """A request or prompt part in quarantine, as a restarted fleet has to know it."""
+
+    digest: bytes
+    refused_for_s: float
+    n_holds: int = 0
+    """Quarantines of a part so far; 0 for a request."""
+
+
 @dataclass
 class _Suspect:
     crashes: list[str] = field(default_factory=list)
@@ -329,6 +342,41 @@
             for digest, known in self._suspects.items()
         )
 
+    def convictions(self, now: float) -> tuple[Conviction, ...]:
+        """Return what is in quarantine."""
+        found = []
+        for digest, suspect in self._suspects.items():
+            if isinstance(suspect, _SuspectPart):
+                left_s = self._part_refused_for(digest, now)
+                found.append(Conviction(digest, left_s, suspect.n_holds))
+            else:
+                found.append(Conviction(digest, suspect.refused_until - now))
+        return tuple(item for item in found if item.refused_for_s > 0)
+
+    def restore(self, conviction: Conviction, now: float) -> None:
+        """Quarantine again what was in quarantine before a restart.
+
+        One more crash after its end puts it back, as if its crashes were known.
+        """
+        digest, refused_until = conviction.digest, now + conviction.refused_for_s
+        known = self._suspects.get(digest)
+        if known is not None and known.refused_until >= refused_until:
+            return
+        self._evict_oldest()
+        n_crashes = PART_CRASH_LIMIT - 1 if conviction.n_holds else CRASH_LIMIT
+        crashes = [f"{RESTORED}@{number}" for number in range(1, n_crashes + 1)]
+        if not conviction.n_holds:
+            self._suspects[digest] = _Suspect(crashes, now, refused_until)
+            return
+        self._suspects[digest] = _SuspectPart(
+            crashes,
+            now,
+            refused_until,
+            digest,
+            n_requests=dict.fromkeys(crashes, 1),
+            n_holds=conviction.n_holds,
+        )
+
     def _is_new_report(self, crash_id: str, digest: bytes) -> bool:
         if (crash_id, digest) in self._counted_reports:
             return False
--- a/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
+++ b/packages/corianderlb-router/src/corianderlb_router/fleet_quarantine.py
@@ -14,6 +14,7 @@
 from corianderlb_core.quarantine import (
     DEFAULT_QUARANTINE_S,
     PROBE_RETRY_S,
+    Conviction,
     SuspectTable,
 )
 from corianderlb_core.rendezvous import rank
@@ -130,6 +131,14 @@
         for digest in cleared:
             self._peers.broadcast(SuspectCleared(digest))
 
+    def convictions(self) -> tuple[Conviction, ...]:
+        """Return what is in quarantine."""
+        return self._table.convictions(trio.current_time())
+
+    def restore(self, conviction: Conviction) -> None:
+        """Quarantine again what was in quarantine before a restart."""
+        self._table.restore(conviction, trio.current_time())
+
     async def on_crash_report(self, sender: InstanceId, message: CrashReport) -> None:
         """Record a crash that a peer reports; forward it unless it was known."""
         if self._record_crash(message):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -48,6 +48,7 @@
 from .path_watch import InstanceProbe, PathWatch
 from .peer_network import OverlayNetwork
 from .peer_tunnel import Tunnels, TunnelServer
+from .quarantine_records import QuarantineRecords
 from .router_registration import RouterEntry, RouterRegistration
 from .send_permits import PermittedCopier, PermittedOrders, SendPermits
 from .serving_state import ServingState
@@ -181,6 +182,10 @@
             lambda: self._parts.n_sharing,
         )
         self._follower = StateFollower(ports.feed, ports.state, self._peers, self._rng)
+        quarantine = FleetQuarantine(self._peers, QUARANTINE_S)
+        self._quarantine_records = QuarantineRecords(
+            ports.store, InstanceId(cfg.forward.node), quarantine, self._rng
+        )
         self._controller = self._make_controller()
         self._parts = ForwardParts(
             cfg=cfg.forward,
@@ -189,7 +194,7 @@
             transport=UpstreamTransport(TcpConnector()),
             engines=self._engines,
             health=health,
-            quarantine=FleetQuarantine(self._peers, QUARANTINE_S),
+            quarantine=quarantine,
             in_flight=InFlightTable(),
             peers=self._peers,
             metrics=ForwardMetrics(),
@@ -259,6 +264,7 @@
             self._engines.run,
             self._controller.run,
             self._keep_registered,
+            self._quarantine_records.run,
             self._become_ready,
             self._parts.metrics.run,
             self._parts.usage.run,
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -336,6 +336,8 @@
 peer:silent peer
 peer:unlinked peer
 quarantine:crash crash n_suspects parts reporter
+quarantine:store_failing reason
+quarantine:unreadable key reason
 request:ended account attempts configuration configuration_age_ms confirmed detail
     first_ms longest_pause_ms objective_ms pause_objective_ms read_ms request result
     resumes route status stream_version took_ms version_source whole
--- a/packages/corianderlb-router/tests/test_stored_names.py
+++ b/packages/corianderlb-router/tests/test_stored_names.py
@@ -28,6 +28,10 @@
 from corianderlb_router.forward_node import LEASE_NAME
 from corianderlb_router.lease_holder import LEASE_PREFIX
 from corianderlb_router.load_slot_store import SLOTS_KEY
+from corianderlb_router.quarantine_records import (
+    QUARANTINE_PREFIX,
+    QuarantineRecord,
+)
 from corianderlb_router.router_registration import REGISTRATION_PREFIX, RouterEntry
 from corianderlb_router.store import InstanceList
 from corianderlb_router.stream_records import STREAMS_PREFIX
@@ -157,6 +161,9 @@
 instances instances[].presence = live|leaving
 instances instances[].upstream
 instances instances[].peer_address
+quarantine convictions[].digest
+quarantine convictions[].until_ms
+quarantine convictions[].n_holds
 streams written_ms
 streams keep_ms
 streams streams[].upstream
@@ -311,6 +318,12 @@
             "started_ms": 7,
         },
     ),
+    (
+        QuarantineRecord,
+        "a16b636f6e76696374696f6e7381a366646967657374416468756e74696c5f6d"
+        "7307676e5f686f6c647302",
+        {"convictions": ({"digest": b"d", "until_ms": 7, "n_holds": 2},)},
+    ),
     (
         StreamRecord,
         "a36a7772697474656e5f6d7307676b6565705f6d73193a986773747265616d73"
@@ -425,6 +438,7 @@
             "instance": InstanceRecord,
             "answer": StoredAnswer,
             "instances": InstanceList,
+            "quarantine": QuarantineRecord,
             "streams": StreamRecord,
         }
         found = [f"{k} {path}" for k, cls in types.items() for path in field_paths(cls)]
@@ -468,6 +482,7 @@
         self.assertEqual(LEASE_PREFIX + LEASE_NAME, "leases/orders/weights")
         self.assertEqual(SLOTS_KEY, "orders/loads")
         self.assertEqual(REGISTRATION_PREFIX, "routers/")
+        self.assertEqual(QUARANTINE_PREFIX, "quarantine/")
         self.assertEqual(STREAMS_PREFIX, "streams/")
 
 
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -912,6 +912,7 @@
 leases/orders/
 orders/loads
 orders/{}
+quarantine/
 routers/
 snapshots/
 streams/
