--- a/packages/corianderlb-router/src/corianderlb_router/router_registration.py
+++ b/packages/corianderlb-router/src/corianderlb_router/router_registration.py
@@ -99,11 +99,11 @@
             if known is None or known.value == value:
                 # A write whose answer was lost hides what was there before.
                 return
-            await self._store.update(key, value, known.version)
             before = _record_of(known)
             if before is not None and before.started_ms:
                 passed_ms = entry.started_ms - before.started_ms
                 self._ran_before_s = max(0, passed_ms) / 1000
+            await self._store.update(key, value, known.version)
         else:
             self._ran_before_s = math.inf
 
--- a/packages/corianderlb-router/tests/test_router_registration.py
+++ b/packages/corianderlb-router/tests/test_router_registration.py
@@ -40,3 +40,5 @@
         store.faults.unavailable = False
         store.faults.n_lost_answers = 1
         self.assertEqual(await registered(store, 200_000), 0.0)
+        store.faults.n_lost_answers = 1
+        self.assertEqual(await registered(store, 203_000), 3.0)
