Quarantine records: a second quarantine of the same request is recorded

What was written was remembered for good, by digest. A request that crashed an instance again after its quarantine was then taken for recorded, and the store kept the end of the first one. Found by reading; test_second_quarantine_of_a_request_is_recorded failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
@@ -109,6 +109,8 @@
         convictions = self._quarantine.convictions()
         found = frozenset((item.digest, item.n_holds) for item in convictions)
         if found <= self._written:
+            # What has ended is recorded again if it comes back.
+            self._written = found
             return
         if self._version is None:
             known = await self._store.get(self._key)
--- a/packages/corianderlb-router/tests/test_quarantine_records.py
+++ b/packages/corianderlb-router/tests/test_quarantine_records.py
@@ -97,3 +97,14 @@
         store.objects["quarantine/odd"] = StoredObject("quarantine/odd", b"\xff", "1")
         async with a_started_router(store, "r2") as restarted:
             self.assert_refused(restarted)
+
+    async def test_second_quarantine_of_a_request_is_recorded(self) -> None:
+        """Guards against a record that still has the end of the first quarantine."""
+        store = FakeStore()
+        async with a_started_router(store) as first:
+            await crash_until_refused(first)
+            await trio.sleep(HOLD_S)
+            self.assertIsNone(first.refusal(BAD))
+            first.report_crash(InstanceId("e2"), 1, (BAD,))
+        async with a_started_router(store, "r2") as restarted:
+            self.assertIsNotNone(restarted.refusal(BAD))
