Retries: one place knows whether an attempt is on its way

The run asked each attempt whether a byte was sent and whether it had a head, in two places, with a flag of the attempt for it. RequestRetries hears of both anyway. Behaviour stays.

--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -24,7 +24,6 @@
 """Fraction of the allowance that the routers use. The rest is a margin for a fleet that
 has just grown, and for routers whose windows start at different times."""
 
-
 SLOTS_PER_WINDOW: Final = 40
 """Resolution in which requests are counted."""
 
@@ -80,7 +79,7 @@
         n_slots, half = SLOTS_PER_WINDOW, SLOTS_PER_WINDOW // 2
 
         def n_between(first: int, end: int) -> int:
-            return sums[min(max(0, end), len(self._counts))] - sums[max(0, first)]
+            return sums[min(end, len(self._counts))] - sums[first]
 
         # A window that begins within a slot has the slots at its ends only in part.
         return min(
@@ -247,6 +246,8 @@
         """Charge of the next attempt, of which nothing was sent yet."""
         self._open: list[RetryCharge] = []
         self._may_arrive_until = -math.inf
+        self._is_on_its_way = False
+        """Whether the attempt sent last may not have arrived yet."""
         self.n_sent = 0
         """Attempts of which at least one byte was sent."""
 
@@ -262,6 +263,7 @@
     def sent(self) -> RetryCharge | None:
         """Record that an attempt is sent; return its charge if it has one."""
         self.n_sent += 1
+        self._is_on_its_way = True
         charge, self._unused = self._unused, None
         if charge is not None:
             self._open.append(charge)
@@ -269,11 +271,18 @@
 
     def answered(self, now: float) -> None:
         """Record that the attempt sent last has arrived by now."""
-        self._settle(now)
+        if self._is_on_its_way:
+            self._is_on_its_way = False
+            self._settle(now)
 
     def unanswered(self, now: float) -> None:
-        """Record that the attempt sent last has ended, and may arrive later."""
-        self._may_arrive_until = now + self._unanswered_s
+        """Record that the attempt sent last has ended, and may arrive later.
+
+        Nothing changes if it has arrived already.
+        """
+        if self._is_on_its_way:
+            self._is_on_its_way = False
+            self._may_arrive_until = now + self._unanswered_s
 
     def drop_unused(self) -> None:
         """Give back the charge of an attempt that is not sent."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -135,8 +135,6 @@
         self._is_last = is_last
         self.may_have_run = False
         """Whether the instance may have begun to run the request."""
-        self.is_sent = False
-        """Whether a byte of the request was sent."""
         self.sent_at: float | None = None
         """Time of sending, by the router's clock."""
         self._head_received_at: float | None = None
@@ -225,7 +223,7 @@
         return await parts.transport.send(address, request, cfg)
 
     def _mark_sent(self) -> None:
-        self.may_have_run = self.is_sent = True
+        self.may_have_run = True
         self._record_sent()
         self._taken_at = trio.current_time() + REFUSAL_S
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -358,17 +358,18 @@
                 has_ended = True
             except UpstreamError as exc:
                 has_ended = True
-                self._record_unanswered(attempt, exc)
+                if isinstance(exc, BrokenError) and not attempt.via:
+                    # An instance that closes a connection reads nothing more from it.
+                    self._retries.answered(trio.current_time())
                 raise
             finally:
+                self._retries.unanswered(trio.current_time())
                 attempt.settle(turned_away=False)
                 if not attempt.may_have_run:
                     parts.permits.give_back(instance)
                 if not has_ended:
                     # Cancelled, because the caller left or the deadline passed, or
                     # failed otherwise: log which instance had the request.
-                    if attempt.is_sent and attempt.began_ms is None:
-                        self._retries.unanswered(trio.current_time())
                     self._record_attempt(placement, "abandoned", started_at)
         parts.health.succeeded(instance.incarnation_key)
         parts.quarantine.clear(self._digest, self._part_digests)
@@ -637,17 +638,6 @@
                 charge.charged_at if charge else None,
             )
 
-    def _record_unanswered(self, attempt: ForwardAttempt, exc: UpstreamError) -> None:
-        """Record whether an attempt that failed may still reach its instance."""
-        if not attempt.is_sent or attempt.began_ms is not None:
-            return
-        now = trio.current_time()
-        if isinstance(exc, BrokenError) and not attempt.via:
-            # An instance that closes a connection reads nothing from it any more.
-            self._retries.answered(now)
-        else:
-            self._retries.unanswered(now)
-
     async def _fail_request(self, exc: UpstreamError) -> bool:
         """End a failed request that may have run."""
         if self._caller.started:
