--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -44,7 +44,7 @@
     Target,
     pick_upstream,
 )
-from .log_writer import log_request
+from .log_writer import log_ms, log_request
 from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
 from .stream_origins import ResumedOrigin
@@ -332,9 +332,9 @@
             read_ms=round(read_s * 1000) if read_s is not None else None,
             first_ms=round(first_s * 1000) if first_s is not None else None,
             took_ms=round(whole_s * 1000),
-            objective_ms=_ms(self.route.objective_s) if self.route else None,
+            objective_ms=log_ms(self.route.objective_s) if self.route else None,
             longest_pause_ms=self.run.longest_pause_ms if self.run else 0,
-            pause_objective_ms=_ms(self.route.pause_objective_s)
+            pause_objective_ms=log_ms(self.route.pause_objective_s)
             if self.route
             else None,
             configuration=cfg.version if cfg else 0,
@@ -346,8 +346,3 @@
             version_source=self.origin.source if self.origin else "",
             detail=self.detail,
         )
-
-
-def _ms(seconds: float) -> int | None:
-    """Convert seconds to milliseconds for the log; None if infinite."""
-    return round(seconds * 1000) if math.isfinite(seconds) else None
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -9,7 +9,6 @@
 from dataclasses import field
 from typing import Final
 
-import eliot
 import trio
 
 from corianderlb_core.data_class import dataclass
@@ -35,6 +34,7 @@
 from .health_table import HealthTable
 from .in_flight import InFlightTable
 from .interface import PeerNetwork
+from .log_writer import log_ms, log_request
 from .memory_copier import MemoryCopier
 from .path_watch import PathWatch
 from .peer_tunnel import Tunnels
@@ -185,7 +185,7 @@
         budget, now = self.budget(upstream), trio.current_time()
         charge = budget.take(now, self.n_sharing)
         if charge is not None:
-            eliot.log_message(
+            log_request(
                 message_type="retry:charged",
                 request=request_id,
                 upstream=upstream,
@@ -193,7 +193,7 @@
                 requests=budget.n_requests,
                 routers=budget.n_routers,
                 live_routers=self.n_routers,
-                runs_ms=_ms(now - self.started_at),
+                runs_ms=log_ms(now - self.started_at),
             )
         return charge
 
@@ -205,12 +205,12 @@
         ``charged_at`` is the time of its charge, or None without one.
         """
         delay_s = None if charged_at is None else trio.current_time() - charged_at
-        eliot.log_message(
+        log_request(
             message_type="retry:sent",
             request=request_id,
             upstream=upstream,
             instance=instance,
-            charged_ms=None if delay_s is None else _ms(delay_s),
+            charged_ms=None if delay_s is None else log_ms(delay_s),
         )
         self.metrics.retry_sent(delay_s)
 
@@ -246,8 +246,3 @@
                 slots, reported=self.engines.reported(incarnation_key)
             )
         return found
-
-
-def _ms(seconds: float) -> int | None:
-    """Convert seconds to milliseconds for the log; None if infinite."""
-    return round(seconds * 1000) if math.isfinite(seconds) else None
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 import time
 from collections import deque
@@ -51,6 +52,11 @@
 _LOGGER: Final = eliot.Logger()
 
 
+def log_ms(seconds: float) -> int | None:
+    """Convert seconds to milliseconds for a log line; None if infinite."""
+    return round(seconds * 1000) if math.isfinite(seconds) else None
+
+
 def log_request(**fields: Any) -> None:
     """Log a line about a single request, as ``eliot.log_message`` would.
 
