--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -210,7 +210,7 @@
         """
         now = trio.current_time()
         latest = now - SETTLED_S
-        for name, history in list(self._histories.items()):
+        for name, history in self._histories.items():
             is_new = now - history.since < self._lifetime_s
             is_mixed = len(history.recent(now, self._lifetime_s)) > 1
             if is_mixed or (is_new and self._has_newcomer({name}, self._lifetime_s)):
@@ -290,7 +290,7 @@
         """Return the upstream and version that alone served for long enough."""
         versions, observed_s = self._known_versions(route, answers)
         is_covered = observed_s >= self._lifetime_s
-        return versions.pop() if is_covered and len(versions) == 1 else None
+        return next(iter(versions)) if is_covered and len(versions) == 1 else None
 
     def _known_versions(
         self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
@@ -364,11 +364,7 @@
 
         Without a key they tell which versions they know.
         """
-        now = trio.current_time()
-        versions = self._recent(route, now)
-        is_covered = self._observed_s(route, now) >= self._lifetime_s
-        has_sole = is_covered and len(versions) == 1
-        ask = _Ask(0, next(iter(versions)) if has_sole else None)
+        ask = _Ask(0, self._sole_version(route, ()))
         if len(self._asks) >= MAX_ASKS:
             return ask
         self._n_asks += 1
