--- a/packages/corianderlb-router/src/corianderlb_router/_journal_object.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_journal_object.py
@@ -36,10 +36,7 @@
 
     async def write_head(self, data: bytes, version: str | None) -> str:
         """Replace the head of a version, or create it; return the new version."""
-        key = f"{self._folder}/head"
-        if version is None:
-            return await self._store.create(key, data)
-        return await self._store.update(key, data, version)
+        return await self._store.write(f"{self._folder}/head", data, version)
 
     async def read_segment(self, ref: SegmentRef) -> Segment:
         """Return a sealed segment that a head refers to."""
--- a/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
+++ b/packages/corianderlb-router/src/corianderlb_router/lease_holder.py
@@ -269,10 +269,8 @@
         data = to_cbor(record)
         started_at = trio.current_time()
         try:
-            if stored is None:
-                version = await self._store.create(self._key, data)
-            else:
-                version = await self._store.update(self._key, data, stored.version)
+            known = stored.version if stored else None
+            version = await self._store.write(self._key, data, known)
         except StoreConflictError as exc:
             raise LeaseLostError(
                 f"{self._key}: another router took the lease first"
--- a/packages/corianderlb-router/src/corianderlb_router/load_slot_store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/load_slot_store.py
@@ -69,11 +69,8 @@
         )
 
     async def _write(self, stored: StoredObject | None, desired: LoadSlots) -> None:
-        data = to_cbor(desired)
-        if stored is None:
-            await self._store.create(SLOTS_KEY, data)
-        else:
-            await self._store.update(SLOTS_KEY, data, stored.version)
+        version = stored.version if stored else None
+        await self._store.write(SLOTS_KEY, to_cbor(desired), version)
 
     async def _read(self) -> tuple[StoredObject | None, LoadSlots]:
         stored = await self._store.get(SLOTS_KEY)
--- a/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
@@ -17,6 +17,7 @@
 from corianderlb_core.quarantine import MAX_HOLD_S, Conviction
 
 from .fleet_quarantine import FleetQuarantine
+from .own_object import OwnObject
 from .store import ObjectStore, StoredObject, StoreError
 
 QUARANTINE_PREFIX: Final = "quarantine/"
@@ -65,13 +66,10 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
-        self._key = QUARANTINE_PREFIX + router
+        self._own = OwnObject(store, QUARANTINE_PREFIX + router)
         self._quarantine = quarantine
         self._rng = rng
         self._wall_clock = wall_clock
-        self._version: str | None = None
-        """Version of this router's object, empty if there is none; None until it is
-        read."""
         self._written: frozenset[tuple[bytes, int]] = frozenset()
 
     async def run(self) -> None:
@@ -87,7 +85,6 @@
             try:
                 await call()
             except StoreError as exc:
-                self._version = None
                 eliot.log_message(
                     message_type="quarantine:store_failing", reason=str(exc)
                 )
@@ -112,9 +109,8 @@
             # What has ended is recorded again if it comes back.
             self._written = found
             return
-        if self._version is None:
-            known = await self._store.get(self._key)
-            self._version = known.version if known else ""
+        if not self._own.is_read:
+            await self._own.read()
         now_ms = self._wall_clock() * 1000
         record = QuarantineRecord(
             tuple(
@@ -126,11 +122,7 @@
                 for item in convictions
             )
         )
-        if self._version:
-            version = self._store.update(self._key, to_cbor(record), self._version)
-        else:
-            version = self._store.create(self._key, to_cbor(record))
-        self._version = await version
+        await self._own.write(to_cbor(record))
         self._written = found
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store.py
@@ -108,6 +108,15 @@
     async def update(self, key: str, value: bytes, version: str) -> str:
         """Replace the object if it still has that version; return the new version."""
 
+    async def write(self, key: str, value: bytes, version: str | None) -> str:
+        """Replace the object of a version, or create it if that is None.
+
+        Return the new version.
+        """
+        if version is None:
+            return await self.create(key, value)
+        return await self.update(key, value, version)
+
     @abstractmethod
     async def delete(self, key: str, version: str) -> None:
         """Delete the object if it still has that version."""
--- a/packages/corianderlb-router/src/corianderlb_router/stream_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -25,6 +25,7 @@
     group_streams,
 )
 
+from .own_object import OwnObject
 from .shared_read import SharedRead
 from .store import ObjectStore, StoredObject, StoreError
 
@@ -53,16 +54,13 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
-        self._key = STREAMS_PREFIX + router
+        self._own = OwnObject(store, STREAMS_PREFIX + router)
         self._n_routers = n_routers
         self._rng = rng
         self._wall_clock = wall_clock
         self._shared_read = SharedRead(self._read, READ_TIMEOUT_S)
         self._found: dict[bytes, tuple[str, str] | None] = {}
         """Upstream and version by key; None where two records differ."""
-        self._version: str | None = None
-        """Version of this router's object, empty if there is none; None until it is
-        read."""
         self._inherited: tuple[StoredStreams, ...] = ()
         """Streams that earlier incarnations of this router have begun."""
         self._inherited_until = -math.inf
@@ -110,8 +108,6 @@
             try:
                 await self._write(list(begun()), keep_s())
             except StoreError as exc:
-                # The write may have taken effect, or another one may have.
-                self._version = None
                 eliot.log_message(message_type="streams:not_recorded", reason=str(exc))
 
     def _interval_s(self) -> float:
@@ -121,22 +117,19 @@
         versions = {origin.key: origin.version for origin in begun}
         if versions.items() <= self._written.items():
             return
-        if self._version is None:
+        if not self._own.is_read:
             await self._inherit()
         now_ms = round(self._wall_clock() * 1000)
         streams = group_streams(begun)
         if now_ms < self._inherited_until:
             streams = (*streams, *self._inherited)
-        value = to_cbor(StreamRecord(now_ms, round(keep_s * 1000), streams))
-        if self._version:
-            version = await self._store.update(self._key, value, self._version)
-        else:
-            version = await self._store.create(self._key, value)
-        self._version, self._written = version, versions
+        record = StreamRecord(now_ms, round(keep_s * 1000), streams)
+        await self._own.write(to_cbor(record))
+        self._written = versions
 
     async def _inherit(self) -> None:
         """Keep what this router's object holds already."""
-        stored = await self._store.get(self._key)
+        stored = await self._own.read()
         record = _record_of(stored) if stored else None
         if record is not None and record.until_ms > self._inherited_until:
             own = set(self._written)
@@ -144,7 +137,6 @@
                 kept for s in record.streams if (kept := s.without(own)).keys
             )
             self._inherited_until = record.until_ms
-        self._version = stored.version if stored else ""
 
 
 def _record_of(stored: StoredObject) -> StreamRecord | None:
