--- a/packages/corianderlb-core/src/corianderlb_core/codec.py
+++ b/packages/corianderlb-core/src/corianderlb_core/codec.py
@@ -10,7 +10,7 @@
 import dataclasses
 import json
 import re
-from typing import Any, Final, TypeVar, get_type_hints
+from typing import Annotated, Any, Final, TypeVar, get_type_hints
 
 import cbor2
 import msgspec
@@ -19,6 +19,11 @@
 
 T = TypeVar("T")
 
+MAX_INTEGER: Final = 2**53
+"""Largest integer that all writers of JSON agree on; larger ones overflow a float."""
+
+BoundedInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+"""Type of a number in an object that another writer may have left in the store."""
 
 _FIELD_PATH: Final = re.compile(r" - at `\$\.?([^`]*)`$")
 """Suffix of msgspec's error messages, which contains the path of the field."""
--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -12,10 +12,9 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
-from typing import Annotated, Final
-
-import msgspec
+from typing import Final
 
+from .codec import BoundedInteger
 from .data_class import dataclass
 from .message import StreamOrigin
 from .part_index import IncarnationKey
@@ -31,10 +30,6 @@
 restart."""
 
 
-MAX_MS: Final = 2**53
-"""Largest number of milliseconds in a record."""
-
-
 def stream_key(account: str, request_id: str) -> bytes:
     """Return the key of a stream, which only its own account can name.
 
@@ -93,9 +88,9 @@
 class StreamRecord:
     """What one router stores of the streams that it has begun."""
 
-    written_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
+    written_ms: BoundedInteger
     """Unix milliseconds at which it was written."""
-    keep_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
+    keep_ms: BoundedInteger
     """Time for which its streams can be resumed after that."""
     streams: tuple[StoredStreams, ...]
 
--- a/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/quarantine_records.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from corianderlb_core.codec import DecodeError, from_cbor, to_cbor
+from corianderlb_core.codec import BoundedInteger, DecodeError, from_cbor, to_cbor
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.quarantine import MAX_HOLD_S, Conviction
@@ -29,9 +29,6 @@
 RETRY_S: Final = 0.5
 """Mean time after which a failed call to the store is repeated."""
 
-MAX_MS: Final = 2**53
-"""Latest time that a record may name, in Unix milliseconds."""
-
 MAX_HOLDS: Final = 32
 """Most quarantines of a part that a record may name; each doubles the next."""
 
@@ -41,7 +38,7 @@
     """A request or prompt part in quarantine."""
 
     digest: bytes
-    until_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
+    until_ms: BoundedInteger
     """Unix milliseconds until which it is refused."""
     n_holds: Annotated[int, msgspec.Meta(ge=0, le=MAX_HOLDS)] = 0
     """Quarantines of a part so far; 0 for a request."""
--- a/packages/corianderlb-router/src/corianderlb_router/router_registration.py
+++ b/packages/corianderlb-router/src/corianderlb_router/router_registration.py
@@ -5,13 +5,12 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Annotated, Final
+from typing import Final
 
 import eliot
-import msgspec
 import trio
 
-from corianderlb_core.codec import DecodeError, from_cbor, to_cbor
+from corianderlb_core.codec import BoundedInteger, DecodeError, from_cbor, to_cbor
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.identity import InstanceRecord
 
@@ -36,15 +35,11 @@
 """Mean seconds between two reads by any router of a large fleet."""
 
 
-MAX_MS: Final = 2**53
-"""Latest time that an entry may name, in Unix milliseconds."""
-
-
 @dataclass(frozen=True)
 class RouterEntry(InstanceRecord):
     """What a router registers: its record, and when it started."""
 
-    started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
+    started_ms: BoundedInteger = 0
     """Unix milliseconds of the start; 0 if an earlier version wrote the entry."""
 
 
