Cut answers: the log and a counter say why, after what, and whether the router was stopping

Neither log nor metrics could tell a begun stream that was cut at the end of the grace period, at its deadline or for silence, nor whether it came after the SIGTERM. request:ended has cut and after_stop_ms; corianderlb_streams_cut_total counts by reason, after_silence and taken_while_stopping, corianderlb_streams_paused_total pauses beyond the objective, corianderlb_repeat_prompt_tokens_total what repeats read. No logic is changed.

--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -42,7 +42,10 @@
                 "corianderlb_forwarded_total",
                 "corianderlb_forward_attempts_total",
                 "corianderlb_forward_prompt_tokens_total",
+                "corianderlb_repeat_prompt_tokens_total",
                 "corianderlb_retries_sent_total",
+                "corianderlb_streams_cut_total",
+                "corianderlb_streams_paused_total",
                 "corianderlb_streams_resumed_total",
             )
         }
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         self._open: set[OpenExchange] = set()
         self._emptied = trio.Event()
+        self.stopping_since: float | None = None
+        """Time of the termination signal, by the router's clock; None before it."""
         self.closing = False
         """True while draining: answers then ask the caller to close the connection.
         Requests on kept-alive connections bypass the load balancer, so the drain would
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from enum import StrEnum
 from typing import Any, Final
 
 import trio
@@ -32,6 +33,20 @@
 which callers that don't read are cut off."""
 
 
+class CutReason(StrEnum):
+    """Why an answer that had begun was not completed."""
+
+    SHUTDOWN = "shutdown"
+    """The grace period of this router was over."""
+    DEADLINE = "deadline"
+    SILENCE = "silence"
+    """Its instance sent nothing for too long."""
+    UPSTREAM = "upstream"
+    """Its instance failed, or none could go on."""
+    CALLER = "caller"
+    """The caller left or stopped reading."""
+
+
 class StreamCutError(CallerGoneError):
     """Raised when an answer that has begun cannot be completed.
 
@@ -39,6 +54,10 @@
     the incomplete answer for a complete one.
     """
 
+    def __init__(self, detail: str, reason: CutReason = CutReason.UPSTREAM) -> None:
+        super().__init__(detail)
+        self.reason = reason
+
 
 class ForwardCaller(CallerExchange):
     """Exchange with the caller of one forwarded request."""
@@ -49,6 +68,8 @@
         """Status of the answer, once it has begun."""
         self.is_cut = False
         """Whether the router closed the connection since its caller does not read."""
+        self.cut_reason: CutReason | None = None
+        """Why an answer that had begun was not completed; None if none was cut."""
         self._connection: HttpConnection | None = scope.get(CONNECTION)
         self._memory: CallerMemory | None = None
         self._holding: Holding | None = None
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -32,7 +32,7 @@
 from .caller_run import run_for_caller
 from .exchange_registry import ExchangeRegistry
 from .forward_attempt import ForwardJob
-from .forward_caller import ForwardCaller, StreamCutError
+from .forward_caller import CutReason, ForwardCaller, StreamCutError
 from .forward_parts import ForwardParts
 from .forward_relay import EventRelay, Relay, WholeRelay
 from .forward_request import ForwardRequest
@@ -92,16 +92,19 @@
             except StreamCutError as exc:
                 # On return, the server closes the connection without the final chunk.
                 caller.result = ResultCode.STREAM_BROKEN
+                caller.cut_reason = exc.reason
                 request_log.detail = str(exc)
             except (CallerGoneError, CallerStalledError):
                 caller.result = ResultCode.CALLER_GONE
+                caller.cut_reason = CutReason.CALLER
             finally:
                 caller.release()
         if caller.is_cut:
             caller.result = ResultCode.CALLER_TOO_SLOW
         if entry.is_cancelled and not caller.finished:
             caller.result = ResultCode.CUT_BY_SHUTDOWN
-        request_log.write(self._parts)
+            caller.cut_reason = CutReason.SHUTDOWN
+        request_log.write(self._parts, self._exchanges.stopping_since)
 
     async def _answer(
         self, caller: ForwardCaller, scope: dict[str, Any], request_log: _RequestLog
@@ -227,7 +230,7 @@
     @staticmethod
     def _fail_at_deadline(caller: ForwardCaller, run: ForwardRun) -> None:
         if caller.started:
-            raise StreamCutError("the deadline has passed")
+            raise StreamCutError("the deadline has passed", CutReason.DEADLINE)
         if run.may_have_run:
             raise refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline has passed.")
         detail = "The deadline has passed."
@@ -312,8 +315,11 @@
         """When the whole request had been read, on the router's clock."""
         self.detail = ""
 
-    def write(self, parts: ForwardParts) -> None:
-        """Write the log line and count the request in the metrics."""
+    def write(self, parts: ForwardParts, stopping_since: float | None) -> None:
+        """Write the log line and count the request in the metrics.
+
+        ``stopping_since`` is the time of the termination signal, if there was one.
+        """
         caller, cfg = self._caller, self.cfg
         now = trio.current_time()
         first_s = caller.first_byte_at - caller.arrived_at if caller.started else None
@@ -321,6 +327,16 @@
         read_s = self.read_at - caller.arrived_at if self.read_at is not None else None
         kind = self.route.kind.value if self.route else "none"
         parts.metrics.request_ended(caller.result.name, kind, whole_s, first_s)
+        after_stop_s = None
+        if stopping_since is not None:
+            after_stop_s = caller.arrived_at - stopping_since
+        cut = caller.cut_reason if caller.started else None
+        had_silence = self.run is not None and self.run.had_silence
+        if cut is not None:
+            taken_while_stopping = after_stop_s is not None and after_stop_s > 0
+            parts.metrics.stream_cut(cut.value, had_silence, taken_while_stopping)
+        if self.run and self.route and self.run.paused_beyond(self.route):
+            parts.metrics.paused_too_long(had_silence)
         log_request(
             message_type="request:ended",
             request=self.req.request_id if self.req else "",
@@ -329,6 +345,8 @@
             result=caller.result.name,
             status=caller.status,
             whole=caller.finished,
+            cut=cut.value if cut is not None else "",
+            after_stop_ms=log_ms(after_stop_s) if after_stop_s is not None else None,
             read_ms=round(read_s * 1000) if read_s is not None else None,
             first_ms=round(first_s * 1000) if first_s is not None else None,
             took_ms=round(whole_s * 1000),
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -71,6 +71,30 @@
         """Count a resumed stream by how its software version was learnt."""
         self._record("corianderlb_streams_resumed_total", 1, {"source": source})
 
+    def stream_cut(
+        self, reason: str, after_silence: bool, taken_while_stopping: bool
+    ) -> None:
+        """Count a begun answer that was not completed.
+
+        ``after_silence`` tells whether an attempt was given up as silent before, and
+        ``taken_while_stopping`` whether the request came after the termination signal.
+        """
+        labels = {
+            "reason": reason,
+            "after_silence": str(after_silence).lower(),
+            "taken_while_stopping": str(taken_while_stopping).lower(),
+        }
+        self._record("corianderlb_streams_cut_total", 1, labels)
+
+    def paused_too_long(self, after_silence: bool) -> None:
+        """Count a stream with a pause beyond the objective of its route."""
+        labels = {"after_silence": str(after_silence).lower()}
+        self._record("corianderlb_streams_paused_total", 1, labels)
+
+    def prompt_read_again(self, n_tokens: int) -> None:
+        """Count prompt tokens that the engine of a repeat is expected to prefill."""
+        self._record("corianderlb_repeat_prompt_tokens_total", n_tokens, {})
+
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Register a gauge that is read at each scrape."""
         self._gauges[f"corianderlb_{name}"] = read
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -354,6 +354,7 @@
         """Wait for termination, then drain until done or out of grace time."""
         await self._terminate.wait()
         started_at = trio.current_time()
+        self._exchanges.stopping_since = started_at
         self._exchanges.closing = True
         self._tunnel_server.is_leaving = True
         with trio.move_on_at(started_at + self._cfg.grace_s - CUT_MARGIN_S) as scope:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -13,7 +13,7 @@
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.fleet_retry_budget import RequestRetries
-from corianderlb_core.forwarding import ForwardInstance, RepeatKind
+from corianderlb_core.forwarding import ForwardInstance, ForwardRoute, RepeatKind
 from corianderlb_core.health import Verdict
 from corianderlb_core.identity import AttemptId, Incarnation, InstanceId
 from corianderlb_core.part_index import IncarnationKey
@@ -31,7 +31,7 @@
     ServerFailureError,
     WithdrawnError,
 )
-from .forward_caller import StreamCutError
+from .forward_caller import CutReason, StreamCutError
 from .forward_parts import POLL_S
 from .forward_relay import RESERVE_INTERVAL_S, WrongAnswerError
 from .forward_target import (
@@ -70,6 +70,9 @@
 """How long a begun answer waits for an instance of its software version: as long as one
 that crashed takes to come back."""
 
+SILENT: Final = "silent"
+"""Outcome of an attempt whose instance sent nothing for too long."""
+
 LIVENESS_CHECK_TIMEOUT_S: Final = 0.3
 """Timeout of the connection that checks whether an instance still listens."""
 
@@ -142,11 +145,20 @@
         self.attempt_records: list[AttemptRecord] = []
         """One record per attempt, for the log."""
 
+    @property
+    def had_silence(self) -> bool:
+        """Whether an attempt was given up because its instance was silent."""
+        return any(record.outcome == SILENT for record in self.attempt_records)
+
     @property
     def longest_pause_ms(self) -> int:
         """Longest pause between two writes to the caller."""
         return round(self._relay.longest_pause_s * 1000)
 
+    def paused_beyond(self, route: ForwardRoute) -> bool:
+        """Return whether a pause of the answer was longer than a route's objective."""
+        return self._relay.longest_pause_s > route.pause_objective_s
+
     @property
     def _may_run_again(self) -> bool:
         """Whether the request may run again after an attempt that may have run it."""
@@ -640,12 +652,13 @@
 
     async def _fail_request(self, exc: UpstreamError) -> bool:
         """End a failed request that may have run."""
+        is_silent = isinstance(exc, SilentError)
         if self._caller.started:
-            raise StreamCutError(str(exc))
+            reason = CutReason.SILENCE if is_silent else CutReason.UPSTREAM
+            raise StreamCutError(str(exc), reason)
         if isinstance(exc, ServerFailureError):
             await self._relay_failure(exc)
             return True
-        is_silent = isinstance(exc, SilentError)
         code = ResultCode.UPSTREAM_TIMEOUT if is_silent else ResultCode.UPSTREAM_FAILED
         raise RequestRefusedError(Refusal(code, str(exc)))
 
@@ -747,4 +760,7 @@
             **fields,
         )
         self.attempt_records.append(record)
-        self._parts.metrics.attempt_ended(outcome, len(self.attempt_records) > 1)
+        is_repeat = len(self.attempt_records) > 1
+        self._parts.metrics.attempt_ended(outcome, is_repeat)
+        if is_repeat and choice is not None:
+            self._parts.metrics.prompt_read_again(choice.n_missing)
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -225,6 +225,8 @@
 corianderlb_parts_heard gauge
 corianderlb_parts_told
 corianderlb_parts_told gauge
+corianderlb_repeat_prompt_tokens_total
+corianderlb_repeat_prompt_tokens_total counter
 corianderlb_resting_instances
 corianderlb_resting_instances gauge
 corianderlb_retries_sent_total charged
@@ -243,6 +245,10 @@
 corianderlb_slowest_pace gauge
 corianderlb_store_lost
 corianderlb_store_lost gauge
+corianderlb_streams_cut_total after_silence reason taken_while_stopping
+corianderlb_streams_cut_total counter
+corianderlb_streams_paused_total after_silence
+corianderlb_streams_paused_total counter
 corianderlb_streams_resumed_total counter
 corianderlb_streams_resumed_total source
 """
@@ -338,9 +344,10 @@
 quarantine:crash crash n_suspects parts reporter
 quarantine:store_failing reason
 quarantine:unreadable key reason
-request:ended account attempts configuration configuration_age_ms confirmed detail
-    first_ms longest_pause_ms objective_ms pause_objective_ms read_ms request result
-    resumes route status stream_version took_ms version_source whole
+request:ended account after_stop_ms attempts configuration configuration_age_ms
+    confirmed cut detail first_ms longest_pause_ms objective_ms pause_objective_ms
+    read_ms request result resumes route status stream_version took_ms version_source
+    whole
 retry:charged live_routers request requests retries routers runs_ms upstream
 retry:sent charged_ms instance request upstream
 room:accounts accounts admitted_per_s capacity upstream
@@ -496,6 +503,9 @@
     metrics.prompt_sent(1, 3)
     metrics.stream_resumed("peer")
     metrics.retry_sent(0.1)
+    metrics.stream_cut("shutdown", after_silence=True, taken_while_stopping=False)
+    metrics.paused_too_long(after_silence=True)
+    metrics.prompt_read_again(1)
     node = mock.MagicMock()
     node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=(), memory=None)
     node._ports.state.configuration = None
