Streams: an event counts as sent only once nothing speaks against its chunk

What callers saw: a stream that ends as complete and lacks an event. An engine whose chunk holds a next event and then one that can't follow (or that turns out to have restarted with other software before its first event) is left for another one, which was asked for what follows the event that had been counted but never written.

Cause: EventRelay advanced the number of the last event while it split the chunk, before the rest of the chunk and the source of the answer were checked.

Now the number advances after both checks, at the write. Guarded by test_events_beside_a_wrong_one_are_asked_for_again, which failed before: the caller got events 1, 2, 4 and 5 and the end.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -186,13 +186,15 @@
                         break
                 limit_s = self._stall_s
                 on_data()
-                ready = b"".join(self._new_events(splitter, chunk))
+                ready, last_number = self._new_events(splitter, chunk)
                 if ready:
                     if not self._is_checked:
                         self.check_source()
                         self._is_checked = True
+                    self._last_number = last_number
+                    self.n_events += len(ready)
                     _set_deadline(scope, caller.stall_s)
-                    await self._write(head, ready)
+                    await self._write(head, b"".join(ready))
                     if scope.cancel_called:
                         break
         return False
@@ -203,7 +205,11 @@
         if self._is_waiting:
             self._scope.cancel()
 
-    def _new_events(self, splitter: EventSplitter, chunk: bytes) -> list[bytes]:
+    def _new_events(
+        self, splitter: EventSplitter, chunk: bytes
+    ) -> tuple[list[bytes], int | None]:
+        """Return the events that the caller lacks, and the number of the last one."""
+        last_number = self._last_number
         try:
             events = splitter.feed(chunk)
         except EventTooLongError as exc:
@@ -211,19 +217,15 @@
         ready = []
         for event in events:
             if event.number is not None:
-                if self._last_number is not None and event.number <= self._last_number:
+                if last_number is not None and event.number <= last_number:
                     # The caller received it from an earlier attempt.
                     continue
-                if (
-                    self._last_number is not None
-                    and event.number != self._last_number + 1
-                ):
-                    message = f"event {event.number} came after {self._last_number}"
+                if last_number is not None and event.number != last_number + 1:
+                    message = f"event {event.number} came after {last_number}"
                     raise WrongAnswerError(message, sent=True)
-                self._last_number = event.number
-            self.n_events += 1
+                last_number = event.number
             ready.append(event.data)
-        return ready
+        return ready, last_number
 
     async def _write(self, head: UpstreamHead, data: bytes) -> None:
         """Send events to the caller."""
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -179,6 +179,21 @@
         (note,) = ended["attempts"]
         self.assertEqual((note.instance, note.outcome), ("e1", "abandoned"))
 
+    async def test_events_beside_a_wrong_one_are_asked_for_again(self) -> None:
+        """Guards against an event that counts as sent and never was."""
+
+        async def skip_one(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_stream(1, 2, ends=False))
+            await trio.sleep(0.1)
+            await stream.send_all(chunk(an_event(3) + an_event(5)))
+
+        engine = Upstream([skip_one, a_stream(1, 5)])
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            events = b"".join(an_event(n) for n in range(1, 6))
+            self.assertEqual((caller.answer, caller.finished), (events, True))
+            self.assertEqual(engine.requests[1]["x-after"], "2")
+
     async def test_remaining_time_is_forwarded(self) -> None:
         upstream = Upstream([an_answer()])
         async with a_router(s1=upstream) as router:
