--- a/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
+++ b/packages/corianderlb-core/src/corianderlb_core/fleet_retry_budget.py
@@ -237,7 +237,8 @@
 
     ``unanswered_s`` is the time for which an attempt without an answer may still
     arrive, for example at an instance that stands still. Call ``sent`` for each attempt
-    of which a byte is sent, then ``answered`` or ``unanswered``, and ``ended`` at last.
+    of which a byte is sent, then ``answered`` or ``unanswered`` with the number that it
+    returned, and ``ended`` at last. Attempts may overlap.
     """
 
     def __init__(self, unanswered_s: float) -> None:
@@ -246,10 +247,12 @@
         """Charge of the next attempt, of which nothing was sent yet."""
         self._open: list[RetryCharge] = []
         self._may_arrive_until = -math.inf
-        self._is_on_its_way = False
-        """Whether the attempt sent last may not have arrived yet."""
+        self._on_their_way: set[int] = set()
+        """Numbers of the attempts that may not have arrived yet."""
         self.n_sent = 0
         """Attempts of which at least one byte was sent."""
+        self.last_charge: RetryCharge | None = None
+        """Charge of the attempt sent last; None without one."""
 
     @property
     def has_unused(self) -> bool:
@@ -260,28 +263,29 @@
         """Add the charge of the next attempt."""
         self._unused = charge
 
-    def sent(self) -> RetryCharge | None:
-        """Record that an attempt is sent; return its charge if it has one."""
+    def sent(self) -> int:
+        """Record that an attempt is sent; return its number."""
         self.n_sent += 1
-        self._is_on_its_way = True
-        charge, self._unused = self._unused, None
-        if charge is not None:
-            self._open.append(charge)
-        return charge
-
-    def answered(self, now: float) -> None:
-        """Record that the attempt sent last has arrived by now."""
-        if self._is_on_its_way:
-            self._is_on_its_way = False
-            self._settle(now)
-
-    def unanswered(self, now: float) -> None:
-        """Record that the attempt sent last has ended, and may arrive later.
+        self._on_their_way.add(self.n_sent)
+        self.last_charge, self._unused = self._unused, None
+        if self.last_charge is not None:
+            self._open.append(self.last_charge)
+        return self.n_sent
+
+    def answered(self, now: float, number: int) -> None:
+        """Record that an attempt has arrived by now."""
+        if number in self._on_their_way:
+            self._on_their_way.remove(number)
+            if not self._on_their_way:
+                self._settle(now)
+
+    def unanswered(self, now: float, number: int) -> None:
+        """Record that an attempt has ended, and may arrive later.
 
         Nothing changes if it has arrived already.
         """
-        if self._is_on_its_way:
-            self._is_on_its_way = False
+        if number in self._on_their_way:
+            self._on_their_way.remove(number)
             self._may_arrive_until = now + self._unanswered_s
 
     def drop_unused(self) -> None:
--- a/packages/corianderlb-core/tests/test_forwarding.py
+++ b/packages/corianderlb-core/tests/test_forwarding.py
@@ -173,13 +173,12 @@
         terms = BudgetTerms(ratio=0.0, fixed=2.0, window_s=10.0)
         budget = FleetRetryBudget(terms, started_at=-60.0)
         request = RequestRetries(unanswered_s=10.0)
-        request.sent()
-        request.unanswered(1.0)
+        request.unanswered(1.0, request.sent())
         request.charged(budget.take(1.0, 1))
-        request.sent()
+        second = request.sent()
         self.assertEqual(self.spend(budget, 20.0, 1), 0)
         # The first attempt, sent until 1 s, may arrive as the second one until 11 s.
-        request.answered(10.5)
+        request.answered(10.5, second)
         self.assertEqual(self.spend(budget, 20.9, 1), 0)
         self.assertEqual(self.spend(budget, 21.1, 1), 1)
 
--- a/packages/corianderlb-router/src/corianderlb_router/caller_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_run.py
@@ -13,23 +13,25 @@
 
 
 class RequestWatch:
-    """Watches a request from one task: its caller, and the clock for an attempt."""
+    """Watches a request from one task: its caller, and the clock for its attempts."""
 
     def __init__(self) -> None:
-        self._steps: Iterator[float] = iter(())
-        self._step_at = math.inf
+        self._step_times: dict[Iterator[float], float] = {}
+        """Time of the next step of each attempt that is watched."""
         self._scope = trio.CancelScope()
         """Cancel scope of the wait for the caller."""
+        self.nursery: trio.Nursery | None = None
+        """Nursery of the tasks that end with the request, while it runs."""
 
     def begin(self, steps: Iterator[float]) -> None:
         """Take a step now, and each further one at the time that the last one gave."""
-        self._steps = steps
-        self._take_step()
+        self._take_step(steps)
+        self._scope.deadline = self._next_at
 
-    def end(self) -> None:
-        """Take no further steps."""
-        self._steps, self._step_at = iter(()), math.inf
-        self._scope.deadline = math.inf
+    def end(self, steps: Iterator[float]) -> None:
+        """Take no further steps of these."""
+        self._step_times.pop(steps, None)
+        self._scope.deadline = self._next_at
 
     async def run(
         self,
@@ -40,7 +42,7 @@
         """Take the steps, and cancel ``run_scope`` once the caller disconnects."""
         wait: Callable[[], Awaitable[None]] = caller.wait_until_disconnected
         while True:
-            with trio.CancelScope(deadline=self._step_at) as self._scope:
+            with trio.CancelScope(deadline=self._next_at) as self._scope:
                 await wait()
                 # The server reports a disconnect after the last byte too, while it
                 # still closes the connection in our task. Cancelling it there would
@@ -48,12 +50,17 @@
                 if not caller.finished and may_abandon():
                     run_scope.cancel()
                 wait = trio.sleep_forever
-            if trio.current_time() >= self._step_at:
-                self._take_step()
+            now = trio.current_time()
+            for steps, step_at in [*self._step_times.items()]:
+                if now >= step_at:
+                    self._take_step(steps)
 
-    def _take_step(self) -> None:
-        self._step_at = next(self._steps, math.inf)
-        self._scope.deadline = self._step_at
+    @property
+    def _next_at(self) -> float:
+        return min(self._step_times.values(), default=math.inf)
+
+    def _take_step(self, steps: Iterator[float]) -> None:
+        self._step_times[steps] = next(steps, math.inf)
 
 
 async def run_for_caller(
@@ -73,6 +80,7 @@
     failure: CorianderError | None = None
     with trio.move_on_at(deadline) as scope:
         async with trio.open_nursery() as nursery:
+            watch.nursery = nursery
             nursery.start_soon(watch.run, caller, nursery.cancel_scope, may_abandon)
             try:
                 await run()
--- a/packages/corianderlb-router/src/corianderlb_router/engine_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/engine_table.py
@@ -355,6 +355,14 @@
         """Return whether this router has received data from an engine since a time."""
         return self._health.received_since(instance.incarnation_key, moment)
 
+    def is_heard_since(self, instance: ForwardInstance, moment: float) -> bool:
+        """Return whether an instance has sent anything since a time, here or, as far as
+        its reports tell, to a peer."""
+        if self.received_since(instance, moment):
+            return True
+        reported = self._reported.get(instance.incarnation_key)
+        return reported is not None and reported.counted_at >= moment
+
     def _is_in_backoff(self, instance: ForwardInstance, now: float) -> bool:
         """Return whether an engine recently refused a request or was unreachable."""
         if instance.incarnation_key not in self._in_trouble:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 from dataclasses import field
 from typing import Final
@@ -11,6 +12,7 @@
 
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
+from corianderlb_core.quarantine import PartRequest
 
 from .caller_run import RequestWatch
 from .connection import (
@@ -26,7 +28,9 @@
 from .forward_parts import ForwardParts
 from .forward_relay import (
     RESERVE_INTERVAL_S,
+    EventRelay,
     Relay,
+    SentAnswer,
     WholeRelay,
     WrongAnswerError,
     read_whole,
@@ -44,6 +48,10 @@
 RETRY_LATENCY_FACTOR: Final = 4.0
 """Minimum timeout of such an attempt, as a multiple of the estimated latency."""
 
+STREAM_STALL_TIMEOUT_S: Final = 1.2
+"""Pause between two events of a stream after which another engine may take over. An
+engine without memory for all its streams may preempt the newest for longer."""
+
 UNRESPONSIVE_S: Final = 1.0
 """Time without data on any stream of an engine after which it counts as unresponsive.
 A busy engine sends events far more often, also during prefill."""
@@ -60,6 +68,9 @@
 BODY_METHODS: Final = ("POST", "PUT", "PATCH")
 """Methods of which a request states the length of an empty body too."""
 
+NO_HEAD: Final = "no response head in time"
+"""Detail of an attempt whose instance has not begun to answer."""
+
 SERVER_ERROR: Final = 500
 """Lowest status that reports a failure of the upstream."""
 
@@ -75,6 +86,10 @@
     """
 
 
+class SupersededError(UpstreamError):
+    """Raised when an attempt ends because the one that it stood by for goes on."""
+
+
 class ServerFailureError(UpstreamError):
     """Raised when the upstream itself answers with an error."""
 
@@ -92,7 +107,7 @@
     req: ForwardRequest
     route: ForwardRoute
     target: Target
-    relay: Relay
+    sent: SentAnswer
     caller: ForwardCaller
     deadline: float
     """Deadline of the request, by the router's clock."""
@@ -106,33 +121,80 @@
     watch: RequestWatch = field(default_factory=RequestWatch)
     """Watches the clock for the attempts."""
 
+    def make_relay(self) -> Relay:
+        """Return the relay for the answer to one attempt."""
+        if self.route.kind is not RepeatKind.STREAM:
+            return WholeRelay(self.sent)
+        stall_s = STREAM_STALL_TIMEOUT_S if self.route.may_resume else math.inf
+        return EventRelay(self.sent, stall_s)
+
+
+class AttemptOwner(ABC):
+    """What an attempt asks of the run of its request."""
+
+    @abstractmethod
+    def claim(self, attempt: ForwardAttempt) -> None:
+        """Have an attempt answer the caller, and end the other one if there is one.
+
+        Raise an ``UpstreamError`` if the attempt itself has been ended for another.
+        """
+
+    @abstractmethod
+    def reserve_retry(self, attempt: ForwardAttempt) -> bool:
+        """Reserve and charge another attempt in place of a silent one.
+
+        Return False if none can follow.
+        """
+
+    @abstractmethod
+    def is_last(self, attempt: ForwardAttempt) -> bool:
+        """Return whether no other attempt may follow this one."""
+
+    @abstractmethod
+    def charge_move(self, attempt: ForwardAttempt) -> bool:
+        """Charge the move of a run to another engine; return whether it may move."""
+
+    @property
+    @abstractmethod
+    def has_standby(self) -> bool:
+        """Whether another attempt stands by for a silent one."""
+
+    @abstractmethod
+    def record_sent(self, attempt: ForwardAttempt) -> None:
+        """Record that the first byte of an attempt is about to be sent."""
+
+    @abstractmethod
+    def record_answer(self, attempt: ForwardAttempt, at: float) -> None:
+        """Record that the head of an attempt's answer has arrived."""
+
 
 class ForwardAttempt:
     """One attempt of a request at one instance."""
 
     def __init__(
-        self,
-        job: ForwardJob,
-        placement: Placement,
-        is_last: bool,
-        charge_repeat: Callable[[], bool],
-        reserve_retry: Callable[[], bool],
-        record_sent: Callable[[], None],
-        record_answer: Callable[[float], None],
+        self, job: ForwardJob, owner: AttemptOwner, placement: Placement, number: int
     ) -> None:
+        self.placement = placement
+        self.number = number
+        """Number among the attempts of the request, from 1."""
+        self.key = f"{job.req.request_id}.{number}"
+        """Key of the attempt among all of the router."""
         self._job = job
-        self._charge_repeat = charge_repeat
-        self._reserve_retry = reserve_retry
-        self._record_sent = record_sent
-        self._record_answer = record_answer
+        self._owner = owner
         self._parts = job.parts
         self._req = job.req
         self._route = job.route
         self._target = job.target
-        self._relay = job.relay
         self._deadline = job.deadline
-        self._placement = placement
-        self._is_last = is_last
+        self.relay = job.make_relay()
+        self._scope = trio.CancelScope()
+        self.given_up: UpstreamError | None = None
+        """Why the attempt was ended for another one; None if it was not."""
+        self.created_at = trio.current_time()
+        self.retry_number = 0
+        """Number among the attempts that were sent; 0 if this one was not."""
+        self.part_request: PartRequest | None = None
+        """When it was sent and begun, for the parts of its prompt; set at its end."""
         self.may_have_run = False
         """Whether the instance may have begun to run the request."""
         self.sent_at: float | None = None
@@ -141,7 +203,6 @@
         """Time at which the response head arrived."""
         self.received_at: float | None = None
         """Time at which bytes of the body last arrived."""
-        self._n_events_before = job.relay.n_events
         self.is_settled = False
         """Whether the permit to send has been settled."""
         self._taken_at = math.inf
@@ -154,7 +215,7 @@
     @property
     def n_events(self) -> int:
         """Events that this attempt has added to the answer."""
-        return self._relay.n_events - self._n_events_before
+        return self.relay.n_events
 
     @property
     def silent_ms(self) -> int | None:
@@ -164,6 +225,12 @@
             return None
         return round((trio.current_time() - heard_at) * 1000)
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the instance last sent anything, or was sent the request."""
+        heard_at = self.received_at or self._head_received_at or self.sent_at
+        return 0.0 if heard_at is None else trio.current_time() - heard_at
+
     @property
     def began_ms(self) -> int | None:
         """Milliseconds from sending to the response head; None without one."""
@@ -175,22 +242,67 @@
         """Settle the permit to send, once; a refusal that comes late counts too."""
         if not self.is_settled or turned_away:
             self.is_settled = True
-            self._parts.permits.settle(self._placement.instance, turned_away)
+            self._parts.permits.settle(self.placement.instance, turned_away)
+
+    def give_up(self, reason: type[UpstreamError], detail: str) -> None:
+        """End the attempt at once; ``run`` raises an error with the reason."""
+        if self.given_up is None:
+            if self.may_have_run:
+                self.given_up = reason(detail, sent=True)
+            else:
+                detail = "given up before it was sent"
+                self.given_up = NotRunError(detail, sent=False)
+            self._scope.cancel()
 
     async def run(self, on_data: Callable[[], None]) -> None:
         """Relay the answer, or raise an ``UpstreamError``."""
+        with self._scope:
+            await self._run(on_data)
+            return
+        assert self.given_up is not None
+        raise self.given_up
+
+    async def _run(self, on_data: Callable[[], None]) -> None:
         response = await self._open()
         try:
             head = self._read_head(response)
             await self._relay_answer(head, response.exchange, on_data)
         except (BrokenError, SilentError) as exc:
             heard_at = self.received_at or self._head_received_at
-            if not isinstance(exc, WrongAnswerError) and heard_at is not None:
+            is_own = exc is not self.given_up and not isinstance(exc, WrongAnswerError)
+            if is_own and heard_at is not None:
                 self._doubt_path(heard_at, str(exc))
             raise
         finally:
             await response.exchange.aclose()
 
+    @property
+    def is_raced(self) -> bool:
+        """Whether the attempt stays open while another one stands by for it.
+
+        Each event of a stream tells that its run goes on. A call that is silent may
+        have begun at both instances and would hold a place at each.
+        """
+        return self._route.kind is RepeatKind.STREAM
+
+    def _reserve_retry(self, since: float, reason: str) -> bool:
+        """Reserve another attempt; return whether to give this one up for it at once.
+
+        Its engine may have preempted it, and with no other attempt to follow, what it
+        still sends is the best that the caller can get.
+        """
+        if not self._owner.reserve_retry(self):
+            return False
+        if self.is_raced:
+            self._doubt_path(since, reason)
+            return False
+        return True
+
+    def _reserve_in_answer(self) -> bool:
+        since = self.received_at or self._head_received_at
+        assert since is not None
+        return self._reserve_retry(since, f"no event for {STREAM_STALL_TIMEOUT_S} s")
+
     async def _open(self) -> Answer:
         """Send the request and return the response once its head has arrived."""
         try:
@@ -203,10 +315,10 @@
         """Send the request now; its deadline is what is left by now."""
         parts, req = self._parts, self._req
         left_s = self._deadline - trio.current_time()
-        terms = self._target.terms(self._placement, left_s)
+        terms = self._target.terms(self.placement, left_s)
         headers = parts.protocol.upstream_headers(self._resumed_request(), terms)
         names = {name.lower() for name, _ in headers}
-        address = self._placement.instance.address
+        address = self.placement.instance.address
         if b"host" not in names:
             headers = [(b"Host", address.encode()), *headers]
         body = self._job.body
@@ -224,11 +336,11 @@
 
     def _mark_sent(self) -> None:
         self.may_have_run = True
-        self._record_sent()
+        self._owner.record_sent(self)
         self._taken_at = trio.current_time() + REFUSAL_S
 
     def _resumed_request(self) -> ForwardRequest:
-        after = self._relay.resume_after
+        after = self._job.sent.last_number
         if after == self._req.resume_after:
             return self._req
         return self._req.resumed(after)
@@ -240,21 +352,22 @@
         """
         self.sent_at = sent_at = trio.current_time()
         with trio.CancelScope() as scope:
-            self._job.watch.begin(self._watch_send(sent_at, scope))
+            steps = self._watch_send(sent_at, scope)
+            self._job.watch.begin(steps)
             try:
                 answer = await self._send()
             finally:
-                self._job.watch.end()
+                self._job.watch.end(steps)
             self._head_received_at = trio.current_time()
-            self._record_answer(self._head_received_at)
+            self._owner.record_answer(self, self._head_received_at)
             return answer
         if not self._is_withdrawn:
-            self._doubt_path(sent_at, "no response head in time")
+            self._doubt_path(sent_at, NO_HEAD)
         if not self.may_have_run:
             raise NotRunError("given up before it was sent", sent=False)
         if self._is_withdrawn:
             raise WithdrawnError("withdrawn before its weights expired", sent=True)
-        raise SilentError("no response head in time", sent=True)
+        raise SilentError(NO_HEAD, sent=True)
 
     def _watch_send(self, sent_at: float, scope: trio.CancelScope) -> Iterator[float]:
         """Cancel the scope of a request once it is withdrawn or another takes over.
@@ -265,7 +378,7 @@
         limit_s = self._head_timeout_s()
         check_s = min(limit_s, UNRESPONSIVE_S)
         check_at, settle_at = sent_at + check_s, sent_at + REFUSAL_S
-        question_at = sent_at + max(QUESTION_S, 2 * self._placement.estimate_s)
+        question_at = sent_at + max(QUESTION_S, 2 * self.placement.estimate_s)
         while True:
             now, withdraws_at = trio.current_time(), self._withdraws_at()
             if now >= withdraws_at:
@@ -283,7 +396,7 @@
             if now >= check_at:
                 is_late = now >= sent_at + limit_s
                 if is_late or self._is_unresponsive(sent_at):
-                    if self._reserve_retry():
+                    if self._reserve_retry(sent_at, NO_HEAD):
                         break
                     check_s = RESERVE_INTERVAL_S
                 check_at = now + check_s
@@ -296,7 +409,7 @@
         A connection that fails leaves nothing sent, so the other way may follow at
         once; after a byte was sent, the failure is that of the attempt.
         """
-        paths, instance = self._parts.paths, self._placement.instance
+        paths, instance = self._parts.paths, self.placement.instance
         if paths.is_cut(instance):
             try:
                 return await self._send_via_peer()
@@ -320,14 +433,14 @@
         except (ConnectFailedError, BrokenError) as exc:
             self._doubt_path(started_at, str(exc))
             raise
-        self._parts.paths.answered(self._placement.instance, started_at)
+        self._parts.paths.answered(self.placement.instance, started_at)
         return response
 
     async def _send_via_peer(self) -> Answer:
         """Send the request through a peer; raise ``NoTunnelError`` without any."""
         if self._parts.tunnels is None:
             raise NoTunnelError("no other router can be asked")
-        instance = self._placement.instance
+        instance = self.placement.instance
         try:
             tunnel = await self._parts.tunnels.open(instance)
         except ConnectFailedError:
@@ -343,22 +456,22 @@
     def _doubt_path(self, since: float, reason: str) -> None:
         """Report that the instance did not answer directly since a time."""
         if not self.via:
-            self._parts.paths.failed(self._placement.instance, since, reason)
+            self._parts.paths.failed(self.placement.instance, since, reason)
 
     def _question_path(self, sent_at: float) -> None:
         """Have the path probed if nothing else comes from the instance either."""
-        key = self._placement.instance.incarnation_key
+        key = self.placement.instance.incarnation_key
         if not self.via and not self._parts.health.received_since(
             key, max(sent_at, trio.current_time() - QUESTION_S)
         ):
-            self._parts.paths.question(self._placement.instance)
+            self._parts.paths.question(self.placement.instance)
 
     def _withdraws_at(self) -> float:
         """Return when to withdraw the request if the engine has not begun it.
 
         It changes when a newer version is announced, so it is not cached.
         """
-        return self._target.begin_before(self._placement) - WITHDRAW_MARGIN_S
+        return self._target.begin_before(self.placement) - WITHDRAW_MARGIN_S
 
     def _head_timeout_s(self) -> float:
         """Return the time after which another attempt may take over a call."""
@@ -366,7 +479,7 @@
             return math.inf
         return max(
             RETRY_SHARE * self._route.objective_s,
-            RETRY_LATENCY_FACTOR * self._placement.estimate_s,
+            RETRY_LATENCY_FACTOR * self.placement.estimate_s,
         )
 
     def _is_unresponsive(self, sent_at: float) -> bool:
@@ -374,32 +487,32 @@
         if self._route.kind is not RepeatKind.STREAM or not self._route.may_resume:
             return False
         now = trio.current_time()
-        silence_limit_s = max(UNRESPONSIVE_S, 2 * self._placement.estimate_s)
+        silence_limit_s = max(UNRESPONSIVE_S, 2 * self.placement.estimate_s)
         if now - sent_at < silence_limit_s:
             return False
-        if not self.via and self._parts.paths.is_cut(self._placement.instance):
+        if not self.via and self._parts.paths.is_cut(self.placement.instance):
             # What other requests receive from it takes another way.
             return True
-        key = self._placement.instance.incarnation_key
+        key = self.placement.instance.incarnation_key
         return not self._parts.health.received_since(key, now - silence_limit_s)
 
     def _read_head(self, response: Answer) -> UpstreamHead:
         """Parse and validate the response head."""
         parts = self._parts
         head = parts.protocol.read_head(self._req, response.status, response.headers)
-        parts.health.record_data(self._placement.instance.incarnation_key)
+        parts.health.record_data(self.placement.instance.incarnation_key)
         if not head.is_ours:
             raise WrongAnswerError("the answer belongs to another request", sent=True)
-        other = head.instance not in ("", self._placement.instance.instance)
+        other = head.instance not in ("", self.placement.instance.instance)
         if head.is_misdirected and other:
             # Another instance now uses the address, so the request has not run.
-            parts.state.mark_leaving(self._placement.instance, "address_reused")
+            parts.state.mark_leaving(self.placement.instance, "address_reused")
             raise NotRunError("another instance uses the address", sent=False)
         if not other:
-            parts.permits.observe(self._placement.instance, head.signals, self.sent_at)
+            parts.permits.observe(self.placement.instance, head.signals, self.sent_at)
             self.settle(turned_away=head.not_run)
-            self._target.reported(self._placement, head.load)
-        self._target.head(self._placement, head)
+            self._target.reported(self.placement, head.load)
+        self._target.head(self.key, self.placement, head)
         if head.not_run or head.is_misdirected:
             raise NotRunError(f"refused with status {head.status}", sent=False)
         if head.is_encoded or (head.status < 300 and not head.is_sealed):
@@ -408,7 +521,7 @@
 
     @property
     def _is_engine(self) -> bool:
-        return self._placement.choice is not None
+        return self.placement.choice is not None
 
     async def _relay_answer(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
@@ -416,17 +529,19 @@
         """Relay an answer; a run that may be resumed can move to another engine."""
         copier = self._parts.copier
         may_move = self._route.kind is RepeatKind.STREAM and self._route.may_resume
-        if copier is None or not may_move or self._is_last or not self._is_engine:
+        is_last = self._owner.is_last(self)
+        if copier is None or not may_move or is_last or not self._is_engine:
             await self._relay_or_fail(head, exchange, on_data)
             return
         mover = RunMover(
             copier,
             self._parts.engines.weights,
             self._target,
-            self._placement,
-            self._relay,
+            self.placement,
+            self.relay,
             self._req.request_id,
-            self._charge_repeat,
+            lambda: self._owner.charge_move(self),
+            lambda: self._owner.has_standby,
         )
         await mover.relay(lambda: self._relay_or_fail(head, exchange, on_data))
 
@@ -435,12 +550,17 @@
     ) -> None:
         """Relay an answer, or raise ``ServerFailureError`` for a server error."""
         if head.status < 300:
-            self._relay.reserve_retry = self._reserve_retry
-            await self._relay.relay_answer(head, exchange, on_data)
+            self.relay.reserve_retry = self._reserve_in_answer
+            self.relay.claim = self._claim
+            await self.relay.relay_answer(head, exchange, on_data)
             return
-        relay = WholeRelay(self._job.caller)
-        if head.status < SERVER_ERROR:
+        if head.status < SERVER_ERROR and not self._job.caller.started:
+            relay = WholeRelay(self._job.sent)
+            relay.claim = self._claim
             await relay.relay_answer(head, exchange, on_data)
             return
         hold = self._job.caller.hold_answer
         raise ServerFailureError(head, await read_whole(exchange, on_data, hold))
+
+    def _claim(self) -> None:
+        self._owner.claim(self)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any, Final
 
 import eliot
@@ -34,7 +33,7 @@
 from .forward_attempt import ForwardJob
 from .forward_caller import CutReason, ForwardCaller, StreamCutError
 from .forward_parts import ForwardParts
-from .forward_relay import EventRelay, Relay, WholeRelay
+from .forward_relay import SentAnswer
 from .forward_request import ForwardRequest
 from .forward_run import ForwardRun
 from .forward_target import (
@@ -66,10 +65,6 @@
 CALLER_STALL_TIMEOUT_S: Final = 10.0
 """How long a write to a caller may block."""
 
-STREAM_STALL_TIMEOUT_S: Final = 1.2
-"""Pause between two events of a stream after which another engine may take over. An
-engine without memory for all its streams may preempt the newest for longer."""
-
 DEADLINE_MARGIN_S: Final = 0.02
 """Margin before the deadline at which a request ends, so that the caller receives the
 result in time."""
@@ -169,13 +164,13 @@
             target.stream_key = _stream_key(account, req.resumes or req.request_id)
         if origin is not None:
             target.bind(origin.version)
-        relay = self._relay(req, route, caller)
+        resume_after = req.resume_after if route.kind is RepeatKind.STREAM else None
         job = ForwardJob(
             self._parts,
             req,
             route,
             target,
-            relay,
+            SentAnswer(caller, resume_after),
             caller,
             deadline,
             body,
@@ -277,15 +272,6 @@
             return EngineTarget(*common, upstream=upstream, prompt=req.prompt)
         return ServiceTarget(*common, upstream=upstream)
 
-    @staticmethod
-    def _relay(
-        req: ForwardRequest, route: ForwardRoute, caller: ForwardCaller
-    ) -> Relay:
-        if route.kind is RepeatKind.STREAM:
-            stall_s = STREAM_STALL_TIMEOUT_S if route.may_resume else math.inf
-            return EventRelay(caller, req.resume_after, stall_s)
-        return WholeRelay(caller)
-
 
 def _part_digests(prompt: Prompt | None) -> tuple[bytes, ...]:
     """Return the digests by which all routers know the shared parts of a prompt."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import field
@@ -144,6 +145,8 @@
     services: dict[IncarnationKey, ServiceLoad] = field(default_factory=dict)
     budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     waiting: WaitingRequests = field(default_factory=WaitingRequests)
+    standbys: Counter[str] = field(default_factory=Counter)
+    """Attempts that stand by for silent ones, by upstream."""
     return_schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     """Schedules of the retries of refused callers, by upstream."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -32,13 +32,41 @@
     """Raised when a relay was interrupted between two events."""
 
 
-class Relay(ABC):
-    """Relays the answers of successive attempts to the caller."""
+class SentAnswer:
+    """What the caller has received of its answer, over all attempts."""
 
-    def __init__(self, caller: ForwardCaller) -> None:
+    def __init__(self, caller: ForwardCaller, resume_after: int | None = None) -> None:
         self.caller = caller
+        self.last_number = resume_after
+        """Number of the last event sent to the caller, from which to resume."""
+        self.n_events = 0
+        """Events sent to the caller."""
+        self.longest_pause_s = 0.0
+        """Longest pause between two writes to the caller."""
+        self._last_write_at: float | None = None
+
+    def record_write(self) -> None:
+        """Record that events are about to be sent to the caller."""
+        now = trio.current_time()
+        if self._last_write_at is not None:
+            pause_s = now - self._last_write_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_write_at = now
+
+
+class Relay(ABC):
+    """Relays the answer of one attempt to the caller."""
+
+    def __init__(self, sent: SentAnswer) -> None:
+        self.sent = sent
+        self.caller = sent.caller
+        self.n_events = 0
+        """Events of this attempt that were sent to the caller."""
         self.reserve_retry: Callable[[], bool] = lambda: False
-        """Reserves an attempt in place of a silent one; False if none can follow."""
+        """Called when the instance is silent; returns whether to give it up."""
+        self.claim: Callable[[], None] = lambda: None
+        """Called before anything is sent to the caller; raises an ``UpstreamError`` if
+        another attempt answers it."""
         self.on_begin: Callable[[], None] = lambda: None
         """Called before the first event is sent to the caller."""
         self.check_source: Callable[[], None] = lambda: None
@@ -54,23 +82,12 @@
         Raise an ``UpstreamError`` if the answer does not arrive complete.
         """
 
-    longest_pause_s: float = 0.0
-    """Longest pause between two writes to the caller."""
-
-    n_events: int = 0
-    """Events sent to the caller, over all attempts."""
-
     def interrupt(self) -> None:
         """Make ``relay_answer`` raise ``TakenOffError`` at the next event boundary.
 
         Relays that buffer the whole answer ignore it.
         """
 
-    @property
-    def resume_after(self) -> int | None:
-        """Number of the last event sent to the caller, from which to resume."""
-        return None
-
 
 class WholeRelay(Relay):
     """Buffers an answer until it is complete, then sends it in one piece."""
@@ -80,6 +97,7 @@
     ) -> None:
         """Relay an answer once it is complete."""
         body = await read_whole(exchange, on_data, self.caller.hold_answer)
+        self.claim()
         await self.caller.answer(head.status, list(head.headers), body)
 
 
@@ -104,15 +122,11 @@
 
 
 class EventRelay(Relay):
-    """Sends events as they arrive; a new attempt resumes after the last one."""
+    """Sends the events that the caller has not received yet, as they arrive."""
 
-    def __init__(
-        self, caller: ForwardCaller, resume_after: int | None, stall_s: float
-    ) -> None:
-        super().__init__(caller)
-        self._last_number = resume_after
+    def __init__(self, sent: SentAnswer, stall_s: float) -> None:
+        super().__init__(sent)
         self._stall_s = stall_s
-        self._last_write_at: float | None = None
         self._is_interrupted = False
         self._is_checked = False
         """Whether the source of the answer was checked."""
@@ -123,16 +137,10 @@
         self._scope = trio.CancelScope()
         """Cancel scope of the waits for chunks and of the writes."""
 
-    @property
-    def resume_after(self) -> int | None:
-        """Number of the last event sent to the caller."""
-        return self._last_number
-
     async def relay_answer(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
         """Relay the events that the caller has not received yet."""
-        self._is_interrupted = self._is_checked = False
         splitter = EventSplitter()
         limit_s = self._stall_s
         while not await self._relay_until_pause(
@@ -149,6 +157,7 @@
             limit_s = RESERVE_INTERVAL_S
         if splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
+        self.claim()
         if not self.caller.started:
             await self.caller.start(head.status, list(head.headers))
         await self.caller.finish()
@@ -172,7 +181,7 @@
             while True:
                 chunk, self._late_chunk = self._late_chunk, b""
                 if not chunk:
-                    _set_deadline(scope, limit_s if self.n_events else math.inf)
+                    _set_deadline(scope, limit_s if self.sent.n_events else math.inf)
                     self._is_waiting = True
                     if self._is_interrupted:
                         scope.cancel()
@@ -191,7 +200,9 @@
                     if not self._is_checked:
                         self.check_source()
                         self._is_checked = True
-                    self._last_number = last_number
+                    self.claim()
+                    self.sent.last_number = last_number
+                    self.sent.n_events += len(ready)
                     self.n_events += len(ready)
                     _set_deadline(scope, caller.stall_s)
                     await self._write(head, b"".join(ready))
@@ -209,7 +220,7 @@
         self, splitter: EventSplitter, chunk: bytes
     ) -> tuple[list[bytes], int | None]:
         """Return the events that the caller lacks, and the number of the last one."""
-        last_number = self._last_number
+        last_number = self.sent.last_number
         try:
             events = splitter.feed(chunk)
         except EventTooLongError as exc:
@@ -218,7 +229,7 @@
         for event in events:
             if event.number is not None:
                 if last_number is not None and event.number <= last_number:
-                    # The caller received it from an earlier attempt.
+                    # The caller received it from another attempt.
                     continue
                 if last_number is not None and event.number != last_number + 1:
                     message = f"event {event.number} came after {last_number}"
@@ -230,10 +241,7 @@
     async def _write(self, head: UpstreamHead, data: bytes) -> None:
         """Send events to the caller."""
         caller = self.caller
-        now = trio.current_time()
-        if self._last_write_at is not None:
-            self.longest_pause_s = max(self.longest_pause_s, now - self._last_write_at)
-        self._last_write_at = now
+        self.sent.record_write()
         if not caller.started:
             self.on_begin()
             await caller.start(head.status, list(head.headers), more_follows=True)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from functools import partial
 from typing import Any, Final
@@ -11,6 +11,7 @@
 import trio
 
 from corianderlb_core.data_class import dataclass
+from corianderlb_core.error import CorianderError
 from corianderlb_core.fair_room import RoomRefusal
 from corianderlb_core.fleet_retry_budget import RequestRetries
 from corianderlb_core.forwarding import ForwardInstance, ForwardRoute, RepeatKind
@@ -21,14 +22,17 @@
 from corianderlb_core.request import Refusal
 from corianderlb_core.result import ResultCode
 
+from .attempt_race import AttemptRace, Standby
 from .caller import RequestRefusedError, refuse
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
 from .fleet_rooms import RoomFullError
 from .forward_attempt import (
+    AttemptOwner,
     ForwardAttempt,
     ForwardJob,
     NotRunError,
     ServerFailureError,
+    SupersededError,
     WithdrawnError,
 )
 from .forward_caller import CutReason, StreamCutError
@@ -44,6 +48,7 @@
 )
 from .in_flight import InFlightAttempt
 from .run_mover import RunMovedError
+from .silence_view import view_silence
 
 MAX_WAIT_SHARE: Final = 0.12
 """Share of its objective for which a request waits for an instance with capacity. A
@@ -112,7 +117,7 @@
     """Software version of the instance, by its entry."""
 
 
-class ForwardRun:
+class ForwardRun(AttemptOwner):
     """Run of one request, with its state across attempts."""
 
     def __init__(self, job: ForwardJob) -> None:
@@ -121,15 +126,13 @@
         self._route = job.route
         self._target = job.target
         self._target.deadline = job.deadline
-        self._relay = job.relay
+        self._sent_answer = job.sent
         self._caller = job.caller
         self._deadline = job.deadline
         self._digest = job.digest
         self._part_digests = job.part_digests
         self._avoid: set[IncarnationKey] = set()
-        self._last_sent: PartRequest | None = None
-        """The last attempt that has ended, for the parts of its prompt."""
-        self._n_sent = 0
+        self._n_attempts = 0
         self._retries = RequestRetries(job.parts.cfg.budget.window_s)
         self._n_runs = 0
         """Runs counted against the route's ``max_attempts``."""
@@ -138,10 +141,16 @@
         self._last_failure: ServerFailureError | None = None
         self._earlier_may_have_run = False
         """Whether an attempt that has ended may have run the request."""
-        self._current_attempt: ForwardAttempt | None = None
+        self._race = AttemptRace()
+        self._announced: ForwardInstance | None = None
+        """Instance that was last made known as the one to run the stream."""
+        self._n_tasks = 0
+        """Tasks of the request that have not ended."""
+        self._is_repeat_unused = False
+        """Whether the account was charged for another run, and none was counted yet."""
         self._next_placement: Placement | None = None
         """Placement that is already chosen: where a moved run continues from a copy of
-        its KV cache, or what a silent attempt has reserved."""
+        its KV cache, or what a silent call has reserved."""
         self.attempt_records: list[AttemptRecord] = []
         """One record per attempt, for the log."""
 
@@ -153,11 +162,11 @@
     @property
     def longest_pause_ms(self) -> int:
         """Longest pause between two writes to the caller."""
-        return round(self._relay.longest_pause_s * 1000)
+        return round(self._sent_answer.longest_pause_s * 1000)
 
     def paused_beyond(self, route: ForwardRoute) -> bool:
         """Return whether a pause of the answer was longer than a route's objective."""
-        return self._relay.longest_pause_s > route.pause_objective_s
+        return self._sent_answer.longest_pause_s > route.pause_objective_s
 
     @property
     def _may_run_again(self) -> bool:
@@ -169,16 +178,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any upstream may have begun to run the request."""
-        attempt = self._current_attempt
-        return self._earlier_may_have_run or (
-            attempt is not None and attempt.may_have_run
-        )
-
-    @property
-    def _via(self) -> str:
-        """The router that carried the current attempt; empty for a direct one."""
-        attempt = self._current_attempt
-        return attempt.via if attempt is not None else ""
+        return self._earlier_may_have_run or self._race.may_have_run
 
     def may_abandon(self) -> bool:
         """Return whether the request may be cancelled when the caller disconnects.
@@ -190,6 +190,7 @@
 
     async def run(self) -> None:
         """Answer the caller, or raise ``RequestRefusedError``."""
+        self._n_tasks += 1
         try:
             await self._run()
         except RequestRefusedError:
@@ -199,21 +200,65 @@
             # The upstream's own error response is more informative than the refusal.
             await self._relay_failure(failure)
         finally:
+            self._end_task()
+
+    def _end_task(self) -> None:
+        self._n_tasks -= 1
+        if not self._n_tasks:
             self._retries.ended(trio.current_time())
 
     async def _run(self) -> None:
         while True:
-            placement, self._next_placement = self._next_placement, None
-            if placement is None:
-                placement = await self._choose_placement()
-            try:
-                await self._attempt(placement)
+            attempt, failed = await self._next_attempt()
+            if failed is None:
                 return
-            except UpstreamError as exc:
-                failed = exc
-            if await self._handle_failure(placement, failed):
+            if not isinstance(failed, UpstreamError):
+                raise failed
+            if await self._handle_failure(attempt, failed):
                 return
 
+    async def _next_attempt(self) -> tuple[ForwardAttempt, Exception | None]:
+        """Run the next attempt to its end; return it with the error if it failed."""
+        race = self._race
+        if race.has_successor:
+            standby = await race.take_over()
+            return standby.attempt, standby.error
+        placement, self._next_placement = self._next_placement, None
+        if placement is None:
+            placement = await self._choose_placement()
+        race.lead = attempt = self._make_attempt(placement)
+        try:
+            await self._attempt(attempt)
+        except UpstreamError as exc:
+            return attempt, exc
+        finally:
+            race.lead = None
+        return attempt, None
+
+    def _make_attempt(self, placement: Placement) -> ForwardAttempt:
+        self._n_attempts += 1
+        return ForwardAttempt(self._job, self, placement, self._n_attempts)
+
+    async def _run_standby(self, standby: Standby) -> None:
+        """Run an attempt that stands by, until it has ended or has answered."""
+        attempt, error = standby.attempt, None
+        upstream = self._target.upstream
+        self._parts.standbys[upstream] += 1
+        try:
+            await self._attempt(attempt)
+        except CorianderError as exc:
+            error = exc
+        finally:
+            self._parts.standbys[upstream] -= 1
+            self._end_task()
+        if not self._race.end(standby, error):
+            return
+        is_run = False
+        if isinstance(error, UpstreamError):
+            is_run = await self._account_for(attempt, error)
+        if not is_run:
+            self._is_repeat_unused = True
+
     # Placement.
 
     async def _choose_placement(self) -> Placement:
@@ -262,7 +307,7 @@
     async def _enter_room(self, limit_s: float) -> None:
         """Wait for the turn of a new request; refuse it if that is too far off."""
         target = self._target
-        if not isinstance(target, EngineTarget) or self._n_sent or target.is_bound:
+        if not isinstance(target, EngineTarget) or self._n_attempts or target.is_bound:
             return
         try:
             await target.enter_room(limit_s)
@@ -326,9 +371,9 @@
 
     # One attempt.
 
-    async def _attempt(self, placement: Placement) -> None:
+    async def _attempt(self, attempt: ForwardAttempt) -> None:
         """Send the request to one instance and relay its answer."""
-        parts = self._parts
+        parts, placement = self._parts, attempt.placement
         instance = placement.instance
         if not parts.state.accepts_requests(instance):
             raise NotRunError("the instance is leaving", sent=False)
@@ -338,33 +383,20 @@
         self._check_budget()
         if not parts.permits.take(instance):
             raise NotRunError("the instance takes no request now", sent=False)
-        self._begin_stream(placement)
-        self._n_sent += 1
-        key = f"{self._job.req.request_id}.{self._n_sent}"
-        started_at = trio.current_time()
+        self._begin_stream(attempt)
         first_at: list[float] = []
-        attempt = ForwardAttempt(
-            self._job,
-            placement,
-            not self._has_attempt_left(1),
-            self._charge_budget,
-            lambda: self._reserve_retry(placement),
-            partial(self._record_sent, placement),
-            self._retries.answered,
-        )
 
         def on_data() -> None:
             parts.health.record_data(instance.incarnation_key)
             attempt.received_at = trio.current_time()
             if not first_at:
                 first_at.append(attempt.received_at)
-                parts.in_flight.begun(AttemptId(key), attempt.received_at)
-                seconds = attempt.received_at - started_at
-                self._target.first_byte(key, placement, seconds)
+                parts.in_flight.begun(AttemptId(attempt.key), attempt.received_at)
+                seconds = attempt.received_at - attempt.created_at
+                self._target.first_byte(attempt.key, placement, seconds)
 
-        self._current_attempt = attempt
         has_ended = False
-        with self._track_in_flight(key, placement, first_at):
+        with self._track_in_flight(attempt, first_at):
             try:
                 await attempt.run(on_data)
                 has_ended = True
@@ -372,20 +404,24 @@
                 has_ended = True
                 if isinstance(exc, BrokenError) and not attempt.via:
                     # An instance that closes a connection reads nothing more from it.
-                    self._retries.answered(trio.current_time())
+                    self.record_answer(attempt, trio.current_time())
                 raise
             finally:
-                self._retries.unanswered(trio.current_time())
+                now = trio.current_time()
+                self._retries.unanswered(now, attempt.retry_number)
                 attempt.settle(turned_away=False)
                 if not attempt.may_have_run:
                     parts.permits.give_back(instance)
                 if not has_ended:
                     # Cancelled, because the caller left or the deadline passed, or
                     # failed otherwise: log which instance had the request.
-                    self._record_attempt(placement, "abandoned", started_at)
+                    self._earlier_may_have_run |= attempt.may_have_run
+                    if attempt.given_up is None:
+                        self._record_attempt(attempt, "abandoned", attempt.created_at)
+        self._earlier_may_have_run = True
         parts.health.succeeded(instance.incarnation_key)
         parts.quarantine.clear(self._digest, self._part_digests)
-        self._record_attempt(placement, "ok", started_at)
+        self._record_attempt(attempt, "ok", attempt.created_at)
 
     def _check_quarantine(self) -> None:
         """Refuse a request that was quarantined while it waited."""
@@ -398,7 +434,7 @@
             raise refuse(ResultCode.UPSTREAM_FAILED, refusal.detail)
         raise RequestRefusedError(refusal)
 
-    def _begin_stream(self, placement: Placement) -> None:
+    def _begin_stream(self, attempt: ForwardAttempt) -> None:
         """Make known which software version is about to run the stream.
 
         Its first event binds it to that version; until then another one may run it.
@@ -406,20 +442,25 @@
         target, origins = self._target, self._parts.origins
         if target.stream_key is None:
             return
-        instance = placement.instance
+        instance, relay = attempt.placement.instance, attempt.relay
         version = target.software_version
         if version is not None:
             # An event of another version, once sent, can't be taken back.
-            self._relay.check_source = partial(self._check_source, instance, version)
+            relay.check_source = partial(self._check_source, instance, version)
             return
-        self._relay.on_begin = partial(self._bind_stream, instance)
+        relay.on_begin = partial(self._bind_stream, instance)
+        self._announced = instance
         origins.began(target.stream_key, instance, self._route)
 
     def _bind_stream(self, instance: ForwardInstance) -> None:
         """Keep the stream at the version of the instance that wrote its first event."""
+        key, origins = self._target.stream_key, self._parts.origins
+        if key is not None and self._announced is not instance:
+            # The other attempt was announced later, and may run another version.
+            origins.began(key, instance, self._route)
         self._target.bind(instance.software_version)
-        if self._target.stream_key is not None:
-            self._parts.origins.first_event(self._target.stream_key)
+        if key is not None:
+            origins.first_event(key)
 
     def _check_source(self, instance: ForwardInstance, version: str) -> None:
         if self._parts.origins.has_changed(instance, version):
@@ -428,10 +469,10 @@
 
     @contextmanager
     def _track_in_flight(
-        self, key: str, placement: Placement, first_at: list[float]
+        self, attempt: ForwardAttempt, first_at: list[float]
     ) -> Iterator[None]:
         """Track an attempt as in flight while the context is active."""
-        parts = self._parts
+        parts, placement, key = self._parts, attempt.placement, attempt.key
         instance = placement.instance
         incarnation = Incarnation(InstanceId(instance.instance), instance.born_ms)
         sent_at = trio.current_time()
@@ -449,75 +490,91 @@
             yield
         finally:
             begun_at = first_at[0] if first_at else None
-            self._last_sent = PartRequest(self._part_digests, sent_at, begun_at)
+            attempt.part_request = PartRequest(self._part_digests, sent_at, begun_at)
             parts.in_flight.end(AttemptId(key))
             parts.health.ended(instance.incarnation_key)
             self._target.ended(key, placement, has_first_token=bool(first_at))
 
     # Failure handling.
 
-    def _handle_move(self, placement: Placement, exc: RunMovedError) -> None:
+    def _handle_move(self, attempt: ForwardAttempt, exc: RunMovedError) -> None:
         """Continue or restart a run that was interrupted to free its engine.
 
         It continues from a copy of its KV cache if there is one.
         """
         self._earlier_may_have_run = True
         self._next_placement = exc.placement
-        self._record_attempt(placement, "moved" if exc.placement else "restarted", None)
-        self._current_attempt = None
+        self._record_attempt(attempt, "moved" if exc.placement else "restarted", None)
         if exc.placement is None:
-            self._avoid.add(placement.instance.incarnation_key)
+            self._avoid.add(attempt.placement.instance.incarnation_key)
             self._n_runs += 1
             self._job.usage.repeat_always()
 
     def _has_attempt_left(self, n_more: int = 0) -> bool:
         return self._n_runs + n_more < self._route.max_attempts
 
-    async def _handle_failure(self, placement: Placement, exc: UpstreamError) -> bool:
+    async def _handle_failure(
+        self, attempt: ForwardAttempt, exc: UpstreamError
+    ) -> bool:
         """Handle a failed attempt; return whether the caller has been answered.
 
         False requests another attempt.
         """
         if isinstance(exc, RunMovedError):
-            self._handle_move(placement, exc)
+            self._handle_move(attempt, exc)
+            return False
+        await self._account_for(attempt, exc)
+        if self._race.has_successor or self._next_placement is not None:
+            # Checked and charged when it was reserved.
             return False
-        self._avoid.add(placement.instance.incarnation_key)
-        self._report_health(placement, exc)
-        if not isinstance(exc, NotRunError):
-            self._earlier_may_have_run = self.may_have_run
-        self._current_attempt = None
-        if placement.continue_from:
-            # The copy could not be used, so the next attempt is another run.
-            self._n_runs += 1
         if isinstance(exc, NotRunError):
-            self._n_not_run += 1
-            if self._next_placement is not None:
-                # Charged when it was reserved.
-                return False
             if self._caller.started:
                 await self._charge_rest()
             else:
                 self._charge_or_refuse(exc)
             return False
         if isinstance(exc, ConnectFailedError):
-            self._n_unreached += 1
             if self._n_unreached > MAX_UNREACHED:
                 self._refuse_not_run(ResultCode.NO_UPSTREAM, exc)
             return False
         if isinstance(exc, WithdrawnError) and self._may_repeat():
-            # An engine begins a request with its first token, so this was no run.
             return await self._repeat_withdrawn(exc)
-        self._n_runs += 1
-        if self._next_placement is not None:
-            # Checked and charged when it was reserved.
+        if self._may_repeat() and self._charge_repeat():
+            return False
+        return await self._fail_request(exc)
+
+    async def _account_for(self, attempt: ForwardAttempt, exc: UpstreamError) -> bool:
+        """Count a failed attempt, and report what it tells of its instance.
+
+        Return whether it counts as a run.
+        """
+        placement = attempt.placement
+        if attempt.given_up is None:
+            self._report_health(attempt, exc)
+        elif isinstance(attempt.given_up, SupersededError):
+            # Counted when it was given up.
+            return True
+        self._avoid.add(placement.instance.incarnation_key)
+        if not isinstance(exc, NotRunError):
+            self._earlier_may_have_run |= attempt.may_have_run
+        if placement.continue_from:
+            # The copy could not be used, so the next attempt is another run.
+            self._n_runs += 1
+        if isinstance(exc, NotRunError):
+            self._n_not_run += 1
             return False
+        if isinstance(exc, ConnectFailedError):
+            self._n_unreached += 1
+            return False
+        if isinstance(exc, WithdrawnError):
+            # An engine begins a request with its first token, so this was no run.
+            return False
+        self._n_runs += 1
         if isinstance(exc, ServerFailureError):
             self._last_failure = exc
         if isinstance(exc, BrokenError) and not isinstance(exc, WrongAnswerError):
-            await self._check_for_crash(placement)
-        if self._may_repeat() and self._charge_repeat():
-            return False
-        return await self._fail_request(exc)
+            await self._check_for_crash(attempt)
+        return True
 
     async def _repeat_withdrawn(self, exc: WithdrawnError) -> bool:
         """Charge another attempt in place of one that this router has ended itself."""
@@ -532,7 +589,7 @@
         return (
             self._may_run_again
             and self._has_attempt_left(n_more)
-            and not (self._caller.started and self._relay.resume_after is None)
+            and not (self._caller.started and self._sent_answer.last_number is None)
             and self._quarantine_refusal() is None
         )
 
@@ -543,35 +600,98 @@
             self._part_digests
         )
 
-    def _reserve_retry(self, silent: Placement) -> bool:
+    # What its attempts ask.
+
+    def claim(self, attempt: ForwardAttempt) -> None:
+        """Have an attempt answer the caller, and end the other one."""
+        loser = self._race.claim(attempt)
+        if loser is None or loser.given_up is None:
+            return
+        self._report_health(loser, loser.given_up)
+        self._earlier_may_have_run |= loser.may_have_run
+        if isinstance(loser.given_up, SupersededError):
+            # At once, since the winner may fail before the loser has ended.
+            self._n_runs += 1
+
+    @property
+    def has_standby(self) -> bool:
+        """Whether another attempt stands by for a silent one."""
+        return self._race.standby is not None
+
+    def is_last(self, attempt: ForwardAttempt) -> bool:
+        """Return whether no other attempt may follow this one."""
+        lead = self._race.lead
+        stands_by = lead is not None and lead is not attempt
+        n_more = 1 + (self._n_runs_of(lead.placement) if stands_by else 0)
+        return not self._has_attempt_left(n_more)
+
+    def charge_move(self, attempt: ForwardAttempt) -> bool:
+        """Charge the move of a run to another engine; return whether it may move."""
+        return not self.is_last(attempt) and self._charge_budget()
+
+    def record_answer(self, attempt: ForwardAttempt, at: float) -> None:
+        """Record that the head of an attempt's answer has arrived."""
+        self._retries.answered(at, attempt.retry_number)
+
+    def reserve_retry(self, attempt: ForwardAttempt) -> bool:
         """Reserve and charge another attempt; return False if none can follow.
 
-        A silent attempt ends only once this has returned True. Its engine may have
-        preempted it, and with no other attempt to follow, what it still sends is the
-        best that the caller can get.
+        It stands by for a silent attempt that may still go on. Otherwise the silent one
+        ends, only once this has returned True.
         """
         if self._next_placement is not None:
             # Reserved when the attempt went on at the same moment.
             return True
-        # Once it has failed, a run that continued from a copy counts as two.
-        n_runs = 2 if silent.continue_from else 1
-        if not self._may_repeat(n_runs):
+        if self._race.standby is not None or attempt is not self._race.lead:
+            return False
+        if self._n_unreached > MAX_UNREACHED:
             return False
-        placement = self._choose_other(silent)
+        if not self._may_repeat(self._n_runs_of(attempt.placement)):
+            return False
+        placement = self._choose_other(attempt)
         if placement is None or not self._charge_repeat():
             return False
-        self._next_placement = placement
+        if attempt.is_raced:
+            self._start_standby(placement)
+        else:
+            self._next_placement = placement
         return True
 
-    def _choose_other(self, silent: Placement) -> Placement | None:
+    def _start_standby(self, placement: Placement) -> None:
+        nursery = self._job.watch.nursery
+        assert nursery is not None
+        self._n_tasks += 1
+        standby = self._race.open(self._make_attempt(placement))
+        nursery.start_soon(self._run_standby, standby)
+
+    @staticmethod
+    def _n_runs_of(placement: Placement) -> int:
+        """Return the runs that an attempt counts as once it has failed.
+
+        One that continued from a copy counts as two.
+        """
+        return 2 if placement.continue_from else 1
+
+    def _choose_other(self, attempt: ForwardAttempt) -> Placement | None:
         """Return a placement that can begin in place of a silent one, or None."""
         now = trio.current_time()
         objective_left_s = self._objective_left_s(now, is_retry=True)
-        silent_key = silent.instance.incarnation_key
-        choices = [{*self._avoid, silent_key}, {silent_key}]
-        if self._route.is_repeatable:
+        silent_key = attempt.placement.instance.incarnation_key
+        choices: list[Collection[IncarnationKey]]
+        if attempt.is_raced:
+            upstream, silent_s = self._target.upstream, attempt.silent_s
+            view = view_silence(self._parts, upstream, attempt.placement.instance)
+            if not view.may_replace(self._parts.standbys[upstream], silent_s):
+                return None
+            unfit = {silent_key, *view.unfit(silent_s)}
+            choices = [
+                {*self._avoid, *unfit, *view.unknown},
+                {*self._avoid, *unfit},
+                unfit,
+            ]
+        else:
             # A call can hang on an instance that answers the next one.
-            choices.append(set())
+            choices = [{*self._avoid, silent_key}, {silent_key}, set()]
         for avoid in choices:
             found = self._target.choose(avoid, objective_left_s)
             if isinstance(found, Placement):
@@ -611,6 +731,9 @@
         """Charge another run to the retry budget and to the account."""
         if not self._charge_budget():
             return False
+        if self._is_repeat_unused:
+            self._is_repeat_unused = False
+            return True
         if self._caller.started:
             # Its answer has begun; without the rest, all of it is lost.
             self._job.usage.repeat_always()
@@ -639,14 +762,15 @@
             self._retries.drop_unused()
             raise NotRunError("the retry budget is spent", sent=False)
 
-    def _record_sent(self, placement: Placement) -> None:
+    def record_sent(self, attempt: ForwardAttempt) -> None:
         """Record that the first byte of an attempt is about to be sent."""
-        charge = self._retries.sent()
+        attempt.retry_number = self._retries.sent()
+        charge = self._retries.last_charge
         if self._retries.n_sent > 1:
             self._parts.record_retry_sent(
                 self._target.upstream,
                 self._job.req.request_id,
-                placement.instance.instance,
+                attempt.placement.instance.instance,
                 charge.charged_at if charge else None,
             )
 
@@ -668,17 +792,17 @@
         head = failure.head
         await self._caller.answer(head.status, list(head.headers), failure.body)
 
-    def _report_health(self, placement: Placement, exc: UpstreamError) -> None:
+    def _report_health(self, attempt: ForwardAttempt, exc: UpstreamError) -> None:
         """Report a failed attempt to the health table, and record it for the log."""
-        attempt = self._current_attempt
-        is_unanswered = attempt is None or attempt.began_ms is None
+        placement = attempt.placement
+        is_unanswered = attempt.began_ms is None
         if isinstance(exc, ConnectFailedError | BrokenError) and is_unanswered:
             self._parts.origins.record_doubt(placement.instance)
         health = self._parts.health
         incarnation_key = placement.instance.incarnation_key
         outcome = type(exc).__name__.removesuffix("Error").lower()
-        is_own_path = not self._via and self._parts.paths.is_cut(placement.instance)
-        if isinstance(exc, NotRunError | WithdrawnError):
+        is_own_path = not attempt.via and self._parts.paths.is_cut(placement.instance)
+        if isinstance(exc, NotRunError | WithdrawnError | SupersededError):
             pass
         elif is_own_path and not isinstance(exc, ConnectFailedError):
             # A connection that this router has lost says nothing about the instance.
@@ -691,20 +815,20 @@
             self._target.unreached(placement)
         else:
             health.failed(incarnation_key)
-        self._record_attempt(placement, outcome, None, str(exc))
+        self._record_attempt(attempt, outcome, None, str(exc))
 
-    async def _check_for_crash(self, placement: Placement) -> None:
+    async def _check_for_crash(self, attempt: ForwardAttempt) -> None:
         """Report a crash if the instance no longer listens.
 
         All requests in flight on it become suspects.
         """
-        parts = self._parts
+        parts, placement = self._parts, attempt.placement
         instance = placement.instance
         name = InstanceId(instance.instance)
         suspects = (*parts.in_flight.suspects(name), self._digest)
         begun = parts.in_flight.part_requests(name)
-        if self._last_sent is not None:
-            begun.append(self._last_sent)
+        if attempt.part_request is not None:
+            begun.append(attempt.part_request)
         suspected_parts = suspect_parts(begun, trio.current_time())
         try:
             conn = await parts.transport.pool.take(
@@ -724,13 +848,14 @@
 
     def _record_attempt(
         self,
-        placement: Placement,
+        attempt: ForwardAttempt,
         outcome: str,
         started_at: float | None,
         detail: str = "",
     ) -> None:
         took_s = trio.current_time() - (started_at or self._caller.arrived_at)
         fields: dict[str, Any] = {}
+        placement = attempt.placement
         choice = placement.choice
         if choice is not None:
             fields.update(
@@ -739,8 +864,7 @@
                 weights=choice.view.weights_version,
                 fetch_from=choice.fetch_from,
             )
-        attempt = self._current_attempt
-        if attempt is not None and attempt.sent_at is not None:
+        if attempt.sent_at is not None:
             age_s = attempt.sent_at - (choice.view.replaced_at if choice else math.inf)
             fields.update(
                 weights_age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
@@ -760,7 +884,7 @@
             **fields,
         )
         self.attempt_records.append(record)
-        is_repeat = len(self.attempt_records) > 1
+        is_repeat = attempt.number > 1
         self._parts.metrics.attempt_ended(outcome, is_repeat)
         if is_repeat and choice is not None:
             self._parts.metrics.prompt_read_again(choice.n_missing)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_target.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_target.py
@@ -105,7 +105,6 @@
         self.deadline = math.inf
         """Router's clock at which the caller stops waiting."""
         self._software_version: str | None = None
-        self._attempt_key = ""
 
     @abstractmethod
     def choose(self, avoid: Collection[IncarnationKey], objective_left_s: float):
@@ -193,7 +192,6 @@
 
     def sent(self, key: str, placement: Placement) -> None:
         """Record that an attempt is sent."""
-        self._attempt_key = key
         self._paces.sent(
             placement.instance,
             key,
@@ -206,10 +204,10 @@
         """Record the first byte of an answer's body."""
         self._paces.answered(placement.instance, key)
 
-    def head(self, placement: Placement, head: UpstreamHead) -> None:
+    def head(self, key: str, placement: Placement, head: UpstreamHead) -> None:
         """Record the head of an answer."""
         if head.not_run and not head.is_misdirected:
-            self._paces.refused(placement.instance, self._attempt_key)
+            self._paces.refused(placement.instance, key)
 
     def reported(self, placement: Placement, load: InstanceLoadReport | None) -> None:
         """Record the load that the instance reports in the head of an answer."""
@@ -536,9 +534,9 @@
         self.parts.rooms.first_token(self.upstream, key)
         self.parts.engines.first_token(key, placement.choice, self._part_ids, saved)
 
-    def head(self, placement: Placement, head: UpstreamHead) -> None:
+    def head(self, key: str, placement: Placement, head: UpstreamHead) -> None:
         """Record the engine's weights version and whether it refused the request."""
-        super().head(placement, head)
+        super().head(key, placement, head)
         engines = self.parts.engines
         if head.weights_version:
             model = self.prompt.model
--- a/packages/corianderlb-router/src/corianderlb_router/run_mover.py
+++ b/packages/corianderlb-router/src/corianderlb_router/run_mover.py
@@ -54,6 +54,7 @@
         relay: Relay,
         request_id: str,
         charge_repeat: Callable[[], bool],
+        is_contested: Callable[[], bool],
     ) -> None:
         self._relay = relay
         self._copier = copier
@@ -62,25 +63,31 @@
         self._placement = placement
         self._request_id = request_id
         self._charge_repeat = charge_repeat
+        self._is_contested = is_contested
+        """Returns whether another attempt may take over from this run."""
         self._move_error: RunMovedError | None = None
         self._unused_copy = ""
 
     async def relay(self, relay_answer: Callable[[], Awaitable[None]]) -> None:
         """Relay an answer; raise ``RunMovedError`` if the run was interrupted."""
         failed: Exception | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch)
-            try:
-                await relay_answer()
-            except Exception as exc:
-                # The nursery would wrap it in an exception group.
-                failed = exc
-            nursery.cancel_scope.cancel()
-        if self._move_error is not None and isinstance(failed, TakenOffError):
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch)
+                try:
+                    await relay_answer()
+                except Exception as exc:
+                    # The nursery would wrap it in an exception group.
+                    failed = exc
+                nursery.cancel_scope.cancel()
+        finally:
+            is_moved = self._move_error is not None
+            is_moved = is_moved and isinstance(failed, TakenOffError)
+            if self._unused_copy and not is_moved:
+                with trio.move_on_after(DROP_TIMEOUT_S, shield=True):
+                    await self._copier.drop(self._placement.instance, self._unused_copy)
+        if self._move_error is not None and is_moved:
             raise self._move_error
-        if self._unused_copy:
-            with trio.move_on_after(DROP_TIMEOUT_S, shield=True):
-                await self._copier.drop(self._placement.instance, self._unused_copy)
         if failed is not None:
             raise failed
 
@@ -92,11 +99,11 @@
             await self._weights.wait_until_draining(instance)
             fallback = self._target.fallback(self._placement)
             is_clearing = self._weights.phase(instance) is EnginePhase.CLEARING
-            if fallback is None and not is_clearing:
+            if self._is_contested() or (fallback is None and not is_clearing):
                 await trio.sleep(RETRY_S)
                 continue
             # The request to the other engine counts as a retry.
-            if n_copies == 0 and not self._charge_repeat():
+            if not self._charge_repeat():
                 return
             if fallback is not None and n_copies < MAX_COPIES:
                 n_copies += 1
@@ -126,4 +133,7 @@
         self._unused_copy = copy.handle
         if not self._target.may_take(fallback):
             return None
+        # Another attempt may have been sent meanwhile, on the charge of this move.
+        if self._is_contested() or not self._charge_repeat():
+            return None
         return RunMovedError(fallback.continued(instance.address, copy.handle))
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -300,6 +300,17 @@
     await stream.aclose()
 
 
+def break_off_after(last: int, pause_s: float) -> Answer:
+    """Build a stream that closes the connection some time after an event."""
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        await stream.send_all(a_stream(1, last, ends=False))
+        await trio.sleep(pause_s)
+        await stream.aclose()
+
+    return answer
+
+
 @dataclass
 class Upstream:
     """Upstream that answers each request with the next scripted answer.
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -1002,8 +1002,8 @@
 """
 
 OUTCOMES = """\
-broken connectfailed notrun runmoved serverfailure silent takenoff upstream withdrawn
-wronganswer
+broken connectfailed notrun runmoved serverfailure silent superseded takenoff upstream
+withdrawn wronganswer
 """
 
 TRANSCRIPT = (
