Streams: none is moved as the engines go on after a pause

What callers saw: nothing; tokens were read in vain.

Change: the health table notes when an instance that owed answers goes on after a standstill of half a second. Until half a second later it counts as silent for others, and its own streams get the time of a pause anew. A dead engine is left as before; the others are heard all the while.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -301,6 +301,10 @@
     def _reserve_in_answer(self) -> bool:
         since = self.received_at or self._head_received_at
         assert since is not None
+        key, now = self.placement.instance.incarnation_key, trio.current_time()
+        if self._parts.health.resumed_since(key, now - STREAM_STALL_TIMEOUT_S):
+            # All its streams stood still, and go on one after the other.
+            return False
         return self._reserve_retry(since, f"no event for {STREAM_STALL_TIMEOUT_S} s")
 
     async def _open(self) -> Answer:
@@ -500,7 +504,7 @@
         """Parse and validate the response head."""
         parts = self._parts
         head = parts.protocol.read_head(self._req, response.status, response.headers)
-        parts.health.record_data(self.placement.instance.incarnation_key)
+        parts.record_data(self.placement.instance)
         if not head.is_ours:
             raise WrongAnswerError("the answer belongs to another request", sent=True)
         other = head.instance not in ("", self.placement.instance.instance)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -387,7 +387,7 @@
         first_at: list[float] = []
 
         def on_data() -> None:
-            parts.health.record_data(instance.incarnation_key)
+            parts.record_data(instance)
             attempt.received_at = trio.current_time()
             if not first_at:
                 first_at.append(attempt.received_at)
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -20,6 +20,10 @@
 FAILURE_WEIGHT: Final = 0.1
 """Weight of one attempt in the moving average of failures."""
 
+STANDSTILL_S: Final = 0.5
+"""Time without data after which an instance that has begun answers stands still. A busy
+engine sends events far more often, also during prefill."""
+
 MAX_INCARNATIONS: Final = 4096
 """Incarnations remembered; the oldest is dropped first."""
 
@@ -32,6 +36,7 @@
     failure_rate: float = 0.0
     n_in_flight: int = 0
     received_at: float = float("-inf")
+    resumed_at: float = float("-inf")
 
 
 class HealthTable:
@@ -73,15 +78,26 @@
         """Record the end of an attempt."""
         self._entry_of(incarnation).n_in_flight -= 1
 
-    def record_data(self, incarnation: IncarnationKey) -> None:
-        """Record that bytes were received from an instance."""
-        self._entry_of(incarnation).received_at = trio.current_time()
+    def record_data(self, incarnation: IncarnationKey, owes: bool = False) -> None:
+        """Record that bytes were received from an instance.
+
+        ``owes`` tells whether it had begun an answer to this router before.
+        """
+        entry, now = self._entry_of(incarnation), trio.current_time()
+        if owes and now - entry.received_at >= STANDSTILL_S:
+            entry.resumed_at = now
+        entry.received_at = now
 
     def received_since(self, incarnation: IncarnationKey, moment: float) -> bool:
         """Return whether bytes were received from an instance since ``moment``."""
         entry = self._entries.get(incarnation)
         return entry is not None and entry.received_at >= moment
 
+    def resumed_since(self, incarnation: IncarnationKey, moment: float) -> bool:
+        """Return whether an instance that stood still has gone on since ``moment``."""
+        entry = self._entries.get(incarnation)
+        return entry is not None and entry.resumed_at >= moment
+
     def succeeded(self, incarnation: IncarnationKey) -> None:
         """Record a successful attempt."""
         entry = self._entry_of(incarnation)
--- a/packages/corianderlb-router/src/corianderlb_router/silence_view.py
+++ b/packages/corianderlb-router/src/corianderlb_router/silence_view.py
@@ -17,10 +17,7 @@
 from corianderlb_core.part_index import IncarnationKey
 
 from .forward_parts import ForwardParts
-
-HEARD_S: Final = 0.5
-"""Time within which an instance must have sent something to take over from a silent
-one. A busy engine sends events far more often, also during prefill."""
+from .health_table import STANDSTILL_S
 
 SHARED_SILENCE_S: Final = 2.4
 """Silence after which an instance takes over that nothing is known of, though most of
@@ -33,7 +30,7 @@
 
     heard: frozenset[IncarnationKey]
     silent: frozenset[IncarnationKey]
-    """Instances that have begun answers of this router and send nothing either."""
+    """Instances that stand still with answers of this router, or did until just now."""
     unknown: frozenset[IncarnationKey]
     """Instances that owe this router nothing, with no recent report."""
 
@@ -63,14 +60,16 @@
 ) -> SilenceView:
     """Return what is heard of the instances of an upstream except a silent one."""
     parts.engines.merge_reports()
-    moment = trio.current_time() - HEARD_S
+    moment = trio.current_time() - STANDSTILL_S
     found: tuple[list[IncarnationKey], ...] = ([], [], [])
     heard, silent_too, unknown = found
     for instance in parts.state.instances(upstream):
         key = instance.incarnation_key
         if key == silent.incarnation_key:
             continue
-        if parts.engines.is_heard_since(instance, moment):
+        if parts.health.resumed_since(key, moment):
+            silent_too.append(key)
+        elif parts.engines.is_heard_since(instance, moment):
             heard.append(key)
         elif parts.in_flight.has_begun_on(InstanceId(instance.instance)):
             silent_too.append(key)
--- /dev/null
+++ b/packages/corianderlb-router/tests/race_engines.py
@@ -0,0 +1,96 @@
+"""Engines that pause, refuse and break off at random, for tests of racing attempts."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from forward_builders import (
+    NOT_RUN,
+    STREAM_END,
+    STREAM_HEAD,
+    Upstream,
+    an_answer,
+    an_event,
+    chunk,
+)
+
+N_EVENTS = 12
+
+STEP_S = 0.05
+"""All pauses are multiples of it, so that engines often act at the same moment."""
+
+
+@dataclass
+class RunInterval:
+    """When a run began, with its first event, and when the engine dropped it."""
+
+    began_at: float
+    ended_at: float = float("inf")
+
+
+@dataclass
+class RandomEngine(Upstream):
+    """Engine that runs the rest of each stream, with random pauses and faults."""
+
+    script: list = field(default_factory=list)
+    rng: random.Random = field(default_factory=random.Random)
+    runs: list[RunInterval] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.script = [self.answer]
+
+    async def answer(self, stream: trio.abc.Stream) -> None:
+        """Answer the request that was read last."""
+        after = int(self.requests[-1].get("x-after") or 0)
+        fate = self.rng.random()
+        if fate < 0.2:
+            await stream.send_all(NOT_RUN if fate < 0.15 else an_answer(b"", 500))
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, stream, nursery.cancel_scope)
+            run: RunInterval | None = None
+            try:
+                await self._pause(0.4)
+                await stream.send_all(STREAM_HEAD)
+                for number in range(after + 1, N_EVENTS + 1):
+                    await self._pause(0.1)
+                    if self.rng.random() < 0.03:
+                        await stream.aclose()
+                        break
+                    if run is None:
+                        run = RunInterval(trio.current_time())
+                        self.runs.append(run)
+                    # Some chunks hold two events, or half of one.
+                    data = an_event(number)
+                    await stream.send_all(chunk(data[:5]))
+                    if self.rng.random() < 0.2:
+                        await trio.sleep(STEP_S)
+                    await stream.send_all(chunk(data[5:]))
+                else:
+                    await self._pause(0.1)
+                    await stream.send_all(STREAM_END)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            finally:
+                if run is not None:
+                    run.ended_at = trio.current_time()
+                nursery.cancel_scope.cancel()
+
+    async def _pause(self, chance: float) -> None:
+        steps = self.rng.choice((0, 1, 2))
+        if self.rng.random() < chance:
+            steps = self.rng.randrange(10, 60)
+        await trio.sleep(steps * STEP_S)
+
+    @staticmethod
+    async def _watch(stream: trio.abc.Stream, scope: trio.CancelScope) -> None:
+        """Drop the run once the router closes the connection."""
+        try:
+            while await stream.receive_some(65536):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+import itertools
+import os
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -15,8 +19,10 @@
 from data_path_fakes import FakeCaller
 from forward_builders import (
     NOT_RUN,
+    ROUTES,
     ForwardRouter,
     Upstream,
+    a_configuration,
     a_late_answer,
     a_pausing_stream,
     a_router,
@@ -27,11 +33,15 @@
     break_off_after,
     never_answer,
 )
+from race_engines import N_EVENTS, RandomEngine
 from test_forward_run import keep_engine_responsive
 from test_run_mover import Copier
 
 PROMPT = "a:100,own:50"
 
+SEEDS = range(1, 41 + int(os.environ.get("RACE_SEEDS", "0")))
+"""Seeds of the random races; more are played by hand."""
+
 NEVER_ENDS = a_stream(1, 4, ends=False)
 """Four events, then nothing until the connection is closed."""
 
@@ -283,6 +293,33 @@
         self.assert_whole(caller, 6, 1.9, "e1:ok")
         self.assertEqual(len(quiet.requests), 0)
 
+    async def test_others_go_on_a_moment_before(self) -> None:
+        """Guards against moves at the end of a pause that all engines share."""
+        first = Upstream([a_pausing_stream(1, 6, 4, 1.6)])
+        still = Upstream([a_pausing_stream(1, 6, 4, 1.05)])
+        quiet = Upstream([a_stream(5, 6)])
+        async with self.asked(first, e2=still) as (router, caller):
+            await self.begin_on_second(router, quiet)
+        self.assert_whole(caller, 6, 1.6, "e1:ok")
+
+    async def test_engine_goes_on_with_another_stream_first(self) -> None:
+        """Guards against moves of streams whose turn comes after a pause."""
+        pauses = (1.15, 2.2)
+        first = Upstream([a_pausing_stream(1, 6, 4, pause_s) for pause_s in pauses])
+        other = Upstream([a_stream(5, 6)])
+        async with a_router(e1=first) as router:
+            callers = [
+                router.a_caller("/long/7", x_prompt=PROMPT, x_id=f"q{n}")
+                for n in range(2)
+            ]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(router.serve, caller)
+                    await trio.sleep(0.01)
+                self.list_others(router, e2=other)
+            self.assertTrue(all(caller.finished for caller in callers))
+        self.assertEqual(len(other.requests), 0)
+
     async def test_silence_that_is_shared_for_too_long(self) -> None:
         """Guards against streams that wait for dead engines beside an idle one."""
         first, still = Upstream([NEVER_ENDS]), Upstream([NEVER_ENDS])
@@ -304,3 +341,43 @@
         router.network.upstreams.update(zip(names, others, strict=True))
         more = [an_instance(name, "llm") for name in names]
         router.list_instances(e1, e2, *more, revision=32)
+
+
+class RandomRaceTest(TrioTestCase):
+    async def test_random_pauses_refusals_and_breaks(self) -> None:
+        """Guards against events twice, missing or of two runs, whatever happens."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                await self.play(random.Random(seed))
+
+    async def play(self, rng: random.Random) -> None:
+        """Request some streams of three engines, and check each answer."""
+        engines = {f"e{n}": RandomEngine(rng=rng) for n in (1, 2, 3)}
+        async with a_router(BudgetTerms(fixed=500.0), **engines) as router:
+            routes = (dataclasses.replace(ROUTES[2], max_attempts=3, timeout_s=12.0),)
+            router.configure(a_configuration(routes=routes, revision=11))
+            for number in range(4):
+                caller = router.a_caller("/long/7", x_prompt=PROMPT, x_id=f"q{number}")
+                for engine in engines.values():
+                    engine.runs.clear()
+                with trio.move_on_after(rng.choice((2.0, 5.0, 20.0))):
+                    await router.serve(caller)
+                self.check(caller, engines)
+                parts = router.parts
+                n_left = sum(parts.standbys.values()) + len(parts.in_flight)
+                self.assertEqual(n_left, 0)
+                await trio.sleep(5.0)
+
+    def check(self, caller: FakeCaller, engines: dict[str, RandomEngine]) -> None:
+        """Assert that an answer is in order, and that no two runs went on at a time."""
+        if caller.status == 200:
+            n_events = caller.answer.count(b"id: ")
+            events = b"".join(an_event(n) for n in range(1, n_events + 1))
+            self.assertEqual(caller.answer, events)
+            self.assertEqual(n_events if caller.finished else N_EVENTS, N_EVENTS)
+        runs = [run for engine in engines.values() for run in engine.runs]
+        runs.sort(key=lambda run: run.began_at)
+        for run, later in itertools.pairwise(runs):
+            overlap_s = min(run.ended_at, later.ended_at) - later.began_at
+            self.assertLess(overlap_s, 0.1)
+        self.assertLessEqual(len(runs), 3)
