A stopping router ends within its grace period, also after it has cut

A process that is killed loses its last log lines, and may lose the release of its lease.

Cause: the links to the other routers. Once everything is cancelled, each link does the closing handshake, shielded, for up to 0.5 s. The side that accepted a link has to end the stream first once both have said that they close; aclose() read the peer's frame, but did not write what the protocol had queued then, so both sides waited for the other until the timeout. The abort is at 0.4 s before the end of the grace period, so 0.1 s + 0.5 s did not fit.

Change: the handshake writes what is queued; its timeout is 0.1 s, for a peer that is frozen. The lease is released while the aborted requests write their log lines, both within 0.15 s: 0.25 s of 0.4 s in the worst case, and the rest is for the end of the process. The fixed pause of 0.1 s is gone: the router waits until the aborted requests have ended.

--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -42,8 +42,9 @@
 OPEN_TIMEOUT_S: Final = 3.0
 """Timeout for opening a websocket."""
 
-CLOSE_TIMEOUT_S: Final = 0.5
-"""Timeout for the closing handshake."""
+CLOSE_TIMEOUT_S: Final = 0.1
+"""Timeout for the closing handshake. A router that stops waits for it after its callers
+are cut, and a peer may be frozen."""
 
 MAX_FRAME_BYTES: Final = MAX_MESSAGE_BYTES + 64
 """Limit of a frame: the longest message and an upper bound of what a link adds."""
@@ -229,6 +230,8 @@
                 await self._flush()
                 while self._protocol.state is not State.CLOSED:
                     await self._read_bytes()
+                    # The side that accepted the link is the first to end the stream.
+                    await self._flush()
             except LinkClosedError:
                 pass
         await trio.aclose_forcefully(self._stream)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -81,8 +81,10 @@
 CUT_MARGIN_S: Final = 0.4
 """Margin before the end of the grace period at which open requests are aborted."""
 
-RELEASE_TIMEOUT_S: Final = 0.2
-"""Timeout for releasing the lease, which otherwise expires."""
+END_TIMEOUT_S: Final = 0.15
+"""Timeout for what remains once the open requests are aborted: their log lines, and the
+release of the lease, which otherwise expires. It is a part of ``CUT_MARGIN_S``, as are
+the closing of the links and the end of the process."""
 
 MAX_HEAD_BYTES: Final = 1 << 17
 """Longest request head that the server reads; the configured limit is lower, so that
@@ -367,11 +369,12 @@
         if scope.cancelled_caught:
             cut = self._exchanges.cut()
             eliot.log_message(message_type="router:cut", requests=list(cut))
-            await trio.sleep(0.1)
         # Keep the lease while draining: otherwise a rolling restart would leave the
         # fleet without a lease holder most of the time, and engines on old weights.
-        with trio.move_on_after(RELEASE_TIMEOUT_S):
-            await self._controller.release()
+        with trio.move_on_after(END_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._controller.release)
+                await self._exchanges.wait_until_empty()
 
     # Construction.
 
--- a/packages/corianderlb-router/tests/test_websocket_transport.py
+++ b/packages/corianderlb-router/tests/test_websocket_transport.py
@@ -98,6 +98,33 @@
         with self.assertRaises(LinkClosedError):
             await link.receive()
 
+    async def test_close_by_either_side_ends_at_once(self) -> None:
+        """Guards against two sides that each wait for the other to end the stream."""
+        for is_server in (True, False):
+            sockets = map(trio.socket.from_stdlib_socket, socket.socketpair())
+            ours, theirs = (
+                _WebSocketLink(trio.SocketStream(end), opened(side))
+                for end, side in zip(sockets, (is_server, not is_server), strict=True)
+            )
+            ours._has_head = theirs._has_head = True
+            ended: list[_WebSocketLink] = []
+
+            async def answer(link: _WebSocketLink, ended: list) -> None:
+                with self.assertRaises(LinkClosedError):
+                    await link.receive()
+                await link.aclose()
+                ended.append(link)
+
+            with (
+                self.subTest(is_server=is_server),
+                mock.patch(f"{_WebSocketLink.__module__}.CLOSE_TIMEOUT_S", 60),
+                trio.fail_after(5),
+            ):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(answer, theirs, ended)
+                    await ours.aclose()
+                self.assertEqual(ended, [theirs])
+
     async def test_handshake_arrives_in_pieces_with_a_message(self) -> None:
         """Guards against a first message that is lost behind the handshake."""
         dialler = ClientProtocol(URI)
