Signals that come while a router ends no longer kill it

Signals in series reach a router also after everything is cancelled. The receiver of signals has ended by then and has put the default handlers back, so that a SIGTERM killed the process (exit code -15) before its last lines were written.

The handlers that are put back now ignore the signals. A second SIGTERM neither shortens nor hangs a stop.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -339,6 +339,10 @@
 
     async def _handle_signals(self) -> None:
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        for number in handled:
+            # Restored on exit: by default a late signal would kill the process before
+            # its last log lines are written.
+            signal.signal(number, signal.SIG_IGN)
         with trio.open_signal_receiver(*handled) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
