The last log lines of a router wait for the log reader

A router wrote what was left of its log once at its end, without waiting. What did not fit into the pipe was lost: a router that cuts 60 streams logs about 64 KiB at one moment, the default capacity, and router:stop comes last.

finish() goes on writing for up to 0.05 s, a part of the margin before the end of the grace period. A log reader that has stopped does not keep the process.

test_last_lines_wait_for_the_log_reader writes 250 kB to a pipe whose reader takes 64 KiB each 5 ms; there is no way to do so on the code before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -258,7 +258,7 @@
             await self._drain_on_terminate()
             nursery.cancel_scope.cancel()
         eliot.log_message(message_type="router:stop")
-        self._log.flush()
+        await self._log.finish()
 
     def _tasks(self) -> list[Callable[[], Awaitable[None]]]:
         return [
--- a/packages/corianderlb-router/src/corianderlb_router/log_writer.py
+++ b/packages/corianderlb-router/src/corianderlb_router/log_writer.py
@@ -48,6 +48,13 @@
 MAX_WRITE_BYTES: Final = 65536
 """Most bytes per write; the default capacity of a pipe."""
 
+FINISH_TIMEOUT_S: Final = 0.05
+"""How long a process that ends waits for the log reader to take its last lines."""
+
+FINISH_POLL_S: Final = 0.002
+"""Interval between writes meanwhile; the descriptor may be a file, which can't be
+waited for."""
+
 
 _LOGGER: Final = eliot.Logger()
 
@@ -132,6 +139,14 @@
             if self._unwritten:
                 return
 
+    async def finish(self) -> None:
+        """Write the buffered lines at the end of the process, waiting a short time."""
+        with trio.move_on_after(FINISH_TIMEOUT_S, shield=True):
+            self.flush()
+            while self._lines or self._unwritten:
+                await trio.sleep(FINISH_POLL_S)
+                self.flush()
+
     def _fill(self) -> None:
         parts = [self._unwritten]
         n_bytes = len(self._unwritten)
--- a/packages/corianderlb-router/tests/test_log_writer.py
+++ b/packages/corianderlb-router/tests/test_log_writer.py
@@ -57,6 +57,37 @@
             self.assertIn(b"log:left_out", output)
             nursery.cancel_scope.cancel()
 
+    async def test_last_lines_wait_for_the_log_reader(self) -> None:
+        """Guards against a process that ends without the lines that say why."""
+        writer, read_fd = self.open()
+        for n in range(MAX_LINES // 2):
+            writer({"message_type": "state:changed", "text": "x" * 200, "n": n})
+        writer({"message_type": "router:stop"})
+        output: list[bytes] = []
+
+        async def read_slowly() -> None:
+            while True:
+                await trio.sleep(0.005)
+                output.append(os.read(read_fd, 1 << 16))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_slowly)
+            await writer.finish()
+            nursery.cancel_scope.cancel()
+        output.append(os.read(read_fd, 1 << 20))
+        lines = b"".join(output).splitlines()
+        self.assertEqual(len(lines), MAX_LINES // 2 + 1)
+        self.assertIn(b"router:stop", lines[-1])
+
+    async def test_log_reader_that_is_gone_does_not_keep_a_process(self) -> None:
+        """Guards against an end that waits for a log reader that has stopped."""
+        writer, _ = self.open()
+        for n in range(MAX_LINES):
+            writer({"message_type": "state:changed", "text": "x" * 200, "n": n})
+        started_at = trio.current_time()
+        await writer.finish()
+        self.assertLess(trio.current_time() - started_at, 0.1)
+
     async def test_request_lines_are_dropped_before_state_changes(self) -> None:
         # In a surge of requests, lines about changes of state must still be written.
         writer, _ = self.open()
