A stopping router takes a request by what it will take, not by the time

A router that got SIGTERM took every stream for 2.6 s, and none after that, though a stream may run for 12 to 15 s and everything is cut 7.6 s after the signal. Callers saw streams that began on a router that was already stopping and were cut; and, where all routers of a small fleet stopped, refusals that sent them to routers that refused as well.

Now a request is taken while stopping only if it ends before the cut: its deadline is earlier, or four mean deviations above the smoothed mean of what the requests of its route took here (RFC 6298), for the first byte and for each token of output. The first byte takes at least what placement estimates for the prompt. Streams that were cut count too, as lower bounds. Before the first sample the deadline decides. The refusal comes before the body is read: not run, nothing sent or charged, to be retried at once.

Who takes it else: with no other live router known, a refusal helps nobody. A stream that may be resumed is then begun, as its caller keeps its events; one that can't be, and a repeatable call, if it usually ends in time; a call that may not be repeated still only if it almost certainly does, as a cut leaves its outcome unknown. So calls are judged by the same rule.

Ruled out: no new streams at all while stopping.

Tests: four of test_stop_admission and the process test fail before. The test of a draining router in test_forward_run set the flag of the fixed time, which is gone; it now sets the time of the cut, beside another live router, and checks the same answer.

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import field
@@ -35,9 +36,9 @@
         """True while draining: answers then ask the caller to close the connection.
         Requests on kept-alive connections bypass the load balancer, so the drain would
         never complete."""
-        self.accepts_streams = True
-        """False once the remaining drain time may be too short for a new stream, which
-        would be cut when the process exits."""
+        self.cut_at = math.inf
+        """When what is still open is going to be cut, by the router's clock; infinite
+        before the termination signal."""
 
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import Any, Final
 
 import eliot
@@ -40,6 +41,7 @@
 from .forward_target import (
     VERSION_RETRY_S,
     EngineTarget,
+    Placement,
     ServiceTarget,
     Target,
     pick_upstream,
@@ -47,6 +49,7 @@
 from .log_writer import log_ms, log_request
 from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
+from .stop_admission import StopAdmission
 from .stream_origins import ResumedOrigin
 
 UNCONFIRMED_S: Final = WATCH_S + 1.5
@@ -56,9 +59,6 @@
 NOT_READY_RETRY_S: Final = 0.5
 """Retry-after time while the router has no confirmed configuration."""
 
-DRAINING_RETRY_S: Final = 0.05
-"""Retry-after time of a draining router: short, since another router can take it."""
-
 UNKNOWN_RETRY_S: Final = 0.3
 """Retry-after time of a resumed stream that is unknown here: another router may know
 it."""
@@ -81,6 +81,7 @@
     def __init__(self, parts: ForwardParts, exchanges: ExchangeRegistry) -> None:
         self._parts = parts
         self._exchanges = exchanges
+        self._stop_admission = StopAdmission(exchanges, parts.peers)
 
     async def handle(self, caller: ForwardCaller, scope: dict[str, Any]) -> None:
         """Handle one request; it is always answered, cut or logged as abandoned."""
@@ -105,6 +106,13 @@
             caller.result = ResultCode.CUT_BY_SHUTDOWN
             caller.cut_reason = CutReason.SHUTDOWN
         request_log.write(self._parts, self._exchanges.stopping_since)
+        self._record_duration(caller, request_log)
+
+    def _record_duration(self, caller: ForwardCaller, request_log: _RequestLog) -> None:
+        """Learn from a request that was sent how long others will take."""
+        req, route, run = request_log.req, request_log.route, request_log.run
+        if req and route and run and run.may_have_run:
+            self._stop_admission.record(req, route, caller)
 
     async def _answer(
         self, caller: ForwardCaller, scope: dict[str, Any], request_log: _RequestLog
@@ -139,15 +147,15 @@
         check_headers(caller, cfg.limits.max_header_bytes)
         route, account = self._admit(req, cfg)
         request_log.route, request_log.account = route, account
-        if route.kind is RepeatKind.STREAM and not self._exchanges.accepts_streams:
-            detail = "This router is draining; a stream might not complete."
-            raise refuse(ResultCode.DRAINING, detail, DRAINING_RETRY_S)
+        left_s = min(route.timeout_s, req.deadline_s)
+        deadline = caller.arrived_at + left_s - DEADLINE_MARGIN_S
+        self._stop_admission.check(
+            req, route, deadline, partial(self._begins_in_s, req, route, account)
+        )
         if self._parts.memory is not None:
             owner = account.name if account else ""
             is_stream = route.kind is RepeatKind.STREAM
             caller.account_for(self._parts.memory, owner, is_stream)
-        left_s = min(route.timeout_s, req.deadline_s)
-        deadline = caller.arrived_at + left_s - DEADLINE_MARGIN_S
         body = await caller.read_body(cfg.limits.max_body_bytes, deadline)
         request_log.read_at = trio.current_time()
         digest = body_digest(
@@ -277,6 +285,17 @@
             return EngineTarget(*common, upstream=upstream, prompt=req.prompt)
         return ServiceTarget(*common, upstream=upstream)
 
+    def _begins_in_s(
+        self, req: ForwardRequest, route: ForwardRoute, account: ForwardAccount | None
+    ) -> float:
+        """Return the estimated time until an instance begins a new request."""
+        upstream = pick_upstream(route, self._parts.rng)
+        target = self._target(req, route, account, upstream)
+        found = target.choose((), route.objective_s)
+        if isinstance(found, Placement):
+            return found.estimate_s
+        return found.retry_after_s
+
     @staticmethod
     def _relay(
         req: ForwardRequest, route: ForwardRoute, caller: ForwardCaller
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -74,10 +74,6 @@
 """How long a draining router accepts new connections: until the load balancer has seen
 two failed readiness checks, one second apart."""
 
-DRAIN_STREAMS_S: Final = 2.6
-"""How long a draining router accepts new streams. The load balancer has stopped sending
-them by then, and a later one might not complete within the grace period."""
-
 CUT_MARGIN_S: Final = 0.4
 """Margin before the end of the grace period at which open requests are aborted."""
 
@@ -363,10 +359,9 @@
         self._exchanges.stopping_since = started_at
         self._exchanges.closing = True
         self._tunnel_server.is_leaving = True
-        with trio.move_on_at(started_at + self._cfg.grace_s - CUT_MARGIN_S) as scope:
-            await trio.sleep(DRAIN_STREAMS_S)
-            self._exchanges.accepts_streams = False
-            await trio.sleep(DRAIN_LISTEN_S - DRAIN_STREAMS_S)
+        self._exchanges.cut_at = started_at + self._cfg.grace_s - CUT_MARGIN_S
+        with trio.move_on_at(self._exchanges.cut_at) as scope:
+            await trio.sleep(DRAIN_LISTEN_S)
             self._stop_listening.set()
             await self._exchanges.wait_until_empty()
             await self._tunnel_server.wait_until_empty()
--- a/packages/corianderlb-router/src/corianderlb_router/interface.py
+++ b/packages/corianderlb-router/src/corianderlb_router/interface.py
@@ -192,6 +192,13 @@
         """Return the number of members that are not leaving."""
         return sum(state.presence is Presence.LIVE for state in self.members())
 
+    def has_live_peers(self) -> bool:
+        """Return whether another router is known that is live and not leaving."""
+        return any(
+            state.presence is Presence.LIVE and state.instance != self.own
+            for state in self.members()
+        )
+
     def n_running(self) -> int:
         """Return the number of routers that may be running, reachable or not."""
         return self.n_members()
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -0,0 +1,113 @@
+"""Decides which requests a router still takes while it stops."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+from corianderlb_core.forwarding import ForwardRoute, RepeatKind
+from corianderlb_core.request_duration import (
+    DurationEstimate,
+    RequestDurations,
+    RequestTimes,
+)
+from corianderlb_core.result import ResultCode
+
+from .caller import refuse
+from .exchange_registry import ExchangeRegistry
+from .forward_caller import ForwardCaller
+from .forward_request import ForwardRequest
+from .interface import PeerNetwork
+
+ELSEWHERE_RETRY_S: Final = 0.05
+"""Retry-after time of a refusal if another router can take the request at once."""
+
+MAX_RETRY_SHARE: Final = 1 / 3
+"""Upper bound for the retry-after time, as a share of the time until the deadline."""
+
+
+class StopAdmission:
+    """Refuses requests that this router would cut when its grace period ends.
+
+    If another live router is known, a request is taken only if it almost certainly ends
+    before; its caller loses little by going elsewhere. If none is known, it is taken
+    unless its caller would gain nothing: a stream that can be resumed keeps its events,
+    any other answer has to end, and a call that may not be repeated has to end almost
+    certainly, as its outcome would be unknown.
+    """
+
+    def __init__(self, exchanges: ExchangeRegistry, peers: PeerNetwork) -> None:
+        self._exchanges = exchanges
+        self._peers = peers
+        self._durations = RequestDurations()
+
+    def record(
+        self, req: ForwardRequest, route: ForwardRoute, caller: ForwardCaller
+    ) -> None:
+        """Record what a request has taken that was sent and has ended."""
+        now = trio.current_time()
+        first_at = caller.first_byte_at if caller.started else now
+        times = RequestTimes(
+            first_s=first_at - caller.arrived_at,
+            rest_s=now - first_at,
+            n_tokens=_n_tokens(req),
+            is_whole=caller.finished and caller.result is ResultCode.OK,
+        )
+        self._durations.record(route.name, times)
+
+    def check(
+        self,
+        req: ForwardRequest,
+        route: ForwardRoute,
+        deadline: float,
+        begins_in_s: Callable[[], float],
+    ) -> None:
+        """Raise ``RequestRefusedError`` if the router stops and shouldn't take this.
+
+        ``begins_in_s`` estimates the time until an instance begins the answer; it is
+        called only if needed.
+        """
+        cut_at = self._exchanges.cut_at
+        if deadline <= cut_at:
+            return
+        now = trio.current_time()
+        estimate = self._durations.estimate(route.name, _n_tokens(req), begins_in_s())
+        has_others = self._peers.has_live_peers()
+        if estimate is None:
+            if not has_others:
+                return
+            needed_s = deadline - now
+        elif has_others:
+            needed_s = estimate.bound_s
+        else:
+            needed_s = _least_s(route, estimate)
+        left_s = cut_at - now
+        if needed_s <= left_s:
+            return
+        retry_s = ELSEWHERE_RETRY_S if has_others else max(ELSEWHERE_RETRY_S, left_s)
+        detail = (
+            f"This router stops in {left_s * 1000:.0f} ms; the answer may take "
+            f"{needed_s * 1000:.0f} ms."
+        )
+        most_s = MAX_RETRY_SHARE * (deadline - now)
+        raise refuse(ResultCode.DRAINING, detail, min(retry_s, most_s))
+
+
+def _least_s(route: ForwardRoute, estimate: DurationEstimate) -> float:
+    """Return the time without which a caller gains nothing from this router."""
+    if route.kind is RepeatKind.AT_MOST_ONCE:
+        return estimate.bound_s
+    is_resumable = route.kind is RepeatKind.STREAM and route.may_resume
+    return estimate.first_s if is_resumable else estimate.usual_s
+
+
+def _n_tokens(req: ForwardRequest) -> int:
+    """Return the most tokens of output that are still to come; 1 if not known.
+
+    A resumed stream has had at least one token for each of its events.
+    """
+    if req.prompt is None:
+        return 1
+    return max(1, req.prompt.n_output - (req.resume_after or 0))
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -285,6 +285,7 @@
         self._others = others
         self._handlers: dict[type, Handler] = {}
         self._is_cut_off = False
+        self.is_leaving = False
         others.append(self)
 
     def cut_off(self) -> None:
@@ -320,6 +321,9 @@
     def members(self) -> Sequence[MemberState]:
         return ()
 
+    def has_live_peers(self) -> bool:
+        return any(not other.is_leaving for other in self._others if other is not self)
+
     def n_running(self) -> int:
         return len(self._others)
 
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -28,6 +28,7 @@
     ForwardRouter,
     Upstream,
     a_configuration,
+    a_fleet,
     a_router,
     a_stream,
     an_answer,
@@ -399,10 +400,10 @@
     async def test_draining_router_refuses_streams_that_it_might_cut(self) -> None:
         # A stream on a kept connection would be cut by the end of the process, so it
         # must be refused and the connection closed.
-        async with a_router(e1=Upstream([a_stream(1, 2)])) as router:
+        async with a_fleet(2, e1=Upstream([a_stream(1, 2)])) as (router, _):
             router.exchanges.closing = True
             self.assertTrue((await router.ask("/long/7", x_prompt=PROMPT)).finished)
-            router.exchanges.accepts_streams = False
+            router.exchanges.cut_at = trio.current_time()
             caller = await router.ask("/long/7", x_prompt=PROMPT)
             self.assertEqual(caller.status, 503)
             self.assertEqual(caller.answer_headers["connection"], "close")
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -0,0 +1,105 @@
+"""Tests of what a router that stops still takes."""
+
+from __future__ import annotations
+
+import trio
+
+from corianderlb_standins.trio_case import TrioTestCase
+from data_path_fakes import FakeCaller
+from forward_builders import (
+    ForwardRouter,
+    Upstream,
+    a_fleet,
+    a_late_answer,
+    a_pausing_stream,
+    a_stream,
+    an_answer,
+)
+
+PROMPT = "a:100,own:50"
+
+
+def stop(router: ForwardRouter, left_s: float) -> None:
+    """Put a router into the state after its signal, some time before its cut."""
+    now = trio.current_time()
+    router.exchanges.stopping_since, router.exchanges.closing = now, True
+    router.exchanges.cut_at = now + left_s
+
+
+class StopAdmissionTest(TrioTestCase):
+    async def ask_before_stop(
+        self, router: ForwardRouter, path: str, left_s: float
+    ) -> None:
+        """Send a request to learn from, and stop the router."""
+        self.assertTrue((await router.ask(path, x_prompt=PROMPT)).finished)
+        stop(router, left_s)
+
+    async def assert_refused(
+        self, router: ForwardRouter, path: str, engine: Upstream
+    ) -> FakeCaller:
+        """Check that a request is refused at once and nothing is sent."""
+        n_sent, started_at = len(engine.requests), trio.current_time()
+        caller = await router.ask(path, x_prompt=PROMPT)
+        self.assertEqual(caller.status, 503)
+        self.assertIn(b"DRAINING", caller.answer)
+        self.assertEqual(caller.answer_headers["connection"], "close")
+        self.assertEqual(len(engine.requests), n_sent)
+        self.assertEqual(trio.current_time(), started_at)
+        return caller
+
+    async def test_stream_that_would_be_cut_goes_elsewhere_at_once(self) -> None:
+        """Guards against a stream that is begun only to be cut by the stop."""
+        engine = Upstream([a_pausing_stream(1, 4, 2, 1.0)])
+        async with a_fleet(2, e1=engine) as (router, other):
+            await self.ask_before_stop(router, "/long/7", left_s=2.0)
+            caller = await self.assert_refused(router, "/long/7", engine)
+            self.assertEqual(caller.answer_headers["retry-after"], "0.05")
+            self.assertTrue((await other.ask("/long/7", x_prompt=PROMPT)).finished)
+
+    async def test_stream_that_ends_in_time_is_taken_however_late(self) -> None:
+        """Guards against a refusal by the time since the signal alone."""
+        engine = Upstream([a_pausing_stream(1, 4, 2, 0.2)])
+        async with a_fleet(2, e1=engine) as (router, _):
+            await self.ask_before_stop(router, "/long/7", left_s=7.6)
+            await trio.sleep(6.0)
+            self.assertTrue((await router.ask("/long/7", x_prompt=PROMPT)).finished)
+
+    async def test_deadline_decides_without_a_sample(self) -> None:
+        """Guards against a fresh router that takes or refuses whatever comes."""
+        engine = Upstream([a_stream(1, 4)])
+        async with a_fleet(2, e1=engine) as (router, other):
+            stop(router, left_s=2.0)
+            await self.assert_refused(router, "/long/7", engine)
+            caller = await router.ask("/long/7", x_prompt=PROMPT, x_deadline_s="1")
+            self.assertTrue(caller.finished)
+            other.peers.is_leaving = True
+            self.assertTrue((await router.ask("/quick/7", x_prompt=PROMPT)).finished)
+
+    async def test_resumable_stream_is_begun_if_nobody_else_can(self) -> None:
+        """Guards against a refusal that sends a caller to routers that all leave."""
+        engine = Upstream([a_pausing_stream(1, 4, 2, 1.0)])
+        async with a_fleet(2, e1=engine) as (router, other):
+            other.peers.is_leaving = True
+            await self.ask_before_stop(router, "/long/7", left_s=2.0)
+            self.assertTrue((await router.ask("/long/7", x_prompt=PROMPT)).finished)
+
+    async def test_stream_that_cannot_be_resumed_has_to_end(self) -> None:
+        """Guards against work that is certain to be lost, though nobody else can."""
+        engine = Upstream([a_pausing_stream(1, 4, 2, 2.0)])
+        async with a_fleet(2, e1=engine) as (router, other):
+            other.peers.is_leaving = True
+            await self.ask_before_stop(router, "/quick/7", left_s=1.0)
+            caller = await self.assert_refused(router, "/quick/7", engine)
+            self.assertEqual(caller.answer_headers["retry-after"], "1.00")
+
+    async def test_calls_that_would_be_cut(self) -> None:
+        """Guards against a call whose outcome its caller can't know."""
+        service = Upstream([a_late_answer(an_answer(), 1.0)])
+        async with a_fleet(2, s1=service) as (router, other):
+            await self.ask_before_stop(router, "/read/7", left_s=2.0)
+            await self.assert_refused(router, "/read/7", service)
+            other.peers.is_leaving = True
+            self.assertTrue((await router.ask("/read/7")).finished)
+            router.exchanges.cut_at = float("inf")
+            await self.ask_before_stop(router, "/book/7", left_s=2.0)
+            await self.assert_refused(router, "/book/7", service)
