A stopping router listens on while no other live router is known

A router stopped listening 3.2 s after SIGTERM, when the balancer has seen two failed checks. Where all routers of a small fleet are stopped one after the other, the balancer finds none ready and goes on with all of them; callers met closed ports until the first router was back, for calls of 50 ms too.

Now it listens on, once the 3.2 s have passed, while no other live router is known and a request has come within the last second; what comes is judged as before. Of a stream that can be resumed, half has to be expected before the cut: with less, its caller uses up a try for little. An idle router of a fleet of one ends as early as before.

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -36,6 +36,8 @@
         """True while draining: answers then ask the caller to close the connection.
         Requests on kept-alive connections bypass the load balancer, so the drain would
         never complete."""
+        self.last_opened_at = -math.inf
+        """When the newest exchange was opened, by the router's clock."""
         self.cut_at = math.inf
         """When what is still open is going to be cut, by the router's clock; infinite
         before the termination signal."""
@@ -45,6 +47,7 @@
         """Register an exchange; ``cut`` cancels the body of the context."""
         entry = OpenExchange(caller)
         caller.closing = self.closing
+        self.last_opened_at = caller.arrived_at
         self._open.add(entry)
         try:
             with entry.scope:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -74,6 +74,13 @@
 """How long a draining router accepts new connections: until the load balancer has seen
 two failed readiness checks, one second apart."""
 
+LISTEN_IDLE_S: Final = 1.0
+"""Time without a request after which a draining router stops listening for callers that
+no other live router is known to take."""
+
+LISTEN_POLL_S: Final = 0.1
+"""Interval at which it looks whether they still come."""
+
 CUT_MARGIN_S: Final = 0.4
 """Margin before the end of the grace period at which open requests are aborted."""
 
@@ -362,6 +369,8 @@
         self._exchanges.cut_at = started_at + self._cfg.grace_s - CUT_MARGIN_S
         with trio.move_on_at(self._exchanges.cut_at) as scope:
             await trio.sleep(DRAIN_LISTEN_S)
+            while self._is_last_resort:
+                await trio.sleep(LISTEN_POLL_S)
             self._stop_listening.set()
             await self._exchanges.wait_until_empty()
             await self._tunnel_server.wait_until_empty()
@@ -375,6 +384,15 @@
                 nursery.start_soon(self._controller.release)
                 await self._exchanges.wait_until_empty()
 
+    @property
+    def _is_last_resort(self) -> bool:
+        """Whether callers still come that no other live router is known to take.
+
+        A balancer that finds no router ready goes on with those that listen.
+        """
+        idle_s = trio.current_time() - self._exchanges.last_opened_at
+        return idle_s < LISTEN_IDLE_S and not self._peers.has_live_peers()
+
     # Construction.
 
     def _make_peers(self) -> OverlayNetwork:
--- a/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -33,9 +33,9 @@
 
     If another live router is known, a request is taken only if it almost certainly ends
     before; its caller loses little by going elsewhere. If none is known, it is taken
-    unless its caller would gain nothing: a stream that can be resumed keeps its events,
-    any other answer has to end, and a call that may not be repeated has to end almost
-    certainly, as its outcome would be unknown.
+    unless its caller would gain little: half of a stream that can be resumed is enough,
+    as its caller keeps that; any other answer has to end, and a call that may not be
+    repeated has to end almost certainly, as its outcome would be unknown.
     """
 
     def __init__(self, exchanges: ExchangeRegistry, peers: PeerNetwork) -> None:
@@ -99,8 +99,9 @@
     """Return the time without which a caller gains nothing from this router."""
     if route.kind is RepeatKind.AT_MOST_ONCE:
         return estimate.bound_s
-    is_resumable = route.kind is RepeatKind.STREAM and route.may_resume
-    return estimate.first_s if is_resumable else estimate.usual_s
+    if route.kind is RepeatKind.STREAM and route.may_resume:
+        return (estimate.first_s + estimate.usual_s) / 2
+    return estimate.usual_s
 
 
 def _n_tokens(req: ForwardRequest) -> int:
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -80,8 +80,10 @@
         engine = Upstream([a_pausing_stream(1, 4, 2, 1.0)])
         async with a_fleet(2, e1=engine) as (router, other):
             other.peers.is_leaving = True
-            await self.ask_before_stop(router, "/long/7", left_s=2.0)
+            await self.ask_before_stop(router, "/long/7", left_s=0.6)
             self.assertTrue((await router.ask("/long/7", x_prompt=PROMPT)).finished)
+            router.exchanges.cut_at = trio.current_time() + 0.4
+            await self.assert_refused(router, "/long/7", engine)
 
     async def test_stream_that_cannot_be_resumed_has_to_end(self) -> None:
         """Guards against work that is certain to be lost, though nobody else can."""
