--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import field
@@ -35,15 +36,18 @@
         """True while draining: answers then ask the caller to close the connection.
         Requests on kept-alive connections bypass the load balancer, so the drain would
         never complete."""
-        self.accepts_streams = True
-        """False once the remaining drain time may be too short for a new stream, which
-        would be cut when the process exits."""
+        self.last_opened_at = -math.inf
+        """When the newest exchange was opened, by the router's clock."""
+        self.cut_at = math.inf
+        """When what is still open is going to be cut, by the router's clock; infinite
+        before the termination signal."""
 
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
         """Register an exchange; ``cut`` cancels the body of the context."""
         entry = OpenExchange(caller)
         caller.closing = self.closing
+        self.last_opened_at = caller.arrived_at
         self._open.add(entry)
         try:
             with entry.scope:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -74,15 +74,20 @@
 """How long a draining router accepts new connections: until the load balancer has seen
 two failed readiness checks, one second apart."""
 
-DRAIN_STREAMS_S: Final = 2.6
-"""How long a draining router accepts new streams. The load balancer has stopped sending
-them by then, and a later one might not complete within the grace period."""
+LISTEN_IDLE_S: Final = 1.0
+"""Time without a request after which a draining router stops listening for callers that
+no other live router is known to take."""
+
+LISTEN_POLL_S: Final = 0.1
+"""Interval at which it looks whether they still come."""
 
 CUT_MARGIN_S: Final = 0.4
 """Margin before the end of the grace period at which open requests are aborted."""
 
-RELEASE_TIMEOUT_S: Final = 0.2
-"""Timeout for releasing the lease, which otherwise expires."""
+END_TIMEOUT_S: Final = 0.15
+"""Timeout for what remains once the open requests are aborted: their log lines, and the
+release of the lease, which otherwise expires. It is a part of ``CUT_MARGIN_S``, as are
+the closing of the links and the end of the process."""
 
 MAX_HEAD_BYTES: Final = 1 << 17
 """Longest request head that the server reads; the configured limit is lower, so that
@@ -256,7 +261,7 @@
             await self._drain_on_terminate()
             nursery.cancel_scope.cancel()
         eliot.log_message(message_type="router:stop")
-        self._log.flush()
+        await self._log.finish()
 
     def _tasks(self) -> list[Callable[[], Awaitable[None]]]:
         return [
@@ -337,6 +342,10 @@
 
     async def _handle_signals(self) -> None:
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        for number in handled:
+            # Restored on exit: by default a late signal would kill the process before
+            # its last log lines are written.
+            signal.signal(number, signal.SIG_IGN)
         with trio.open_signal_receiver(*handled) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
@@ -357,21 +366,32 @@
         self._exchanges.stopping_since = started_at
         self._exchanges.closing = True
         self._tunnel_server.is_leaving = True
-        with trio.move_on_at(started_at + self._cfg.grace_s - CUT_MARGIN_S) as scope:
-            await trio.sleep(DRAIN_STREAMS_S)
-            self._exchanges.accepts_streams = False
-            await trio.sleep(DRAIN_LISTEN_S - DRAIN_STREAMS_S)
+        self._exchanges.cut_at = started_at + self._cfg.grace_s - CUT_MARGIN_S
+        with trio.move_on_at(self._exchanges.cut_at) as scope:
+            await trio.sleep(DRAIN_LISTEN_S)
+            while self._is_last_resort:
+                await trio.sleep(LISTEN_POLL_S)
             self._stop_listening.set()
             await self._exchanges.wait_until_empty()
             await self._tunnel_server.wait_until_empty()
         if scope.cancelled_caught:
             cut = self._exchanges.cut()
             eliot.log_message(message_type="router:cut", requests=list(cut))
-            await trio.sleep(0.1)
         # Keep the lease while draining: otherwise a rolling restart would leave the
         # fleet without a lease holder most of the time, and engines on old weights.
-        with trio.move_on_after(RELEASE_TIMEOUT_S):
-            await self._controller.release()
+        with trio.move_on_after(END_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._controller.release)
+                await self._exchanges.wait_until_empty()
+
+    @property
+    def _is_last_resort(self) -> bool:
+        """Whether callers still come that no other live router is known to take.
+
+        A balancer that finds no router ready goes on with those that listen.
+        """
+        idle_s = trio.current_time() - self._exchanges.last_opened_at
+        return idle_s < LISTEN_IDLE_S and not self._peers.has_live_peers()
 
     # Construction.
 
