Answers without length: one that ends right after its head is broken

A head that ends before the line that delimits its body (Content-Length, Transfer-Encoding) says that the body ends with the connection. Its end was then taken for the end of an empty body: 200 and finished on all four kinds of route, on calls with a Content-Length of our own.

A success without length is broken until the first byte of its body arrives: it is asked for again where the route allows, and a 502 otherwise. Whoever answers successfully with nothing says so with a length. Failures keep their status, which is all that an empty one says.

test_cut_answers cuts seven framings at each byte, closed, closed late and reset, on four kinds of route, after an informational head and behind a peer's tunnel. What it shows to have been right: a reset is never an end, nor is one behind a tunnel; nor is an end inside or after a 1xx head.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -11,6 +11,7 @@
 import select
 import socket
 from abc import ABC, abstractmethod
+from http import HTTPStatus
 from typing import Final
 
 import h11
@@ -234,6 +235,7 @@
         "_body",
         "_h11",
         "_is_head",
+        "_needs_body",
         "_raw_rest",
         "_stream",
         "address",
@@ -252,6 +254,8 @@
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
         self._raw_rest = b""
+        self._needs_body = False
+        """Whether the response is a success without length whose body has not begun."""
         self._body: ChunkedBody | None = None
         """Body of the response, if it arrives in chunks."""
         self._is_head = False
@@ -316,6 +320,7 @@
         has_body = not self._is_head and head.status_code not in BODILESS_STATUSES
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
         if self.ends_by_close:
+            self._needs_body = head.status_code < HTTPStatus.MULTIPLE_CHOICES
             self._raw_rest = self._h11.trailing_data[0]
         elif has_body and b"transfer-encoding" in names:
             # The parser of the head supports no other one than chunked.
@@ -325,12 +330,18 @@
         """Return body bytes as they arrive, empty at the end of the connection.
 
         For bodies delimited by connection close; bypasses the parser, which is not
-        needed for them.
+        needed for them. A success that ends right after its head is broken: the head
+        may have been cut before the line that delimits the body.
         """
-        if self._raw_rest:
-            rest, self._raw_rest = self._raw_rest, b""
-            return rest
-        return await self._receive_some()
+        data, self._raw_rest = self._raw_rest, b""
+        if not data:
+            data = await self._receive_some()
+        if self._needs_body:
+            if not data:
+                message = f"{self.address}: closed right after the head"
+                raise BrokenError(message, sent=True)
+            self._needs_body = False
+        return data
 
     async def receive_chunk(self) -> bytes:
         """Return the available body bytes, at least one; empty at the end of the body.
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -311,6 +311,8 @@
     script: list[bytes | Answer]
     closes: bool = False
     """Whether the connection ends after an answer."""
+    resets: bool = False
+    """Whether its connections end by a reset."""
     alive: bool = True
     accepts: bool = True
     """Whether connections are established; otherwise they wait for good."""
@@ -364,6 +366,28 @@
     await trio.sleep_forever()
 
 
+class ResetStream(trio.abc.Stream):
+    """Connection whose end is a reset."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def send_all(self, data: bytes) -> None:
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        data = await self._stream.receive_some(max_bytes)
+        if not data:
+            raise trio.BrokenResourceError("reset")
+        return data
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
 class UpstreamNetwork(Connector):
     """Connects to the scripted upstreams by name."""
 
@@ -380,7 +404,7 @@
             await trio.sleep_forever()
         ours, theirs = trio.testing.memory_stream_pair()
         self._nursery.start_soon(upstream.serve, theirs)
-        return ours
+        return ResetStream(ours) if upstream.resets else ours
 
 
 class ForwardRouter:
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -0,0 +1,135 @@
+"""Tests of answers that end early, at any byte and in any way."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import trio
+
+from corianderlb_router.peer_tunnel import Tunnels
+from corianderlb_standins.trio_case import TrioTestCase
+from cut_answers import (
+    BODY,
+    SHAPES,
+    CutAnswer,
+    Ending,
+    Passed,
+    cuts_at_borders,
+    cuts_everywhere,
+)
+from data_path_fakes import FakeCaller
+from forward_builders import (
+    Upstream,
+    UpstreamNetwork,
+    a_router,
+    a_router_in,
+    a_stream,
+    an_answer,
+    an_instance,
+    break_off,
+)
+from test_peer_tunnel import a_tunnel_fleet
+
+PROMPT = "a:100,own:50"
+
+ROUTES = {"/read/1": "s1", "/book/1": "s1", "/quick/1": "e1", "/long/1": "e1"}
+"""A path of each kind of route, and the instance that serves it."""
+
+EMPTY = [
+    CutAnswer(shape, len(shape.head), ending)
+    for shape in SHAPES
+    for ending in (Ending.CLOSE, Ending.LATE_CLOSE)
+    if not shape.is_delimited
+]
+"""Answers that end right after a head without length."""
+
+
+class TunnelNetwork(UpstreamNetwork):
+    """Instances that are reached through another router alone."""
+
+    tunnels: Tunnels
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        name = address.partition(":")[0]
+        return await self.tunnels.open(an_instance(name, "app"))
+
+
+def an_upstream(case: CutAnswer) -> Upstream:
+    """Build an upstream that gives a cut answer to each request."""
+    return Upstream([case.answer], resets=case.ending is Ending.RESET)
+
+
+class CutAnswerTest(TrioTestCase):
+    def check(self, case: CutAnswer, path: str, caller: FakeCaller) -> None:
+        """Check what a caller was given of a cut answer."""
+        is_stream = ROUTES[path].startswith("e")
+        passed = case.shape.passed(case.n_sent, case.ending, is_stream)
+        is_whole = caller.status == 200 and caller.finished
+        if passed is Passed.FAILURE:
+            self.assertFalse(is_whole, "looks whole")
+            has_begun = is_stream and caller.status == 200
+            self.assertTrue(has_begun or caller.status == 502, caller.status)
+            return
+        self.assertTrue(is_whole, caller.status)
+        data = case.shape.received(case.n_sent)
+        self.assertEqual(caller.answer, BODY if case.shape.is_delimited else data)
+
+    async def check_all(self, cases: Iterable[CutAnswer]) -> None:
+        """Check cut answers on all kinds of route."""
+        for case in cases:
+            for path, name in ROUTES.items():
+                async with a_router(**{name: an_upstream(case)}) as router:
+                    caller = await router.ask(path, x_prompt=PROMPT)
+                with self.subTest(case=str(case), path=path):
+                    self.check(case, path, caller)
+
+    async def test_cut_at_each_byte(self) -> None:
+        """Guards against an answer that ends early and looks whole."""
+        await self.check_all(cuts_everywhere())
+
+    async def test_cut_after_an_informational_head(self) -> None:
+        await self.check_all(cuts_at_borders(is_after_informational=True))
+
+    async def test_cut_behind_a_peer(self) -> None:
+        """Guards against a reset that arrives through a peer as an ordinary end."""
+        async with a_tunnel_fleet() as fleet, trio.open_nursery() as nursery:
+            fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
+            network = TunnelNetwork(nursery, fleet.instances["r01"])
+            network.tunnels = fleet.tunnels("r00")
+            paths = fleet.routers["r01"].parts.paths
+            for case in cuts_at_borders():
+                for path, name in ROUTES.items():
+                    fleet.instances["r01"][name] = an_upstream(case)
+                    router = a_router_in(network)
+                    caller = await router.ask(path, x_prompt=PROMPT)
+                    await router.parts.transport.aclose()
+                    # Otherwise the peer would take its own path for cut.
+                    now = trio.current_time()
+                    for instance in fleet.instances["r01"]:
+                        paths.answered(an_instance(instance, "app"), now)
+                    with self.subTest(case=str(case), path=path):
+                        self.check(case, path, caller)
+
+    async def test_empty_answer_is_asked_for_again_where_it_may_be(self) -> None:
+        """Guards against a head without length that is taken for a whole answer."""
+        whole = {"s": an_answer(BODY), "e": a_stream(1, 2)}
+        for case in EMPTY:
+            for path, name in ROUTES.items():
+                upstream = Upstream([case.answer, whole[name[0]]])
+                both = {f"{name[0]}{number}": upstream for number in (1, 2)}
+                async with a_router(**both) as router:
+                    caller = await router.ask(path, x_prompt=PROMPT)
+                may_repeat = path in ("/read/1", "/long/1")
+                with self.subTest(case=str(case), path=path):
+                    self.assertEqual(caller.status, 200 if may_repeat else 502)
+                    self.assertEqual(len(upstream.requests), 1 + may_repeat)
+                    self.assertEqual(caller.answer == BODY, may_repeat)
+
+    async def test_empty_rest_of_a_stream_does_not_complete_it(self) -> None:
+        """Guards against a begun stream that an empty answer ends as whole."""
+        for case in EMPTY:
+            engine = Upstream([break_off, case.answer])
+            async with a_router(e1=engine, e2=engine) as router:
+                caller = await router.ask("/long/1", x_prompt=PROMPT)
+            with self.subTest(case=str(case)):
+                self.assertEqual((caller.status, caller.finished), (200, False))
