Callers: an answer without length or chunks that is cut ends with a reset

A caller of HTTP/1.0 gets a stream that nothing but the end of the connection delimits. Cut at its deadline, at the end of the grace period or for a failure, it ended with an ordinary close, so that the caller took any part for the whole.

While such an answer is incomplete its socket is set to reset when it closes (SO_LINGER 0). The kernel then does so whoever closes it: the request, the server, the memory limit, or the end of the process, by SIGKILL too. Once the last byte is written the setting is taken back, so that what the kernel still holds arrives before an ordinary end. Answers with a length or chunks show by themselves that they are cut, and are closed as before: a reset could discard events that have not been acknowledged.

test_answer_ends: cut by its application, by a close of the connection and by the end of the server, the answer of an HTTP/1.0 caller looked whole in all three (3 failures before); the whole answer arrived before and after.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -43,6 +43,9 @@
 _CHUNKED: Final = b"\r\ntransfer-encoding: chunked\r\n"
 """Header of an answer whose body is sent in chunks."""
 
+_SIZED: Final = b"\r\ncontent-length:"
+"""Begin of the header of an answer whose length is known."""
+
 _DISCONNECT: Final = {"type": "http.disconnect"}
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 
@@ -118,6 +121,8 @@
         self._status: int | None = None
         self._is_chunked = False
         """Whether the body of the answer is sent in chunks."""
+        self._ends_by_close = False
+        """Whether nothing but the end of the connection delimits the answer."""
         self._is_complete = False
         """Whether the whole answer was sent."""
         self._is_read = False
@@ -340,6 +345,8 @@
             if data:
                 await self._write(data)
             self._is_complete = not message.get("more_body", False)
+            if self._is_complete:
+                self._delimit_by_close(False)
         else:
             raise UnexpectedMessageError(f"{kind} after status {self._status}")
 
@@ -373,12 +380,25 @@
         if self._n_requests > MAX_REQUESTS:
             headers.append((b"connection", b"close"))
         data = self._encode(h11.Response(status_code=status, headers=headers))
-        self._is_chunked = _CHUNKED in data.lower()
+        head = data.lower()
+        self._is_chunked = _CHUNKED in head
+        is_delimited = self._is_chunked or _SIZED in head or self._has_no_body
+        self._delimit_by_close(not is_delimited)
         if more_follows:
             self._held = data
         else:
             await self._write(data)
 
+    def _delimit_by_close(self, ends_by_close: bool) -> None:
+        """Note that the end of the connection delimits the answer, or no longer.
+
+        Until such an answer is complete, any end of the connection is a reset, that by
+        the end of the process too. An ordinary one would be the end of the answer.
+        """
+        if ends_by_close != self._ends_by_close and not self._stream.is_closed:
+            self._ends_by_close = ends_by_close
+            self._stream.set_reset_on_close(ends_by_close)
+
     async def _fail(self, exc: h11.RemoteProtocolError) -> None:
         """Answer what is not HTTP, unless an answer has begun, and close."""
         self._is_gone = True
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -10,6 +10,7 @@
 import os
 import select
 import socket
+import struct
 from abc import ABC, abstractmethod
 from http import HTTPStatus
 from typing import Final
@@ -183,6 +184,14 @@
             raise trio.ClosedResourceError("the stream was closed")
         await trio.lowlevel.wait_writable(self._raw)
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Set whether the end of the connection is a reset, also that by the kernel.
+
+        A reset discards what the remote side has not acknowledged.
+        """
+        linger = struct.pack("ii", resets, 0)
+        self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self) -> None:
         """Close the socket; who waits for it is told."""
         if not self._is_closed:
