Callers: a head that waited for its first part is not written without one

The head of a stream is held so that it is written with the first events. If the request ended in between, the head was written alone: a 200 that for a caller of HTTP/1.0 is whole and empty, and for others a begun answer. Nothing has been written then, so the caller gets a 500 and may ask again.

No such end is known in the forwarding path: nothing waits between the head and the first part. test_answer_cut_before_its_first_part failed before for each kind of caller.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -46,6 +46,12 @@
 _SIZED: Final = b"\r\ncontent-length:"
 """Begin of the header of an answer whose length is known."""
 
+_NO_ANSWER: Final = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+"""Answer in place of one that ended before its head was written."""
+
 _DISCONNECT: Final = {"type": "http.disconnect"}
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 
@@ -204,7 +210,8 @@
             await self._respond(500, headers)
             await self._write(self._encode(h11.EndOfMessage()))
         elif self._held:
-            await self._write(self._take_held())
+            self._delimit_by_close(False)
+            await self._write(_NO_ANSWER)
 
     def _scope(self, request: h11.Request) -> dict[str, Any]:
         path, _, query = request.target.partition(b"?")
--- a/packages/corianderlb-router/tests/test_answer_ends.py
+++ b/packages/corianderlb-router/tests/test_answer_ends.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from corianderlb_router._http_connection import CONNECTION
+from corianderlb_router._http_connection import CONNECTION, MORE_FOLLOWS
 from corianderlb_router.connection_guard import ConnectionGuard
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins._asgi import serve_lifespan
@@ -102,6 +102,16 @@
                 self.assertEqual(is_reset, not is_chunked)
                 self.assertNotIn(FINAL_CHUNK, received)
 
+    async def test_answer_cut_before_its_first_part(self) -> None:
+        """Guards against a head that is written for an answer that never comes."""
+        for request, start, _ in self.cuts():
+            script = Script({**start, MORE_FOLLOWS: True})
+            received, is_reset = await self.read(request, script)
+            with self.subTest(request=request, start=start):
+                self.assertTrue(received.startswith(b"HTTP/1.1 500 "), received)
+                self.assertIn(b"content-length: 0", received.lower())
+                self.assertFalse(is_reset)
+
     async def test_whole_answer_arrives(self) -> None:
         """Guards against a reset that discards what is on its way to the caller."""
         for request, start, _ in self.cuts():
