--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -946,6 +946,7 @@
 
 BYTE_TEXTS = [
     "\ndata: ",
+    "\r\ncontent-length:",
     "\r\ntransfer-encoding: chunked\r\n",
     " HTTP/1.0\r\n",
     " HTTP/1.1\r\n",
@@ -956,6 +957,8 @@
     ',"usage"',
     "Content-Length",
     "HEAD",
+    "HTTP/1.1 500 Internal Server Error\r\n"
+    "content-length: 0\r\nconnection: close\r\n\r\n",
     "Host",
     "[DONE]\n\n",
     "\\r\\n([0-9A-Fa-f]{1,16})[ \\t]*(?:;[^\\r\\n]*)?\\r\\n",
