Answers without length: the caller learns no more of their end than the router

An answer with neither length nor chunks ends with its connection. If that is closed in order, nobody can tell a whole body from a prefix. Calls passed it on with a Content-Length of our own, streams with a final chunk: a claim that nothing supports.

Such an answer is passed on as it came: no length, no chunks, and the connection closes after it. If it is known to have been cut (a reset, the deadline, the end of the grace period, half an event) the caller's connection is reset.

The rest of a stream without length is not asked for: the answer to that, a stream without another event, is no better known to be whole, and each whole stream of such an engine would be read and charged twice. A stream whose head has been sent with chunks, and whose last attempt has no length, still ends with a final chunk.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -38,6 +38,10 @@
 """Key of a message that begins an answer: whether to write it with the next message,
 which follows at once."""
 
+ENDS_BY_CLOSE: Final = "corianderlb.ends_by_close"
+"""Key of a message that begins an answer: whether nothing but the end of the connection
+may delimit its body."""
+
 Application: TypeAlias = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 _CHUNKED: Final = b"\r\ntransfer-encoding: chunked\r\n"
@@ -340,6 +344,9 @@
                 (bytes(name).strip(), bytes(value).strip())
                 for name, value in message.get("headers", ())
             ]
+            if message.get(ENDS_BY_CLOSE):
+                # The protocol then delimits the body as for a caller of HTTP/1.0.
+                self._state.their_http_version = b"1.0"
             await self._respond(self._status, headers, bool(message.get(MORE_FOLLOWS)))
         elif (
             kind == "http.response.body"
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -18,7 +18,7 @@
 from corianderlb_core.result import RESULT_INFO, ResultCode
 from corianderlb_core.service_class import ServiceClass
 
-from ._http_connection import MORE_FOLLOWS
+from ._http_connection import ENDS_BY_CLOSE, MORE_FOLLOWS
 
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
@@ -170,12 +170,17 @@
             pass
 
     async def start(
-        self, status: int, headers: Headers, more_follows: bool = False
+        self,
+        status: int,
+        headers: Headers,
+        more_follows: bool = False,
+        ends_by_close: bool = False,
     ) -> None:
         """Send the response head, including the headers common to all answers.
 
         ``more_follows`` tells that a part of the body follows at once, with which the
-        server may write the head.
+        server may write the head. ``ends_by_close`` tells that it is unknown how long
+        the whole body is, so that nothing but the end of the connection delimits it.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
@@ -187,6 +192,8 @@
         }
         if more_follows:
             message[MORE_FOLLOWS] = True
+        if ends_by_close:
+            message[ENDS_BY_CLOSE] = True
         await self._send_uncancelled(message)
 
     async def write(self, data: bytes) -> None:
@@ -220,19 +227,23 @@
         if scope.cancelled_caught:
             raise CallerStalledError("the caller stopped reading its answer")
 
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, ends_by_close: bool = False
+    ) -> None:
         """Send a complete answer; raise ``CallerStalledError`` when it is not read.
 
         Once begun it is sent to its end, even if the deadline passes meanwhile.
+        ``ends_by_close`` is that of ``start``.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
-        headers = [*headers, (b"content-length", b"%d" % len(body))]
+        if not ends_by_close:
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
         if self._sends_at_once:
-            await self.start(status, headers, more_follows=True)
+            await self.start(status, headers, True, ends_by_close)
             await self.finish(body)
             return
         with trio.CancelScope(shield=True):
-            await self.start(status, headers, more_follows=True)
+            await self.start(status, headers, True, ends_by_close)
             await self.finish(body)
 
     async def fail(self, refusal: Refusal) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -78,10 +78,12 @@
 class ServerFailureError(UpstreamError):
     """Raised when the upstream itself answers with an error."""
 
-    def __init__(self, head: UpstreamHead, body: bytes) -> None:
+    def __init__(self, head: UpstreamHead, body: bytes, ends_by_close: bool) -> None:
         super().__init__(f"status {head.status}", sent=True)
         self.head = head
         self.body = body
+        self.ends_by_close = ends_by_close
+        """Whether the body was delimited by connection close."""
 
 
 @dataclass(frozen=True)
@@ -443,4 +445,5 @@
             await relay.relay_answer(head, exchange, on_data)
             return
         hold = self._job.caller.hold_answer
-        raise ServerFailureError(head, await read_whole(exchange, on_data, hold))
+        body = await read_whole(exchange, on_data, hold)
+        raise ServerFailureError(head, body, exchange.ends_by_close)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -162,11 +162,15 @@
             raise CallerStalledError("the caller stopped reading its answer")
 
     async def start(
-        self, status: int, headers: Headers, more_follows: bool = False
+        self,
+        status: int,
+        headers: Headers,
+        more_follows: bool = False,
+        ends_by_close: bool = False,
     ) -> None:
         """Send the head of the answer."""
         self.status = status
-        await super().start(status, headers, more_follows)
+        await super().start(status, headers, more_follows, ends_by_close)
 
     async def fail(self, refusal: Refusal) -> None:
         """Answer with a refusal; raise ``StreamCutError`` if an answer has begun."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -80,7 +80,8 @@
     ) -> None:
         """Relay an answer once it is complete."""
         body = await read_whole(exchange, on_data, self.caller.hold_answer)
-        await self.caller.answer(head.status, list(head.headers), body)
+        headers, ends_by_close = list(head.headers), exchange.ends_by_close
+        await self.caller.answer(head.status, headers, body, ends_by_close)
 
 
 async def read_whole(
@@ -150,7 +151,8 @@
         if splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
         if not self.caller.started:
-            await self.caller.start(head.status, list(head.headers))
+            headers, ends_by_close = list(head.headers), exchange.ends_by_close
+            await self.caller.start(head.status, headers, False, ends_by_close)
         await self.caller.finish()
 
     async def _relay_until_pause(
@@ -192,7 +194,7 @@
                         self.check_source()
                         self._is_checked = True
                     _set_deadline(scope, caller.stall_s)
-                    await self._write(head, ready)
+                    await self._write(head, exchange, ready)
                     if scope.cancel_called:
                         break
         return False
@@ -225,7 +227,7 @@
             ready.append(event.data)
         return ready
 
-    async def _write(self, head: UpstreamHead, data: bytes) -> None:
+    async def _write(self, head: UpstreamHead, exchange: Exchange, data: bytes) -> None:
         """Send events to the caller."""
         caller = self.caller
         now = trio.current_time()
@@ -234,7 +236,8 @@
         self._last_write_at = now
         if not caller.started:
             self.on_begin()
-            await caller.start(head.status, list(head.headers), more_follows=True)
+            headers, ends_by_close = list(head.headers), exchange.ends_by_close
+            await caller.start(head.status, headers, True, ends_by_close)
         await caller.write(data)
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -665,8 +665,10 @@
     async def _relay_failure(self, failure: ServerFailureError) -> None:
         """Relay the upstream's own error response to the caller."""
         self._caller.result = ResultCode.UPSTREAM_FAILED
-        head = failure.head
-        await self._caller.answer(head.status, list(head.headers), failure.body)
+        head, headers = failure.head, list(failure.head.headers)
+        await self._caller.answer(
+            head.status, headers, failure.body, failure.ends_by_close
+        )
 
     def _report_health(self, placement: Placement, exc: UpstreamError) -> None:
         """Report a failed attempt to the health table, and record it for the log."""
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -126,6 +126,11 @@
         self._read_s = read_s
         self._closed = False
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Whether the body is delimited by connection close."""
+        return self._conn.ends_by_close
+
     @property
     def receive_chunk(self) -> Callable[[], Awaitable[bytes]]:
         """The connection's read method; it has no timeout, so callers detect stalls."""
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -32,6 +32,7 @@
 from corianderlb_core.request import Decision, Refusal, RequestFacts
 from corianderlb_core.retry import RetryBudgets
 from corianderlb_core.settings import DataPathSettings, PlacementSettings
+from corianderlb_router._http_connection import ENDS_BY_CLOSE
 from corianderlb_router.attempt import DataPathParts
 from corianderlb_router.caller import CallerExchange
 from corianderlb_router.connection import Connector
@@ -379,6 +380,8 @@
         self.answer_headers: dict[str, str] = {}
         self.answer = b""
         self.finished = False
+        self.ends_by_close = False
+        """Whether nothing but the end of the connection may delimit the answer."""
         self.gone = trio.Event()
         self.reading = trio.Event()
         self.reading.set()
@@ -399,6 +402,7 @@
         await self.reading.wait()
         if message["type"] == "http.response.start":
             self.status = message["status"]
+            self.ends_by_close = message.get(ENDS_BY_CLOSE, False)
             self.answer_headers = {
                 k.decode(): v.decode() for k, v in message["headers"]
             }
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -71,6 +71,10 @@
             self.assertTrue(has_begun or caller.status == 502, caller.status)
             return
         self.assertTrue(is_whole, caller.status)
+        is_unknown = passed is Passed.UNKNOWN
+        has_length = "content-length" in caller.answer_headers
+        self.assertEqual(caller.ends_by_close, is_unknown)
+        self.assertEqual(has_length, not is_unknown and not is_stream)
         data = case.shape.received(case.n_sent)
         self.assertEqual(caller.answer, BODY if case.shape.is_delimited else data)
 
@@ -125,6 +129,17 @@
                     self.assertEqual(len(upstream.requests), 1 + may_repeat)
                     self.assertEqual(caller.answer == BODY, may_repeat)
 
+    async def test_failure_without_length_is_passed_on_without_one(self) -> None:
+        head = b"HTTP/1.1 %d Bad\r\nx-seal: s\r\n\r\n"
+        for status in (404, 500):
+            for body in (b"", b"why"):
+                service = Upstream([head % status + body], closes=True)
+                async with a_router(s1=service) as router:
+                    caller = await router.ask("/book/1")
+                with self.subTest(status=status, body=body):
+                    self.assertEqual((caller.status, caller.answer), (status, body))
+                    self.assertTrue(caller.ends_by_close)
+
     async def test_empty_rest_of_a_stream_does_not_complete_it(self) -> None:
         """Guards against a begun stream that an empty answer ends as whole."""
         for case in EMPTY:
