Store: an object that comes without a length is not read

HttpObjectStore returned the bytes of an object as they came. An answer with neither length nor chunks that is closed early is a part of the object, which was taken for all of it, with the version under which it would be replaced. Such an answer is lost now, like one that breaks off. The store of this project states a length; all other calls decode JSON, of which a part cannot be decoded.

--- a/packages/corianderlb-router/src/corianderlb_router/http_store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 from urllib.parse import quote
 
 import httpx
@@ -21,6 +21,9 @@
 )
 from .store_caller import WATCH_GRACE_S, StoreCall, StoreCaller, retry_after_of
 
+FRAMING_HEADERS: Final = ("content-length", "transfer-encoding")
+"""Headers that tell a whole body from a part of it."""
+
 
 class HttpObjectStore(StoreCaller, ObjectStore):
     """Client of the object store at a URL.
@@ -35,6 +38,9 @@
         if resp.status_code == httpx.codes.NOT_FOUND:
             return None
         self._expect(StoreCall.GET, resp, httpx.codes.OK)
+        if not any(name in resp.headers for name in FRAMING_HEADERS):
+            # Other answers are JSON, of which a part cannot be decoded.
+            raise self.lost(StoreCall.GET, "the answer has no length")
         revision = int(resp.headers.get("x-revision", 0))
         return StoredObject(key, resp.content, _etag(resp), revision)
 
--- a/packages/corianderlb-router/tests/test_store_connection.py
+++ b/packages/corianderlb-router/tests/test_store_connection.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import trio
 
+from corianderlb_router.http_store import HttpObjectStore
 from corianderlb_router.store import StoreUnavailableError, StoreUnknownError
 from corianderlb_router.store_caller import StoreCall, StoreCaller
-from corianderlb_standins.connection_texts import bad_answers
+from corianderlb_standins.connection_texts import bad_answers, cut_answers
 from corianderlb_standins.loopback import RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
@@ -23,3 +26,17 @@
                     with self.subTest(name), self.assertRaises(StoreUnknownError):
                         await store.call(StoreCall.UPDATE, "PUT", "/")
                     await store.aclose()
+
+    async def test_object_that_is_cut(self) -> None:
+        """Guards against a part of an object that is taken for all of it."""
+        headers = (b'etag: "4"', b"x-revision: 4")
+        for name, answer, resets in cut_answers(b"value", *headers):
+            value = b"value"
+            with trio.fail_after(10):
+                async with RawHost(answer, resets).running() as host:
+                    store = HttpObjectStore(f"http://{host.address}")
+                    with suppress(StoreUnavailableError):
+                        value = (await store.get("k")).value
+                    await store.aclose()
+            with self.subTest(name):
+                self.assertEqual(value, b"value")
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -8,6 +8,7 @@
 
 import base64
 import random
+from collections.abc import Iterator
 
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
@@ -86,3 +87,31 @@
     return (
         b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nset-cookie: " + cookie + b"\r\n\r\n"
     )
+
+
+def framed_answers(body: bytes, *headers: bytes) -> dict[str, bytes]:
+    """Return whole answers with a body, by how they delimit it."""
+    head = b"\r\n".join([b"HTTP/1.1 200 OK", *headers, b""])
+    half = len(body) // 2
+    chunks = [
+        b"%x\r\n%b\r\n" % (len(part), part) for part in (body[:half], body[half:])
+    ]
+    return {
+        "length": head + b"content-length: %d\r\n\r\n" % len(body) + body,
+        "chunks": b"".join(
+            [head, b"transfer-encoding: chunked\r\n\r\n", *chunks, b"0\r\n\r\n"]
+        ),
+        "close": head + b"connection: close\r\n\r\n" + body,
+    }
+
+
+def cut_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes, bool]]:
+    """Yield answers that are cut after each of their bytes, closed and reset.
+
+    Each comes with a name and whether its connection is reset.
+    """
+    for name, answer in framed_answers(body, *headers).items():
+        for n_sent in range(len(answer) + 1):
+            for resets in (False, True):
+                ending = "reset" if resets else "closed"
+                yield f"{name}, {n_sent}, {ending}", answer[:n_sent], resets
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from typing import Any
@@ -24,14 +26,16 @@
 
 
 class RawHost:
-    """Host that answers each request with the same bytes and closes the connection."""
+    """Host that answers each request with the same bytes and ends the connection."""
 
-    def __init__(self, answer: bytes) -> None:
+    def __init__(self, answer: bytes, resets: bool = False) -> None:
+        """Answer with ``answer``, and reset or close the connection after it."""
         self.address = ""
         """``host:port``, once it listens."""
         self.requests: list[bytes] = []
         """What was received first on each connection."""
         self._answer = answer
+        self._linger = struct.pack("ii", resets, 0)
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[RawHost]:
@@ -48,4 +52,5 @@
         with suppress(trio.BrokenResourceError):
             self.requests.append(await stream.receive_some())
             await stream.send_all(self._answer)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self._linger)
         await trio.aclose_forcefully(stream)
