--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -38,11 +38,24 @@
 """Key of a message that begins an answer: whether to write it with the next message,
 which follows at once."""
 
+ENDS_BY_CLOSE: Final = "corianderlb.ends_by_close"
+"""Key of a message that begins an answer: whether nothing but the end of the connection
+may delimit its body."""
+
 Application: TypeAlias = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
 _CHUNKED: Final = b"\r\ntransfer-encoding: chunked\r\n"
 """Header of an answer whose body is sent in chunks."""
 
+_SIZED: Final = b"\r\ncontent-length:"
+"""Begin of the header of an answer whose length is known."""
+
+_NO_ANSWER: Final = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+"""Answer in place of one that ended before its head was written."""
+
 _DISCONNECT: Final = {"type": "http.disconnect"}
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 
@@ -118,6 +131,8 @@
         self._status: int | None = None
         self._is_chunked = False
         """Whether the body of the answer is sent in chunks."""
+        self._ends_by_close = False
+        """Whether nothing but the end of the connection delimits the answer."""
         self._is_complete = False
         """Whether the whole answer was sent."""
         self._is_read = False
@@ -199,7 +214,8 @@
             await self._respond(500, headers)
             await self._write(self._encode(h11.EndOfMessage()))
         elif self._held:
-            await self._write(self._take_held())
+            self._delimit_by_close(False)
+            await self._write(_NO_ANSWER)
 
     def _scope(self, request: h11.Request) -> dict[str, Any]:
         path, _, query = request.target.partition(b"?")
@@ -328,6 +344,9 @@
                 (bytes(name).strip(), bytes(value).strip())
                 for name, value in message.get("headers", ())
             ]
+            if message.get(ENDS_BY_CLOSE):
+                # The protocol then delimits the body as for a caller of HTTP/1.0.
+                self._state.their_http_version = b"1.0"
             await self._respond(self._status, headers, bool(message.get(MORE_FOLLOWS)))
         elif (
             kind == "http.response.body"
@@ -340,6 +359,8 @@
             if data:
                 await self._write(data)
             self._is_complete = not message.get("more_body", False)
+            if self._is_complete:
+                self._delimit_by_close(False)
         else:
             raise UnexpectedMessageError(f"{kind} after status {self._status}")
 
@@ -373,12 +394,25 @@
         if self._n_requests > MAX_REQUESTS:
             headers.append((b"connection", b"close"))
         data = self._encode(h11.Response(status_code=status, headers=headers))
-        self._is_chunked = _CHUNKED in data.lower()
+        head = data.lower()
+        self._is_chunked = _CHUNKED in head
+        is_delimited = self._is_chunked or _SIZED in head or self._has_no_body
+        self._delimit_by_close(not is_delimited)
         if more_follows:
             self._held = data
         else:
             await self._write(data)
 
+    def _delimit_by_close(self, ends_by_close: bool) -> None:
+        """Note that the end of the connection delimits the answer, or no longer.
+
+        Until such an answer is complete, any end of the connection is a reset, that by
+        the end of the process too. An ordinary one would be the end of the answer.
+        """
+        if ends_by_close != self._ends_by_close and not self._stream.is_closed:
+            self._ends_by_close = ends_by_close
+            self._stream.set_reset_on_close(ends_by_close)
+
     async def _fail(self, exc: h11.RemoteProtocolError) -> None:
         """Answer what is not HTTP, unless an answer has begun, and close."""
         self._is_gone = True
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -10,7 +10,9 @@
 import os
 import select
 import socket
+import struct
 from abc import ABC, abstractmethod
+from http import HTTPStatus
 from typing import Final
 
 import h11
@@ -182,6 +184,14 @@
             raise trio.ClosedResourceError("the stream was closed")
         await trio.lowlevel.wait_writable(self._raw)
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Set whether the end of the connection is a reset, also that by the kernel.
+
+        A reset discards what the remote side has not acknowledged.
+        """
+        linger = struct.pack("ii", resets, 0)
+        self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self) -> None:
         """Close the socket; who waits for it is told."""
         if not self._is_closed:
@@ -234,6 +244,7 @@
         "_body",
         "_h11",
         "_is_head",
+        "_needs_body",
         "_raw_rest",
         "_stream",
         "address",
@@ -252,6 +263,8 @@
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
         self._raw_rest = b""
+        self._needs_body = False
+        """Whether the response is a success without length whose body has not begun."""
         self._body: ChunkedBody | None = None
         """Body of the response, if it arrives in chunks."""
         self._is_head = False
@@ -316,6 +329,7 @@
         has_body = not self._is_head and head.status_code not in BODILESS_STATUSES
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
         if self.ends_by_close:
+            self._needs_body = head.status_code < HTTPStatus.MULTIPLE_CHOICES
             self._raw_rest = self._h11.trailing_data[0]
         elif has_body and b"transfer-encoding" in names:
             # The parser of the head supports no other one than chunked.
@@ -325,12 +339,18 @@
         """Return body bytes as they arrive, empty at the end of the connection.
 
         For bodies delimited by connection close; bypasses the parser, which is not
-        needed for them.
+        needed for them. A success that ends right after its head is broken: the head
+        may have been cut before the line that delimits the body.
         """
-        if self._raw_rest:
-            rest, self._raw_rest = self._raw_rest, b""
-            return rest
-        return await self._receive_some()
+        data, self._raw_rest = self._raw_rest, b""
+        if not data:
+            data = await self._receive_some()
+        if self._needs_body:
+            if not data:
+                message = f"{self.address}: closed right after the head"
+                raise BrokenError(message, sent=True)
+            self._needs_body = False
+        return data
 
     async def receive_chunk(self) -> bytes:
         """Return the available body bytes, at least one; empty at the end of the body.
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -98,7 +98,8 @@
         """Relay an answer once it is complete."""
         body = await read_whole(exchange, on_data, self.caller.hold_answer)
         self.claim()
-        await self.caller.answer(head.status, list(head.headers), body)
+        headers, ends_by_close = list(head.headers), exchange.ends_by_close
+        await self.caller.answer(head.status, headers, body, ends_by_close)
 
 
 async def read_whole(
@@ -159,7 +160,8 @@
             raise BrokenError("the stream ended inside an event", sent=True)
         self.claim()
         if not self.caller.started:
-            await self.caller.start(head.status, list(head.headers))
+            headers, ends_by_close = list(head.headers), exchange.ends_by_close
+            await self.caller.start(head.status, headers, False, ends_by_close)
         await self.caller.finish()
 
     async def _relay_until_pause(
@@ -205,7 +207,7 @@
                     self.sent.n_events += len(ready)
                     self.n_events += len(ready)
                     _set_deadline(scope, caller.stall_s)
-                    await self._write(head, b"".join(ready))
+                    await self._write(head, exchange, b"".join(ready))
                     if scope.cancel_called:
                         break
         return False
@@ -238,13 +240,14 @@
             ready.append(event.data)
         return ready, last_number
 
-    async def _write(self, head: UpstreamHead, data: bytes) -> None:
+    async def _write(self, head: UpstreamHead, exchange: Exchange, data: bytes) -> None:
         """Send events to the caller."""
         caller = self.caller
         self.sent.record_write()
         if not caller.started:
             self.on_begin()
-            await caller.start(head.status, list(head.headers), more_follows=True)
+            headers, ends_by_close = list(head.headers), exchange.ends_by_close
+            await caller.start(head.status, headers, True, ends_by_close)
         await caller.write(data)
 
 
