Health table: it counts begun answers itself

The count of begun answers on an instance moves from the table of attempts in flight, so that data needs no word of what the instance owes.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -504,7 +504,7 @@
         """Parse and validate the response head."""
         parts = self._parts
         head = parts.protocol.read_head(self._req, response.status, response.headers)
-        parts.record_data(self.placement.instance)
+        parts.health.record_data(self.placement.instance.incarnation_key)
         if not head.is_ours:
             raise WrongAnswerError("the answer belongs to another request", sent=True)
         other = head.instance not in ("", self.placement.instance.instance)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -19,8 +19,6 @@
     FleetRetryBudget,
     RetryCharge,
 )
-from corianderlb_core.forwarding import ForwardInstance
-from corianderlb_core.identity import InstanceId
 from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.return_schedule import ReturnSchedule
 from corianderlb_core.room_share import RoomKey
@@ -181,11 +179,6 @@
             self.budgets[upstream] = found
         return found
 
-    def record_data(self, instance: ForwardInstance) -> None:
-        """Record that bytes were received from an instance."""
-        owes = self.in_flight.has_begun_on(InstanceId(instance.instance))
-        self.health.record_data(instance.incarnation_key, owes)
-
     def record_request(self, upstream: str) -> None:
         """Record a request in the retry budget of its upstream."""
         self.budget(upstream).record_request(trio.current_time(), self.n_sharing)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -387,10 +387,11 @@
         first_at: list[float] = []
 
         def on_data() -> None:
-            parts.record_data(instance)
+            parts.health.record_data(instance.incarnation_key)
             attempt.received_at = trio.current_time()
             if not first_at:
                 first_at.append(attempt.received_at)
+                parts.health.begun(instance.incarnation_key)
                 parts.in_flight.begun(AttemptId(attempt.key), attempt.received_at)
                 seconds = attempt.received_at - attempt.created_at
                 self._target.first_byte(attempt.key, placement, seconds)
@@ -492,7 +493,7 @@
             begun_at = first_at[0] if first_at else None
             attempt.part_request = PartRequest(self._part_digests, sent_at, begun_at)
             parts.in_flight.end(AttemptId(key))
-            parts.health.ended(instance.incarnation_key)
+            parts.health.ended(instance.incarnation_key, has_begun=bool(first_at))
             self._target.ended(key, placement, has_first_token=bool(first_at))
 
     # Failure handling.
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -35,6 +35,8 @@
     health: InstanceHealth = field(default_factory=InstanceHealth)
     failure_rate: float = 0.0
     n_in_flight: int = 0
+    n_begun: int = 0
+    """Attempts in flight whose answer has begun."""
     received_at: float = float("-inf")
     resumed_at: float = float("-inf")
 
@@ -74,17 +76,25 @@
         """Record the start of an attempt."""
         self._entry_of(incarnation).n_in_flight += 1
 
-    def ended(self, incarnation: IncarnationKey) -> None:
+    def begun(self, incarnation: IncarnationKey) -> None:
+        """Record that the answer to an attempt has begun."""
+        self._entry_of(incarnation).n_begun += 1
+
+    def ended(self, incarnation: IncarnationKey, has_begun: bool = False) -> None:
         """Record the end of an attempt."""
-        self._entry_of(incarnation).n_in_flight -= 1
+        entry = self._entry_of(incarnation)
+        entry.n_in_flight -= 1
+        entry.n_begun -= has_begun
 
-    def record_data(self, incarnation: IncarnationKey, owes: bool = False) -> None:
-        """Record that bytes were received from an instance.
+    def has_begun(self, incarnation: IncarnationKey) -> bool:
+        """Return whether an instance owes this router the rest of an answer."""
+        entry = self._entries.get(incarnation)
+        return entry is not None and entry.n_begun > 0
 
-        ``owes`` tells whether it had begun an answer to this router before.
-        """
+    def record_data(self, incarnation: IncarnationKey) -> None:
+        """Record that bytes were received from an instance."""
         entry, now = self._entry_of(incarnation), trio.current_time()
-        if owes and now - entry.received_at >= STANDSTILL_S:
+        if entry.n_begun and now - entry.received_at >= STANDSTILL_S:
             entry.resumed_at = now
         entry.received_at = now
 
--- a/packages/corianderlb-router/src/corianderlb_router/in_flight.py
+++ b/packages/corianderlb-router/src/corianderlb_router/in_flight.py
@@ -35,7 +35,6 @@
         self._n_on: dict[InstanceId, int] = {}
         self._reserved: dict[InstanceId, AttemptId] = {}
         self._begun_at: dict[AttemptId, float] = {}
-        self._n_begun_on: dict[InstanceId, int] = {}
 
     def begin(self, attempt: InFlightAttempt) -> None:
         """Add an attempt to the table."""
@@ -47,19 +46,13 @@
 
     def begun(self, attempt_id: AttemptId, at: float) -> None:
         """Record when the first event of an attempt arrived."""
-        if attempt_id not in self._begun_at:
-            self._begun_at[attempt_id] = at
-            instance = self._attempts[attempt_id].incarnation.instance
-            self._n_begun_on[instance] = self._n_begun_on.get(instance, 0) + 1
+        self._begun_at.setdefault(attempt_id, at)
 
     def end(self, attempt_id: AttemptId) -> None:
         """Remove an attempt from the table."""
         attempt = self._attempts.pop(attempt_id)
+        self._begun_at.pop(attempt_id, None)
         instance = attempt.incarnation.instance
-        if self._begun_at.pop(attempt_id, None) is not None:
-            self._n_begun_on[instance] -= 1
-            if not self._n_begun_on[instance]:
-                del self._n_begun_on[instance]
         self._n_on[instance] -= 1
         if not self._n_on[instance]:
             del self._n_on[instance]
@@ -70,10 +63,6 @@
         """Return the number of attempts in flight on an instance."""
         return self._n_on.get(instance, 0)
 
-    def has_begun_on(self, instance: InstanceId) -> bool:
-        """Return whether the answer to an attempt on an instance has begun."""
-        return instance in self._n_begun_on
-
     def is_reserved(self, instance: InstanceId) -> bool:
         """Return whether the instance is reserved for one suspect."""
         return instance in self._reserved
--- a/packages/corianderlb-router/src/corianderlb_router/silence_view.py
+++ b/packages/corianderlb-router/src/corianderlb_router/silence_view.py
@@ -13,7 +13,6 @@
 
 from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
-from corianderlb_core.identity import InstanceId
 from corianderlb_core.part_index import IncarnationKey
 
 from .forward_parts import ForwardParts
@@ -71,7 +70,7 @@
             silent_too.append(key)
         elif parts.engines.is_heard_since(instance, moment):
             heard.append(key)
-        elif parts.in_flight.has_begun_on(InstanceId(instance.instance)):
+        elif parts.health.has_begun(key):
             silent_too.append(key)
         else:
             unknown.append(key)
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -117,11 +117,10 @@
         """Assert that nothing of a request is counted once it has ended."""
         parts = router.parts
         self.assertEqual(len(parts.in_flight), 0)
-        self.assertFalse(parts.in_flight.has_begun_on("e1"))
         self.assertEqual(sum(parts.standbys.values()), 0)
         for instance in parts.state.instances("llm"):
             entry = parts.health._entries[instance.incarnation_key]
-            self.assertEqual(entry.n_in_flight, 0)
+            self.assertEqual((entry.n_in_flight, entry.n_begun), (0, 0))
 
     async def test_silent_engine_goes_on_while_all_others_refuse(self) -> None:
         """Guards against giving up the only engine that would have gone on."""
