A request that is cut before its answer began is told whether it may have run

What a router cut at the end of its grace period before an answer had begun got an empty 500 from the server, which promises nothing: its caller could not know that a call that may not be repeated had never been sent.

Now: 503 DRAINING with a short Retry-After if nothing was sent, else 502. The log line still says CUT_BY_SHUTDOWN.

test_cut_before_an_answer_has_begun fails before (no status at all).

--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from contextlib import suppress
 from functools import partial
 from typing import Any, Final
 
@@ -49,7 +50,7 @@
 from .log_writer import log_ms, log_request
 from .request_check import body_digest, check_headers
 from .state_follower import WATCH_S
-from .stop_admission import StopAdmission
+from .stop_admission import ELSEWHERE_RETRY_S, StopAdmission
 from .stream_origins import ResumedOrigin
 
 UNCONFIRMED_S: Final = WATCH_S + 1.5
@@ -103,11 +104,24 @@
         if caller.is_cut:
             caller.result = ResultCode.CALLER_TOO_SLOW
         if entry.is_cancelled and not caller.finished:
+            if caller.started:
+                caller.cut_reason = CutReason.SHUTDOWN
+            else:
+                await self._answer_cut(caller, request_log.run)
             caller.result = ResultCode.CUT_BY_SHUTDOWN
-            caller.cut_reason = CutReason.SHUTDOWN
         request_log.write(self._parts, self._exchanges.stopping_since)
         self._record_duration(caller, request_log)
 
+    @staticmethod
+    async def _answer_cut(caller: ForwardCaller, run: ForwardRun | None) -> None:
+        """Answer a request that was cut before its answer had begun."""
+        detail = "This router has stopped."
+        refusal = Refusal(ResultCode.UPSTREAM_FAILED, detail)
+        if run is None or not run.may_have_run:
+            refusal = Refusal(ResultCode.DRAINING, detail, ELSEWHERE_RETRY_S)
+        with suppress(CallerGoneError, CallerStalledError):
+            await caller.fail(refusal)
+
     def _record_duration(self, caller: ForwardCaller, request_log: _RequestLog) -> None:
         """Learn from a request that was sent how long others will take."""
         req, route, run = request_log.req, request_log.route, request_log.run
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -14,6 +14,7 @@
     a_pausing_stream,
     a_stream,
     an_answer,
+    never_answer,
 )
 
 PROMPT = "a:100,own:50"
@@ -105,3 +106,22 @@
             router.exchanges.cut_at = float("inf")
             await self.ask_before_stop(router, "/book/7", left_s=2.0)
             await self.assert_refused(router, "/book/7", service)
+
+    async def test_cut_before_an_answer_has_begun(self) -> None:
+        """Guards against an empty 500, which says nothing of whether the call ran."""
+        service = Upstream([never_answer])
+        async with (
+            a_fleet(2, s1=service) as (router, _),
+            trio.open_nursery() as nursery,
+        ):
+            sent, unsent = router.a_caller("/book/7"), router.a_caller("/book/7")
+            unsent.body_arrived = trio.Event()
+            for caller in (sent, unsent):
+                nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            self.assertEqual(len(service.requests), 1)
+            router.exchanges.cut()
+            await trio.sleep(0.1)
+            self.assertEqual((sent.status, unsent.status), (502, 503))
+            self.assertIn(b"DRAINING", unsent.answer)
+            self.assertTrue(sent.finished and unsent.finished)
