--- a/packages/corianderlb-router/tests/test_http_store.py
+++ b/packages/corianderlb-router/tests/test_http_store.py
@@ -91,14 +91,16 @@
 
         def answer(req: httpx.Request) -> httpx.Response:
             seen.append(req)
-            return httpx.Response(200, headers={"etag": '"v2"', "x-revision": "7"})
+            headers = {"etag": '"v2"', "x-revision": "7"}
+            return httpx.Response(200, headers=headers, content=b"x")
 
         store = a_store(answer)
         self.assertEqual(await store.update("a/b ?#%", b"x", "v1"), "v2")
         self.assertEqual(seen[0].url.raw_path, b"/objects/a/b%20%3F%23%25")
         self.assertEqual(seen[0].headers["if-match"], '"v1"')
         found = await store.get("a")
-        self.assertEqual((found.version, found.revision), ("v2", 7))
+        got = (found.value, found.version, found.revision)
+        self.assertEqual(got, (b"x", "v2", 7))
         self.assertEqual(store.n_calls, {StoreCall.UPDATE: 1, StoreCall.GET: 1})
 
     async def test_unresponsive_connection_retires_the_pool(self) -> None:
