--- /dev/null
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -0,0 +1,52 @@
+"""Tests of the client for upstream instances with answers that are cut."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import trio
+
+from corianderlb_router.connection import TcpConnector, UpstreamError
+from corianderlb_router.upstream_client import (
+    ExchangeTimeouts,
+    Outbound,
+    UpstreamClient,
+)
+from corianderlb_standins.connection_texts import cut_answers
+from corianderlb_standins.loopback import RawHost
+from corianderlb_standins.trio_case import RealTimeTestCase
+
+TIMEOUTS = ExchangeTimeouts(1.0, 1.0)
+
+
+class CutAnswerTest(RealTimeTestCase):
+    async def get(self, client: UpstreamClient, address: str) -> bytes:
+        """Return the answer to a call about an instance."""
+        return (await client.get(address, "/health", TIMEOUTS)).content
+
+    async def call(self, client: UpstreamClient, address: str) -> bytes:
+        """Return the answer to a call that is passed on for a caller."""
+        outbound = Outbound(address, "POST", "/x", "a1")
+        response = await client.open(outbound, TIMEOUTS)
+        try:
+            return b"".join([part async for part in response.aiter_raw()])
+        finally:
+            await response.aclose()
+
+    async def test_cut_at_each_byte(self) -> None:
+        """Guards against a part of an answer that is taken for all of it."""
+        attempt = b"corianderlb-attempt-id: a1"
+        for ask in (self.get, self.call):
+            n_whole = 0
+            for name, answer, resets in cut_answers(b"value", attempt):
+                value = None
+                with trio.fail_after(10):
+                    async with RawHost(answer, resets).running() as host:
+                        client = UpstreamClient(TcpConnector())
+                        with suppress(UpstreamError):
+                            value = await ask(client, host.address)
+                        await client.close()
+                n_whole += value is not None
+                with self.subTest(name, ask=ask.__name__):
+                    self.assertIn(value, (None, b"value"))
+            self.assertGreater(n_whole, 0)
