Callers: an answer whose last part is dropped ends with a reset too

After an error of the library on what a caller sends, nothing more is written to it, but the application's last part still counted as sent and took the reset back: an HTTP/1.0 caller saw an ordinary end. test_end_that_is_not_written failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -359,7 +359,7 @@
             if data:
                 await self._write(data)
             self._is_complete = not message.get("more_body", False)
-            if self._is_complete:
+            if self._is_complete and self._failure is None:
                 self._delimit_by_close(False)
         else:
             raise UnexpectedMessageError(f"{kind} after status {self._status}")
--- a/packages/corianderlb-router/tests/test_answer_ends.py
+++ b/packages/corianderlb-router/tests/test_answer_ends.py
@@ -12,6 +12,7 @@
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.trio_case import RealTimeTestCase
+from test_http_server import FailingProtocol
 
 BOUND_S = 5.0
 """Timeout of a test."""
@@ -54,6 +55,10 @@
         self.has_sent.set()
         if self._then == "close":
             scope[CONNECTION].close()
+        elif self._then == "end":
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            await send(a_part(more=False))
         elif self._then == "wait":
             await trio.sleep_forever()
 
@@ -73,6 +78,8 @@
                 async with await trio.open_tcp_stream("127.0.0.1", port) as conn:
                     await conn.send_all(request)
                     await app.has_sent.wait()
+                    if app._then == "end":
+                        await conn.send_all(b"fail")
                     await trio.sleep(waits_s)
                     if app._then == "wait":
                         nursery.cancel_scope.cancel()
@@ -133,6 +140,14 @@
                     is_chunked = b"chunked" in received
                     self.assertEqual(received.endswith(FINAL_CHUNK), is_chunked)
 
+    async def test_end_that_is_not_written(self) -> None:
+        """Guards against an ordinary end after a part that was dropped."""
+        with FailingProtocol(KeyError("x")).patch():
+            received, is_reset = await self.read(
+                OLD, Script(a_start(), a_part(), then="end")
+            )
+        self.assertEqual((received.count(PART), is_reset), (1, True))
+
     async def test_answer_without_length_closes_the_connection(self) -> None:
         """Guards against a second answer in the body of the first."""
         start = a_start(**{ENDS_BY_CLOSE: True})
