--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 # Real processes under random faults, by seed; seeds that break a promise keep their logs.
 SEEDS ?= 1-3
-PLANS ?= mixed roll cut version
+PLANS ?= mixed roll cut version stop
 JOBS ?= 2
 SOAK_LOGS ?= target/soak
 soak: setup
