--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -875,6 +875,7 @@
     corianderlb_journal_events_total|corianderlb_admission_events_total|
     corianderlb_placement_events_total
 get|list|create|update|delete|watch|instances
+shutdown|deadline|silence|upstream|caller
 taken|holds|busy|outdated|gone|refused|unknown
 taken|refused|not_sent|in_doubt
 """
@@ -930,7 +931,7 @@
 RefusalLimitUpdate RoomUpdate StateAnswer StateChanges StateObjects StateOffer
 StateRequest StreamOriginAnswer StreamOriginRequest StreamOriginsUpdate SuspectCleared
 TunnelAnswer TunnelRequest UpstreamLeaving UpstreamLife UsageUpdate WeightsNews Welcome
-adapter after asgi attempt_id authorization body changed_in charged
+adapter after after_silence asgi attempt_id authorization body changed_in charged
 chat.completion.chunk choices class client code connect connection content data delta
 entries entry error etag
 extensions gossip_bytes headers http http_version id if-match if-none-match
@@ -938,9 +939,9 @@
 library limit listening load_read_bytes load_read_failures load_reads message
 message_type messages method model more_body n_lines name object order_id outcome
 owned_by path peer prefix prompt prompt_tokens_details put query_string ran raw_path
-read removed repeat request result retry retry-after retry_after_s revision role
+read reason removed repeat request result retry retry-after retry_after_s revision role
 root_path salt scheme server shutdown source spec_version startup state status stream
-text text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
+taken_while_stopping text text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
 weights_version write x-revision
 """
 
