Streams: one that hangs leaves an engine that goes on with others

An engine with few answers of this router has such gaps between the events of a slow stream, or between short answers; a stream that hung there had no other attempt until its deadline. Callers would see a stream that stops and is cut at its deadline, with one attempt and without a silent one in its log line.

The time counts anew only for an answer that was heard until the standstill began: one that was silent before while others went on did not stand still with them.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -304,7 +304,9 @@
         since = self.received_at or self._head_received_at
         assert since is not None
         key, now = self.placement.instance.incarnation_key, trio.current_time()
-        if self._parts.health.resumed_since(key, now - STREAM_STALL_TIMEOUT_S):
+        health = self._parts.health
+        has_resumed = health.resumed_since(key, now - STREAM_STALL_TIMEOUT_S)
+        if has_resumed and health.stood_beside(key, since):
             # All its streams stood still, and go on one after the other.
             return False
         return self._reserve_retry(since, f"no event for {STREAM_STALL_TIMEOUT_S} s")
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -38,6 +38,8 @@
     n_begun: int = 0
     """Attempts in flight whose answer has begun."""
     received_at: float = float("-inf")
+    stood_since: float = float("-inf")
+    """When the last standstill began."""
     resumed_at: float = float("-inf")
 
 
@@ -95,7 +97,7 @@
         """Record that bytes were received from an instance."""
         entry, now = self._entry_of(incarnation), trio.current_time()
         if entry.n_begun and now - entry.received_at >= STANDSTILL_S:
-            entry.resumed_at = now
+            entry.stood_since, entry.resumed_at = entry.received_at, now
         entry.received_at = now
 
     def received_since(self, incarnation: IncarnationKey, moment: float) -> bool:
@@ -108,6 +110,14 @@
         entry = self._entries.get(incarnation)
         return entry is not None and entry.resumed_at >= moment
 
+    def stood_beside(self, incarnation: IncarnationKey, heard_at: float) -> bool:
+        """Return whether an answer last heard at a time stood still with all others.
+
+        It did not if others went on before the last standstill began.
+        """
+        entry = self._entries.get(incarnation)
+        return entry is not None and heard_at >= entry.stood_since - STANDSTILL_S
+
     def succeeded(self, incarnation: IncarnationKey) -> None:
         """Record a successful attempt."""
         entry = self._entry_of(incarnation)
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -31,6 +31,7 @@
     an_instance,
     break_early,
     break_off_after,
+    chunk,
     never_answer,
 )
 from race_engines import N_EVENTS, RandomEngine
@@ -319,6 +320,29 @@
             self.assertTrue(all(caller.finished for caller in callers))
         self.assertEqual(len(other.requests), 0)
 
+    async def test_stream_hangs_beside_one_that_is_slow(self) -> None:
+        """Guards against a stream that is left hanging on an engine that goes on."""
+
+        async def go_on(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_stream(1, 1, ends=False))
+            for number in range(2, 10):
+                await trio.sleep(0.6)
+                await stream.send_all(chunk(an_event(number)))
+            await stream.send_all(b"0\r\n\r\n")
+
+        first, other = Upstream([NEVER_ENDS, go_on]), Upstream([a_stream(5, 6)])
+        async with a_router(e1=first) as router:
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            slow = router.a_caller("/long/7", x_prompt=PROMPT, x_id="q2")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.01)
+                nursery.start_soon(router.serve, slow)
+                await trio.sleep(0.01)
+                self.list_others(router, e2=other)
+        self.assertTrue(slow.finished)
+        self.assertTrue(caller.finished)
+
     async def test_silence_that_is_shared_for_too_long(self) -> None:
         """Guards against streams that wait for dead engines beside an idle one."""
         first, still = Upstream([NEVER_ENDS]), Upstream([NEVER_ENDS])
