Streams: a run ends before an unused copy of it is freed

A run that lost to the attempt that stood by for it was closed only after its engine had been asked to free an unused copy, for up to 0.3 s, in which both engines work on the request. The same wait came after a caller that left. A copy is unused if another attempt was opened while it was made.

The connection is closed first.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -551,7 +551,15 @@
             lambda: self._owner.charge_move(self),
             lambda: self._owner.has_standby,
         )
-        await mover.relay(lambda: self._relay_or_fail(head, exchange, on_data))
+
+        async def relay_answer() -> None:
+            try:
+                await self._relay_or_fail(head, exchange, on_data)
+            finally:
+                # The run must have ended before an unused copy of it is freed.
+                await exchange.aclose()
+
+        await mover.relay(relay_answer)
 
     async def _relay_or_fail(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -47,6 +47,13 @@
 """Four events, then nothing until the connection is closed."""
 
 
+class SlowToDrop(Copier):
+    """Copier whose engine takes long to free a copy."""
+
+    async def drop(self, *_: object) -> None:
+        await trio.sleep(10.0)
+
+
 class AttemptRaceTest(TrioTestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -365,6 +372,25 @@
         more = [an_instance(name, "llm") for name in names]
         router.list_instances(e1, e2, *more, revision=32)
 
+    async def test_engine_with_an_unused_copy_does_not_answer(self) -> None:
+        """Guards against a run that goes on while a copy of it is freed."""
+        first = Upstream([NEVER_ENDS])
+        async with a_router(e1=first) as router:
+            copier = router.use_copier(SlowToDrop(takes_s=0.6))
+            caller = router.a_caller("/long/7", x_prompt=PROMPT)
+            other = Upstream([a_late_answer(a_stream(5, 6, ends=False), 0.5)])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.1)
+                self.list_others(router, e2=other)
+                await trio.sleep(0.9)
+                weights = router.engine_table.weights
+                weights.set_phase(router.state.instance("e1"), EnginePhase.CLEARING)
+                await trio.sleep(0.75)
+                self.assertEqual(len(copier.copies), 1)
+                self.assertTrue(caller.answer.endswith(an_event(6)))
+                self.assertEqual(first.n_closed, 1)
+
 
 class RandomRaceTest(TrioTestCase):
     async def test_random_pauses_refusals_and_breaks(self) -> None:
