A router that has cut its requests takes no other one

With no other live router known and no sample of its route, a request was taken until the process ended, also after the cut of what was open. It was sent on, and its caller's connection closed without an answer a moment later. It is refused now, as not run.

--- a/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -73,17 +73,17 @@
         if deadline <= cut_at:
             return
         now = trio.current_time()
+        left_s = cut_at - now
         estimate = self._durations.estimate(route.name, _n_tokens(req), begins_in_s())
         has_others = self._peers.has_live_peers()
         if estimate is None:
-            if not has_others:
+            if not has_others and left_s > 0:
                 return
             needed_s = deadline - now
         elif has_others:
             needed_s = estimate.bound_s
         else:
             needed_s = _least_s(route, estimate)
-        left_s = cut_at - now
         if needed_s <= left_s:
             return
         retry_s = ELSEWHERE_RETRY_S if has_others else max(ELSEWHERE_RETRY_S, left_s)
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -125,3 +125,11 @@
             self.assertEqual((sent.status, unsent.status), (502, 503))
             self.assertIn(b"DRAINING", unsent.answer)
             self.assertTrue(sent.finished and unsent.finished)
+
+    async def test_request_after_the_cut(self) -> None:
+        """Guards against a request that is sent on and ends with its router."""
+        service = Upstream([never_answer])
+        async with a_fleet(2, s1=service) as (router, other):
+            other.peers.is_leaving = True
+            stop(router, left_s=-0.05)
+            await self.assert_refused(router, "/book/7", service)
