Signals that come before a router listens for them are handled

Since a router ignored signals from right before its receiver was open, so that a SIGTERM in between was lost, and it would have served until SIGKILL. The window is a few statements at the start. Such signals are kept now and handled once the receiver is open; late ones are dropped as before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -342,17 +342,27 @@
 
     async def _handle_signals(self) -> None:
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        early: list[int] = []
         for number in handled:
-            # Restored on exit: by default a late signal would kill the process before
-            # its last log lines are written.
-            signal.signal(number, signal.SIG_IGN)
-        with trio.open_signal_receiver(*handled) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    eliot.log_message(message_type="router:reload")
-                    self._ports.reload()
-                else:
-                    self._on_terminate()
+            signal.signal(number, lambda number, _: early.append(number))
+        try:
+            with trio.open_signal_receiver(*handled) as signals:
+                for number in early:
+                    self._on_signal(number)
+                async for number in signals:
+                    self._on_signal(number)
+        finally:
+            for number in handled:
+                # By default a late signal would kill the process before its last log
+                # lines are written.
+                signal.signal(number, signal.SIG_IGN)
+
+    def _on_signal(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            eliot.log_message(message_type="router:reload")
+            self._ports.reload()
+        else:
+            self._on_terminate()
 
     def _on_terminate(self) -> None:
         self._send("terminate")
