Failing test: an undelimited rest makes a delimited stream look whole

A stream began in chunks and broke off; its second attempt answers without length or chunks and ends between two events.

--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -25,6 +25,7 @@
     a_router_in,
     a_stream,
     an_answer,
+    an_event,
     an_instance,
     break_off,
 )
@@ -148,3 +149,12 @@
                 caller = await router.ask("/long/1", x_prompt=PROMPT)
             with self.subTest(case=str(case)):
                 self.assertEqual((caller.status, caller.finished), (200, False))
+
+    async def test_undelimited_rest_of_a_delimited_stream(self) -> None:
+        """Guards against a final chunk in place of an end that nobody knows."""
+        head = b"HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\n"
+        engine = Upstream([break_off, head + an_event(3)], closes=True)
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = await router.ask("/long/1", x_prompt=PROMPT)
+        self.assertEqual((caller.status, len(engine.requests)), (200, 2))
+        self.assertFalse(caller.finished and not caller.ends_by_close)
