Failing test: a last router begins streams late in its stop that it will cut

With no other live router known, a resumable stream is taken if half of it fits before the cut, also seconds after the signal, when the router still listens as the last one.

--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -133,3 +133,12 @@
             other.peers.is_leaving = True
             stop(router, left_s=-0.05)
             await self.assert_refused(router, "/book/7", service)
+
+    async def test_stream_that_comes_late_and_cannot_end(self) -> None:
+        """Guards against a stream that is begun seconds after the signal and cut."""
+        engine = Upstream([a_pausing_stream(1, 4, 2, 3.0)])
+        async with a_fleet(2, e1=engine) as (router, other):
+            other.peers.is_leaving = True
+            await self.ask_before_stop(router, "/long/7", left_s=7.6)
+            await trio.sleep(5.5)
+            await self.assert_refused(router, "/long/7", engine)
