--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -304,7 +304,9 @@
         since = self.received_at or self._head_received_at
         assert since is not None
         key, now = self.placement.instance.incarnation_key, trio.current_time()
-        if self._parts.health.resumed_since(key, now - STREAM_STALL_TIMEOUT_S):
+        health = self._parts.health
+        has_resumed = health.resumed_since(key, now - STREAM_STALL_TIMEOUT_S)
+        if has_resumed and health.stood_beside(key, since):
             # All its streams stood still, and go on one after the other.
             return False
         return self._reserve_retry(since, f"no event for {STREAM_STALL_TIMEOUT_S} s")
@@ -549,7 +551,15 @@
             lambda: self._owner.charge_move(self),
             lambda: self._owner.has_standby,
         )
-        await mover.relay(lambda: self._relay_or_fail(head, exchange, on_data))
+
+        async def relay_answer() -> None:
+            try:
+                await self._relay_or_fail(head, exchange, on_data)
+            finally:
+                # The run must have ended before an unused copy of it is freed.
+                await exchange.aclose()
+
+        await mover.relay(relay_answer)
 
     async def _relay_or_fail(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
