Stopping: a last router begins nothing late that it will cut

Found in the review: with no other live router known, a stream that can be resumed was begun if half of it was expected to fit, even 5.5 s after SIGTERM with 2.1 s left. Its caller uses up a try for a stream that is certain to be cut. From 3 s after the signal on, a request is taken only if it almost certainly ends, as where other routers live.

test_stream_that_comes_late_and_cannot_end failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -42,6 +42,12 @@
         """When what is still open is going to be cut, by the router's clock; infinite
         before the termination signal."""
 
+    @property
+    def stopping_s(self) -> float:
+        """Seconds since the termination signal; 0 before it."""
+        since = self.stopping_since
+        return trio.current_time() - since if since is not None else 0.0
+
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
         """Register an exchange; ``cut`` cancels the body of the context."""
--- a/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -24,6 +24,10 @@
 ELSEWHERE_RETRY_S: Final = 0.05
 """Retry-after time of a refusal if another router can take the request at once."""
 
+LAST_RESORT_S: Final = 3.0
+"""Time after the termination signal from which a router takes nothing that it may cut,
+though no other live one is known: what a later one could still do is too little."""
+
 MAX_RETRY_SHARE: Final = 1 / 3
 """Upper bound for the retry-after time, as a share of the time until the deadline."""
 
@@ -33,9 +37,10 @@
 
     If another live router is known, a request is taken only if it almost certainly ends
     before; its caller loses little by going elsewhere. If none is known, it is taken
-    unless its caller would gain little: half of a stream that can be resumed is enough,
-    as its caller keeps that; any other answer has to end, and a call that may not be
-    repeated has to end almost certainly, as its outcome would be unknown.
+    unless its caller would gain little, until ``LAST_RESORT_S`` after the signal: half
+    of a stream that can be resumed is enough, as its caller keeps that; any other
+    answer has to end, and a call that may not be repeated has to end almost certainly,
+    as its outcome would be unknown.
     """
 
     def __init__(self, exchanges: ExchangeRegistry, peers: PeerNetwork) -> None:
@@ -76,11 +81,12 @@
         left_s = cut_at - now
         estimate = self._durations.estimate(route.name, _n_tokens(req), begins_in_s())
         has_others = self._peers.has_live_peers()
+        is_certain = has_others or self._exchanges.stopping_s >= LAST_RESORT_S
         if estimate is None:
-            if not has_others and left_s > 0:
+            if not is_certain and left_s > 0:
                 return
             needed_s = deadline - now
-        elif has_others:
+        elif is_certain:
             needed_s = estimate.bound_s
         else:
             needed_s = _least_s(route, estimate)
