Streams: a rest without length is not the end of a stream with one

Found in the review: a stream that began in chunks and was taken up at an engine whose answer had neither length nor chunks got a final chunk once that answer's connection ended between two events, also if its process had died there. The caller's framing says that the end is known; it wasn't. Such an end counts as broken: the rest is asked for again, or the caller's stream is cut.

test_undelimited_rest_of_a_delimited_stream failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -91,6 +91,8 @@
         self.catalogue_version = 0
         self.started = False
         """True once the response head is sent."""
+        self.ends_by_close = False
+        """True if nothing but the end of the connection delimits the answer."""
         self.finished = False
         """True once the complete answer is sent."""
         self.arrived_at = trio.current_time()
@@ -184,6 +186,7 @@
         """
         await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
+        self.ends_by_close = ends_by_close
         self.first_byte_at = trio.current_time()
         message = {
             "type": "http.response.start",
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -158,12 +158,19 @@
             limit_s = RESERVE_INTERVAL_S
         if splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
+        if exchange.ends_by_close and self._must_end:
+            raise BrokenError("the rest of the stream has no length", sent=True)
         self.claim()
         if not self.caller.started:
             headers, ends_by_close = list(head.headers), exchange.ends_by_close
             await self.caller.start(head.status, headers, False, ends_by_close)
         await self.caller.finish()
 
+    @property
+    def _must_end(self) -> bool:
+        """Whether an end that the caller takes for that of the whole answer is due."""
+        return self.caller.started and not self.caller.ends_by_close
+
     async def _relay_until_pause(
         self,
         head: UpstreamHead,
