--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -941,8 +941,8 @@
 owned_by path peer prefix prompt prompt_tokens_details put query_string ran raw_path
 read reason removed repeat request result retry retry-after retry_after_s revision role
 root_path salt scheme server shutdown source spec_version startup state status stream
-taken_while_stopping text text_completion.chunk timeout timeout_s type usage vectors_of_another_list version
-weights_version write x-revision
+taken_while_stopping text text_completion.chunk timeout timeout_s type usage
+vectors_of_another_list version weights_version write x-revision
 """
 
 BYTE_TEXTS = [
