Health: an engine that is silent for long counts as failed before another has begun

With a silent attempt kept open, its engine counted as failed only once another attempt had begun.

A silence of 2.4 s, twice that after which another may take over, is now a failure of the engine, once for each attempt; shared pauses are shorter than that. test_long_silence_counts_before_another_engine_has_begun failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -56,6 +56,10 @@
 """Time without data on any stream of an engine after which it counts as unresponsive.
 A busy engine sends events far more often, also during prefill."""
 
+LONG_SILENCE_S: Final = 2.4
+"""Silence of an attempt that counts as a failure of its instance though no other has
+begun, so that others avoid it."""
+
 REFUSAL_S: Final = 0.1
 """Time within which an instance turns away what it has no room for."""
 
@@ -209,6 +213,8 @@
         """Whether the permit to send has been settled."""
         self._taken_at = math.inf
         """When a refusal for want of room would have arrived."""
+        self.has_reported_silence = False
+        """Whether the health table has its silence as a failure."""
         self._is_withdrawn = False
         """Whether the request was withdrawn before its weights expire."""
         self.via = ""
@@ -293,6 +299,9 @@
         Its engine may have preempted it, and with no other attempt to follow, what it
         still sends is the best that the caller can get.
         """
+        if self.silent_s >= LONG_SILENCE_S and not self.has_reported_silence:
+            self.has_reported_silence = True
+            self._parts.health.failed(self.placement.instance.incarnation_key)
         if not self._owner.reserve_retry(self):
             return False
         if self.is_raced:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -816,7 +816,7 @@
             verdict = Verdict.CONDEMNED if exc.refused else Verdict.FAILURE
             health.failed(incarnation_key, verdict)
             self._target.unreached(placement)
-        else:
+        elif not attempt.has_reported_silence:
             health.failed(incarnation_key)
         self._record_attempt(attempt, outcome, None, str(exc))
 
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -102,6 +102,20 @@
         self.assert_released(router)
         return router, caller
 
+    async def test_long_silence_counts_before_another_engine_has_begun(self) -> None:
+        """Guards against requests sent to an engine that stands still for long."""
+        silent = Upstream([a_pausing_stream(1, 4, 1, 6.0)])
+        refusing = Upstream([NOT_RUN])
+        async with self.asked(silent, e2=refusing) as (router, _):
+            key = router.state.instance("e1").incarnation_key
+            await trio.sleep(2.0)
+            self.assertEqual(router.health.failure_rate(key), 0.0)
+            await trio.sleep(1.0)
+            once = router.health.failure_rate(key)
+            self.assertGreater(once, 0.0)
+            await trio.sleep(1.0)
+            self.assertEqual(router.health.failure_rate(key), once)
+
     def assert_whole(
         self, caller: FakeCaller, n_events: int, took_s: float, outcomes: str
     ) -> None:
