--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -37,6 +37,7 @@
 )
 from .forward_request import ForwardRequest, UpstreamHead
 from .forward_target import WITHDRAW_MARGIN_S, Placement, Target
+from .health_table import LONG_SILENCE_S
 from .peer_tunnel import NoTunnelError, OpenedConnector
 from .run_mover import RunMover
 from .transport import Answer, Exchange, SendSettings
@@ -56,10 +57,6 @@
 """Time without data on any stream of an engine after which it counts as unresponsive.
 A busy engine sends events far more often, also during prefill."""
 
-LONG_SILENCE_S: Final = 2.4
-"""Silence of an attempt that counts as a failure of its instance though no other has
-begun, so that others avoid it."""
-
 REFUSAL_S: Final = 0.1
 """Time within which an instance turns away what it has no room for."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/health_table.py
+++ b/packages/corianderlb-router/src/corianderlb_router/health_table.py
@@ -24,6 +24,10 @@
 """Time without data after which an instance that has begun answers stands still. A busy
 engine sends events far more often, also during prefill."""
 
+LONG_SILENCE_S: Final = 2.4
+"""Silence that is longer than a pause that instances share. The instance of such an
+attempt has failed, though no other has begun; and any other one may take over."""
+
 MAX_INCARNATIONS: Final = 4096
 """Incarnations remembered; the oldest is dropped first."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/silence_view.py
+++ b/packages/corianderlb-router/src/corianderlb_router/silence_view.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import trio
 
 from corianderlb_core.data_class import dataclass
@@ -16,11 +14,7 @@
 from corianderlb_core.part_index import IncarnationKey
 
 from .forward_parts import ForwardParts
-from .health_table import STANDSTILL_S
-
-SHARED_SILENCE_S: Final = 2.4
-"""Silence after which an instance takes over that nothing is known of, though most of
-the others are silent: twice that of a single instance."""
+from .health_table import LONG_SILENCE_S, STANDSTILL_S
 
 
 @dataclass(frozen=True)
@@ -43,13 +37,13 @@
 
         While most instances are silent, the few others must not get all the streams.
         """
-        if not self.is_shared or silent_s >= SHARED_SILENCE_S:
+        if not self.is_shared or silent_s >= LONG_SILENCE_S:
             return True
         return n_standbys < len(self.heard)
 
     def unfit(self, silent_s: float) -> frozenset[IncarnationKey]:
         """Return the instances that may not take over after ``silent_s`` of silence."""
-        if self.is_shared and silent_s < SHARED_SILENCE_S:
+        if self.is_shared and silent_s < LONG_SILENCE_S:
             return self.silent | self.unknown
         return self.silent
 
