Observability: which events an attempt was asked for and brought

The line of a request had the number of events of each attempt, not which: a run that began anew and was joined looked like one that went on. Now each attempt shows resume_after, first_event, last_event and n_repeated; the dropped ones are counted. No logic changes.

--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -44,6 +44,7 @@
                 "corianderlb_forward_prompt_tokens_total",
                 "corianderlb_repeat_prompt_tokens_total",
                 "corianderlb_retries_sent_total",
+                "corianderlb_stream_events_repeated_total",
                 "corianderlb_streams_cut_total",
                 "corianderlb_streams_paused_total",
                 "corianderlb_streams_resumed_total",
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -202,6 +202,8 @@
         """Whether the instance may have begun to run the request."""
         self.sent_at: float | None = None
         """Time of sending, by the router's clock."""
+        self.resume_after: int | None = None
+        """Number of the event after which the instance was asked to go on."""
         self._head_received_at: float | None = None
         """Time at which the response head arrived."""
         self.received_at: float | None = None
@@ -354,7 +356,7 @@
         self._taken_at = trio.current_time() + REFUSAL_S
 
     def _resumed_request(self) -> ForwardRequest:
-        after = self._job.sent.last_number
+        after = self.resume_after = self._job.sent.last_number
         if after == self._req.resume_after:
             return self._req
         return self._req.resumed(after)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -91,6 +91,11 @@
         labels = {"after_silence": str(after_silence).lower()}
         self._record("corianderlb_streams_paused_total", 1, labels)
 
+    def events_repeated(self, n_events: int) -> None:
+        """Count events that were dropped since their callers had them."""
+        if n_events:
+            self._record("corianderlb_stream_events_repeated_total", n_events, {})
+
     def prompt_read_again(self, n_tokens: int) -> None:
         """Count prompt tokens that the engine of a repeat is expected to prefill."""
         self._record("corianderlb_repeat_prompt_tokens_total", n_tokens, {})
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -62,6 +62,12 @@
         self.caller = sent.caller
         self.n_events = 0
         """Events of this attempt that were sent to the caller."""
+        self.n_repeated = 0
+        """Events of this attempt that were dropped since the caller has them."""
+        self.first_number: int | None = None
+        """Number of the first event that the instance sent; None without one."""
+        self.last_number: int | None = None
+        """Number of the last event that the instance sent; None without one."""
         self.reserve_retry: Callable[[], bool] = lambda: False
         """Called when the instance is silent; returns whether to give it up."""
         self.claim: Callable[[], None] = lambda: None
@@ -237,8 +243,12 @@
         ready = []
         for event in events:
             if event.number is not None:
+                if self.first_number is None:
+                    self.first_number = event.number
+                self.last_number = event.number
                 if last_number is not None and event.number <= last_number:
                     # The caller received it from another attempt.
+                    self.n_repeated += 1
                     continue
                 if last_number is not None and event.number != last_number + 1:
                     message = f"event {event.number} came after {last_number}"
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -107,6 +107,14 @@
     fetch_from: str = ""
     n_events: int = 0
     """Events of a stream that this attempt added to the answer."""
+    resume_after: int | None = None
+    """Number of the event after which it was asked to go on."""
+    first_event: int | None = None
+    """Number of the first event that its instance sent."""
+    last_event: int | None = None
+    """Number of the last event that its instance sent."""
+    n_repeated: int = 0
+    """Events that were dropped since the caller had them."""
     silent_ms: int | None = None
     """Time since the last bytes from the instance; None without any."""
     left_ms: int = 0
@@ -873,6 +881,10 @@
                 weights_age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
                 began_ms=attempt.began_ms,
                 n_events=attempt.n_events,
+                resume_after=attempt.resume_after,
+                first_event=attempt.relay.first_number,
+                last_event=attempt.relay.last_number,
+                n_repeated=attempt.relay.n_repeated,
                 silent_ms=attempt.silent_ms,
                 left_ms=round((self._deadline - trio.current_time()) * 1000),
                 via=attempt.via,
@@ -889,5 +901,6 @@
         self.attempt_records.append(record)
         is_repeat = attempt.number > 1
         self._parts.metrics.attempt_ended(outcome, is_repeat)
+        self._parts.metrics.events_repeated(attempt.relay.n_repeated)
         if is_repeat and choice is not None:
             self._parts.metrics.prompt_read_again(choice.n_missing)
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -245,6 +245,8 @@
 corianderlb_slowest_pace gauge
 corianderlb_store_lost
 corianderlb_store_lost gauge
+corianderlb_stream_events_repeated_total
+corianderlb_stream_events_repeated_total counter
 corianderlb_streams_cut_total after_silence reason taken_while_stopping
 corianderlb_streams_cut_total counter
 corianderlb_streams_paused_total after_silence
@@ -404,6 +406,10 @@
 began_ms
 fetch_from
 n_events
+resume_after
+first_event
+last_event
+n_repeated
 silent_ms
 left_ms
 via
@@ -505,6 +511,7 @@
     metrics.retry_sent(0.1)
     metrics.stream_cut("shutdown", after_silence=True, taken_while_stopping=False)
     metrics.paused_too_long(after_silence=True)
+    metrics.events_repeated(1)
     metrics.prompt_read_again(1)
     node = mock.MagicMock()
     node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=(), memory=None)
