--- a/packages/corianderlb-router/tests/test_endless_answer.py
+++ b/packages/corianderlb-router/tests/test_endless_answer.py
@@ -35,6 +35,18 @@
     return answer
 
 
+def an_answer_that_waits(*parts: bytes) -> Answer:
+    """Build an answer that arrives in parts and never goes on after the last."""
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        for part in parts:
+            await stream.send_all(part)
+            await trio.sleep(0.01)
+        await trio.sleep_forever()
+
+    return answer
+
+
 class Endless:
     """An answer that goes on until the router closes the connection."""
 
@@ -139,6 +151,15 @@
         self.assertTrue(endless.was_closed)
         self.assertLess(endless.n_taken, 24 << 20)
 
+    async def test_id_of_absurd_length(self) -> None:
+        """Guards against an engine's wrong event that ends as the router's failure."""
+        parts = (UNSIZED_HEAD + an_event(1), b"id: " + b"1" * 5000 + b"\n\n")
+        engine = Upstream([an_answer_that_waits(*parts), a_stream(2, 3)])
+        async with a_router(e1=engine, e2=engine) as router:
+            caller = await router.ask("/long/1", x_prompt=PROMPT)
+            self.assertTrue(caller.finished)
+            self.assertEqual(caller.answer.count(b"id: "), 3)
+
     async def test_many_at_once(self) -> None:
         """Guards against a router that keeps all of several endless answers."""
         endless = [Endless(UNSIZED_HEAD, repeat(MANY)) for _ in range(4)]
