Calls about instances: bound their answers in bytes and in time

What was seen: engines that answered /v1/report and /health without end grew a router from 43 to 177 MB. The timeouts of httpx are those of one read, so `UpstreamClient.get` and `post` read for as long as an instance kept sending, and a compressed answer was decoded to any length. A body that was wrongly compressed raised an error of httpx out of the liveness check after a broken connection, which ended its request.

Cause: each call read its answer by itself, and none had a bound.

It holds by construction: a client is made with bounds (`make_client`) or for answers that their reader bounds itself (`make_stream_client`). All failures of a call are `UpstreamError`s, which its callers treat as a failed call.

--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -16,7 +16,7 @@
 import trio
 
 from .connection_guard import PROCESS_FAULTS
-from .http_client import make_client
+from .http_client import make_stream_client
 from .store import StoreUnavailableError, StoreUnknownError
 
 CONNECT_TIMEOUT_SHARE: Final = 0.5
@@ -75,7 +75,7 @@
             socket_options=KEEPALIVE_OPTIONS,
             trust_env=False,
         )
-        self.client = make_client(base_url=url, transport=transport)
+        self.client = make_stream_client(transport, base_url=url)
         self.n_in_use = 0
         self.retired = False
         self.watches: set[trio.CancelScope] = set()
--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -15,8 +15,8 @@
 from corianderlb_core.identity import AttemptId
 from corianderlb_core.result import ResultCode
 
-from .connection import Connector, UpstreamError
-from .http_client import make_client
+from .connection import Connector, SilentError, UpstreamError
+from .http_client import INSTANCE_BOUNDS, make_client, make_stream_client
 from .transport import FRESH, SEND_BEFORE, UNTIL_CLOSE, UpstreamTransport
 
 WRITE_TIMEOUT_S: Final = 10.0
@@ -86,7 +86,8 @@
 
     def __init__(self, connector: Connector) -> None:
         self._transport = UpstreamTransport(connector)
-        self._http = make_client(transport=self._transport)
+        self._streams = make_stream_client(self._transport)
+        self._calls = make_client(self._transport, INSTANCE_BOUNDS)
 
     async def open(
         self, outbound: Outbound, timeouts: ExchangeTimeouts
@@ -94,10 +95,10 @@
         """Send a request and return the response after verifying its head.
 
         Raise a subclass of ``UpstreamError`` on failure. The caller of this method must
-        close the response.
+        close the response, and bound what it reads of it.
         """
         request = self._request(outbound, timeouts)
-        response = await self._http.send(request, stream=True)
+        response = await self._streams.send(request, stream=True)
         try:
             _check(outbound, response)
         except UpstreamError:
@@ -111,34 +112,25 @@
     ) -> httpx.Response:
         """Return the complete answer to a GET about the instance itself.
 
-        ``fresh`` uses a new connection, whose failure reflects the instance's current
-        state.
+        Raise a subclass of ``UpstreamError`` on failure, also if the answer exceeds
+        ``INSTANCE_BOUNDS`` or takes longer than both timeouts together. ``fresh`` uses
+        a new connection, whose failure reflects the instance's current state.
         """
-        return await self._http.get(
-            f"http://{address}{path}",
-            timeout=_timeout(timeouts),
-            extensions={FRESH: fresh},
-        )
+        return await self._call("GET", address, path, timeouts, fresh=fresh)
 
     async def post(
         self, address: str, path: str, body: bytes, timeouts: ExchangeTimeouts
     ) -> httpx.Response:
-        """Return the complete answer to an idempotent POST."""
-        return await self._http.post(
-            f"http://{address}{path}", content=body, timeout=_timeout(timeouts)
-        )
+        """Return the complete answer to an idempotent POST; raise as ``get`` does."""
+        return await self._call("POST", address, path, timeouts, body)
 
     async def cancel(self, address: str, attempt_id: AttemptId) -> None:
         """Cancel an attempt on an instance; ignore an unreachable instance."""
-        body = json.dumps({"attempt_id": attempt_id})
+        body = json.dumps({"attempt_id": attempt_id}).encode()
         timeouts = ExchangeTimeouts(CANCEL_TIMEOUT_S, CANCEL_TIMEOUT_S)
         try:
-            await self._http.post(
-                f"http://{address}{CANCEL_PATH}",
-                content=body,
-                timeout=_timeout(timeouts),
-            )
-        except (UpstreamError, httpx.HTTPError):
+            await self.post(address, CANCEL_PATH, body, timeouts)
+        except UpstreamError:
             # The attempt ends anyway: its connection is already closed.
             return
 
@@ -148,11 +140,33 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._http.aclose()
+        await self._streams.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeouts: ExchangeTimeouts,
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> httpx.Response:
+        try:
+            return await self._calls.request(
+                method,
+                f"http://{address}{path}",
+                content=body,
+                timeout=_timeout(timeouts),
+                extensions={FRESH: fresh},
+            )
+        except httpx.TimeoutException as exc:
+            raise SilentError(f"{address}: {exc}", sent=True) from exc
+        except httpx.HTTPError as exc:
+            raise UpstreamError(f"{address}: {exc}", sent=True) from exc
 
     def _request(self, outbound: Outbound, timeouts: ExchangeTimeouts) -> httpx.Request:
         headers = [*outbound.headers, (header.ATTEMPT_ID, outbound.attempt_id)]
-        request = self._http.build_request(
+        request = self._streams.build_request(
             outbound.method,
             f"http://{outbound.address}{outbound.path}",
             headers=headers,
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import gzip
 import random
 from collections.abc import Iterator
 
@@ -115,3 +116,27 @@
             for resets in (False, True):
                 ending = "reset" if resets else "closed"
                 yield f"{name}, {n_sent}, {ending}", answer[:n_sent], resets
+
+
+def endless_answers() -> dict[str, tuple[bytes, bytes]]:
+    """Return the start of answers by name, each with bytes that go on without end."""
+    piece = b"x" * 50_000
+    start = b"HTTP/1.1 200 OK\r\n"
+    return {
+        "chunks": (
+            start + b"transfer-encoding: chunked\r\n\r\n",
+            b"%x\r\n%b\r\n" % (len(piece), piece),
+        ),
+        "a long body": (start + b"content-length: 1000000000000\r\n\r\n", piece),
+        "one long chunk": (
+            start + b"transfer-encoding: chunked\r\n\r\n10000000000\r\n",
+            piece,
+        ),
+    }
+
+
+def encoded_answer(body: bytes) -> bytes:
+    """Build an answer with a compressed body."""
+    body = gzip.compress(body)
+    head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: %d\r\n\r\n"
+    return head % len(body) + body
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -54,3 +54,24 @@
             await stream.send_all(self._answer)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self._linger)
         await trio.aclose_forcefully(stream)
+
+
+class EndlessHost(RawHost):
+    """Host that follows the start of each answer with bytes without end."""
+
+    def __init__(self, start: bytes, more: bytes, pause_s: float = 0.0) -> None:
+        super().__init__(start)
+        self.n_sent = 0
+        """Bytes that were sent after the start."""
+        self._more = more
+        self._pause_s = pause_s
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+        with suppress(trio.BrokenResourceError):
+            self.requests.append(await stream.receive_some())
+            await stream.send_all(self._answer)
+            while True:
+                await stream.send_all(self._more)
+                self.n_sent += len(self._more)
+                await trio.sleep(self._pause_s)
