Store: bound its answers in bytes and whole lists too

What was seen: a store whose answers don't end is read for as long as a call may take, 2 s and more for a watch: four calls of 0.5 to 2 s took 447 to 843 MB over loopback, all of it held until the call ended. A list whose pages don't end was read for 1,000 pages of 1 MB. A compressed page was decoded to any length.

Cause: the calls have a bound in time alone (`StoreCaller.call`).

Fix: the store's clients are made over `BoundedTransport` too: 4 MB an answer, where a page and an object are of 1 MB at most, and 12 MB for all calls at a time, except for the first 256 kB of each. A longer answer is lost, as one that is cut, so the router goes on with what it knows and lists again.

Evidence, on the code before:

test_platform_endless EndlessStoreTest.test_answer_without_end [chunks]: AssertionError: not less than EndlessStoreTest.test_encoded_answer: StoreUnavailableError not raised EndlessListTest.test_pages_without_end: AssertionError: not less than

and passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/http_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_client.py
@@ -12,6 +12,11 @@
 INSTANCE_BOUNDS: Final = AnswerBounds(max_bytes=256 << 10, room_bytes=4 << 20)
 """Bounds of the answers about instances; a report of a thousand adapters is 60 kB."""
 
+STORE_BOUNDS: Final = AnswerBounds(
+    max_bytes=4 << 20, room_bytes=12 << 20, start_bytes=256 << 10
+)
+"""Bounds of the answers of the store, whose pages and objects are of 1 MB at most."""
+
 
 def make_client(
     transport: httpx.AsyncBaseTransport, bounds: AnswerBounds, **options: Any
--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -16,7 +16,7 @@
 import trio
 
 from .connection_guard import PROCESS_FAULTS
-from .http_client import make_stream_client
+from .http_client import STORE_BOUNDS, make_client
 from .store import StoreUnavailableError, StoreUnknownError
 
 CONNECT_TIMEOUT_SHARE: Final = 0.5
@@ -75,7 +75,7 @@
             socket_options=KEEPALIVE_OPTIONS,
             trust_env=False,
         )
-        self.client = make_stream_client(transport, base_url=url)
+        self.client = make_client(transport, STORE_BOUNDS, base_url=url)
         self.n_in_use = 0
         self.retired = False
         self.watches: set[trio.CancelScope] = set()
@@ -117,7 +117,10 @@
         timeout_s: float | None = None,
         **fields: Any,
     ) -> httpx.Response:
-        """Send a call once and return its answer; raise if it failed."""
+        """Send a call once and return its answer; raise if it failed.
+
+        An answer that exceeds ``STORE_BOUNDS`` is lost.
+        """
         limit_s = timeout_s or self._timeout_s
         timeout = httpx.Timeout(
             limit_s, connect=self._timeout_s * CONNECT_TIMEOUT_SHARE
