Stop admission: an estimate no longer admits a call that may not be repeated

Seen by callers: in a planned stop, calls that came late in the grace period were taken, passed on, and cut at its end, among them calls that may not be repeated, whose outcome is then unknown.

Cause: the admission trusted the time that answers of the route had taken. An answer that turns slow after its request was taken is cut. Without any sample and without a live peer, a call that may not be repeated was taken whatever it would take.

While another live router is known, such a call is taken only if its deadline passes before the cut; without one, only by an estimate, with a margin. What a cut loses as a whole (calls, streams that can't be resumed) needs the margin too.

--- a/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -28,6 +29,10 @@
 """Time after the termination signal from which a router takes nothing that it may cut,
 though no other live one is known: what a later one could still do is too little."""
 
+MARGIN_FACTOR: Final = 2.0
+"""Factor on the estimated time of an answer of which a cut would leave nothing: times
+may become longer after the request was taken."""
+
 MAX_RETRY_SHARE: Final = 1 / 3
 """Upper bound for the retry-after time, as a share of the time until the deadline."""
 
@@ -36,11 +41,14 @@
     """Refuses requests that this router would cut when its grace period ends.
 
     If another live router is known, a request is taken only if it almost certainly ends
-    before; its caller loses little by going elsewhere. If none is known, it is taken
-    unless its caller would gain little, until ``LAST_RESORT_S`` after the signal: half
-    of a stream that can be resumed is enough, as its caller keeps that; any other
-    answer has to end, and a call that may not be repeated has to end almost certainly,
-    as its outcome would be unknown.
+    before; its caller loses little by going elsewhere. A call that may not be repeated
+    is then taken only if its deadline passes before: no estimate of its time is good
+    enough, as the outcome of one that is cut is unknown.
+
+    If no other is known, a request is taken unless its caller would gain little, until
+    ``LAST_RESORT_S`` after the signal: half of a stream that can be resumed is enough,
+    as its caller keeps that; any other answer has to end, and a call that may not be
+    repeated has to end almost certainly.
     """
 
     def __init__(self, exchanges: ExchangeRegistry, peers: PeerNetwork) -> None:
@@ -79,18 +87,18 @@
             return
         now = trio.current_time()
         left_s = cut_at - now
-        estimate = self._durations.estimate(route.name, _n_tokens(req), begins_in_s())
         has_others = self._peers.has_live_peers()
-        is_certain = has_others or self._exchanges.stopping_s >= LAST_RESORT_S
-        if estimate is None:
-            if not is_certain and left_s > 0:
-                return
+        is_once = route.kind is RepeatKind.AT_MOST_ONCE
+        if has_others and is_once:
             needed_s = deadline - now
-        elif is_certain:
-            needed_s = estimate.bound_s
         else:
-            needed_s = _least_s(route, estimate)
-        if needed_s <= left_s:
+            is_late = self._exchanges.stopping_s >= LAST_RESORT_S
+            is_certain = has_others or is_once or is_late
+            estimate = self._durations.estimate(
+                route.name, _n_tokens(req), begins_in_s()
+            )
+            needed_s = min(deadline - now, _needed_s(route, estimate, is_certain))
+        if 0 < left_s and needed_s <= left_s:
             return
         retry_s = ELSEWHERE_RETRY_S if has_others else max(ELSEWHERE_RETRY_S, left_s)
         detail = (
@@ -101,11 +109,19 @@
         raise refuse(ResultCode.DRAINING, detail, min(retry_s, most_s))
 
 
-def _least_s(route: ForwardRoute, estimate: DurationEstimate) -> float:
-    """Return the time without which a caller gains nothing from this router."""
-    if route.kind is RepeatKind.AT_MOST_ONCE:
-        return estimate.bound_s
-    if route.kind is RepeatKind.STREAM and route.may_resume:
+def _needed_s(
+    route: ForwardRoute, estimate: DurationEstimate | None, is_certain: bool
+) -> float:
+    """Return the time that a request needs to be taken.
+
+    ``is_certain`` tells whether its answer has to end almost certainly.
+    """
+    if estimate is None:
+        return math.inf if is_certain else 0.0
+    keeps_part = route.kind is RepeatKind.STREAM and route.may_resume
+    if is_certain:
+        return estimate.bound_s * (1.0 if keeps_part else MARGIN_FACTOR)
+    if keeps_part:
         return (estimate.first_s + estimate.usual_s) / 2
     return estimate.usual_s
 
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -142,3 +142,34 @@
             await self.ask_before_stop(router, "/long/7", left_s=7.6)
             await trio.sleep(5.5)
             await self.assert_refused(router, "/long/7", engine)
+
+    async def test_call_that_may_not_be_repeated_needs_its_deadline(self) -> None:
+        """Guards against a call that is cut since its answers have turned slow."""
+        service = Upstream([an_answer(), a_late_answer(an_answer(), 3.0)])
+        async with a_fleet(2, s1=service) as (router, _):
+            await self.ask_before_stop(router, "/book/7", left_s=1.6)
+            await self.assert_refused(router, "/book/7", service)
+            caller = await router.ask("/book/7", x_deadline_s="1.5")
+            self.assertEqual(caller.status, 504)
+
+    async def test_call_without_a_sample_that_may_not_be_repeated(self) -> None:
+        """Guards against a call that nothing is known of and that is cut."""
+        service = Upstream([never_answer])
+        async with a_fleet(2, s1=service) as (router, other):
+            other.peers.is_leaving = True
+            stop(router, left_s=4.6)
+            await self.assert_refused(router, "/book/7", service)
+
+    async def test_answer_that_would_be_lost_as_a_whole_needs_a_margin(self) -> None:
+        """Guards against an answer that is lost since it takes a little longer."""
+        service, engine = Upstream([an_answer()]), Upstream([a_stream(1, 4)])
+        service.script = [a_late_answer(an_answer(), 0.2)]
+        engine.script = [a_pausing_stream(1, 4, 2, 0.2)]
+        async with a_fleet(2, s1=service, e1=engine) as (router, _):
+            for path, upstream in (("/read/7", service), ("/quick/7", engine)):
+                router.exchanges.cut_at = float("inf")
+                await self.ask_before_stop(router, path, left_s=1.0)
+                await self.assert_refused(router, path, upstream)
+                stop(router, left_s=1.3)
+                caller = await router.ask(path, x_prompt=PROMPT)
+                self.assertTrue(caller.finished)
