Stop admission: look again right before a request is sent

Seen by callers: a request that was taken early, and waited for a place, a connection or another instance, was sent on right before its router cut it.

Cause: the admission looked once, when the request arrived; before the signal it takes everything. Now it looks again before the first byte of an attempt is sent, as long as nothing may have run the request. The refusal is still a promise that it did not run.

Before (test_stop_admission, virtual time): test_request_that_is_about_to_be_sent_late: 0 != 503 test_stop_while_a_connection_is_made: (0, [{':target': '/book/7', ...}]) != (503, [])

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -40,6 +40,7 @@
 from .health_table import LONG_SILENCE_S
 from .peer_tunnel import NoTunnelError, OpenedConnector
 from .run_mover import RunMover
+from .stop_admission import StopAdmission
 from .transport import Answer, Exchange, SendSettings
 
 RETRY_SHARE: Final = 0.6
@@ -121,6 +122,8 @@
     """Digest of account, method, target and body, equal for repeats of a request."""
     part_digests: tuple[bytes, ...] = ()
     """Digests of the shared parts of its prompt."""
+    admission: StopAdmission | None = None
+    """Decides whether it is still sent while the router stops."""
     watch: RequestWatch = field(default_factory=RequestWatch)
     """Watches the clock for the attempts."""
 
@@ -162,6 +165,10 @@
     def has_standby(self) -> bool:
         """Whether another attempt stands by for a silent one."""
 
+    @abstractmethod
+    def check_sending(self, attempt: ForwardAttempt) -> None:
+        """Refuse a request that may not be sent any more."""
+
     @abstractmethod
     def record_sent(self, attempt: ForwardAttempt) -> None:
         """Record that the first byte of an attempt is about to be sent."""
@@ -351,6 +358,7 @@
         return await parts.transport.send(address, request, cfg)
 
     def _mark_sent(self) -> None:
+        self._owner.check_sending(self)
         self.may_have_run = True
         self._owner.record_sent(self)
         self._taken_at = trio.current_time() + REFUSAL_S
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -199,6 +199,7 @@
             usage,
             digest,
             part_digests,
+            self._stop_admission,
         )
         run = ForwardRun(job)
         request_log.run = run
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -771,6 +771,18 @@
             self._retries.drop_unused()
             raise NotRunError("the retry budget is spent", sent=False)
 
+    def check_sending(self, attempt: ForwardAttempt) -> None:
+        """Refuse a request that was taken in time and would be sent too late.
+
+        Nothing has run it yet, so the caller may go to another router.
+        """
+        admission = self._job.admission
+        if admission is not None and not (self.may_have_run or self._caller.started):
+            estimate_s = attempt.placement.estimate_s
+            admission.check(
+                self._job.req, self._route, self._deadline, lambda: estimate_s
+            )
+
     def record_sent(self, attempt: ForwardAttempt) -> None:
         """Record that the first byte of an attempt is about to be sent."""
         attempt.retry_number = self._retries.sent()
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -7,6 +7,7 @@
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
+    NOT_RUN,
     ForwardRouter,
     Upstream,
     a_fleet,
@@ -173,3 +174,44 @@
                 stop(router, left_s=1.3)
                 caller = await router.ask(path, x_prompt=PROMPT)
                 self.assertTrue(caller.finished)
+
+    async def test_request_that_is_about_to_be_sent_late(self) -> None:
+        """Guards against a call taken before the signal that is sent only to be cut."""
+        refusal = a_late_answer(NOT_RUN, 0.5)
+        for path, script in (
+            ("/book/7", [refusal, never_answer]),
+            ("/read/7", [a_late_answer(an_answer(), 0.1), refusal, never_answer]),
+        ):
+            service = Upstream(script)
+            async with (
+                a_fleet(2, s1=service) as (router, _),
+                trio.open_nursery() as nursery,
+            ):
+                if len(script) > 2:
+                    await router.ask(path)
+                n_before = len(service.requests)
+                caller = router.a_caller(path)
+                nursery.start_soon(router.serve, caller)
+                await trio.sleep(0.1)
+                stop(router, left_s=0.45)
+                await trio.sleep(1.0)
+                self.assertEqual(caller.status, 503)
+                self.assertIn(b"DRAINING", caller.answer)
+                self.assertEqual(len(service.requests), n_before + 1)
+                nursery.cancel_scope.cancel()
+
+    async def test_stop_while_a_connection_is_made(self) -> None:
+        """Guards against a call that is sent since it was taken before the signal."""
+        service = Upstream([never_answer], accepts=False)
+        async with (
+            a_fleet(2, s1=service) as (router, _),
+            trio.open_nursery() as nursery,
+        ):
+            caller = router.a_caller("/book/7")
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            stop(router, left_s=2.0)
+            service.accepts = True
+            await trio.sleep(1.0)
+            self.assertEqual((caller.status, service.requests), (503, []))
+            nursery.cancel_scope.cancel()
