Streams: refuse an answer that does not go on where it was asked to

Callers saw a stream of two runs, joined at an event of no meaning to either, or one that lacked events and had its end. An engine that was asked to go on after event 3 and began anew at 1 lost its events 1 to 3, dropped as repeats of another attempt, and the rest of its run followed what the caller had; one that counted anew lost its first events, and its end was taken for that of the whole stream. The same happened at the first attempt of a caller that resumes, and for ids that go back within one answer.

Each event must now follow the one before it in its own answer, and the first one the event that the instance was asked to go on after. Otherwise the answer is wrong: its instance is blamed and another one is asked. Dropping is never right, since an attempt that stands by is ended the moment the other one sends an event, and attempts in series know what was sent; should an attempt ever find that another one has answered meanwhile, it ends. `n_repeated` counts the events that made answers wrong.

Before, all four tests of test_joined_runs failed:

test_engine_begins_anew_for_a_caller_that_resumes AssertionError: ([('b', 4, 6)], True) != ([('c', 4, 6)], True) test_engine_goes_back_within_its_answer AssertionError: ('a', 1, 6) != ('c', 4, 6) test_resumed_engine_begins_anew AssertionError: ([('a', 1, 3), ('b', 4, 6)], True) != ([('a', 1, 3), ('c', 4, 6)], True) test_resumed_engine_counts_anew AssertionError: ([('a', 1, 3)], True) != ([('a', 1, 3), ('c', 4, 6)], True)

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -209,8 +209,6 @@
         """Whether the instance may have begun to run the request."""
         self.sent_at: float | None = None
         """Time of sending, by the router's clock."""
-        self.resume_after: int | None = None
-        """Number of the event after which the instance was asked to go on."""
         self._head_received_at: float | None = None
         """Time at which the response head arrived."""
         self.received_at: float | None = None
@@ -226,6 +224,11 @@
         self.via = ""
         """The router that carries the connection; empty for a direct one."""
 
+    @property
+    def resume_after(self) -> int | None:
+        """Number of the event after which the instance was asked to go on."""
+        return self.relay.resume_after
+
     @property
     def n_events(self) -> int:
         """Events that this attempt has added to the answer."""
@@ -364,7 +367,7 @@
         self._taken_at = trio.current_time() + REFUSAL_S
 
     def _resumed_request(self) -> ForwardRequest:
-        after = self.resume_after = self._job.sent.last_number
+        after = self.relay.resume_after = self._job.sent.last_number
         if after == self._req.resume_after:
             return self._req
         return self._req.resumed(after)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -92,7 +92,7 @@
         self._record("corianderlb_streams_paused_total", 1, labels)
 
     def events_repeated(self, n_events: int) -> None:
-        """Count events that were dropped since their callers had them."""
+        """Count events that no instance was asked for, since their callers had them."""
         if n_events:
             self._record("corianderlb_stream_events_repeated_total", n_events, {})
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -62,8 +62,10 @@
         self.caller = sent.caller
         self.n_events = 0
         """Events of this attempt that were sent to the caller."""
+        self.resume_after: int | None = None
+        """Number of the event after which the instance was asked to go on."""
         self.n_repeated = 0
-        """Events of this attempt that were dropped since the caller has them."""
+        """Events that the instance was not asked for, since the caller has them."""
         self.first_number: int | None = None
         """Number of the first event that the instance sent; None without one."""
         self.last_number: int | None = None
@@ -129,7 +131,7 @@
 
 
 class EventRelay(Relay):
-    """Sends the events that the caller has not received yet, as they arrive."""
+    """Sends the events after those that the caller has received, as they arrive."""
 
     def __init__(self, sent: SentAnswer, stall_s: float) -> None:
         super().__init__(sent)
@@ -147,7 +149,7 @@
     async def relay_answer(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
-        """Relay the events that the caller has not received yet."""
+        """Relay the events after those that the caller has received."""
         splitter = EventSplitter()
         limit_s = self._stall_s
         while not await self._relay_until_pause(
@@ -210,13 +212,17 @@
                         break
                 limit_s = self._stall_s
                 on_data()
-                ready, last_number = self._new_events(splitter, chunk)
+                after = self._position
+                ready = self._new_events(splitter, chunk)
                 if ready:
                     if not self._is_checked:
                         self.check_source()
                         self._is_checked = True
                     self.claim()
-                    self.sent.last_number = last_number
+                    if self.sent.last_number != after:
+                        message = "another attempt has answered meanwhile"
+                        raise TakenOffError(message, sent=True)
+                    self.sent.last_number = self._position
                     self.sent.n_events += len(ready)
                     self.n_events += len(ready)
                     _set_deadline(scope, caller.stall_s)
@@ -231,31 +237,31 @@
         if self._is_waiting:
             self._scope.cancel()
 
-    def _new_events(
-        self, splitter: EventSplitter, chunk: bytes
-    ) -> tuple[list[bytes], int | None]:
-        """Return the events that the caller lacks, and the number of the last one."""
-        last_number = self.sent.last_number
+    @property
+    def _position(self) -> int | None:
+        """Number of the event that the next one of the instance must follow."""
+        return self.resume_after if self.last_number is None else self.last_number
+
+    def _new_events(self, splitter: EventSplitter, chunk: bytes) -> list[bytes]:
+        """Return the events that a chunk completes, each of which the caller lacks.
+
+        An answer that begins elsewhere than it was asked to is that of another run.
+        """
         try:
             events = splitter.feed(chunk)
         except EventTooLongError as exc:
             raise BrokenError(str(exc), sent=True) from exc
-        ready = []
         for event in events:
-            if event.number is not None:
-                if self.first_number is None:
-                    self.first_number = event.number
-                self.last_number = event.number
-                if last_number is not None and event.number <= last_number:
-                    # The caller received it from another attempt.
-                    self.n_repeated += 1
-                    continue
-                if last_number is not None and event.number != last_number + 1:
-                    message = f"event {event.number} came after {last_number}"
-                    raise WrongAnswerError(message, sent=True)
-                last_number = event.number
-            ready.append(event.data)
-        return ready, last_number
+            if event.number is None:
+                continue
+            after, self.last_number = self._position, event.number
+            if self.first_number is None:
+                self.first_number = event.number
+            if after is not None and event.number != after + 1:
+                self.n_repeated += event.number <= after
+                message = f"event {event.number} came after {after}"
+                raise WrongAnswerError(message, sent=True)
+        return [event.data for event in events]
 
     async def _write(self, head: UpstreamHead, exchange: Exchange, data: bytes) -> None:
         """Send events to the caller."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -114,7 +114,7 @@
     last_event: int | None = None
     """Number of the last event that its instance sent."""
     n_repeated: int = 0
-    """Events that were dropped since the caller had them."""
+    """Events that it was not asked for, since the caller had them."""
     silent_ms: int | None = None
     """Time since the last bytes from the instance; None without any."""
     left_ms: int = 0
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -0,0 +1,88 @@
+"""Tests of engines that do not go on after the event that they were asked for."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from corianderlb_core.fleet_retry_budget import BudgetTerms
+from corianderlb_standins.trio_case import TrioTestCase
+from data_path_fakes import FakeCaller
+from forward_builders import (
+    ROUTES,
+    STREAM_HEAD,
+    Answer,
+    Upstream,
+    a_configuration,
+    a_router,
+)
+from run_answers import a_run, order_faults, runs_of
+
+PROMPT = "a:100,own:50"
+
+
+def breaks_off(answer: bytes) -> Answer:
+    """Return an answer after which the connection is closed."""
+
+    async def send(stream: trio.abc.Stream) -> None:
+        await stream.send_all(answer)
+        await stream.aclose()
+
+    return send
+
+
+BREAKS_AFTER_3 = breaks_off(a_run("a", 1, 2, 3, ends=False))
+
+
+class JoinedRunsTest(TrioTestCase):
+    async def ask(self, *script: bytes | Answer, **headers: str) -> FakeCaller:
+        """Request a stream of engines that answer in the order of the script."""
+        engine = Upstream(list(script))
+        engines = {"e1": engine, "e2": engine, "e3": engine}
+        async with a_router(BudgetTerms(fixed=500.0), **engines) as router:
+            routes = (dataclasses.replace(ROUTES[2], max_attempts=3),)
+            router.configure(a_configuration(routes=routes, revision=11))
+            caller = await router.ask("/long/7", x_prompt=PROMPT, **headers)
+            health = router.health
+            self.n_blamed = sum(
+                health.failure_rate(found.incarnation_key) > 0
+                for found in router.state.instances("llm")
+            )
+        return caller
+
+    def assert_whole(self, caller: FakeCaller, *runs: tuple[str, int, int]) -> None:
+        """Assert that an answer consists of these runs, and has its end."""
+        self.assertEqual((runs_of(caller.answer), caller.finished), ([*runs], True))
+
+    async def test_resumed_engine_begins_anew(self) -> None:
+        """Guards against a stream of two runs, joined within the second one."""
+        anew = a_run("b", *range(1, 7), after=3)
+        caller = await self.ask(BREAKS_AFTER_3, anew, a_run("c", 4, 5, 6))
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+        self.assertEqual(order_faults(caller.answer), [])
+        self.assertEqual(self.n_blamed, 2)
+
+    async def test_resumed_engine_counts_anew(self) -> None:
+        """Guards against a stream that lacks events and has its end."""
+        counts_anew = a_run("b", 1, 2, 3, after=3)
+        caller = await self.ask(BREAKS_AFTER_3, counts_anew, a_run("c", 4, 5, 6))
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+
+    async def test_engine_begins_anew_for_a_caller_that_resumes(self) -> None:
+        """Guards against a run that is joined to what its caller has."""
+        anew = a_run("b", *range(1, 7), after=3)
+        caller = await self.ask(anew, a_run("c", 4, 5, 6), x_after="3")
+        self.assert_whole(caller, ("c", 4, 6))
+
+    async def test_engine_goes_back_within_its_answer(self) -> None:
+        """Guards against events that are dropped though their run is in disorder."""
+
+        async def goes_back(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_run("a", 1, 2, 3, ends=False))
+            await trio.sleep(0.1)
+            again = a_run("a", *range(2, 7), after=0)
+            await stream.send_all(again.removeprefix(STREAM_HEAD))
+
+        caller = await self.ask(goes_back, a_run("c", 4, 5, 6))
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
