Draining: answers to requests from before the signal ask to close too

Seen by callers: the answer to a request that was read before SIGTERM kept the connection open by its head, and the router closed it right after the answer. A request that the caller sent on it at that moment ended with a reset, and its outcome is unknown to the caller.

Cause: whether an answer asks to close the connection was decided when its request arrived. It is now set for all open exchanges at the signal.

Before: test_stop_admission test_answer_to_a_request_from_before_the_signal, None != 'close'.

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -32,10 +32,7 @@
         self._emptied = trio.Event()
         self.stopping_since: float | None = None
         """Time of the termination signal, by the router's clock; None before it."""
-        self.closing = False
-        """True while draining: answers then ask the caller to close the connection.
-        Requests on kept-alive connections bypass the load balancer, so the drain would
-        never complete."""
+        self._closing = False
         self.last_opened_at = -math.inf
         """When the newest exchange was opened, by the router's clock."""
         self.cut_at = math.inf
@@ -48,6 +45,22 @@
         since = self.stopping_since
         return trio.current_time() - since if since is not None else 0.0
 
+    @property
+    def closing(self) -> bool:
+        """True while draining: answers then ask the caller to close the connection.
+
+        Requests on kept-alive connections bypass the load balancer, so the drain would
+        never complete. That holds for the open exchanges too: the connection closes
+        after the answer, and a caller that is not told may send another request.
+        """
+        return self._closing
+
+    @closing.setter
+    def closing(self, closing: bool) -> None:
+        self._closing = closing
+        for entry in self._open:
+            entry.caller.closing = closing
+
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
         """Register an exchange; ``cut`` cancels the body of the context."""
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -215,3 +215,18 @@
             await trio.sleep(1.0)
             self.assertEqual((caller.status, service.requests), (503, []))
             nursery.cancel_scope.cancel()
+
+    async def test_answer_to_a_request_from_before_the_signal(self) -> None:
+        """Guards against a connection that closes though its caller was not told."""
+        service = Upstream([a_late_answer(an_answer(), 0.5)])
+        async with (
+            a_fleet(2, s1=service) as (router, _),
+            trio.open_nursery() as nursery,
+        ):
+            caller = router.a_caller("/book/7")
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            stop(router, left_s=7.6)
+            await trio.sleep(0.5)
+            self.assertTrue(caller.finished)
+            self.assertEqual(caller.answer_headers.get("connection"), "close")
