Draining: a request that is cut is answered and logged before the router ends

Seen by callers and in logs: at the end of the grace period some requests were closed without an answer, and some requests of a "router:cut" line had no "request:ended" line.

Cause: a cut request left the registry before its answer was written, so that the router did not wait for it; and if the cut took longer than the 0.15 s that the router waits, the cancellation from outside skipped answer and line. The answer and the line are now part of the registered exchange, and shielded. A request whose answer had not begun gets 502 if it may have run, else 503.

Before (test_stop_admission, virtual time): test_cut_that_is_still_going_on_when_the_router_ends: (0, 0) != (502, 1) test_stop_waits_for_the_answers_to_what_it_cut: 0 != 1

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -64,13 +64,22 @@
     @contextmanager
     def exchange(self, caller: CallerExchange) -> Iterator[OpenExchange]:
         """Register an exchange; ``cut`` cancels the body of the context."""
+        with self.registered(caller) as entry, entry.scope:
+            yield entry
+
+    @contextmanager
+    def registered(self, caller: CallerExchange) -> Iterator[OpenExchange]:
+        """Register an exchange; ``cut`` cancels the scope of its entry alone.
+
+        What follows that scope, such as the answer to a caller that was cut, is waited
+        for like the rest.
+        """
         entry = OpenExchange(caller)
         caller.closing = self.closing
         self.last_opened_at = caller.arrived_at
         self._open.add(entry)
         try:
-            with entry.scope:
-                yield entry
+            yield entry
         finally:
             self._open.discard(entry)
             if not self._open:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import suppress
 from functools import partial
 from typing import Any, Final
@@ -83,22 +84,41 @@
         """Handle one request; it is always answered, cut or logged as abandoned."""
         caller.stall_s = CALLER_STALL_TIMEOUT_S
         request_log = _RequestLog(caller)
-        with self._exchanges.exchange(caller) as entry:
+        with self._exchanges.registered(caller) as entry:
             try:
-                await self._answer(caller, scope, request_log)
-            except StreamCutError as exc:
-                # On return, the server closes the connection without the final chunk.
-                caller.result = ResultCode.STREAM_BROKEN
-                caller.cut_reason = exc.reason
-                request_log.detail = str(exc)
-            except (CallerGoneError, CallerStalledError):
-                caller.result = ResultCode.CALLER_GONE
-                caller.cut_reason = CutReason.CALLER
+                with entry.scope:
+                    await self._run(caller, scope, request_log)
             finally:
-                caller.release()
+                # The router may end, which cancels from outside, while a cut goes on.
+                is_ending = trio.current_effective_deadline() == -math.inf
+                if entry.is_cancelled or not is_ending:
+                    with trio.CancelScope(shield=True):
+                        await self._end(caller, request_log, entry.is_cancelled)
+
+    async def _run(
+        self, caller: ForwardCaller, scope: dict[str, Any], request_log: _RequestLog
+    ) -> None:
+        """Answer a request unless its caller has left or it is cut."""
+        try:
+            await self._answer(caller, scope, request_log)
+        except StreamCutError as exc:
+            # On return, the server closes the connection without the final chunk.
+            caller.result = ResultCode.STREAM_BROKEN
+            caller.cut_reason = exc.reason
+            request_log.detail = str(exc)
+        except (CallerGoneError, CallerStalledError):
+            caller.result = ResultCode.CALLER_GONE
+            caller.cut_reason = CutReason.CALLER
+        finally:
+            caller.release()
+
+    async def _end(
+        self, caller: ForwardCaller, request_log: _RequestLog, is_stopped: bool
+    ) -> None:
+        """Answer a request that was cut, and write its log line."""
         if caller.is_cut:
             caller.result = ResultCode.CALLER_TOO_SLOW
-        if entry.is_cancelled and not caller.finished:
+        if is_stopped and not caller.finished:
             if caller.started:
                 caller.cut_reason = CutReason.SHUTDOWN
             else:
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import trio
 
 from corianderlb_standins.trio_case import TrioTestCase
@@ -230,3 +232,36 @@
             await trio.sleep(0.5)
             self.assertTrue(caller.finished)
             self.assertEqual(caller.answer_headers.get("connection"), "close")
+
+    async def test_cut_that_is_still_going_on_when_the_router_ends(self) -> None:
+        """Guards against a cut request without an answer and without a log line."""
+        service = Upstream([never_answer])
+        log = mock.Mock()
+        async with a_fleet(2, s1=service) as (router, _):
+            caller = router.a_caller("/book/7")
+            with mock.patch("corianderlb_router.forward_dispatcher.log_request", log):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(router.serve, caller)
+                    await trio.sleep(0.1)
+                    router.exchanges.cut()
+                    nursery.cancel_scope.cancel()
+            self.assertEqual((caller.status, log.call_count), (502, 1))
+            self.assertEqual(log.call_args.kwargs["result"], "CUT_BY_SHUTDOWN")
+
+    async def test_stop_waits_for_the_answers_to_what_it_cut(self) -> None:
+        """Guards against an exit before a cut request is answered."""
+        service = Upstream([never_answer])
+        async with (
+            a_fleet(2, s1=service) as (router, _),
+            trio.open_nursery() as nursery,
+        ):
+            caller = router.a_caller("/book/7")
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.1)
+            caller.reading = trio.Event()
+            router.exchanges.cut()
+            await trio.sleep(0.1)
+            self.assertEqual(len(router.exchanges), 1)
+            caller.reading.set()
+            await router.exchanges.wait_until_empty()
+            self.assertEqual(caller.status, 502)
