HTTP server: a stop serves what has arrived

Seen by callers: as a router stopped listening, a request on a kept connection was reset though it had arrived before.

Cause: at the stop each connection without a request was closed, and a new one not read, whether bytes waited in the kernel or not; in a long pass of the event loop many can. What has arrived is now served (and refused by the admission, if it can't end). A head that isn't whole is not waited for.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -147,7 +147,7 @@
     async def run(self, app: Application) -> None:
         """Serve requests; any exception may be raised for what the caller sends."""
         try:
-            while not self._cfg.is_stopping:
+            while not self._cfg.is_stopping or self._stream.has_arrived:
                 request = await self._next_request()
                 if request is None:
                     break
@@ -159,6 +159,11 @@
         finally:
             self.close()
 
+    def close_if_idle(self) -> None:
+        """Close the socket unless a request is served or has begun to arrive."""
+        if self.is_idle and not self._stream.has_arrived:
+            self.close()
+
     def close(self) -> None:
         """Close the socket, which ends a write that waits for the caller to read."""
         self._stream.close()
@@ -179,6 +184,8 @@
                     return None
                 self._feed(data)
                 event = await self._next_head()
+                if event is h11.NEED_DATA and self._cfg.is_stopping:
+                    return None
             return event
         return None
 
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -152,6 +152,14 @@
         """Return the bytes that have arrived; raise ``OSError`` if there are none."""
         return self._raw.recv(RECEIVE_BYTES)
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether bytes have arrived that were not read."""
+        try:
+            return bool(self._raw.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def send_at_once(self, data: bytes | memoryview) -> memoryview:
         """Send what can be sent without waiting; return the rest."""
         if self._is_closed:
--- a/packages/corianderlb-router/src/corianderlb_router/http_server.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_server.py
@@ -123,8 +123,7 @@
                 accepting.cancel_scope.cancel()
             self._cfg.is_stopping = True
             for conn in self._open:
-                if conn.is_idle:
-                    conn.close()
+                conn.close_if_idle()
 
     async def _accept(self, listener: socket.socket, nursery: trio.Nursery) -> None:
         """Accept connections until cancelled, then close the listener.
--- a/packages/corianderlb-router/tests/test_http_server.py
+++ b/packages/corianderlb-router/tests/test_http_server.py
@@ -405,3 +405,38 @@
                 self.assertEqual(await idle.receive_some(), b"")
                 await self.check_whole(app, busy)
                 self.assertEqual(await busy.receive_some(), b"")
+
+    async def test_stop_serves_what_has_arrived(self) -> None:
+        """Guards against a request that is dropped unread since a stop came first."""
+        app, accept = Application(), HttpServer._accept
+        app.may_end.set()
+        conns: list[trio.SocketStream] = []
+
+        async def accept_until_last(*args: Any) -> None:
+            try:
+                await accept(*args)
+            finally:
+                for conn in conns:
+                    conn.socket._sock.send(GET)
+
+        cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 16)
+        with mock.patch.object(HttpServer, "_accept", accept_until_last):
+            # Whether the server or its connections come first is random.
+            for _ in range(20):
+                stop = trio.Event()
+                server = HttpServer(app, cfg, self.guard)
+                with trio.fail_after(BOUND_S):
+                    async with trio.open_nursery() as nursery:
+                        address = await nursery.start(server.run, stop.wait)
+                        conns[:] = [await self.connect(address) for _ in range(3)]
+                        await trio.sleep(0.01)
+                        stop.set()
+                        for conn in conns:
+                            self.assertIn(b"whole", await self.read_all(conn))
+
+    async def read_all(self, conn: trio.SocketStream) -> bytes:
+        """Return what is received until the connection ends."""
+        answer = b""
+        while data := await conn.receive_some():
+            answer += data
+        return answer
