Store: an answer of another kind is a failed call

What was seen: an answer of the store without the expected members, with members of another type or with an unreadable revision raised KeyError, TypeError, ValueError or OverflowError out of `HttpObjectStore`. The tasks that follow the store take `StoreError`s alone, so such an answer ended them, and with them the router (read: `CatalogueReader._try`).

Cause: `list`, `watch` and `get` took members out of plain values.

Fix: answers are decoded to data classes in one place, and what can't be decoded is lost, as for the list of instances.

Evidence, on the code before, test_http_store test_answers_of_another_kind:

[b'{}'] KeyError: 'keys' [b'{"keys":3,...}'] TypeError: 'int' object is not iterable [b'...1e999...'] OverflowError: cannot convert float infinity to integer [abc] ValueError: invalid literal for int() with base 10: 'abc'

and passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/http_store.py
+++ b/packages/corianderlb-router/src/corianderlb_router/http_store.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any, Final
+import re
+from typing import Final, TypeVar
 from urllib.parse import quote
 
 import httpx
 
-from corianderlb_core.codec import DecodeError, from_plain, plain_from_json
+from corianderlb_core.codec import DecodeError, from_json
+from corianderlb_core.data_class import dataclass
 
 from .store import (
     InstanceList,
@@ -16,14 +17,24 @@
     StoreConflictError,
     StoredObject,
     StoreRefusedError,
-    StoreUnavailableError,
     WatchResult,
 )
 from .store_caller import WATCH_GRACE_S, StoreCall, StoreCaller, retry_after_of
 
+T = TypeVar("T")
+
 FRAMING_HEADERS: Final = ("content-length", "transfer-encoding")
 """Headers that tell a whole body from a part of it."""
 
+_REVISION: Final = re.compile("[0-9]{1,18}")
+
+
+@dataclass(frozen=True)
+class _KeyList:
+    """Answer to a list."""
+
+    keys: tuple[str, ...]
+
 
 class HttpObjectStore(StoreCaller, ObjectStore):
     """Client of the object store at a URL.
@@ -41,15 +52,16 @@
         if not any(name in resp.headers for name in FRAMING_HEADERS):
             # Other answers are JSON, of which a part cannot be decoded.
             raise self.lost(StoreCall.GET, "the answer has no length")
-        revision = int(resp.headers.get("x-revision", 0))
-        return StoredObject(key, resp.content, _etag(resp), revision)
+        revision = resp.headers.get("x-revision", "0")
+        if not _REVISION.fullmatch(revision):
+            raise self.lost(StoreCall.GET, f"the answer has the revision {revision!r}")
+        return StoredObject(key, resp.content, _etag(resp), int(revision))
 
     async def list(self, prefix: str, after: str = "", limit: int = 1000) -> list[str]:
         """Return the keys under a prefix that sort after ``after``, in order."""
         params = {"prefix": prefix, "after": after, "limit": limit}
         resp = await self.call(StoreCall.LIST, "GET", "/objects", params=params)
-        plain = self._json(StoreCall.LIST, resp)
-        return [str(key) for key in plain["keys"]]
+        return list(self._decode(StoreCall.LIST, resp, _KeyList).keys)
 
     async def create(self, key: str, value: bytes) -> str:
         """Create the object and return its version; conflict if it exists."""
@@ -85,17 +97,12 @@
             params=params,
             timeout_s=timeout_s + WATCH_GRACE_S,
         )
-        plain = self._json(StoreCall.WATCH, resp)
-        return WatchResult(tuple(plain["keys"]), int(plain["revision"]))
+        return self._decode(StoreCall.WATCH, resp, WatchResult)
 
     async def instances(self) -> InstanceList:
         """Return the platform's list of instances."""
         resp = await self.call(StoreCall.INSTANCES, "GET", "/instances")
-        plain = self._json(StoreCall.INSTANCES, resp)
-        try:
-            return from_plain(InstanceList, plain, strict=False)
-        except DecodeError as exc:
-            raise StoreUnavailableError(f"instances: {exc}") from exc
+        return self._decode(StoreCall.INSTANCES, resp, InstanceList)
 
     def raise_for_failure(self, kind: StoreCall, resp: httpx.Response) -> None:
         """Raise for status codes that mean the same for every kind of call."""
@@ -119,15 +126,13 @@
         if resp.status_code != status:
             raise self.lost(kind, f"status {resp.status_code}, expected {status}")
 
-    def _json(self, kind: StoreCall, resp: httpx.Response) -> Mapping[str, Any]:
+    def _decode(self, kind: StoreCall, resp: httpx.Response, cls: type[T]) -> T:
+        """Decode the answer to a read; one that is no ``cls`` is lost."""
         self._expect(kind, resp, httpx.codes.OK)
         try:
-            plain = plain_from_json(resp.content)
+            return from_json(cls, resp.content)
         except DecodeError as exc:
             raise self.lost(kind, exc) from exc
-        if not isinstance(plain, dict):
-            raise self.lost(kind, "the answer is not a JSON object")
-        return plain
 
 
 def _path(key: str) -> str:
--- a/packages/corianderlb-router/tests/test_http_store.py
+++ b/packages/corianderlb-router/tests/test_http_store.py
@@ -4,6 +4,7 @@
 
 import ssl
 from collections.abc import Callable
+from functools import partial
 from unittest import mock
 
 import httpx
@@ -18,6 +19,16 @@
 )
 from corianderlb_standins.trio_case import TrioTestCase
 
+ODD_ANSWERS = (
+    b"{}",
+    b"[]",
+    b"[" * 100_000,
+    b'{"keys":3,"revision":3,"instances":3}',
+    b'{"keys":null,"revision":null,"instances":null}',
+    b'{"keys":[3],"revision":1e999,"instances":[3]}',
+    b'{"keys":[[]],"revision":1%b,"instances":[]}' % (b"0" * 5000),
+)
+
 Answer = Callable[[httpx.Request], httpx.Response]
 
 
@@ -86,6 +97,25 @@
             await a_store(lambda _: httpx.Response(413)).create("k", b"")
         self.assertIsNone(await a_store(lambda _: httpx.Response(404)).get("k"))
 
+    async def test_answers_of_another_kind(self) -> None:
+        """Guards against an odd answer that ends the task which follows the store."""
+        for content in ODD_ANSWERS:
+            store = a_store(lambda _, body=content: httpx.Response(200, content=body))
+            for ask in (
+                partial(store.list, "p"),
+                partial(store.watch, "p", 1, 1.0),
+                store.instances,
+            ):
+                with self.subTest(content), self.assertRaises(StoreUnavailableError):
+                    await ask()
+        for revision in ("abc", "-1", "1e5", "9" * 5000):
+            headers = {"x-revision": revision}
+            store = a_store(
+                lambda _, sent=headers: httpx.Response(200, headers=sent, content=b"x")
+            )
+            with self.subTest(revision[:9]), self.assertRaises(StoreUnavailableError):
+                await store.get("k")
+
     async def test_condition_and_quoting_are_sent(self) -> None:
         seen: list[httpx.Request] = []
 
