Peers: bound what a stranger can make a router hold

What was seen (read, and by tests): a peer that has not proved to hold the peer key may send a frame of 1 MB before it is refused, 32 of them at a time, and connections without a websocket handshake are held for 3 s in any number, with up to 16 kB each.

Cause: the limit of the handshake's frames (2 kB) is checked once a frame is read, and that of strangers (32) once a websocket is open.

Fix: an accepted link takes frames of the handshake's length, also in fragments, until the handshake says that the peer proved itself (`PeerLink.accept_long_frames`); and at most 256 accepted connections wait for their websocket handshake, others are closed. A fleet dials in far fewer.

The acceptor in test_peer_that_reads_late stands for one that has authenticated its peer and now says so; what it checks is the same.

Evidence, on the code before (test_websocket_transport):

test_long_frame_before_the_proof: trio.TooSlowError (still waiting) test_connections_without_a_handshake: LinkClosedError not raised

and passing after, with test_peer_network, test_peer_tunnel and test_limit_network (63 tests).

--- a/packages/corianderlb-router/src/corianderlb_router/_handshake.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_handshake.py
@@ -153,6 +153,7 @@
     transcript = _dialler_transcript(challenge, peer, hello.nonce)
     _require_proof(hello.proof, _proof(key, b"dialler", transcript))
     _require_nonce(hello.nonce)
+    link.accept_long_frames()
     full_transcript = _full_transcript(transcript, own)
     proof = _proof(key, b"acceptor", full_transcript)
     await link.send(encode(Welcome(own.zone, own.region, proof, LEVEL)))
--- a/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_websocket_transport.py
@@ -30,6 +30,7 @@
 
 from corianderlb_core.message import MAX_MESSAGE_BYTES
 
+from ._handshake import MAX_HANDSHAKE_BYTES
 from .connection_guard import ConnectionGuard
 from .peer_link import (
     FrameRefusedError,
@@ -49,6 +50,15 @@
 MAX_FRAME_BYTES: Final = MAX_MESSAGE_BYTES + 64
 """Limit of a frame: the longest message and an upper bound of what a link adds."""
 
+MAX_FIRST_BYTES: Final = MAX_HANDSHAKE_BYTES + 64
+"""Limit of a frame of a peer that has not proved to hold the peer key."""
+
+MAX_OPENING: Final = 256
+"""Most accepted connections whose opening handshake is not complete; others are closed.
+
+Bounds their memory: each may hold ``MAX_HEAD_BYTES``.
+"""
+
 READ_BYTES: Final = 1 << 16
 """Most bytes taken from a socket at once."""
 
@@ -72,6 +82,7 @@
         self._host = host
         self._port = port
         self._guard = guard or ConnectionGuard()
+        self._n_opening = 0
 
     @asynccontextmanager
     async def dial(self, address: str) -> AsyncIterator[PeerLink]:
@@ -121,14 +132,20 @@
         task_status.started(f"{host}:{port}")
         await trio.serve_listeners(handle, listeners)
 
-    @staticmethod
-    async def _serve_link(stream: trio.SocketStream, handler: LinkHandler) -> None:
-        websocket = _WebSocketLink(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
+    async def _serve_link(
+        self, stream: trio.SocketStream, handler: LinkHandler
+    ) -> None:
+        if self._n_opening >= MAX_OPENING:
+            return
+        websocket = _WebSocketLink(stream, ServerProtocol(max_size=MAX_FIRST_BYTES))
+        self._n_opening += 1
         try:
             with trio.fail_after(OPEN_TIMEOUT_S):
                 await websocket.open_as_server()
         except (LinkClosedError, InvalidHandshake, trio.TooSlowError):
             return
+        finally:
+            self._n_opening -= 1
         try:
             await handler(websocket)
         finally:
@@ -151,6 +168,7 @@
         self._has_head = False
         """Whether the head of the opening handshake was received."""
         self._is_server = protocol.side is Side.SERVER
+        self._max_bytes = MAX_FIRST_BYTES if self._is_server else MAX_FRAME_BYTES
 
     async def open_as_client(self) -> None:
         """Run the opening handshake of the side that dialled."""
@@ -184,6 +202,9 @@
             raise protocol.handshake_exc
         self._take_messages()
 
+    def accept_long_frames(self) -> None:
+        self._max_bytes = self._protocol.max_message_size = MAX_FRAME_BYTES
+
     async def send(self, frame: bytes) -> None:
         await self.send_all((frame,))
 
@@ -293,7 +314,7 @@
         data, at = self._unparsed, 0
         while self._protocol.state is State.OPEN:
             start, end = _frame_bounds(data, at)
-            is_too_long = end - start > MAX_FRAME_BYTES
+            is_too_long = end - start > self._max_bytes
             if end > len(data) and not is_too_long:
                 break
             is_masked = data[at + 1] >= 0x80
--- a/packages/corianderlb-router/src/corianderlb_router/peer_link.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_link.py
@@ -28,6 +28,13 @@
 class PeerLink(ABC):
     """Ordered, bidirectional link of frames between two routers."""
 
+    def accept_long_frames(self) -> None:
+        """Accept frames up to the longest message from now on.
+
+        Called on an accepted link once its peer has proved to hold the peer key; a
+        transport may refuse longer frames than those of the handshake until then.
+        """
+
     @abstractmethod
     async def send(self, frame: bytes) -> None:
         """Send one frame; raise ``LinkClosedError`` if the link is closed."""
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -684,6 +684,7 @@
         may_read = trio.Event()
 
         async def accept(link: PeerLink) -> None:
+            link.accept_long_frames()
             await may_read.wait()
             while len(received) < len(frames):
                 received.append(await link.receive())
--- a/packages/corianderlb-router/tests/test_websocket_transport.py
+++ b/packages/corianderlb-router/tests/test_websocket_transport.py
@@ -12,8 +12,13 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from corianderlb_router._websocket_transport import MAX_FRAME_BYTES, _WebSocketLink
-from corianderlb_router.peer_link import FrameRefusedError, LinkClosedError
+from corianderlb_router._websocket_transport import (
+    MAX_FIRST_BYTES,
+    MAX_FRAME_BYTES,
+    WebSocketTransport,
+    _WebSocketLink,
+)
+from corianderlb_router.peer_link import FrameRefusedError, LinkClosedError, PeerLink
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 URI = parse_uri("ws://router:1/")
@@ -36,11 +41,18 @@
         trio.SocketStream(trio.socket.from_stdlib_socket(end))
         for end in socket.socketpair()
     )
-    link = _WebSocketLink(ours, opened(is_server))
-    link._has_head = True
+    link = a_new_link(ours, is_server)
+    link.accept_long_frames()
     return link, theirs
 
 
+def a_new_link(stream: trio.SocketStream, is_server: bool) -> _WebSocketLink:
+    """Return a link whose peer has not proved anything yet."""
+    link = _WebSocketLink(stream, opened(is_server))
+    link._has_head = True
+    return link
+
+
 class WebSocketLinkTest(RealTimeTestCase):
     async def test_frames_of_the_library_are_read_however_they_arrive(self) -> None:
         """Guards against messages that are lost or mixed up between two reads."""
@@ -87,6 +99,43 @@
             with self.subTest(frame[:2]), self.assertRaises(exc):
                 await link.receive()
 
+    async def test_long_frame_before_the_proof(self) -> None:
+        """Guards against strangers that fill the memory with one frame each."""
+        long = Frame(Opcode.BINARY, bytes(MAX_FIRST_BYTES + 1)).serialize(mask=True)
+        parts = [
+            Frame(opcode, bytes(1000), fin=False).serialize(mask=True)
+            for opcode in (Opcode.BINARY, Opcode.CONT, Opcode.CONT)
+        ]
+        for frames in (long[:9], b"".join(parts)):
+            ours, theirs = socket.socketpair()
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+            link = a_new_link(stream, True)
+            link._protocol.max_message_size = MAX_FIRST_BYTES
+            theirs.send(frames)
+            with trio.fail_after(5), self.assertRaises(FrameRefusedError):
+                await link.receive()
+
+    async def test_connections_without_a_handshake(self) -> None:
+        """Guards against strangers that fill the memory with one connection each."""
+        module = _WebSocketLink.__module__
+        transport = WebSocketTransport("127.0.0.1", 0)
+        with mock.patch(f"{module}.MAX_OPENING", 2), trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(transport.serve, PeerLink.aclose)
+                host, port = address.split(":")
+                streams = [
+                    await trio.open_tcp_stream(host, int(port)) for _ in range(3)
+                ]
+                with self.assertRaises(LinkClosedError):
+                    async with transport.dial(address):
+                        pass
+                for stream in streams:
+                    await stream.aclose()
+                await trio.sleep(0.1)
+                async with transport.dial(address):
+                    pass
+                nursery.cancel_scope.cancel()
+
     async def test_message_before_a_close_is_delivered(self) -> None:
         """Guards against a farewell that is lost with the link it announces."""
         library = opened(False)
