Completions: an event without an end costs time by its bytes alone

What was seen: 1 MB of an engine's stream without the end of an event keeps the event loop for 3 s in chunks of 500 bytes and for 23 s in chunks of 64.

Fix: the buffer grows in place, and only what is new is searched.

--- a/packages/corianderlb-core/src/corianderlb_core/stream.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream.py
@@ -75,7 +75,7 @@
         self._public_prefix = b'{"id":"%s"' % public_id.encode()
         self._digest = xxhash.xxh3_64()
         self._replay_digest: xxhash.xxh3_64 | None = None
-        self._buffer = b""
+        self._buffer = bytearray()
         self._attempt_id = ""
         self._own_prefix = b""
         self._index = 0
@@ -93,19 +93,27 @@
         self._attempt_id = attempt_id
         self._own_prefix = b'{"id":"%s"' % attempt_id.encode()
         self._index = first_index
-        self._buffer = b""
+        self._buffer.clear()
         self.fault = None
         self._replay_digest = xxhash.xxh3_64() if first_index < self.n_relayed else None
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the verified new events in a chunk; check ``fault`` afterwards."""
-        if self._buffer:
-            chunk = self._buffer + chunk
-            self._buffer = b""
+        buffer = self._buffer
+        if buffer:
+            # Each byte is searched once, however the bytes are divided into chunks.
+            search_from = max(0, len(buffer) - len(EVENT_END) + 1)
+            buffer += chunk
+            if buffer.find(EVENT_END, search_from) < 0:
+                if len(buffer) > MAX_EVENT_BYTES:
+                    self.fault = StreamFault.MALFORMED
+                return b""
+            chunk = bytes(buffer)
+            buffer.clear()
         if chunk.find(EVENT_END) == len(chunk) - len(EVENT_END) >= 0:
             return self._verify(chunk)
         events = chunk.split(EVENT_END)
-        self._buffer = events.pop()
+        self._buffer += events.pop()
         if len(self._buffer) > MAX_EVENT_BYTES:
             self.fault = StreamFault.MALFORMED
             return b""
--- a/packages/corianderlb-core/tests/test_stream.py
+++ b/packages/corianderlb-core/tests/test_stream.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import time
 import unittest
 
 from corianderlb_core.answer import assemble_answer, extract_usage
@@ -43,6 +44,16 @@
             self.assertTrue(assembler.finished)
             self.assertIsNone(assembler.fault)
 
+    def test_event_in_small_chunks(self) -> None:
+        """Guards against an event without an end that blocks the router."""
+        assembler, began_at = an_assembler(), time.process_time()
+        for _ in range((1 << 20) // 64):
+            self.assertEqual(assembler.feed(b"x" * 64), b"")
+        self.assertIsNone(assembler.fault)
+        self.assertEqual(assembler.feed(b"x"), b"")
+        self.assertIs(assembler.fault, StreamFault.MALFORMED)
+        self.assertLess(time.process_time() - began_at, 1.0)
+
     def test_a_stream_without_its_last_byte_is_not_finished(self) -> None:
         """The upstream closes within the terminal event: the answer is incomplete."""
         assembler = an_assembler()
