Memory: bound what instances send, on every deployment

Cause: what is held was bounded only where the platform's contracts name load beyond the room (`bounded_memory`), by client account alone. A single answer could have 16 MiB whatever the machine, an event 1 MiB that no account knew of, and what a failed attempt held lived on with its error during the next one.

Fix: the account is always there, from the memory of the process (256 MB if none or 0 is named). What arrives counts for its instance until it is whole: half of what is free, so that accounts keep room beside an instance that fails. Over it the largest answer of the instance ends, as a failure of the instance (its health counts it; neither its path nor a crash is suspected), what it held is released at once, and a repeatable call goes on elsewhere. Answers that lack room for what others hold end as ANSWER_NOT_HELD and blame nobody. A sized answer over half of the room is relayed as it arrives, so large sound answers still come; a Content-Length over 16 MiB fails before its body is read. A stream counts 8 KiB and what it holds beyond (64 KiB before), so that many small streams are not refused now that all deployments count. Large answers are written without a copy.

Changed tests: test_off_unless_set asserted that nothing is bounded unless set, which was the fault; test_bounded_unless_set asserts the bound by default, and that a usual body is served and one over the bound refused. The setting `forward.bounded_memory` is gone from the table of shown names: with it a router could be run without a bound. `Endless` and `bound` moved to the builders.

--- a/packages/corianderlb-core/tests/test_held_memory.py
+++ b/packages/corianderlb-core/tests/test_held_memory.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from corianderlb_core.held_memory import SLOW_AFTER_S, HeldMemory
+from corianderlb_core.held_memory import INSTANCE_FACTOR, SLOW_AFTER_S, HeldMemory
 
 
 class HeldMemoryTest(unittest.TestCase):
@@ -56,6 +56,30 @@
         memory.close(slower)
         self.assertTrue(memory.grow(asking, 10))
 
+    def test_answers_of_failing_instances_leave_room_for_accounts(self) -> None:
+        """Guards against an instance whose answers fill the room of all calls."""
+        memory = HeldMemory(1_000_000)
+        for name in ("one", "two"):
+            arriving = [memory.open(name, INSTANCE_FACTOR) for _ in range(100)]
+            while any(memory.grow(holding, 1000) for holding in arriving):
+                pass
+        self.assertLessEqual(memory.n_held("one"), 334_000)
+        self.assertLessEqual(memory.n_bytes, 556_000)
+        body = memory.open("account")
+        self.assertTrue(memory.grow(body, 200_000))
+
+    def test_room_of_a_holding(self) -> None:
+        memory = HeldMemory(900)
+        first = memory.open("one", INSTANCE_FACTOR)
+        self.assertEqual(memory.n_room(first), 300)
+        self.assertTrue(memory.grow(first, 300))
+        self.assertEqual(memory.n_room(first), 0)
+        self.assertFalse(memory.grow(first, 1))
+        self.assertTrue(memory.grow(first, -100))
+        self.assertTrue(memory.grow(memory.open("one", INSTANCE_FACTOR), 100))
+        self.assertIs(memory.largest("one"), first)
+        self.assertIsNone(memory.largest("two"))
+
     def test_no_limit(self) -> None:
         memory = HeldMemory()
         self.assertTrue(memory.grow(memory.open(""), 1 << 40))
--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -373,11 +373,14 @@
             and self._status is not None
             and not self._is_complete
         ):
-            data = self._take_held() + self._encode_part(message.get("body", b""))
+            parts = [self._take_held(), self._encode_part(message.get("body", b""))]
             if not message.get("more_body", False):
-                data += self._encode(h11.EndOfMessage())
-            if data:
-                await self._write(data)
+                parts.append(self._encode(h11.EndOfMessage()))
+            if len(parts[1]) <= WRITE_BYTES:
+                parts = [b"".join(parts)]
+            for part in parts:
+                # A large one is not copied, since it is held until its caller has it.
+                await self._write(part)
             self._is_complete = not message.get("more_body", False)
             if self._is_complete and self._failure is None:
                 self._delimit_by_close(False)
--- a/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
@@ -1,27 +1,72 @@
-"""Memory that a router holds for its callers; slow ones are cut off to make room."""
+"""Memory that a router holds for its callers and of answers that arrive.
+
+Slow callers are cut off to make room, and so are the largest answers of an instance
+that sends more than may be held.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Final
 
 import eliot
 import trio
 
-from corianderlb_core.held_memory import HeldMemory, Holding
+from corianderlb_core.held_memory import INSTANCE_FACTOR, HeldMemory, Holding
+
+DEFAULT_MEMORY_BYTES: Final = 256e6
+"""Assumed memory of a process that is told none."""
 
 HELD_SHARE: Final = 0.3
 """Share of a process's memory that may be held for callers. What is held exists twice
 for moments, while it is joined or encoded."""
 
-STREAM_BYTES: Final = 1 << 16
-"""What a stream holds at most: one read from its engine."""
+STREAM_BYTES: Final = 1 << 13
+"""What a stream is taken to hold from its beginning: more than usual events. Larger
+events, and more of them at once, are accounted for while they are held."""
+
+EXCESS_SHARE: Final = 1 / 16
+"""Share of what may be held from which an instance without room for more has itself
+filled it. One with less lacks room for what others hold."""
+
+
+class Arrival:
+    """What is held of one answer while it arrives, on the account of its instance."""
+
+    def __init__(self, memory: CallerMemory, holding: Holding) -> None:
+        self._memory = memory
+        self._holding = holding
+        self.on_cut: Callable[[], None] = lambda: None
+        """Called when the answer may not be held any more."""
+
+    @property
+    def n_bytes(self) -> int:
+        """Bytes held."""
+        return self._holding.n_bytes
+
+    def hold(self, n_bytes: int) -> bool:
+        """Hold that many bytes in all; return False if they may not be held."""
+        return self._memory.hold_arrival(self._holding, n_bytes - self.n_bytes)
+
+    @property
+    def n_room(self) -> float:
+        """By how many bytes the answer may grow at present."""
+        return self._memory.n_room(self._holding)
+
+    @property
+    def is_excess(self) -> bool:
+        """Whether its instance itself fills the room that it lacks."""
+        return self._memory.is_excess(self._holding.owner)
+
+    def close(self) -> None:
+        """Release what is held; further calls do nothing."""
+        self._memory.close(self._holding)
 
 
 class CallerMemory:
     """Accounts for the bodies and answers of all callers, with the means to cut them.
 
-    ``limit`` is in bytes and infinite if nothing is bounded.
+    ``limit`` is in bytes.
     """
 
     def __init__(self, limit: float) -> None:
@@ -30,9 +75,14 @@
         self.n_cut = 0
         """Callers that were cut off."""
 
+    @property
+    def n_limit(self) -> float:
+        """Most bytes that may be held."""
+        return self._memory.limit
+
     @property
     def n_bytes(self) -> int:
-        """Bytes held for all callers."""
+        """Bytes held for all callers, and of all answers that arrive."""
         return self._memory.n_bytes
 
     def open(self, owner: str, cut: Callable[[], None]) -> Holding:
@@ -52,6 +102,35 @@
             self._cut(slow)
         return self._memory.grow(holding, n_bytes)
 
+    def open_arrival(self, instance: Hashable) -> Arrival:
+        """Return what is held of an answer that an instance has begun: nothing yet."""
+        arrival = Arrival(self, self._memory.open(instance, INSTANCE_FACTOR))
+        self._cuts[arrival._holding] = lambda: arrival.on_cut()
+        return arrival
+
+    def hold_arrival(self, holding: Holding, n_bytes: int) -> bool:
+        """Hold more of an answer; return False if it may not be held.
+
+        Larger answers of the same instance are cut off if that makes room: what one
+        answer without end holds must not cost the others.
+        """
+        while not self._memory.grow(holding, n_bytes):
+            largest = self._memory.largest(holding.owner)
+            if largest is None or largest.n_bytes <= holding.n_bytes + n_bytes:
+                return False
+            cut = self._cuts[largest]
+            self.close(largest)
+            cut()
+        return True
+
+    def n_room(self, holding: Holding) -> float:
+        """Return by how much a holding may grow at present."""
+        return self._memory.n_room(holding)
+
+    def is_excess(self, instance: Hashable) -> bool:
+        """Return whether an instance itself fills the room that its answers lack."""
+        return self._memory.n_held(instance) > EXCESS_SHARE * self._memory.limit
+
     def _cut(self, holding: Holding) -> None:
         eliot.log_message(
             message_type="caller:cut",
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -256,6 +256,7 @@
         "_raw_rest",
         "_stream",
         "address",
+        "content_length",
         "ends_by_close",
         "generation",
         "idle_since",
@@ -270,6 +271,8 @@
         self.idle_since = 0.0
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
+        self.content_length: int | None = None
+        """Length of the response body; None if it is not known before its end."""
         self._raw_rest = b""
         self._needs_body = False
         """Whether the response is a success without length whose body has not begun."""
@@ -336,12 +339,15 @@
         names = {name for name, _ in head.headers}
         has_body = not self._is_head and head.status_code not in BODILESS_STATUSES
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
+        self.content_length = None
         if self.ends_by_close:
             self._needs_body = head.status_code < HTTPStatus.MULTIPLE_CHOICES
             self._raw_rest = self._h11.trailing_data[0]
         elif has_body and b"transfer-encoding" in names:
             # The parser of the head supports no other one than chunked.
             self._body = ChunkedBody(self._h11.trailing_data[0])
+        elif has_body:
+            self.content_length = int(dict(head.headers)[b"content-length"])
 
     async def receive_raw(self) -> bytes:
         """Return body bytes as they arrive, empty at the end of the connection.
--- a/packages/corianderlb-router/src/corianderlb_router/event_splitter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/event_splitter.py
@@ -66,6 +66,10 @@
             raise EventTooLongError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         return events
 
+    def clear(self) -> None:
+        """Drop the incomplete event."""
+        self._partial.clear()
+
     @property
     def n_partial(self) -> int:
         """Bytes of the incomplete event that is buffered."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -14,6 +14,7 @@
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 from corianderlb_core.quarantine import PartRequest
 
+from .caller_memory import Arrival
 from .caller_run import RequestWatch
 from .connection import (
     BrokenError,
@@ -127,12 +128,12 @@
     watch: RequestWatch = field(default_factory=RequestWatch)
     """Watches the clock for the attempts."""
 
-    def make_relay(self) -> Relay:
+    def make_relay(self, arrival: Arrival) -> Relay:
         """Return the relay for the answer to one attempt."""
         if self.route.kind is not RepeatKind.STREAM:
-            return WholeRelay(self.sent)
+            return WholeRelay(self.sent, arrival)
         stall_s = STREAM_STALL_TIMEOUT_S if self.route.may_resume else math.inf
-        return EventRelay(self.sent, stall_s)
+        return EventRelay(self.sent, arrival, stall_s)
 
 
 class AttemptOwner(ABC):
@@ -196,7 +197,10 @@
         self._route = job.route
         self._target = job.target
         self._deadline = job.deadline
-        self.relay = job.make_relay()
+        self._arrival = job.parts.memory.open_arrival(
+            placement.instance.incarnation_key
+        )
+        self.relay = job.make_relay(self._arrival)
         self._scope = trio.CancelScope()
         self.given_up: UpstreamError | None = None
         """Why the attempt was ended for another one; None if it was not."""
@@ -274,7 +278,10 @@
     async def run(self, on_data: Callable[[], None]) -> None:
         """Relay the answer, or raise an ``UpstreamError``."""
         with self._scope:
-            await self._run(on_data)
+            try:
+                await self._run(on_data)
+            finally:
+                self._arrival.close()
             return
         assert self.given_up is not None
         raise self.given_up
@@ -590,12 +597,13 @@
             await self.relay.relay_answer(head, exchange, on_data)
             return
         if head.status < SERVER_ERROR and not self._job.caller.started:
-            relay = WholeRelay(self._job.sent)
+            relay = WholeRelay(self._job.sent, self._arrival)
             relay.claim = self._claim
             await relay.relay_answer(head, exchange, on_data)
             return
-        hold = self._job.caller.hold_answer
-        body = await read_whole(exchange, on_data, hold)
+        body = await read_whole(exchange, on_data, self._arrival)
+        if not self._job.caller.started:
+            self._job.caller.hold_answer(len(body))
         raise ServerFailureError(head, body, exchange.ends_by_close)
 
     def _claim(self) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -73,6 +73,8 @@
         self._connection: HttpConnection | None = scope.get(CONNECTION)
         self._memory: CallerMemory | None = None
         self._holding: Holding | None = None
+        self._n_answer = 0
+        """Bytes of the answer that are accounted for."""
 
     def account_for(self, memory: CallerMemory, owner: str, is_stream: bool) -> None:
         """Account from now on for what is held for this caller."""
@@ -83,6 +85,7 @@
             self._connection.on_progress = self._progressed
         if is_stream:
             self.hold_body(STREAM_BYTES)
+            self._n_answer = STREAM_BYTES
 
     def release(self) -> None:
         """Account for nothing any more."""
@@ -97,9 +100,13 @@
             raise refuse(ResultCode.MEMORY_FULL, NOT_HELD_DETAIL, HELD_RETRY_S)
 
     def hold_answer(self, n_bytes: int) -> None:
-        """Account for a part of an answer, or end the request."""
-        if not self._may_hold(n_bytes):
+        """Account for an answer, or what is held of it, in place of an earlier one.
+
+        End the request if it may not be held.
+        """
+        if not self._may_hold(n_bytes - self._n_answer):
             raise refuse(ResultCode.ANSWER_NOT_HELD, NOT_HELD_DETAIL)
+        self._n_answer = n_bytes
 
     def _may_hold(self, n_bytes: int) -> bool:
         if self._memory is None or self._holding is None:
@@ -121,6 +128,8 @@
         if holding is None:
             await super().write(data)
             return
+        if len(data) > self._n_answer:
+            self.hold_answer(len(data))
         holding.unread_since = trio.current_time()
         try:
             if self._connection is None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -181,10 +181,9 @@
         self._stop_admission.check(
             req, route, deadline, partial(self._begins_in_s, req, route, account)
         )
-        if self._parts.memory is not None:
-            owner = account.name if account else ""
-            is_stream = route.kind is RepeatKind.STREAM
-            caller.account_for(self._parts.memory, owner, is_stream)
+        owner = account.name if account else ""
+        is_stream = route.kind is RepeatKind.STREAM
+        caller.account_for(self._parts.memory, owner, is_stream)
         body = await caller.read_body(cfg.limits.max_body_bytes, deadline)
         request_log.read_at = trio.current_time()
         digest = body_digest(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -223,7 +223,7 @@
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
             copier=self._make_copier(),
-            memory=self._make_memory(),
+            memory=CallerMemory(HELD_SHARE * cfg.forward.memory_bytes),
         )
         self._watch_gauges()
 
@@ -428,12 +428,6 @@
         copier = self._ports.copier
         return PermittedCopier(copier, self._permits) if copier else None
 
-    def _make_memory(self) -> CallerMemory | None:
-        cfg = self._cfg.forward
-        if not cfg.bounded_memory:
-            return None
-        return CallerMemory(HELD_SHARE * cfg.memory_bytes)
-
     def _make_controller(self) -> WeightsController:
         cfg = self._cfg
         node = cfg.forward.node
@@ -485,8 +479,8 @@
         metrics.watch("known_streams", lambda: len(self._parts.origins))
         metrics.watch("known_parts", lambda: len(self._engines.index))
         memory = self._parts.memory
-        metrics.watch("held_bytes", lambda: memory.n_bytes if memory else 0)
-        metrics.watch("callers_cut", lambda: memory.n_cut if memory else 0)
+        metrics.watch("held_bytes", lambda: memory.n_bytes)
+        metrics.watch("callers_cut", lambda: memory.n_cut)
         at_engines = self._engines.memory
         metrics.watch(
             "engines_found_full", lambda: at_engines.n_full if at_engines else 0
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -25,7 +25,7 @@
 from corianderlb_core.service_choice import ServiceLoad
 from corianderlb_core.usage_cap import UsageTerms
 
-from .caller_memory import CallerMemory
+from .caller_memory import DEFAULT_MEMORY_BYTES, HELD_SHARE, CallerMemory
 from .engine_table import EngineTable
 from .fleet_quarantine import FleetQuarantine
 from .fleet_rooms import FleetRooms
@@ -63,10 +63,9 @@
     usage: UsageTerms = field(default_factory=UsageTerms)
     weights_limit_s: float = math.inf
     """Longest time for which replaced weights may still be used for answers."""
-    bounded_memory: bool = False
-    """Whether what is held for callers is bounded."""
-    memory_bytes: float = math.inf
-    """Memory that the process may use."""
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
+    """Memory that the process may use, a share of which bounds what is held for
+    callers."""
     bounded_engines: bool = False
     """Whether all routers together keep what they send an engine within its memory."""
     fair_room: bool = False
@@ -140,8 +139,10 @@
     """Time from the previous start of this router to this one; 0 if not known."""
     copier: MemoryCopier | None = None
     """Copies runs between engines; None if the engines do not support it."""
-    memory: CallerMemory | None = None
-    """Accounts for what is held for callers; None if it is not bounded."""
+    memory: CallerMemory = field(
+        default_factory=lambda: CallerMemory(HELD_SHARE * DEFAULT_MEMORY_BYTES)
+    )
+    """Accounts for what is held for callers, and of answers that arrive."""
     services: dict[IncarnationKey, ServiceLoad] = field(default_factory=dict)
     budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     waiting: WaitingRequests = field(default_factory=WaitingRequests)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -9,15 +9,34 @@
 
 import trio
 
-from .caller import CallerGoneError
+from corianderlb_core.error import CorianderError
+from corianderlb_core.result import ResultCode
+
+from .caller import CallerGoneError, refuse
+from .caller_memory import STREAM_BYTES, Arrival
 from .connection import BrokenError, SilentError, UpstreamError
 from .event_splitter import EventSplitter, EventTooLongError
-from .forward_caller import ForwardCaller
+from .forward_caller import NOT_HELD_DETAIL, ForwardCaller
 from .forward_request import UpstreamHead
 from .transport import Exchange
 
 MAX_ANSWER_BYTES: Final = 16 << 20
-"""Longest answer that is buffered until it is complete."""
+"""Longest answer that is not a stream."""
+
+BLOCK_BYTES: Final = 1 << 16
+"""Size of the blocks in which small chunks are kept, so that they cost no more memory
+than their bytes."""
+
+RELAY_SHARE: Final = 0.5
+"""Share of the room for an answer above which it is relayed as it arrives, if its
+length is known."""
+
+SMALL_READ_BYTES: Final = 1 << 14
+"""Size below which a part of an unusually long event is a small one."""
+
+SMALL_READ_PAUSE_S: Final = 0.02
+"""Pause after one, so that more arrives for the next read. Small parts without end
+would otherwise take most of the processor time."""
 
 RESERVE_INTERVAL_S: Final = 0.25
 """Interval at which a silent attempt tries again to reserve another one, and at which
@@ -57,9 +76,11 @@
 class Relay(ABC):
     """Relays the answer of one attempt to the caller."""
 
-    def __init__(self, sent: SentAnswer) -> None:
+    def __init__(self, sent: SentAnswer, arrival: Arrival) -> None:
         self.sent = sent
         self.caller = sent.caller
+        self.arrival = arrival
+        """What is held of the answer while it arrives."""
         self.n_events = 0
         """Events of this attempt that were sent to the caller."""
         self.resume_after: int | None = None
@@ -98,44 +119,112 @@
 
 
 class WholeRelay(Relay):
-    """Buffers an answer until it is complete, then sends it in one piece."""
+    """Sends an answer in one piece once it is complete, if that much may be held.
+
+    A longer one is relayed as it arrives if its length is known: without one, it can't
+    be told from an answer without end. No other attempt can follow then.
+    """
 
     async def relay_answer(
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
-        """Relay an answer once it is complete."""
-        body = await read_whole(exchange, on_data, self.caller.hold_answer)
+        """Relay an answer once it is complete, or as it arrives."""
+        n_bytes = exchange.content_length
+        if n_bytes is not None and n_bytes > RELAY_SHARE * self.arrival.n_room:
+            await self._relay_as_it_arrives(head, exchange, on_data, n_bytes)
+            return
+        body = await read_whole(exchange, on_data, self.arrival)
+        self.caller.hold_answer(len(body))
         self.claim()
         headers, ends_by_close = list(head.headers), exchange.ends_by_close
         await self.caller.answer(head.status, headers, body, ends_by_close)
 
+    async def _relay_as_it_arrives(
+        self,
+        head: UpstreamHead,
+        exchange: Exchange,
+        on_data: Callable[[], None],
+        n_bytes: int,
+    ) -> None:
+        check_length(n_bytes)
+        caller, receive_chunk = self.caller, exchange.receive_chunk
+        caller.hold_answer(min(n_bytes, BLOCK_BYTES))
+        self.claim()
+        headers = [*head.headers, (b"content-length", b"%d" % n_bytes)]
+        await caller.start(head.status, headers)
+        while chunk := await receive_chunk():
+            on_data()
+            await caller.write(chunk)
+        await caller.finish()
+
 
 async def read_whole(
-    exchange: Exchange, on_data: Callable[[], None], hold: Callable[[int], None]
+    exchange: Exchange, on_data: Callable[[], None], arrival: Arrival
 ) -> bytes:
-    """Read a body to its end; raise ``BrokenError`` if it is incomplete or too long.
+    """Read a body to its end, and release what is held of it.
 
-    ``hold`` accounts for each chunk and raises an error if it may not be held.
+    Raise ``BrokenError`` if it is incomplete or too long, and the errors of
+    ``not_held``.
+    """
+    receive_chunk = exchange.receive_chunk
+    blocks: list[bytearray] = []
+    n_bytes = exchange.content_length or 0
+    check_length(n_bytes)
+    with trio.CancelScope() as scope:
+        arrival.on_cut = scope.cancel
+        n_bytes = 0
+        try:
+            while chunk := await receive_chunk():
+                on_data()
+                n_bytes += len(chunk)
+                check_length(n_bytes)
+                if not arrival.hold(n_bytes):
+                    raise not_held(arrival)
+                if blocks and len(blocks[-1]) + len(chunk) <= BLOCK_BYTES:
+                    blocks[-1] += chunk
+                else:
+                    blocks.append(bytearray(chunk))
+            return b"".join(blocks)
+        finally:
+            # The error keeps this frame until the request has ended.
+            blocks.clear()
+            arrival.close()
+    raise too_much_error()
+
+
+def check_length(n_bytes: int) -> None:
+    """Raise ``WrongAnswerError`` for an answer that is too long."""
+    if n_bytes > MAX_ANSWER_BYTES:
+        message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
+        raise WrongAnswerError(message, sent=True)
+
+
+def not_held(arrival: Arrival) -> CorianderError:
+    """Return the error of an answer that may not be held.
+
+    It is a failure of the instance if that sends too much. Otherwise what is held for
+    others leaves no room, and the answer of another instance would find none either.
     """
-    chunks: list[bytes] = []
-    n_bytes = 0
-    while chunk := await exchange.receive_chunk():
-        on_data()
-        chunks.append(chunk)
-        n_bytes += len(chunk)
-        hold(len(chunk))
-        if n_bytes > MAX_ANSWER_BYTES:
-            message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
-            raise BrokenError(message, sent=True)
-    return b"".join(chunks)
+    if arrival.is_excess:
+        return too_much_error()
+    return refuse(ResultCode.ANSWER_NOT_HELD, NOT_HELD_DETAIL)
+
+
+def too_much_error() -> WrongAnswerError:
+    """Return the error of an answer whose instance sends more than may be held."""
+    return WrongAnswerError("the instance sends more than may be held", sent=True)
 
 
 class EventRelay(Relay):
     """Sends the events after those that the caller has received, as they arrive."""
 
-    def __init__(self, sent: SentAnswer, stall_s: float) -> None:
-        super().__init__(sent)
+    def __init__(self, sent: SentAnswer, arrival: Arrival, stall_s: float) -> None:
+        super().__init__(sent, arrival)
+        arrival.on_cut = self._cut
         self._stall_s = stall_s
+        self._splitter = EventSplitter()
+        self._is_cut = False
+        """Whether what has arrived may not be held any more."""
         self._is_interrupted = False
         self._is_checked = False
         """Whether the source of the answer was checked."""
@@ -150,11 +239,27 @@
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
         """Relay the events after those that the caller has received."""
-        splitter = EventSplitter()
+        try:
+            await self._relay_events(head, exchange, on_data)
+        finally:
+            # The relay is kept until its request has ended.
+            self._splitter.clear()
+        self.claim()
+        if not self.caller.started:
+            headers, ends_by_close = list(head.headers), exchange.ends_by_close
+            await self.caller.start(head.status, headers, False, ends_by_close)
+        await self.caller.finish()
+
+    async def _relay_events(
+        self,
+        head: UpstreamHead,
+        exchange: Exchange,
+        on_data: Callable[[], None],
+    ) -> None:
         limit_s = self._stall_s
-        while not await self._relay_until_pause(
-            head, exchange, on_data, splitter, limit_s
-        ):
+        while not await self._relay_until_pause(head, exchange, on_data, limit_s):
+            if self._is_cut:
+                raise too_much_error()
             if self._late_chunk:
                 continue
             if not self._is_waiting:
@@ -164,15 +269,10 @@
             if self.reserve_retry():
                 raise SilentError(f"no event for {self._stall_s} s", sent=True)
             limit_s = RESERVE_INTERVAL_S
-        if splitter.has_partial_event:
+        if self._splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
         if exchange.ends_by_close and self._must_end:
             raise BrokenError("the rest of the stream has no length", sent=True)
-        self.claim()
-        if not self.caller.started:
-            headers, ends_by_close = list(head.headers), exchange.ends_by_close
-            await self.caller.start(head.status, headers, False, ends_by_close)
-        await self.caller.finish()
 
     @property
     def _must_end(self) -> bool:
@@ -184,7 +284,6 @@
         head: UpstreamHead,
         exchange: Exchange,
         on_data: Callable[[], None],
-        splitter: EventSplitter,
         limit_s: float,
     ) -> bool:
         """Relay events until the end; return False if a wait or a write was ended.
@@ -193,6 +292,7 @@
         writes, since entering one for each event costs more.
         """
         receive_chunk, caller = exchange.receive_chunk, self.caller
+        splitter, n_read = self._splitter, 0
         with trio.CancelScope() as scope:
             self._scope = scope
             while True:
@@ -202,6 +302,8 @@
                     self._is_waiting = True
                     if self._is_interrupted:
                         scope.cancel()
+                    if n_read < SMALL_READ_BYTES and splitter.n_partial > STREAM_BYTES:
+                        await trio.sleep(SMALL_READ_PAUSE_S)
                     chunk = await receive_chunk()
                     self._is_waiting = False
                     if not chunk:
@@ -210,10 +312,11 @@
                         # Cancelling its write would lose what is counted as sent.
                         self._late_chunk = chunk
                         break
-                limit_s = self._stall_s
+                limit_s, n_read = self._stall_s, len(chunk)
                 on_data()
                 after = self._position
                 ready = self._new_events(splitter, chunk)
+                self._hold_partial(splitter.n_partial)
                 if ready:
                     if not self._is_checked:
                         self.check_source()
@@ -227,7 +330,7 @@
                     self.n_events += len(ready)
                     _set_deadline(scope, caller.stall_s)
                     await self._write(head, exchange, b"".join(ready))
-                    if scope.cancel_called:
+                    if scope.cancel_called or self._is_cut:
                         break
         return False
 
@@ -237,6 +340,18 @@
         if self._is_waiting:
             self._scope.cancel()
 
+    def _hold_partial(self, n_bytes: int) -> None:
+        """Account for an unfinished event, unless the stream's own part covers it."""
+        n_held = n_bytes if n_bytes > STREAM_BYTES else 0
+        if n_held != self.arrival.n_bytes and not self.arrival.hold(n_held):
+            raise too_much_error() if self._is_cut else not_held(self.arrival)
+
+    def _cut(self) -> None:
+        self._is_cut = True
+        self._splitter.clear()
+        if self._is_waiting:
+            self._scope.cancel()
+
     @property
     def _position(self) -> int | None:
         """Number of the event that the next one of the instance must follow."""
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -131,6 +131,11 @@
         """Whether the body is delimited by connection close."""
         return self._conn.ends_by_close
 
+    @property
+    def content_length(self) -> int | None:
+        """Length of the body; None if it is not known before its end."""
+        return self._conn.content_length
+
     @property
     def receive_chunk(self) -> Callable[[], Awaitable[bytes]]:
         """The connection's read method; it has no timeout, so callers detect stalls."""
--- a/packages/corianderlb-router/tests/forward_builders.py
+++ b/packages/corianderlb-router/tests/forward_builders.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +32,7 @@
 from corianderlb_core.instance_signals import InstanceSignals
 from corianderlb_core.message import SharedObject
 from corianderlb_core.usage_cap import UsageTerms
+from corianderlb_router.caller_memory import CallerMemory
 from corianderlb_router.connection import Connector
 from corianderlb_router.engine_table import EngineTable
 from corianderlb_router.exchange_registry import ExchangeRegistry
@@ -311,6 +312,39 @@
     return answer
 
 
+class Endless:
+    """An answer that goes on until the router closes the connection."""
+
+    def __init__(
+        self,
+        start: bytes,
+        more: Iterator[bytes],
+        pause_s: float = 0.0,
+        n_most: int = 40 << 20,
+    ) -> None:
+        self.n_taken = 0
+        self.was_closed = False
+        self._start = start
+        self._more = more
+        self._pause_s = pause_s
+        self._n_most = n_most
+        """Most bytes that are handed out."""
+
+    async def __call__(self, stream: trio.abc.Stream) -> None:
+        """Answer one request."""
+        await stream.send_all(self._start)
+        for data in self._more:
+            if self.n_taken > self._n_most:
+                return
+            try:
+                await stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.was_closed = True
+                return
+            self.n_taken += len(data)
+            await trio.sleep(self._pause_s)
+
+
 @dataclass
 class Upstream:
     """Upstream that answers each request with the next scripted answer.
@@ -530,6 +564,14 @@
         await self.dispatcher.handle(exchange, scope)
 
 
+def bound(router: ForwardRouter, limit: float) -> CallerMemory:
+    """Bound what a router may hold, and return its account."""
+    memory = CallerMemory(limit)
+    router.parts = dataclasses.replace(router.parts, memory=memory)
+    router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+    return memory
+
+
 def a_router_in(
     network: UpstreamNetwork,
     budget: BudgetTerms | None = None,
--- a/packages/corianderlb-router/tests/test_caller_memory.py
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 
 import trio
@@ -10,33 +9,29 @@
 from corianderlb_core.held_memory import SLOW_AFTER_S
 from corianderlb_core.result import ResultCode
 from corianderlb_router.caller import CallerStalledError
-from corianderlb_router.caller_memory import STREAM_BYTES, CallerMemory
+from corianderlb_router.caller_memory import (
+    DEFAULT_MEMORY_BYTES,
+    HELD_SHARE,
+    STREAM_BYTES,
+    CallerMemory,
+)
 from corianderlb_router.connection_guard import ConnectionGuard
 from corianderlb_router.forward_caller import ForwardCaller
-from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
 from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from forward_builders import (
-    ForwardRouter,
     Upstream,
     a_router,
     a_stream,
     an_answer,
+    bound,
 )
 
 ANSWER_BYTES = 8 << 20
 """More than the buffers of a connection hold."""
 
 
-def bound(router: ForwardRouter, limit: float) -> CallerMemory:
-    """Bound what a router may hold, and return its account."""
-    memory = CallerMemory(limit)
-    router.parts = dataclasses.replace(router.parts, memory=memory)
-    router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
-    return memory
-
-
 def code_of(answer: bytes) -> int:
     """Return the result code in the body of a refusal."""
     return int(answer.partition(b'"code": ')[2].partition(b",")[0])
@@ -98,11 +93,15 @@
             self.assertEqual(served.status, 200)
             self.assertEqual(memory.n_bytes, 0)
 
-    async def test_off_unless_set(self) -> None:
+    async def test_bounded_unless_set(self) -> None:
+        """Guards against a deployment on which a router holds without a bound."""
         async with a_router(a1=Upstream([an_answer()])) as router:
-            self.assertIsNone(router.parts.memory)
+            limit = HELD_SHARE * DEFAULT_MEMORY_BYTES
+            self.assertEqual(router.parts.memory.n_limit, limit)
             served = await router.ask("/book/x", b"b" * 60_000)
             self.assertEqual(served.status, 200)
+            refused = await router.ask("/book/x", bytes(round(limit / 2) + 1))
+            self.assertEqual(code_of(refused.answer), ResultCode.MEMORY_FULL)
 
 
 class SlowCallerTest(RealTimeTestCase):
--- a/packages/corianderlb-router/tests/test_endless_answer.py
+++ b/packages/corianderlb-router/tests/test_endless_answer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from itertools import repeat
 
 import trio
@@ -10,6 +9,7 @@
 from corianderlb_standins.trio_case import TrioTestCase
 from forward_builders import (
     Answer,
+    Endless,
     ForwardRouter,
     Upstream,
     a_router,
@@ -21,8 +21,6 @@
 PROMPT = "a:100,own:50"
 UNSIZED_HEAD = b"HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\n"
 MANY = b"x" * 16384
-MAX_TAKEN = 40 << 20
-"""Most bytes of an endless answer that a test hands out."""
 
 
 def an_unsized_answer(body: bytes) -> Answer:
@@ -47,31 +45,6 @@
     return answer
 
 
-class Endless:
-    """An answer that goes on until the router closes the connection."""
-
-    def __init__(self, start: bytes, more: Iterator[bytes], pause_s: float = 0.0):
-        self.n_taken = 0
-        self.was_closed = False
-        self._start = start
-        self._more = more
-        self._pause_s = pause_s
-
-    async def __call__(self, stream: trio.abc.Stream) -> None:
-        """Answer one request."""
-        await stream.send_all(self._start)
-        for data in self._more:
-            if self.n_taken > MAX_TAKEN:
-                return
-            try:
-                await stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                self.was_closed = True
-                return
-            self.n_taken += len(data)
-            await trio.sleep(self._pause_s)
-
-
 class UnsizedTest(TrioTestCase):
     async def test_answer_that_ends_with_its_connection_is_whole(self) -> None:
         async with a_router(s1=Upstream([an_unsized_answer(b"done")])) as router:
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -18,6 +18,7 @@
 from corianderlb_router import _main
 from corianderlb_router._journal_shard import ShardCounts
 from corianderlb_router._peer_connection import PeerCounters
+from corianderlb_router.caller_memory import CallerMemory
 from corianderlb_router.catalogue_follower import FollowerCounters
 from corianderlb_router.catalogue_reader import ReaderCounters
 from corianderlb_router.forward_metric import ForwardMetrics
@@ -102,7 +103,6 @@
 forward.usage.overshoot
 forward.usage.slack
 forward.weights_limit_s
-forward.bounded_memory
 forward.memory_bytes
 forward.bounded_engines
 forward.fair_room
@@ -514,7 +514,10 @@
     metrics.events_repeated(1)
     metrics.prompt_read_again(1)
     node = mock.MagicMock()
-    node._parts = SimpleNamespace(metrics=metrics, n_routers=1, origins=(), memory=None)
+    memory = CallerMemory(1e6)
+    node._parts = SimpleNamespace(
+        metrics=metrics, n_routers=1, origins=(), memory=memory
+    )
     node._ports.state.configuration = None
     node._log.n_dropped_lines = 0
     node._guard.n_failed = Counter()
