Streams: an empty rest has to be confirmed by a second instance

Callers saw a stream end as complete before its last event: an engine broke off after event 3, and the next one, asked to go on after 3, answered 200 with the end alone. That is right only if the first one broke off between its last event and its end, which nobody can tell from one answer.

An empty rest of an answer that another instance began is now believed once a second attempt says the same. It counts as no run and blames nobody, so that a route with two attempts may ask again; if none may follow, the answer is cut visibly and the caller can resume. What a caller itself asks for after its last event is passed on as before.

Before: test_rest_is_empty_though_events_lack

AssertionError: ([('a', 1, 3)], True) != ([('a', 1, 3), ('c', 4, 6)], True)

The events of the random races now name their run and where it was asked to go on, and half of the resumed streams of a second series begin anew, count anew or skip an event. The series leaves empty rests to the test above.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -51,6 +51,10 @@
     """Raised when a relay was interrupted between two events."""
 
 
+class UnconfirmedEndError(UpstreamError):
+    """Raised when the first instance says that the rest of a begun answer is empty."""
+
+
 class SentAnswer:
     """What the caller has received of its answer, over all attempts."""
 
@@ -60,6 +64,8 @@
         """Number of the last event sent to the caller, from which to resume."""
         self.n_events = 0
         """Events sent to the caller."""
+        self.has_empty_rest = False
+        """Whether an instance that was asked for the rest has sent its end only."""
         self.longest_pause_s = 0.0
         """Longest pause between two writes to the caller."""
         self._last_write_at: float | None = None
@@ -273,6 +279,17 @@
             raise BrokenError("the stream ended inside an event", sent=True)
         if exchange.ends_by_close and self._must_end:
             raise BrokenError("the rest of the stream has no length", sent=True)
+        self._check_rest()
+
+    def _check_rest(self) -> None:
+        """Raise if only this answer tells that a stream cut elsewhere was complete.
+
+        The instance that was cut may have been about to send more.
+        """
+        is_empty = self.caller.started and not self.n_events
+        if is_empty and not self.sent.has_empty_rest:
+            self.sent.has_empty_rest = True
+            raise UnconfirmedEndError("the rest of the stream is empty", sent=True)
 
     @property
     def _must_end(self) -> bool:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -37,7 +37,11 @@
 )
 from .forward_caller import CutReason, StreamCutError
 from .forward_parts import POLL_S
-from .forward_relay import RESERVE_INTERVAL_S, WrongAnswerError
+from .forward_relay import (
+    RESERVE_INTERVAL_S,
+    UnconfirmedEndError,
+    WrongAnswerError,
+)
 from .forward_target import (
     NO_INSTANCE_RETRY_S,
     VERSION_GONE,
@@ -78,6 +82,14 @@
 SILENT: Final = "silent"
 """Outcome of an attempt whose instance sent nothing for too long."""
 
+UNBLAMED: Final = (
+    NotRunError,
+    WithdrawnError,
+    SupersededError,
+    UnconfirmedEndError,
+)
+"""Ends of attempts that are no failure of their instance."""
+
 LIVENESS_CHECK_TIMEOUT_S: Final = 0.3
 """Timeout of the connection that checks whether an instance still listens."""
 
@@ -575,7 +587,7 @@
         if isinstance(exc, ConnectFailedError):
             self._n_unreached += 1
             return False
-        if isinstance(exc, WithdrawnError):
+        if isinstance(exc, WithdrawnError | UnconfirmedEndError):
             # An engine begins a request with its first token, so this was no run.
             return False
         self._n_runs += 1
@@ -825,7 +837,7 @@
         incarnation_key = placement.instance.incarnation_key
         outcome = type(exc).__name__.removesuffix("Error").lower()
         is_own_path = not attempt.via and self._parts.paths.is_cut(placement.instance)
-        if isinstance(exc, NotRunError | WithdrawnError | SupersededError):
+        if isinstance(exc, UNBLAMED):
             pass
         elif is_own_path and not isinstance(exc, ConnectFailedError):
             # A connection that this router has lost says nothing about the instance.
--- a/packages/corianderlb-router/tests/race_engines.py
+++ b/packages/corianderlb-router/tests/race_engines.py
@@ -13,9 +13,9 @@
     STREAM_HEAD,
     Upstream,
     an_answer,
-    an_event,
     chunk,
 )
+from run_answers import a_run_event
 
 N_EVENTS = 12
 
@@ -36,6 +36,9 @@
     """Engine that runs the rest of each stream, with random pauses and faults."""
 
     script: list = field(default_factory=list)
+    name: str = "e"
+    odd_share: float = 0.0
+    """Share of the resumed streams that begin anew, count anew or skip an event."""
     rng: random.Random = field(default_factory=random.Random)
     runs: list[RunInterval] = field(default_factory=list)
 
@@ -45,6 +48,7 @@
     async def answer(self, stream: trio.abc.Stream) -> None:
         """Answer the request that was read last."""
         after = int(self.requests[-1].get("x-after") or 0)
+        name = f"{self.name}x{len(self.requests)}"
         fate = self.rng.random()
         if fate < 0.2:
             await stream.send_all(NOT_RUN if fate < 0.15 else an_answer(b"", 500))
@@ -55,7 +59,7 @@
             try:
                 await self._pause(0.4)
                 await stream.send_all(STREAM_HEAD)
-                for number in range(after + 1, N_EVENTS + 1):
+                for number in self._numbers(after):
                     await self._pause(0.1)
                     if self.rng.random() < 0.03:
                         await stream.aclose()
@@ -64,7 +68,7 @@
                         run = RunInterval(trio.current_time())
                         self.runs.append(run)
                     # Some chunks hold two events, or half of one.
-                    data = an_event(number)
+                    data = a_run_event(number, name, after)
                     await stream.send_all(chunk(data[:5]))
                     if self.rng.random() < 0.2:
                         await trio.sleep(STEP_S)
@@ -79,6 +83,15 @@
                     run.ended_at = trio.current_time()
                 nursery.cancel_scope.cancel()
 
+    def _numbers(self, after: int) -> range:
+        """Return the numbers of the events of a stream."""
+        rest = range(after + 1, N_EVENTS + 1)
+        if not after or self.rng.random() >= self.odd_share:
+            return rest
+        anew = range(1, N_EVENTS + 1)
+        # Two that send an empty rest confirm each other.
+        return self.rng.choice((anew, anew[: len(rest)], rest[1:] or anew))
+
     async def _pause(self, chance: float) -> None:
         steps = self.rng.choice((0, 1, 2))
         if self.rng.random() < chance:
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -35,6 +35,7 @@
     never_answer,
 )
 from race_engines import N_EVENTS, RandomEngine
+from run_answers import order_faults
 from test_forward_run import keep_engine_responsive
 from test_run_mover import Copier
 
@@ -413,9 +414,18 @@
             with self.subTest(seed=seed):
                 await self.play(random.Random(seed))
 
-    async def play(self, rng: random.Random) -> None:
+    async def test_random_engines_that_go_on_elsewhere(self) -> None:
+        """Guards against a run joined where it was not asked to go on."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                await self.play(random.Random(seed), odd_share=0.5)
+
+    async def play(self, rng: random.Random, odd_share: float = 0.0) -> None:
         """Request some streams of three engines, and check each answer."""
-        engines = {f"e{n}": RandomEngine(rng=rng) for n in (1, 2, 3)}
+        engines = {
+            name: RandomEngine(name=name, odd_share=odd_share, rng=rng)
+            for name in ("e1", "e2", "e3")
+        }
         async with a_router(BudgetTerms(fixed=500.0), **engines) as router:
             routes = (dataclasses.replace(ROUTES[2], max_attempts=3, timeout_s=12.0),)
             router.configure(a_configuration(routes=routes, revision=11))
@@ -435,8 +445,7 @@
         """Assert that an answer is in order, and that no two runs went on at a time."""
         if caller.status == 200:
             n_events = caller.answer.count(b"id: ")
-            events = b"".join(an_event(n) for n in range(1, n_events + 1))
-            self.assertEqual(caller.answer, events)
+            self.assertEqual(order_faults(caller.answer), [])
             self.assertEqual(n_events if caller.finished else N_EVENTS, N_EVENTS)
         runs = [run for engine in engines.values() for run in engine.runs]
         runs.sort(key=lambda run: run.began_at)
--- a/packages/corianderlb-router/tests/test_joined_runs.py
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -11,6 +11,7 @@
 from data_path_fakes import FakeCaller
 from forward_builders import (
     ROUTES,
+    STREAM_END,
     STREAM_HEAD,
     Answer,
     Upstream,
@@ -34,6 +35,8 @@
 
 BREAKS_AFTER_3 = breaks_off(a_run("a", 1, 2, 3, ends=False))
 
+EMPTY = STREAM_HEAD + STREAM_END
+
 
 class JoinedRunsTest(TrioTestCase):
     async def ask(self, *script: bytes | Answer, **headers: str) -> FakeCaller:
@@ -86,3 +89,19 @@
 
         caller = await self.ask(goes_back, a_run("c", 4, 5, 6))
         self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+
+    async def test_rest_is_empty_though_events_lack(self) -> None:
+        """Guards against a stream that ends as complete before its last event."""
+        caller = await self.ask(BREAKS_AFTER_3, EMPTY, a_run("c", 4, 5, 6))
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+        self.assertEqual(self.n_blamed, 1)
+
+    async def test_stream_breaks_off_before_its_end_alone(self) -> None:
+        """Guards against a cut answer of which nothing lacks but its end."""
+        caller = await self.ask(BREAKS_AFTER_3, EMPTY)
+        self.assert_whole(caller, ("a", 1, 3))
+
+    async def test_caller_resumes_after_the_last_event(self) -> None:
+        """Guards against a refusal of what the instance itself says is the end."""
+        caller = await self.ask(EMPTY, x_after="3")
+        self.assertEqual((caller.status, caller.finished), (200, True))
