Chunked bodies: read trailers line by line

Cause: all trailers were matched again for each received part, and the pattern goes back over each line once more.

Fix: a line is taken once its end has arrived, and a line without an end is looked for with a search of bytes. 64 KiB stays the bound of all trailers together.

--- a/packages/corianderlb-router/src/corianderlb_router/_chunked_body.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_chunked_body.py
@@ -14,7 +14,8 @@
 
 _FIRST: Final = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
 _NEXT: Final = re.compile(rb"\r\n([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
-_TRAILERS: Final = re.compile(rb"(?:[^\r\n]+\r?\n)*\r?\n")
+_BLANK: Final = (b"\r\n", b"\n")
+_TRAILER: Final = re.compile(rb"[^\r\n]*\r?\n")
 
 
 class ChunkError(ValueError):
@@ -38,7 +39,9 @@
         self._n_left = 0
         """Bytes of the current chunk that have not been taken."""
         self._line = _FIRST
-        """Pattern of the line that precedes the next chunk."""
+        """Pattern of the line that comes next outside a chunk."""
+        self._n_trailers = 0
+        """Bytes of the trailers that were taken."""
         self.is_complete = False
         """Whether the whole body was taken."""
 
@@ -63,15 +66,18 @@
                 parts.append(part)
                 place += len(part)
                 self._n_left -= len(part)
-            found = None if self._n_left else self._line.match(buffer, place)
+            if self._n_left or buffer.find(b"\n", place) < 0:
+                break
+            found = self._line.match(buffer, place)
             if found is None:
                 break
             place = found.end()
-            if self._line is _TRAILERS:
-                self.is_complete = True
-                break
+            if self._line is _TRAILER:
+                self.is_complete = found[0] in _BLANK
+                self._n_trailers += len(found[0])
+                continue
             self._n_left = int(found[1], 16)
-            self._line = _NEXT if self._n_left else _TRAILERS
+            self._line = _NEXT if self._n_left else _TRAILER
         self._buffer = buffer[place:]
         if not self._n_left and not self.is_complete:
             self._check_line()
@@ -79,8 +85,8 @@
 
     def _check_line(self) -> None:
         """Raise ``ChunkError`` if more bytes can't complete the line in the buffer."""
-        if len(self._buffer) > MAX_LINE_BYTES:
+        if self._n_trailers + len(self._buffer) > MAX_LINE_BYTES:
             raise ChunkError("too many bytes between two chunks")
         n_end = 2 if self._line is _NEXT else 0
-        if self._line is not _TRAILERS and b"\n" in self._buffer[n_end:]:
-            raise ChunkError("the line before a chunk has no size")
+        if b"\n" in self._buffer[n_end:]:
+            raise ChunkError("the line before a chunk has no size, or a trailer no end")
--- a/packages/corianderlb-router/tests/test_chunked_body.py
+++ b/packages/corianderlb-router/tests/test_chunked_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 import h11
@@ -35,6 +36,15 @@
     return content
 
 
+def seconds_to_take(start: bytes, n_bytes: int) -> float:
+    """Return the processor time for a line that arrives byte by byte after a start."""
+    body, began_at = ChunkedBody(start), time.process_time()
+    for _ in range(n_bytes):
+        body.take()
+        body.add(b"1")
+    return time.process_time() - began_at
+
+
 class ChunkedBodyTest(unittest.TestCase):
     def test_body_is_that_of_the_parser_wherever_it_is_split(self) -> None:
         parser = h11.Connection(h11.CLIENT)
@@ -60,6 +70,25 @@
             with self.assertRaises(ChunkError, msg=text):
                 body.take()
 
+    def test_lines_that_arrive_byte_by_byte(self) -> None:
+        """Guards against lines and trailers that block the router."""
+        for start in (b"5;", b"0\r\n"):
+            small = min(seconds_to_take(start, 1 << 11) for _ in range(5))
+            large = min(seconds_to_take(start, 1 << 13) for _ in range(3))
+            self.assertLess(large, 4 * 2 * small)
+
+    def test_trailer_is_malformed(self) -> None:
+        body = ChunkedBody(b"0\r\nx: a\rb\n\r\n")
+        with self.assertRaises(ChunkError):
+            body.take()
+
+    def test_many_trailers_are_refused(self) -> None:
+        body = ChunkedBody(b"0\r\n")
+        with self.assertRaises(ChunkError):
+            for _ in range(20_000):
+                body.add(b"x: a\r\n")
+                body.take()
+
     def test_endless_line_is_refused(self) -> None:
         """Guards against memory that an upstream can fill."""
         body = ChunkedBody(b"5\r\nhello\r\n0\r\nx: " + b"a" * 70_000)
