Answers: bound the informational heads before one

What callers saw: an instance that sends 1xx heads without end kept its router busy until the deadline of each call: a read of 64 KiB brings 3,640 of them, which take 0.06 s in one piece while nobody else is served.

Cause: `receive_head` skipped any number.

Fix: over 100 of them the answer is broken, so the call goes on elsewhere.

Before, the test fails: test_informational_heads_without_end: AssertionError: False is not true (after 40 s of reading).

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -45,6 +45,10 @@
 MAX_HEAD_BYTES: Final = 65536
 """Longest head of a response."""
 
+MAX_INFORMATIONAL: Final = 100
+"""Most informational heads before that of a response. A read brings thousands of them,
+which take longer than other callers should wait."""
+
 
 class UpstreamError(CorianderError):
     """Base class of errors between the router and an upstream."""
@@ -327,13 +331,15 @@
 
     async def receive_head(self) -> h11.Response:
         """Return the head of the response, skipping informational ones."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._record_framing(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(f"{self.address}: closed before response", sent=True)
+        message = f"{self.address}: more than {MAX_INFORMATIONAL} informational heads"
+        raise BrokenError(message, sent=True)
 
     def _record_framing(self, head: h11.Response) -> None:
         names = {name for name, _ in head.headers}
--- a/packages/corianderlb-router/tests/test_endless_answer.py
+++ b/packages/corianderlb-router/tests/test_endless_answer.py
@@ -96,6 +96,11 @@
     async def test_no_status_line(self) -> None:
         await self.check(Endless(b"", repeat(MANY)), 4 << 20)
 
+    async def test_informational_heads_without_end(self) -> None:
+        """Guards against heads that are skipped for as long as an instance likes."""
+        heads = repeat(b"HTTP/1.1 102 Processing\r\n\r\n" * 100)
+        await self.check(Endless(b"", heads), 1 << 20)
+
     async def test_body_without_end(self) -> None:
         """Guards against an answer without a length that fills the memory."""
         await self.check(Endless(UNSIZED_HEAD, repeat(MANY)), 24 << 20)
