--- a/packages/corianderlb-router/tests/test_load_sharing.py
+++ b/packages/corianderlb-router/tests/test_load_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 
@@ -24,6 +25,16 @@
 
 CFG = PlacementSettings()
 
+ODD_NUMBERS = (
+    {"queued_prefill_s": math.inf},
+    {"queued_prefill_s": math.nan},
+    {"queued_prefill_s": 1e308},
+    {"n_running": -5},
+    {"n_queued": 10**400},
+    {"epoch": 10**400},
+    {"epoch": -3},
+)
+
 
 class FakePeers(PeerNetwork):
     """In-memory peer network that queues broadcasts for all other routers."""
@@ -230,6 +241,20 @@
         self.assertEqual(fleet.routers[0].report("e000").n_running, 1)
         self.assertEqual(fleet.routers[0].usable(), ["e000", "e001"])
 
+    async def test_report_of_impossible_numbers(self):
+        """Guards against a report that ends the router which tells its peers of it."""
+        for odd in ODD_NUMBERS:
+            fleet = Fleet(2, 2)
+            for name in fleet.names:
+                fleet.client.reports[name] = LoadReport(2, n_running=1)
+            fleet.client.reports["e000"] = LoadReport(**{"epoch": 2, **odd})
+            with self.subTest(odd):
+                await fleet.read()
+                await fleet.gossip()
+                for router in fleet.routers:
+                    self.assertEqual(router.usable(), ["e000", "e001"])
+                    self.assertEqual(router.report("e001").n_running, 1)
+
     async def test_traffic_stays_within_the_byte_budget(self):
         """Gossip and reads stay within their budgets with 465 instances per region."""
         fleet = Fleet(7, 465)
