Instances: an epoch of many digits is none

What was seen: an epoch header of more than 4,300 digits raises ValueError in the task that probes retired instances, which ends the router.

Cause: `epoch_of` took any decimal text.

Fix: it takes 18 digits at most, which fit in 64 bits.

Evidence, on the code before: test_bounded_answer test_epoch_of_many_digits: ValueError: Exceeds the limit (4300 digits) for integer string conversion; passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
+++ b/packages/corianderlb-router/src/corianderlb_router/upstream_client.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 from collections.abc import Sequence
 from typing import Final
 
@@ -29,6 +30,9 @@
 """Path on which an upstream cancels an attempt."""
 
 
+_EPOCH: Final = re.compile("[0-9]{1,18}")
+
+
 class RefusedError(UpstreamError):
     """Raised when an upstream refuses a request before running it."""
 
@@ -182,7 +186,7 @@
 def epoch_of(response: httpx.Response) -> int:
     """Return the epoch in an answer's headers, or 0."""
     text = response.headers.get(header.INCARNATION, "")
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _EPOCH.fullmatch(text) else 0
 
 
 def plain_headers(
--- a/packages/corianderlb-router/tests/test_bounded_answer.py
+++ b/packages/corianderlb-router/tests/test_bounded_answer.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import httpx
 import trio
 
+from corianderlb_core.header import INCARNATION
 from corianderlb_router.connection import TcpConnector, UpstreamError
-from corianderlb_router.upstream_client import ExchangeTimeouts, UpstreamClient
+from corianderlb_router.upstream_client import (
+    ExchangeTimeouts,
+    UpstreamClient,
+    epoch_of,
+)
 from corianderlb_standins.connection_texts import encoded_answer, endless_answers
 from corianderlb_standins.loopback import EndlessHost, RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
@@ -47,3 +53,9 @@
         """Guards against a short answer that becomes a long one in the decoder."""
         await self.assert_fails(RawHost(encoded_answer(bytes(64 << 20))))
         await self.assert_fails(RawHost(encoded_answer(b"value")[:-5] + b"wrong"))
+
+    async def test_epoch_of_many_digits(self) -> None:
+        """Guards against a header that ends the task which probes instances."""
+        for epoch in ("9" * 5000, "\u0663", "-1", ""):
+            response = httpx.Response(200, headers=[(INCARNATION, epoch.encode())])
+            self.assertEqual(epoch_of(response), 0)
