Bounded answers: close the iterator of an answer that is given up

Left to the garbage collector, it was a ResourceWarning of trio for each answer that was refused in the middle. Seen in test_bounded_answer, which passes with ResourceWarning as an error now.

--- a/packages/corianderlb-router/src/corianderlb_router/bounded_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/bounded_transport.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from contextlib import aclosing
 from typing import Final
 
 import httpx
@@ -87,13 +88,15 @@
         content = bytearray()
         n_parts = 0
         try:
-            async for part in response.stream:
-                self.n_held_bytes += len(part)
-                content += part
-                self._check(request, len(content))
-                n_parts += 1
-                if n_parts % N_PARTS_A_STEP == 0:
-                    await trio.lowlevel.checkpoint()
+            # A generator that is left to the garbage collector is a warning of trio.
+            async with aclosing(aiter(response.stream)) as parts:
+                async for part in parts:
+                    self.n_held_bytes += len(part)
+                    content += part
+                    self._check(request, len(content))
+                    n_parts += 1
+                    if n_parts % N_PARTS_A_STEP == 0:
+                        await trio.lowlevel.checkpoint()
         finally:
             self.n_held_bytes -= len(content)
         return bytes(content)
