Membership: bound the routers that peers name

What was seen (read, and by a test): each name that a peer announces is kept, 600 s long where it doesn't answer, without a bound on their number.

Evidence, on the code before: test_membership test_names_without_end: AssertionError: 8193 != 4097; passing after, with test_peer_network.

--- a/packages/corianderlb-core/src/corianderlb_core/membership.py
+++ b/packages/corianderlb-core/src/corianderlb_core/membership.py
@@ -25,6 +25,9 @@
 FORGET_AFTER_S: Final = 600.0
 """Time for which a suspected router that is not in the platform's list is retried."""
 
+MAX_ROUTERS: Final = 4096
+"""Most other routers that are known; more that a peer names are ignored."""
+
 
 def sampled_share(n_heard: int, n_links: int, n_others: int) -> float:
     """Return the fraction of the other routers that are heard, from that of the links.
@@ -300,6 +303,8 @@
         if state.instance == self._own.instance:
             return self._merge_own_state(state)
         known = self._known.get(state.instance)
+        if known is None and len(self._known) >= MAX_ROUTERS:
+            return MergeResult.IGNORED
         if known is None or not known.is_known_from_peers:
             self._known[state.instance] = _KnownRouter(state)
             self._set_changed()
--- a/packages/corianderlb-core/tests/test_membership.py
+++ b/packages/corianderlb-core/tests/test_membership.py
@@ -14,7 +14,12 @@
     Presence,
     Role,
 )
-from corianderlb_core.membership import Membership, MergeResult, _KnownRouter
+from corianderlb_core.membership import (
+    MAX_ROUTERS,
+    Membership,
+    MergeResult,
+    _KnownRouter,
+)
 from corianderlb_core.message import MemberState, Suspicion
 from corianderlb_core.overlay import choose_links
 
@@ -45,6 +50,15 @@
         found = {state.instance: state for state in self.membership.members()}
         return found[InstanceId(name)].presence
 
+    def test_names_without_end(self) -> None:
+        """Guards against a peer whose announcements fill the memory."""
+        for number in range(2 * MAX_ROUTERS):
+            self.membership.merge(a_member(f"n{number}"), 0.0)
+        self.assertEqual(self.membership.n_members, MAX_ROUTERS + 1)
+        newer = a_member("n0", heartbeat=2, presence=Presence.LEAVING)
+        self.assertIs(self.membership.merge(newer, 0.0), MergeResult.CHANGED)
+        self.assertIs(self.presence("n0"), Presence.LEAVING)
+
     def test_older_incarnation_never_replaces_newer(self) -> None:
         self.membership.merge(a_member(epoch=2), 0.0)
         late = a_member(epoch=1, heartbeat=99)
