--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -931,8 +931,9 @@
 RefusalLimitUpdate RoomUpdate StateAnswer StateChanges StateObjects StateOffer
 StateRequest StreamOriginAnswer StreamOriginRequest StreamOriginsUpdate SuspectCleared
 TunnelAnswer TunnelRequest UpstreamLeaving UpstreamLife UsageUpdate WeightsNews Welcome
-adapter after after_silence asgi attempt_id authorization body changed_in charged
-chat.completion.chunk choices class client code connect connection content data delta
+accept-encoding adapter after after_silence asgi attempt_id authorization body
+changed_in charged chat.completion.chunk choices class client code connect connection
+content content-encoding data delta
 entries entry error etag
 extensions gossip_bytes headers http http_version id if-match if-none-match
 import_orders import_orders_late imported imported_pieces index instance keys kind
