Health: probe an instance that sends too much less and less

What callers saw: beside an instance whose answers don't end, one call every 0.1 to 0.4 s still went there (log of test_platform_endless_answers), held up to a third of what a router may hold, and cost a retry.

Cause: a probe is a usual request, and one that fails begins the backoff anew. So the delay never grows beyond 0.25 s.

Fix: after a probe that is answered with more than may be held (Verdict.EXCESS, outcome `answertoolong`) the next one is due twice as late, until 10 s. After other failures nothing changes: their probes cost little, and an instance that is back should get calls at once.

--- a/packages/corianderlb-core/src/corianderlb_core/health.py
+++ b/packages/corianderlb-core/src/corianderlb_core/health.py
@@ -36,6 +36,8 @@
     SUCCESS = "success"
     FAILURE = "failure"
     """The connection broke or stalled, or the upstream or the network failed."""
+    EXCESS = "excess"
+    """The instance sent more than may be held. Each probe may cost as much again."""
     CONDEMNED = "condemned"
     """The instance crashed, or answered with the response to a different request."""
 
@@ -75,10 +77,11 @@
             return self._succeed()
         self._n_successes = 0
         self._n_failures += 1
-        was_retired = self.is_retired
+        was_retired, was_proving = self.is_retired, self.state == "proving"
         changed = self._fail(verdict)
         if self.is_retired and not was_retired:
-            self._n_probes = 0
+            if not was_proving or verdict is not Verdict.EXCESS:
+                self._n_probes = 0
             self._schedule_probe(now, rng)
         return changed
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -51,6 +51,10 @@
     """Raised when an answer cannot be the upstream's own answer to this request."""
 
 
+class AnswerTooLongError(WrongAnswerError):
+    """Raised when an instance sends more than may be held of an answer."""
+
+
 class TakenOffError(UpstreamError):
     """Raised when a relay was interrupted between two events."""
 
@@ -211,10 +215,10 @@
 
 
 def check_length(n_bytes: int) -> None:
-    """Raise ``WrongAnswerError`` for an answer that is too long."""
+    """Raise ``AnswerTooLongError`` for an answer that is too long."""
     if n_bytes > MAX_ANSWER_BYTES:
         message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
-        raise WrongAnswerError(message, sent=True)
+        raise AnswerTooLongError(message, sent=True)
 
 
 def not_held(arrival: Arrival) -> CorianderError:
@@ -228,9 +232,9 @@
     return refuse(ResultCode.ANSWER_NOT_HELD, NOT_HELD_DETAIL)
 
 
-def too_much_error() -> WrongAnswerError:
+def too_much_error() -> AnswerTooLongError:
     """Return the error of an answer whose instance sends more than may be held."""
-    return WrongAnswerError("the instance sends more than may be held", sent=True)
+    return AnswerTooLongError("the instance sends more than may be held", sent=True)
 
 
 class EventRelay(Relay):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -39,6 +39,7 @@
 from .forward_parts import POLL_S
 from .forward_relay import (
     RESERVE_INTERVAL_S,
+    AnswerTooLongError,
     UnconfirmedEndError,
     WrongAnswerError,
 )
@@ -850,7 +851,9 @@
             health.failed(incarnation_key, verdict)
             self._target.unreached(placement)
         elif not attempt.has_reported_silence:
-            health.failed(incarnation_key)
+            is_excess = isinstance(exc, AnswerTooLongError)
+            verdict = Verdict.EXCESS if is_excess else Verdict.FAILURE
+            health.failed(incarnation_key, verdict)
         self._record_attempt(attempt, outcome, None, str(exc))
 
     async def _check_for_crash(self, attempt: ForwardAttempt) -> None:
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -863,7 +863,7 @@
 router|upstream
 run|earlier|in_progress|unknown|key_reused|full
 serving|resting|emptying|clearing|loading
-success|failure|condemned
+success|failure|excess|condemned
 urgent|standard|deferrable
 copied|no_run|no_room|unknown
 corianderlb_catalogue_version|corianderlb_requests_in_flight|
@@ -1007,8 +1007,8 @@
 """
 
 OUTCOMES = """\
-broken connectfailed notrun runmoved serverfailure silent superseded takenoff upstream
-withdrawn wronganswer
+answertoolong broken connectfailed notrun runmoved serverfailure silent superseded
+takenoff upstream withdrawn wronganswer
 """
 
 TRANSCRIPT = (
