Tests: random races check each event's place in its run, also beside moves

The random races compared numbers only, so that an engine that began anew and was joined at the right number went unseen. Each event names its run, its place in it and the event that the run was asked to follow; another run may begin with its first event only, exactly where it was asked to go on. A third series has engines wait for a weights load at random, so that runs move with and without a copy beside attempts that stand by.

--- a/packages/corianderlb-router/tests/race_engines.py
+++ b/packages/corianderlb-router/tests/race_engines.py
@@ -59,7 +59,7 @@
             try:
                 await self._pause(0.4)
                 await stream.send_all(STREAM_HEAD)
-                for number in self._numbers(after):
+                for turn, number in enumerate(self._numbers(after), 1):
                     await self._pause(0.1)
                     if self.rng.random() < 0.03:
                         await stream.aclose()
@@ -68,7 +68,7 @@
                         run = RunInterval(trio.current_time())
                         self.runs.append(run)
                     # Some chunks hold two events, or half of one.
-                    data = a_run_event(number, name, after)
+                    data = a_run_event(number, name, turn, after)
                     await stream.send_all(chunk(data[:5]))
                     if self.rng.random() < 0.2:
                         await trio.sleep(STEP_S)
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -408,6 +408,12 @@
 
 
 class RandomRaceTest(TrioTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines: list[dict[str, Any]] = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+
     async def test_random_pauses_refusals_and_breaks(self) -> None:
         """Guards against events twice, missing or of two runs, whatever happens."""
         for seed in SEEDS:
@@ -420,7 +426,34 @@
             with self.subTest(seed=seed):
                 await self.play(random.Random(seed), odd_share=0.5)
 
-    async def play(self, rng: random.Random, odd_share: float = 0.0) -> None:
+    async def test_random_moves_beside_races(self) -> None:
+        """Guards against a move that loses or repeats events beside another attempt."""
+        n_moved, seeds = 0, SEEDS[::2]
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                await self.play(random.Random(seed), moves=True)
+            n_moved += sum(
+                attempt.outcome in ("moved", "restarted")
+                for line in self.lines
+                for attempt in line.get("attempts", ())
+            )
+            self.lines.clear()
+        self.assertGreater(n_moved, len(seeds))
+
+    async def empty_engines(self, router: ForwardRouter, rng: random.Random) -> None:
+        """Have engines wait for a load at random, and for their runs to end."""
+        weights = router.engine_table.weights
+        while True:
+            await trio.sleep(rng.choice((0.2, 0.5, 1.2)))
+            engine = router.state.instance(rng.choice(("e1", "e2", "e3")))
+            phase = rng.choice((EnginePhase.EMPTYING, EnginePhase.CLEARING))
+            weights.set_phase(engine, phase)
+            await trio.sleep(rng.choice((0.1, 0.3, 1.5)))
+            weights.set_phase(engine, EnginePhase.SERVING)
+
+    async def play(
+        self, rng: random.Random, odd_share: float = 0.0, moves: bool = False
+    ) -> None:
         """Request some streams of three engines, and check each answer."""
         engines = {
             name: RandomEngine(name=name, odd_share=odd_share, rng=rng)
@@ -433,15 +466,22 @@
                 caller = router.a_caller("/long/7", x_prompt=PROMPT, x_id=f"q{number}")
                 for engine in engines.values():
                     engine.runs.clear()
-                with trio.move_on_after(rng.choice((2.0, 5.0, 20.0))):
-                    await router.serve(caller)
-                self.check(caller, engines)
+                async with trio.open_nursery() as nursery:
+                    if moves:
+                        router.use_copier(Copier(takes_s=rng.choice((0.05, 0.4))))
+                        nursery.start_soon(self.empty_engines, router, rng)
+                    with trio.move_on_after(rng.choice((2.0, 5.0, 20.0))):
+                        await router.serve(caller)
+                    nursery.cancel_scope.cancel()
+                self.check(caller, engines, 6 if moves else 3)
                 parts = router.parts
                 n_left = sum(parts.standbys.values()) + len(parts.in_flight)
                 self.assertEqual(n_left, 0)
                 await trio.sleep(5.0)
 
-    def check(self, caller: FakeCaller, engines: dict[str, RandomEngine]) -> None:
+    def check(
+        self, caller: FakeCaller, engines: dict[str, RandomEngine], n_runs: int
+    ) -> None:
         """Assert that an answer is in order, and that no two runs went on at a time."""
         if caller.status == 200:
             n_events = caller.answer.count(b"id: ")
@@ -452,4 +492,4 @@
         for run, later in itertools.pairwise(runs):
             overlap_s = min(run.ended_at, later.ended_at) - later.began_at
             self.assertLess(overlap_s, 0.1)
-        self.assertLessEqual(len(runs), 3)
+        self.assertLessEqual(len(runs), n_runs)
