Shutdown: wait until callers' connections are closed, not for a quiet moment

Seen by callers: a request on a kept connection that came as its router ended was read, passed on, and its connection closed without an answer.

Cause: the router ended once no request was open. A request that was read in the same pass of the event loop, or while tunnels or the lease were waited for, was cancelled with the process.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -150,6 +150,8 @@
         self._cycle = LifeCycle("router")
         self._exchanges = ExchangeRegistry()
         self._stop_listening = trio.Event()
+        self._front_closed = trio.Event()
+        """Set once no caller is connected and none can connect."""
         self._terminate = trio.Event()
         self._epoch = time.time_ns() // 1_000_000
         """Epoch of this process."""
@@ -256,7 +258,7 @@
             for task in self._tasks():
                 nursery.start_soon(task)
             nursery.start_soon(self._apply_limits, front)
-            nursery.start_soon(front.run, self._stop_listening.wait)
+            nursery.start_soon(self._serve_callers, front)
             self._serve_status(nursery)
             await self._drain_on_terminate()
             nursery.cancel_scope.cancel()
@@ -280,6 +282,10 @@
             self._parts.origins.run,
         ]
 
+    async def _serve_callers(self, front: HttpServer) -> None:
+        await front.run(self._stop_listening.wait)
+        self._front_closed.set()
+
     def _serve_status(self, nursery: trio.Nursery) -> None:
         """Serve readiness checks and metrics until the nursery is cancelled."""
         app = StatusApp(
@@ -382,9 +388,11 @@
             while self._is_last_resort:
                 await trio.sleep(LISTEN_POLL_S)
             self._stop_listening.set()
-            await self._exchanges.wait_until_empty()
+            # Until its connection is closed, a caller may send another request.
+            await self._front_closed.wait()
             await self._tunnel_server.wait_until_empty()
         if scope.cancelled_caught:
+            self._stop_listening.set()
             cut = self._exchanges.cut()
             eliot.log_message(message_type="router:cut", requests=list(cut))
         # Keep the lease while draining: otherwise a rolling restart would leave the
@@ -392,7 +400,7 @@
         with trio.move_on_after(END_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._controller.release)
-                await self._exchanges.wait_until_empty()
+                await self._front_closed.wait()
 
     @property
     def _is_last_resort(self) -> bool:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -40,6 +40,8 @@
         self._parts = Composition(settings)
         self._terminate = trio.Event()
         self._stop_listening = trio.Event()
+        self._has_closed = trio.Event()
+        """Set once no caller is connected and none can connect."""
 
     async def run(self) -> None:
         """Serve until terminated; return after shutdown is complete."""
@@ -54,7 +56,7 @@
             for task in parts.tasks:
                 nursery.start_soon(task)
             server = HttpServer(app, self._server_settings(), parts.guard)
-            address = await nursery.start(server.run, self._stop_listening.wait)
+            address = await nursery.start(self._serve, server)
             parts.peers.set_addresses(address, peer_address)
             self._print_listening(address, peer_address)
             nursery.start_soon(self._become_ready)
@@ -63,6 +65,12 @@
             nursery.cancel_scope.cancel()
         await parts.close()
 
+    async def _serve(
+        self, server: HttpServer, task_status: trio.TaskStatus[str]
+    ) -> None:
+        await server.run(self._stop_listening.wait, task_status)
+        self._has_closed.set()
+
     def _server_settings(self) -> HttpServerSettings:
         listen = self._settings.listen
         return HttpServerSettings(
@@ -119,7 +127,8 @@
         self._parts.exchanges.closing = True
         await trio.sleep(self._settings.data_path.balancer_lag_s)
         self._stop_listening.set()
-        await self._parts.exchanges.wait_until_empty()
+        # Until its connection is closed, a caller may send another request.
+        await self._has_closed.wait()
         with trio.move_on_after(JOURNAL_DRAIN_TIMEOUT_S):
             await self._parts.journal.drain()
 
