Readiness: fail from the arrival of the signal, not from its handling

Seen: "ready" right after SIGTERM (known red, test_termination_under_load_cuts_ nothing: 200 where 503 was asked), under load.

Cause, traced: trio's receiver of signals is told in a later pass of the event loop, after the tasks of what arrived with the signal. A process that had no processor for a moment, as one that is suspended and goes on, answers a readiness check of that moment first. The Python handler, which runs before any of them, now sets a flag that the check looks at.

--- a/packages/corianderlb-router/src/corianderlb_router/admin_view.py
+++ b/packages/corianderlb-router/src/corianderlb_router/admin_view.py
@@ -57,7 +57,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        if self.catalogue_source.is_stale():
+        if self.exchanges.is_terminated or self.catalogue_source.is_stale():
             return False
         return self.cycle.state in READY_STATES
 
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -30,6 +30,8 @@
     def __init__(self) -> None:
         self._open: set[OpenExchange] = set()
         self._emptied = trio.Event()
+        self.is_terminated = False
+        """Whether a termination signal has arrived, which is handled a moment later."""
         self.stopping_since: float | None = None
         """Time of the termination signal, by the router's clock; None before it."""
         self._closing = False
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import field
+from types import FrameType
 from typing import Any, Final
 
 import eliot
@@ -19,6 +20,7 @@
 from corianderlb_core.message import MemberState
 from corianderlb_core.settings import OrderSettings, PeerSettings
 
+from ._stop_signals import receive_signals
 from ._websocket_transport import WebSocketTransport
 from .caller_memory import HELD_SHARE, CallerMemory
 from .connection import TcpConnector
@@ -235,6 +237,8 @@
 
         A router that reaches no instance serves through its peers.
         """
+        if self._exchanges.is_terminated:
+            return False
         if self._paths.is_steadily_cut_off and not self._peers.tunnel_peers():
             return False
         return self._cycle.state == "serving"
@@ -349,10 +353,15 @@
     async def _handle_signals(self) -> None:
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         early: list[int] = []
+
+        def receive_early(number: int, frame: FrameType | None) -> None:
+            self._on_arrival(number)
+            early.append(number)
+
         for number in handled:
-            signal.signal(number, lambda number, _: early.append(number))
+            signal.signal(number, receive_early)
         try:
-            with trio.open_signal_receiver(*handled) as signals:
+            with receive_signals(*handled, at_once=self._on_arrival) as signals:
                 for number in early:
                     self._on_signal(number)
                 async for number in signals:
@@ -363,6 +372,10 @@
                 # lines are written.
                 signal.signal(number, signal.SIG_IGN)
 
+    def _on_arrival(self, number: int) -> None:
+        if number != signal.SIGHUP:
+            self._exchanges.is_terminated = True
+
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
             eliot.log_message(message_type="router:reload")
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -15,6 +15,7 @@
 from corianderlb_core.settings import RouterSettings
 from corianderlb_core.settings_file import read_secret
 
+from ._stop_signals import receive_signals
 from .app import make_app
 from .composition import Composition
 from .http_server import HttpServer, HttpServerSettings
@@ -97,10 +98,14 @@
         self._parts.send("catalogue_ready")
 
     async def _handle_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        handled = (signal.SIGTERM, signal.SIGINT)
+        with receive_signals(*handled, at_once=self._on_signal) as signals:
             async for _ in signals:
                 self._on_terminate()
 
+    def _on_signal(self, number: int) -> None:
+        self._parts.exchanges.is_terminated = True
+
     def _on_terminate(self) -> None:
         """Handle a termination request: the first drains, the second stops at once."""
         self._parts.send("terminate")
--- a/tests/test_processes_shutdown.py
+++ b/tests/test_processes_shutdown.py
@@ -54,6 +54,25 @@
                 self.assert_complete(answer, answers[0].text)
             self.assertEqual(calls[0].status_code, 200)
 
+    async def test_readiness_check_that_comes_with_the_signal(self) -> None:
+        """Guards against a router that counts as ready after its SIGTERM."""
+        async with running_fleet(small_plan()) as fleet:
+            router = fleet.routers[0]
+            statuses = []
+
+            async def check_readiness() -> None:
+                answer = await fleet.http.get(f"http://{router.address}/ready")
+                statuses.append(answer.status_code)
+
+            await check_readiness()
+            router.freeze()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(check_readiness)
+                await trio.sleep(0.2)
+                router.terminate()
+                router.thaw()
+            self.assertEqual(statuses, [200, 503])
+
     async def test_second_signal_ends_at_once(self) -> None:
         """An operator sends a second signal to a router that is draining.
 
