Stop admission: calls that wait for their answers count in the estimate

Seen by callers: where all routers stop, calls that may not be repeated went on being taken by the last ones after answers had turned slow, and were cut.

Cause: only requests that had ended counted, all of them from before. The time that the oldest sent request of the route has been without an answer is now a lower bound, with the same margin.

Before: test_stop_admission test_calls_behind_one_that_waits_for_its_answer, 504 != 503.

--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -98,6 +98,8 @@
         self.arrived_at = trio.current_time()
         self.first_byte_at = 0.0
         """When the response head was sent, on the router's clock."""
+        self.sent_route = ""
+        """Route of the request once it was sent to an upstream, if it has one."""
         self.result = ResultCode.OK
         """Result code of the exchange."""
         self.service_class = ServiceClass.STANDARD
--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -88,6 +88,16 @@
                 self._emptied.set()
                 self._emptied = trio.Event()
 
+    def longest_wait_s(self, route: str) -> float:
+        """Return for how long a request of a route was sent and has had no answer."""
+        now, open_callers = trio.current_time(), [entry.caller for entry in self._open]
+        waiting = (
+            now - caller.arrived_at
+            for caller in open_callers
+            if caller.sent_route == route and not caller.started
+        )
+        return max(waiting, default=0.0)
+
     def __len__(self) -> int:
         return len(self._open)
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -799,6 +799,7 @@
 
     def record_sent(self, attempt: ForwardAttempt) -> None:
         """Record that the first byte of an attempt is about to be sent."""
+        self._caller.sent_route = self._route.name
         attempt.retry_number = self._retries.sent()
         charge = self._retries.last_charge
         if self._retries.n_sent > 1:
--- a/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stop_admission.py
@@ -97,7 +97,12 @@
             estimate = self._durations.estimate(
                 route.name, _n_tokens(req), begins_in_s()
             )
-            needed_s = min(deadline - now, _needed_s(route, estimate, is_certain))
+            needed_s = _needed_s(route, estimate, is_certain)
+            if is_once:
+                # Those that have ended don't tell that answers have turned slow.
+                waits_s = self._exchanges.longest_wait_s(route.name)
+                needed_s = max(needed_s, MARGIN_FACTOR * waits_s)
+            needed_s = min(deadline - now, needed_s)
         if 0 < left_s and needed_s <= left_s:
             return
         retry_s = ELSEWHERE_RETRY_S if has_others else max(ELSEWHERE_RETRY_S, left_s)
--- a/packages/corianderlb-router/tests/test_stop_admission.py
+++ b/packages/corianderlb-router/tests/test_stop_admission.py
@@ -177,6 +177,21 @@
                 caller = await router.ask(path, x_prompt=PROMPT)
                 self.assertTrue(caller.finished)
 
+    async def test_calls_behind_one_that_waits_for_its_answer(self) -> None:
+        """Guards against calls that are cut since those that ended were fast."""
+        service = Upstream([an_answer(), never_answer])
+        async with (
+            a_fleet(2, s1=service) as (router, other),
+            trio.open_nursery() as nursery,
+        ):
+            other.peers.is_leaving = True
+            await self.ask_before_stop(router, "/book/7", left_s=1.6)
+            nursery.start_soon(router.serve, router.a_caller("/book/7", x_id="q0"))
+            await trio.sleep(0.7)
+            self.assertEqual(len(service.requests), 2)
+            await self.assert_refused(router, "/book/7", service)
+            nursery.cancel_scope.cancel()
+
     async def test_request_that_is_about_to_be_sent_late(self) -> None:
         """Guards against a call taken before the signal that is sent only to be cut."""
         refusal = a_late_answer(NOT_RUN, 0.5)
