Memory: attempts that are never sent leave nothing in the account

What was seen (read, and by a test): each attempt that ends before it is sent, since its instance is leaving or has no permit, or its budget is spent, stays in the account of the router's memory for as long as the router runs, with its relay, its caller and the request. Each search for the largest answer or for slow callers takes longer with each of them.

Cause: the holding of an attempt's answer was opened with the attempt, and closed at the end of `ForwardAttempt.run` alone, which such an attempt never begins (`ForwardRun._attempt` raises before it).

Fix: an answer takes part in the account from its first use on, which is within `run`.

Evidence, on the code before: test_caller_memory ArrivalTest.test_attempts_that_are_not_sent: AssertionError: 9 != 0 (one request, refused after nine attempts); passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
@@ -31,36 +31,47 @@
 
 
 class Arrival:
-    """What is held of one answer while it arrives, on the account of its instance."""
+    """What is held of one answer while it arrives, on the account of its instance.
 
-    def __init__(self, memory: CallerMemory, holding: Holding) -> None:
+    It takes part in the account from its first use on, so that one whose attempt is
+    never sent leaves nothing to release.
+    """
+
+    def __init__(self, memory: CallerMemory, instance: Hashable) -> None:
         self._memory = memory
-        self._holding = holding
+        self._instance = instance
+        self._holding: Holding | None = None
         self.on_cut: Callable[[], None] = lambda: None
         """Called when the answer may not be held any more."""
 
     @property
     def n_bytes(self) -> int:
         """Bytes held."""
-        return self._holding.n_bytes
+        return self._holding.n_bytes if self._holding is not None else 0
 
     def hold(self, n_bytes: int) -> bool:
         """Hold that many bytes in all; return False if they may not be held."""
-        return self._memory.hold_arrival(self._holding, n_bytes - self.n_bytes)
+        return self._memory.hold_arrival(self._opened(), n_bytes - self.n_bytes)
 
     @property
     def n_room(self) -> float:
         """By how many bytes the answer may grow at present."""
-        return self._memory.n_room(self._holding)
+        return self._memory.n_room(self._opened())
 
     @property
     def is_excess(self) -> bool:
         """Whether its instance itself fills the room that it lacks."""
-        return self._memory.is_excess(self._holding.owner)
+        return self._memory.is_excess(self._instance)
+
+    def _opened(self) -> Holding:
+        if self._holding is None:
+            self._holding = self._memory.open_for(self, self._instance)
+        return self._holding
 
     def close(self) -> None:
         """Release what is held; further calls do nothing."""
-        self._memory.close(self._holding)
+        if self._holding is not None:
+            self._memory.close(self._holding)
 
 
 class CallerMemory:
@@ -80,6 +91,11 @@
         """Most bytes that may be held."""
         return self._memory.limit
 
+    @property
+    def n_holdings(self) -> int:
+        """Callers and answers that are accounted for."""
+        return len(self._cuts)
+
     @property
     def n_bytes(self) -> int:
         """Bytes held for all callers, and of all answers that arrive."""
@@ -104,9 +120,13 @@
 
     def open_arrival(self, instance: Hashable) -> Arrival:
         """Return what is held of an answer that an instance has begun: nothing yet."""
-        arrival = Arrival(self, self._memory.open(instance, INSTANCE_FACTOR))
-        self._cuts[arrival._holding] = lambda: arrival.on_cut()
-        return arrival
+        return Arrival(self, instance)
+
+    def open_for(self, arrival: Arrival, instance: Hashable) -> Holding:
+        """Return an empty holding of an answer."""
+        holding = self._memory.open(instance, INSTANCE_FACTOR)
+        self._cuts[holding] = lambda: arrival.on_cut()
+        return holding
 
     def hold_arrival(self, holding: Holding, n_bytes: int) -> bool:
         """Hold more of an answer; return False if it may not be held.
--- a/packages/corianderlb-router/tests/test_caller_memory.py
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -104,6 +104,16 @@
             self.assertEqual(code_of(refused.answer), ResultCode.MEMORY_FULL)
 
 
+class ArrivalTest(TrioTestCase):
+    async def test_attempts_that_are_not_sent(self) -> None:
+        """Guards against attempts that are kept for as long as the router runs."""
+        async with a_router(a1=Upstream([an_answer()])) as router:
+            router.parts.permits.take = lambda instance: False  # type: ignore[method-assign]
+            refused = await router.ask("/book/x")
+            self.assertEqual(refused.status, 503)
+            self.assertEqual(router.parts.memory.n_holdings, 0)
+
+
 class SlowCallerTest(RealTimeTestCase):
     """Callers of the real server, over loopback."""
 
