Memory: an answer that was cut cuts no other

What callers would see: where an instance sends too much, one answer that was cut could cut all sound answers of the instance that hold less than it had.

Cause (read, and by a test): an answer is cut by the cancellation of its read. Bytes that arrive at that moment are still counted, on a holding that is closed by then, which can't grow whatever is free: `hold_arrival` cut one larger answer after the other and never found room.

Fix: a holding that is closed holds no more, and asks for no cut.

Evidence, on the code before: test_caller_memory ArrivalTest.test_answer_that_was_cut: AssertionError: Tuples differ: ([1], 0, 0) != ([], 20000, 20000) and passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
@@ -132,8 +132,11 @@
         """Hold more of an answer; return False if it may not be held.
 
         Larger answers of the same instance are cut off if that makes room: what one
-        answer without end holds must not cost the others.
+        answer without end holds must not cost the others. One that was cut holds no
+        more.
         """
+        if holding not in self._cuts:
+            return False
         while not self._memory.grow(holding, n_bytes):
             largest = self._memory.largest(holding.owner)
             if largest is None or largest.n_bytes <= holding.n_bytes + n_bytes:
--- a/packages/corianderlb-router/tests/test_caller_memory.py
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -113,6 +113,18 @@
             self.assertEqual(refused.status, 503)
             self.assertEqual(router.parts.memory.n_holdings, 0)
 
+    async def test_answer_that_was_cut(self) -> None:
+        """Guards against an answer that is cut for one that has ended."""
+        memory = CallerMemory(100_000)
+        ended, other = memory.open_arrival("s1"), memory.open_arrival("s1")
+        n_cut = []
+        other.on_cut = lambda: n_cut.append(1)
+        self.assertTrue(other.hold(20_000))
+        self.assertTrue(ended.hold(1000))
+        ended.close()
+        self.assertFalse(ended.hold(2000))
+        self.assertEqual((n_cut, other.n_bytes, memory.n_bytes), ([], 20_000, 20_000))
+
 
 class SlowCallerTest(RealTimeTestCase):
     """Callers of the real server, over loopback."""
