Streams: a comment is no rest of a stream

What callers would see: a stream that ends as complete before its last event, though an empty rest has to be confirmed: an instance that was asked to go on sends a comment and the end.

Cause: comments count among the events that an attempt has added, so that its rest was not taken for empty.

Fix: a rest is empty if other attempts have begun the answer and this one has sent no event with a number. One without a number is refused there already.

Evidence, on the code before: test_joined_runs test_comment_in_place_of_the_rest: AssertionError: 3 != 6; passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -302,9 +302,11 @@
     def _check_rest(self) -> None:
         """Raise if only this answer tells that a stream cut elsewhere was complete.
 
-        The instance that was cut may have been about to send more.
+        The instance that was cut may have been about to send more. A comment is no
+        rest.
         """
-        is_empty = self.caller.started and not self.n_events
+        has_earlier = self.sent.n_events > self.n_events
+        is_empty = self.caller.started and has_earlier and self.first_number is None
         if is_empty and not self.sent.has_empty_rest:
             self.sent.has_empty_rest = True
             raise UnconfirmedEndError("the rest of the stream is empty", sent=True)
--- a/packages/corianderlb-router/tests/test_joined_runs.py
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -137,3 +137,10 @@
         caller = await self.ask(BREAKS_AFTER_3, answer)
         self.assertEqual((caller.finished, self.n_blamed), (True, 1))
         self.assertEqual(caller.answer.count(b"id: "), 6)
+
+    async def test_comment_in_place_of_the_rest(self) -> None:
+        """Guards against an end that is believed at once beside a comment."""
+        empty = STREAM_HEAD + chunk(b": wait\n\n") + STREAM_END
+        caller = await self.ask(BREAKS_AFTER_3, empty, a_run("c", 4, 5, 6))
+        self.assertEqual((caller.finished, self.n_blamed), (True, 1))
+        self.assertEqual(caller.answer.count(b"id: "), 6)
