Moves: a run goes on until the engine it is moved to has begun

Callers of streams whose engine was about to load other weights lost them: the run was interrupted once its copy existed, in the phase of clearing before another engine was even chosen. An engine that never answered, refused or broke off then cost the rest of the answer: a run was given up for a choice, not for an answer.

The attempt that continues a run is now the standby of its race. From the moment it is opened, what the old run writes is held back, so the caller's last event stays the one after which the other engine was asked to go on. With the first event of that engine the old run is interrupted and closed, what was held is discarded, and the other one answers exactly where it was asked to. If it refuses, breaks off or has not begun within 0.8 of the route's objective for pauses (1.2 s at most, 16 kB) since the last write, it is ended first (`superseded`, counted as a run since its first event may be on its way), and then the held events are sent in order. An old run that ends while events are held delivers them and its end; one that breaks is followed by the engine that was asked, which writes them again. A request starts to run with its first token, so two runs overlap by the time between that event and the close. Without a copy, the other engine is chosen and charged first, and only if it can begin within that limit by its estimate.

A first answer that is another run's, empty, or a comment only ends the other attempt and not the old run.

--- a/packages/corianderlb-router/src/corianderlb_router/attempt_race.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt_race.py
@@ -3,7 +3,9 @@
 An attempt that is silent stays open while another one stands by for it: its instance
 may go on sooner than another can begin. The first of the two to send something new
 answers the caller, and the other one is ended at that moment, so that no run goes on
-beside another. For example::
+beside another. An attempt to which a run is moved stands by for one that goes on, whose
+events are held back meanwhile: it leads with its first event, right after the last one
+that was sent. For example::
 
     race.lead = attempt
     standby = race.open(other)  # The lead is silent.
@@ -17,13 +19,18 @@
 
 from .connection import SilentError, UpstreamError
 from .forward_attempt import ForwardAttempt, SupersededError
+from .run_mover import Successor
 
 
 class Standby:
     """An attempt that runs in a task of its own."""
 
-    def __init__(self, attempt: ForwardAttempt) -> None:
+    def __init__(
+        self, attempt: ForwardAttempt, successor: Successor | None = None
+    ) -> None:
         self.attempt = attempt
+        self.successor = successor
+        """Set if the run of the lead is to be moved to it."""
         self.has_ended = trio.Event()
         """Set once it has ended as the lead."""
         self.error: Exception | None = None
@@ -48,11 +55,18 @@
             for attempt in (self.lead, standby)
         )
 
-    def open(self, attempt: ForwardAttempt) -> Standby:
+    def open(
+        self, attempt: ForwardAttempt, successor: Successor | None = None
+    ) -> Standby:
         """Have an attempt stand by."""
-        self.standby = Standby(attempt)
+        self.standby = Standby(attempt, successor)
         return self.standby
 
+    @property
+    def is_moving(self) -> bool:
+        """Whether the run of the lead is being moved to the attempt that stands by."""
+        return self.standby is not None and self.standby.successor is not None
+
     @property
     def has_successor(self) -> bool:
         """Whether an attempt stands by that may lead."""
@@ -65,7 +79,7 @@
         """
         if attempt.given_up is not None:
             raise attempt.given_up
-        if self.standby is None:
+        if self.standby is None or self.is_moving:
             return None
         other: ForwardAttempt | None = self.standby.attempt
         reason: type[UpstreamError] = SupersededError
@@ -85,6 +99,10 @@
         goes_on = lead is not None and lead.given_up is None
         if self.standby is standby and (is_ended or goes_on):
             self.standby = None
+            if standby.successor is not None:
+                standby.successor.fail()
+                if lead is not None:
+                    lead.relay.release()
             return True
         standby.error = error
         standby.has_ended.set()
@@ -95,6 +113,9 @@
         standby, self.standby = self.standby, None
         assert standby is not None
         self.lead = standby.attempt
+        if standby.successor is not None:
+            standby.attempt.relay.wait_to_lead = None
+            standby.successor.lead()
         await standby.has_ended.wait()
         self.lead = None
         return standby
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -40,7 +40,7 @@
 from .forward_target import WITHDRAW_MARGIN_S, Placement, Target
 from .health_table import LONG_SILENCE_S
 from .peer_tunnel import NoTunnelError, OpenedConnector
-from .run_mover import RunMover
+from .run_mover import RunMover, Successor
 from .stop_admission import StopAdmission
 from .transport import Answer, Exchange, SendSettings
 
@@ -55,6 +55,10 @@
 """Pause between two events of a stream after which another engine may take over. An
 engine without memory for all its streams may preempt the newest for longer."""
 
+HOLD_SHARE: Final = 0.8
+"""Share of a route's objective for pauses up to which events are held back while their
+run is being moved, so that they are sent within it if it stays where it was."""
+
 UNRESPONSIVE_S: Final = 1.0
 """Time without data on any stream of an engine after which it counts as unresponsive.
 A busy engine sends events far more often, also during prefill."""
@@ -133,7 +137,12 @@
         if self.route.kind is not RepeatKind.STREAM:
             return WholeRelay(self.sent, arrival)
         stall_s = STREAM_STALL_TIMEOUT_S if self.route.may_resume else math.inf
-        return EventRelay(self.sent, arrival, stall_s)
+        return EventRelay(self.sent, arrival, stall_s, self.hold_s)
+
+    @property
+    def hold_s(self) -> float:
+        """Pause of a stream up to which another engine may begin to go on with it."""
+        return min(STREAM_STALL_TIMEOUT_S, HOLD_SHARE * self.route.pause_objective_s)
 
 
 class AttemptOwner(ABC):
@@ -161,10 +170,20 @@
     def charge_move(self, attempt: ForwardAttempt) -> bool:
         """Charge the move of a run to another engine; return whether it may move."""
 
-    @property
     @abstractmethod
-    def has_standby(self) -> bool:
-        """Whether another attempt stands by for a silent one."""
+    def may_move(self, attempt: ForwardAttempt) -> bool:
+        """Return whether a run has begun to answer, and no other attempt is open."""
+
+    @abstractmethod
+    def open_move(self, placement: Placement) -> Successor:
+        """Send an attempt, charged before, that continues a run from its copy."""
+
+    @abstractmethod
+    def open_restart(self, attempt: ForwardAttempt) -> Successor | None:
+        """Choose, charge and send an attempt that prefills a run again elsewhere.
+
+        Return None if no other engine can begin it, or no other attempt may follow.
+        """
 
     @abstractmethod
     def check_sending(self, attempt: ForwardAttempt) -> None:
@@ -571,18 +590,17 @@
             copier,
             self._parts.engines.weights,
             self._target,
-            self.placement,
-            self.relay,
+            self,
+            self._owner,
             self._req.request_id,
-            lambda: self._owner.charge_move(self),
-            lambda: self._owner.has_standby,
         )
 
         async def relay_answer() -> None:
             try:
                 await self._relay_or_fail(head, exchange, on_data)
             finally:
-                # The run must have ended before an unused copy of it is freed.
+                # The run must have ended before another attempt answers, or an unused
+                # copy of it is freed.
                 await exchange.aclose()
 
         await mover.relay(relay_answer)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -5,7 +5,7 @@
 import math
 import re
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import trio
@@ -16,7 +16,7 @@
 from .caller import CallerGoneError, refuse
 from .caller_memory import STREAM_BYTES, Arrival
 from .connection import BrokenError, SilentError, UpstreamError
-from .event_splitter import EventSplitter, EventTooLongError
+from .event_splitter import Event, EventSplitter, EventTooLongError
 from .forward_caller import NOT_HELD_DETAIL, ForwardCaller
 from .forward_request import UpstreamHead
 from .transport import Exchange
@@ -43,6 +43,9 @@
 """Interval at which a silent attempt tries again to reserve another one, and at which
 the rest of a begun answer is asked for again after many refusals."""
 
+MAX_HELD_BYTES: Final = STREAM_BYTES // 4
+"""Most bytes of events that are held back while a run is being moved."""
+
 _COMMENT: Final = re.compile(rb"(?:(?::|retry:)[^\n]*\n|\r?\n)*")
 """Lines that are no event and may come between two."""
 
@@ -78,7 +81,8 @@
         """Whether an instance that was asked for the rest has sent its end only."""
         self.longest_pause_s = 0.0
         """Longest pause between two writes to the caller."""
-        self._last_write_at: float | None = None
+        self.last_write_at: float | None = None
+        """Time of the last write to the caller; None before the first one."""
 
     @property
     def may_resume(self) -> bool:
@@ -89,10 +93,10 @@
     def record_write(self) -> None:
         """Record that events are about to be sent to the caller."""
         now = trio.current_time()
-        if self._last_write_at is not None:
-            pause_s = now - self._last_write_at
+        if self.last_write_at is not None:
+            pause_s = now - self.last_write_at
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self._last_write_at = now
+        self.last_write_at = now
 
 
 class Relay(ABC):
@@ -120,6 +124,13 @@
         another attempt answers it."""
         self.on_begin: Callable[[], None] = lambda: None
         """Called before the first event is sent to the caller."""
+        self.wait_to_lead: Callable[[], Awaitable[None]] | None = None
+        """Awaited when the first event has arrived, before anything is sent to the
+        caller, if another attempt answers it until then."""
+        self.end_successor: Callable[[bool], bool] = lambda is_complete: True
+        """Called to end the attempt to which the run is being moved, before events that
+        were held are sent. Returns False if it has begun, and leads; the argument tells
+        that the answer is complete, so that nothing else is needed."""
         self.check_source: Callable[[], None] = lambda: None
         """Called before the first events of an answer are sent to the caller; raises
         ``BrokenError`` if they must not be."""
@@ -139,6 +150,15 @@
         Relays that buffer the whole answer ignore it.
         """
 
+    def hold(self) -> None:
+        """Hold events back, since another attempt was asked to go on after the last.
+
+        Relays that buffer the whole answer ignore it.
+        """
+
+    def release(self) -> None:
+        """Send the events that were held back, since the other attempt has failed."""
+
 
 class WholeRelay(Relay):
     """Sends an answer in one piece once it is complete, if that much may be held.
@@ -240,13 +260,34 @@
 class EventRelay(Relay):
     """Sends the events after those that the caller has received, as they arrive."""
 
-    def __init__(self, sent: SentAnswer, arrival: Arrival, stall_s: float) -> None:
+    def __init__(
+        self,
+        sent: SentAnswer,
+        arrival: Arrival,
+        stall_s: float,
+        hold_s: float = math.inf,
+    ) -> None:
         super().__init__(sent, arrival)
         arrival.on_cut = self._cut
         self._stall_s = stall_s
         self._splitter = EventSplitter()
         self._is_cut = False
         """Whether what has arrived may not be held any more."""
+        self._hold_s = hold_s
+        """Pause of the caller's stream up to which events are held back."""
+        self._is_held = False
+        """Whether events are held back, while another attempt may go on after the last
+        event that was sent."""
+        self._held: list[bytes] = []
+        """Events that were held back."""
+        self._held_after: int | None = None
+        """Number of the event that the first one of them follows."""
+        self._held_end: tuple[int | None, bool] = (None, True)
+        """Number of the last one of them, and whether it has one itself."""
+        self._release_at = math.inf
+        """When to end the other attempt and send them."""
+        self._silent_at = math.inf
+        """When the instance will have been silent for too long."""
         self._is_interrupted = False
         self._is_numbered = True
         """Whether the last event of the instance has a number."""
@@ -265,6 +306,10 @@
         """Relay the events after those that the caller has received."""
         try:
             await self._relay_events(head, exchange, on_data)
+        except UpstreamError:
+            if not self._is_held:
+                await self._write_rest(head, exchange)
+            raise
         finally:
             # The relay is kept until its request has ended.
             self._splitter.clear()
@@ -290,6 +335,11 @@
                 raise CallerGoneError("the caller stopped reading its stream")
             if self._is_interrupted:
                 raise TakenOffError("interrupted for a weights load", sent=True)
+            left_s = self._silent_at - trio.current_time()
+            if left_s > 0:
+                # Woken for the events that are held.
+                limit_s = left_s
+                continue
             if self.reserve_retry():
                 raise SilentError(f"no event for {self._stall_s} s", sent=True)
             limit_s = RESERVE_INTERVAL_S
@@ -297,7 +347,14 @@
             raise BrokenError("the stream ended inside an event", sent=True)
         if exchange.ends_by_close and self._must_end:
             raise BrokenError("the rest of the stream has no length", sent=True)
-        self._check_rest()
+        if self.wait_to_lead is not None:
+            raise UnconfirmedEndError("the stream ended without an event", sent=True)
+        if not self._held:
+            self._check_rest()
+        if self._is_held:
+            self.end_successor(True)
+            self._is_held = False
+        await self._write_rest(head, exchange)
 
     def _check_rest(self) -> None:
         """Raise if only this answer tells that a stream cut elsewhere was complete.
@@ -333,9 +390,18 @@
         with trio.CancelScope() as scope:
             self._scope = scope
             while True:
+                if self._held and self._may_release():
+                    self._is_waiting = False
+                    _set_deadline(scope, caller.stall_s)
+                    await self._write_held(head, exchange)
+                    if scope.cancel_called or self._is_cut:
+                        break
                 chunk, self._late_chunk = self._late_chunk, b""
                 if not chunk:
                     _set_deadline(scope, limit_s if self.sent.n_events else math.inf)
+                    self._silent_at = scope.deadline
+                    if self._held:
+                        scope.deadline = min(scope.deadline, self._release_at)
                     self._is_waiting = True
                     if self._is_interrupted:
                         scope.cancel()
@@ -352,22 +418,24 @@
                 limit_s, n_read = self._stall_s, len(chunk)
                 on_data()
                 after = self._position
-                ready = self._new_events(splitter, chunk)
+                ready = self._new_events(self._split(splitter, chunk))
                 self._hold_partial(splitter.n_partial)
+                if ready and self.wait_to_lead is not None:
+                    if self.first_number is None:
+                        # Comments only.
+                        continue
+                    _set_deadline(scope, caller.stall_s)
+                    await self.wait_to_lead()
+                    self.wait_to_lead = None
                 if ready:
                     if not self._is_checked:
                         self.check_source()
                         self._is_checked = True
-                    self.claim()
-                    if self.sent.last_number != after:
-                        message = "another attempt has answered meanwhile"
-                        raise TakenOffError(message, sent=True)
-                    self.sent.last_number = self._position
-                    self.sent.is_numbered = self._is_numbered
-                    self.sent.n_events += len(ready)
-                    self.n_events += len(ready)
+                    if self._is_held or self._held:
+                        self._hold_events(ready, after)
+                        continue
                     _set_deadline(scope, caller.stall_s)
-                    await self._write(head, exchange, b"".join(ready))
+                    await self._write(head, exchange, ready, after, self._end)
                     if scope.cancel_called or self._is_cut:
                         break
         return False
@@ -390,20 +458,73 @@
         if self._is_waiting:
             self._scope.cancel()
 
+    def hold(self) -> None:
+        """Hold back the events that arrive from now on."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Send the events that were held back, and those that follow."""
+        self._is_held = False
+        if self._held and self._is_waiting:
+            self._scope.cancel()
+
+    def _hold_events(self, events: list[bytes], after: int | None) -> None:
+        if not self._held:
+            last_write_at = self.sent.last_write_at or trio.current_time()
+            self._held_after, self._release_at = after, last_write_at + self._hold_s
+        self._held += events
+        self._held_end = self._end
+
+    def _may_release(self) -> bool:
+        """Return whether to send what is held; end the other attempt before."""
+        if not self._is_held:
+            return True
+        is_full = sum(map(len, self._held)) > MAX_HELD_BYTES
+        if trio.current_time() < self._release_at and not is_full:
+            return False
+        if not self.end_successor(False):
+            # This run is about to be interrupted.
+            self._release_at = math.inf
+            return False
+        self._is_held = False
+        return True
+
+    async def _write_held(self, head: UpstreamHead, exchange: Exchange) -> None:
+        held, self._held = self._held, []
+        await self._write(head, exchange, held, self._held_after, self._held_end)
+
+    async def _write_rest(self, head: UpstreamHead, exchange: Exchange) -> None:
+        """Send what was held back when the answer ends."""
+        if not self._held:
+            return
+        with trio.CancelScope() as scope:
+            _set_deadline(scope, self.caller.stall_s)
+            await self._write_held(head, exchange)
+        if scope.cancelled_caught:
+            raise CallerGoneError("the caller stopped reading its stream")
+
     @property
     def _position(self) -> int | None:
         """Number of the event that the next one of the instance must follow."""
         return self.resume_after if self.last_number is None else self.last_number
 
-    def _new_events(self, splitter: EventSplitter, chunk: bytes) -> list[bytes]:
-        """Return the events that a chunk completes, each of which the caller lacks.
+    @property
+    def _end(self) -> tuple[int | None, bool]:
+        """Number of the last event, and whether the last one has a number."""
+        return self._position, self._is_numbered
 
-        An answer that begins elsewhere than it was asked to is that of another run.
-        """
+    @staticmethod
+    def _split(splitter: EventSplitter, chunk: bytes) -> list[Event]:
         try:
-            events = splitter.feed(chunk)
+            return splitter.feed(chunk)
         except EventTooLongError as exc:
             raise BrokenError(str(exc), sent=True) from exc
+
+    def _new_events(self, events: list[Event]) -> list[bytes]:
+        """Return the events of a chunk, each of which the caller lacks.
+
+        An answer that begins elsewhere than it was asked to is that of another run.
+        """
         for event in events:
             if event.number is None:
                 self._check_unnumbered(event.data)
@@ -427,15 +548,29 @@
             raise WrongAnswerError(message, sent=True)
         self._is_numbered = False
 
-    async def _write(self, head: UpstreamHead, exchange: Exchange, data: bytes) -> None:
-        """Send events to the caller."""
-        caller = self.caller
-        self.sent.record_write()
+    async def _write(
+        self,
+        head: UpstreamHead,
+        exchange: Exchange,
+        events: list[bytes],
+        after: int | None,
+        end: tuple[int | None, bool],
+    ) -> None:
+        """Send events to the caller: those after one, up to another one."""
+        caller, sent = self.caller, self.sent
+        self.claim()
+        if sent.last_number != after:
+            message = "another attempt has answered meanwhile"
+            raise TakenOffError(message, sent=True)
+        sent.last_number, sent.is_numbered = end
+        sent.n_events += len(events)
+        self.n_events += len(events)
+        sent.record_write()
         if not caller.started:
             self.on_begin()
             headers, ends_by_close = list(head.headers), exchange.ends_by_close
             await caller.start(head.status, headers, True, ends_by_close)
-        await caller.write(data)
+        await caller.write(b"".join(events))
 
 
 def _set_deadline(scope: trio.CancelScope, limit_s: float) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -52,7 +52,7 @@
     Placement,
 )
 from .in_flight import InFlightAttempt
-from .run_mover import RunMovedError
+from .run_mover import RunMovedError, Successor
 from .silence_view import view_silence
 
 MAX_WAIT_SHARE: Final = 0.12
@@ -170,8 +170,7 @@
         self._is_repeat_unused = False
         """Whether the account was charged for another run, and none was counted yet."""
         self._next_placement: Placement | None = None
-        """Placement that is already chosen: where a moved run continues from a copy of
-        its KV cache, or what a silent call has reserved."""
+        """Placement that is already chosen, which a silent call has reserved."""
         self.attempt_records: list[AttemptRecord] = []
         """One record per attempt, for the log."""
 
@@ -258,26 +257,30 @@
 
     def _make_attempt(self, placement: Placement) -> ForwardAttempt:
         self._n_attempts += 1
-        return ForwardAttempt(self._job, self, placement, self._n_attempts)
+        attempt = ForwardAttempt(self._job, self, placement, self._n_attempts)
+        attempt.relay.end_successor = self._end_successor
+        return attempt
 
     async def _run_standby(self, standby: Standby) -> None:
         """Run an attempt that stands by, until it has ended or has answered."""
         attempt, error = standby.attempt, None
         upstream = self._target.upstream
-        self._parts.standbys[upstream] += 1
+        n_silent = 0 if standby.successor else 1
+        self._parts.standbys[upstream] += n_silent
         try:
             await self._attempt(attempt)
         except CorianderError as exc:
             error = exc
         finally:
-            self._parts.standbys[upstream] -= 1
+            self._parts.standbys[upstream] -= n_silent
             self._end_task()
         if not self._race.end(standby, error):
             return
         is_run = False
         if isinstance(error, UpstreamError):
-            is_run = await self._account_for(attempt, error)
-        if not is_run:
+            is_run = await self._account_for(attempt, error, goes_on=True)
+        # A run that goes on from its copy is not charged to the account again.
+        if not is_run and not attempt.placement.continue_from:
             self._is_repeat_unused = True
 
     # Placement.
@@ -520,17 +523,12 @@
     # Failure handling.
 
     def _handle_move(self, attempt: ForwardAttempt, exc: RunMovedError) -> None:
-        """Continue or restart a run that was interrupted to free its engine.
-
-        It continues from a copy of its KV cache if there is one.
-        """
+        """Count a run that was interrupted, since another attempt goes on with it."""
         self._earlier_may_have_run = True
-        self._next_placement = exc.placement
-        self._record_attempt(attempt, "moved" if exc.placement else "restarted", None)
-        if exc.placement is None:
+        self._record_attempt(attempt, "moved" if exc.is_copied else "restarted", None)
+        if not exc.is_copied:
             self._avoid.add(attempt.placement.instance.incarnation_key)
             self._n_runs += 1
-            self._job.usage.repeat_always()
 
     def _has_attempt_left(self, n_more: int = 0) -> bool:
         return self._n_runs + n_more < self._route.max_attempts
@@ -565,10 +563,13 @@
             return False
         return await self._fail_request(exc)
 
-    async def _account_for(self, attempt: ForwardAttempt, exc: UpstreamError) -> bool:
+    async def _account_for(
+        self, attempt: ForwardAttempt, exc: UpstreamError, goes_on: bool = False
+    ) -> bool:
         """Count a failed attempt, and report what it tells of its instance.
 
-        Return whether it counts as a run.
+        ``goes_on`` tells that the attempt that it stood by for goes on. Return whether
+        it counts as a run.
         """
         placement = attempt.placement
         if attempt.given_up is None:
@@ -579,7 +580,7 @@
         self._avoid.add(placement.instance.incarnation_key)
         if not isinstance(exc, NotRunError):
             self._earlier_may_have_run |= attempt.may_have_run
-        if placement.continue_from:
+        if placement.continue_from and not goes_on:
             # The copy could not be used, so the next attempt is another run.
             self._n_runs += 1
         if isinstance(exc, NotRunError):
@@ -635,15 +636,13 @@
             # At once, since the winner may fail before the loser has ended.
             self._n_runs += 1
 
-    @property
-    def has_standby(self) -> bool:
-        """Whether another attempt stands by for a silent one."""
-        return self._race.standby is not None
-
     def is_last(self, attempt: ForwardAttempt) -> bool:
         """Return whether no other attempt may follow this one."""
         lead = self._race.lead
         stands_by = lead is not None and lead is not attempt
+        if stands_by and self._race.is_moving and attempt.placement.continue_from:
+            # Both are one run, unless the lead fails.
+            stands_by = False
         n_more = 1 + (self._n_runs_of(lead.placement) if stands_by else 0)
         return not self._has_attempt_left(n_more)
 
@@ -652,6 +651,34 @@
         may_move = self._sent_answer.may_resume and not self.is_last(attempt)
         return may_move and self._charge_budget()
 
+    def may_move(self, attempt: ForwardAttempt) -> bool:
+        """Return whether a run has begun to answer, and no other attempt is open."""
+        has_begun = self._caller.started and self._sent_answer.may_resume
+        is_alone = attempt is self._race.lead and self._race.standby is None
+        n_in_vain = max(
+            self._n_not_run - MAX_NOT_RUN, self._n_unreached - MAX_UNREACHED
+        )
+        return has_begun and is_alone and n_in_vain <= 0
+
+    def open_move(self, placement: Placement) -> Successor:
+        """Send an attempt, charged before, that continues a run from its copy."""
+        successor = Successor()
+        self._start_standby(placement, successor)
+        return successor
+
+    def open_restart(self, attempt: ForwardAttempt) -> Successor | None:
+        """Choose, charge and send an attempt that prefills a run again elsewhere."""
+        if not self._may_repeat(self._n_runs_of(attempt.placement)):
+            return None
+        own_key = attempt.placement.instance.incarnation_key
+        for avoid in ({*self._avoid, own_key}, {own_key}):
+            found = self._target.choose(avoid, math.inf)
+            if isinstance(found, Placement):
+                is_soon = found.estimate_s <= self._job.hold_s
+                may_begin = is_soon and self._may_begin(found) and self._charge_repeat()
+                return self.open_move(found) if may_begin else None
+        return None
+
     def record_answer(self, attempt: ForwardAttempt, at: float) -> None:
         """Record that the head of an attempt's answer has arrived."""
         self._retries.answered(at, attempt.retry_number)
@@ -680,12 +707,45 @@
             self._next_placement = placement
         return True
 
-    def _start_standby(self, placement: Placement) -> None:
+    def _start_standby(
+        self, placement: Placement, successor: Successor | None = None
+    ) -> None:
         nursery = self._job.watch.nursery
         assert nursery is not None
         self._n_tasks += 1
-        standby = self._race.open(self._make_attempt(placement))
-        nursery.start_soon(self._run_standby, standby)
+        attempt = self._make_attempt(placement)
+        lead = self._race.lead
+        if successor is not None and lead is not None:
+            attempt.relay.wait_to_lead = successor.begin
+            # It goes on after what the caller has now.
+            lead.relay.hold()
+        nursery.start_soon(self._run_standby, self._race.open(attempt, successor))
+
+    def _end_successor(self, is_complete: bool) -> bool:
+        """End the attempt to which the run is being moved, unless it leads.
+
+        Return whether the run goes on itself.
+        """
+        standby = self._race.standby
+        if standby is None or standby.successor is None:
+            return True
+        attempt = standby.attempt
+        if attempt.given_up is None:
+            if standby.successor.has_begun and not is_complete:
+                return False
+            attempt.give_up(SupersededError, "the run went on where it was")
+            assert attempt.given_up is not None
+            self._report_health(attempt, attempt.given_up)
+            self._earlier_may_have_run |= attempt.may_have_run
+            self._avoid.add(attempt.placement.instance.incarnation_key)
+            # Its first event may be on its way.
+            self._n_runs += isinstance(attempt.given_up, SupersededError)
+        return True
+
+    def _may_begin(self, placement: Placement) -> bool:
+        """Return whether an attempt can begin before the deadline."""
+        begins_at = trio.current_time() + placement.estimate_s
+        return begins_at < self._deadline and self._target.may_take(placement)
 
     @staticmethod
     def _n_runs_of(placement: Placement) -> int:
@@ -718,9 +778,7 @@
         for avoid in choices:
             found = self._target.choose(avoid, objective_left_s)
             if isinstance(found, Placement):
-                begins_at = now + found.estimate_s
-                may_begin = begins_at < self._deadline and self._target.may_take(found)
-                return found if may_begin else None
+                return found if self._may_begin(found) else None
         return None
 
     async def _charge_rest(self) -> None:
--- a/packages/corianderlb-router/tests/race_engines.py
+++ b/packages/corianderlb-router/tests/race_engines.py
@@ -29,6 +29,8 @@
 
     began_at: float
     ended_at: float = float("inf")
+    is_continued: bool = False
+    """Whether it goes on from a copy, which counts as the same run."""
 
 
 @dataclass
@@ -49,6 +51,7 @@
         """Answer the request that was read last."""
         after = int(self.requests[-1].get("x-after") or 0)
         name = f"{self.name}x{len(self.requests)}"
+        is_continued = "x-continue" in self.requests[-1]
         fate = self.rng.random()
         if fate < 0.2:
             await stream.send_all(NOT_RUN if fate < 0.15 else an_answer(b"", 500))
@@ -65,7 +68,8 @@
                         await stream.aclose()
                         break
                     if run is None:
-                        run = RunInterval(trio.current_time())
+                        now = trio.current_time()
+                        run = RunInterval(now, is_continued=is_continued)
                         self.runs.append(run)
                     # Some chunks hold two events, or half of one.
                     data = a_run_event(number, name, turn, after)
--- a/packages/corianderlb-router/tests/test_attempt_race.py
+++ b/packages/corianderlb-router/tests/test_attempt_race.py
@@ -441,15 +441,12 @@
         self.assertGreater(n_moved, len(seeds))
 
     async def empty_engines(self, router: ForwardRouter, rng: random.Random) -> None:
-        """Have engines wait for a load at random, and for their runs to end."""
-        weights = router.engine_table.weights
+        """Change the phase of a random engine, again and again."""
+        phases = (EnginePhase.EMPTYING, EnginePhase.CLEARING, EnginePhase.SERVING)
         while True:
-            await trio.sleep(rng.choice((0.2, 0.5, 1.2)))
+            await trio.sleep(rng.choice((0.05, 0.1, 0.25, 0.6)))
             engine = router.state.instance(rng.choice(("e1", "e2", "e3")))
-            phase = rng.choice((EnginePhase.EMPTYING, EnginePhase.CLEARING))
-            weights.set_phase(engine, phase)
-            await trio.sleep(rng.choice((0.1, 0.3, 1.5)))
-            weights.set_phase(engine, EnginePhase.SERVING)
+            router.engine_table.weights.set_phase(engine, rng.choice(phases))
 
     async def play(
         self, rng: random.Random, odd_share: float = 0.0, moves: bool = False
@@ -493,3 +490,4 @@
             overlap_s = min(run.ended_at, later.ended_at) - later.began_at
             self.assertLess(overlap_s, 0.1)
         self.assertLessEqual(len(runs), n_runs)
+        self.assertLessEqual(sum(not run.is_continued for run in runs), 3)
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -1135,7 +1135,7 @@
         found = first_words(ROUTER / "forward_run.py", "_record_attempt")
         self.assertEqual(found, ["abandoned", "ok"])
         text = (ROUTER / "forward_run.py").read_text()
-        self.assertIn('"moved" if exc.placement else "restarted"', text)
+        self.assertIn('"moved" if exc.is_copied else "restarted"', text)
 
     def test_bad_value(self) -> None:
         """An error on a whole value names what it should be."""
