Memory: an answer that is cut for what others hold blames nobody

What callers would see: beside accounts that hold much, sound instances are left one after the other. An instance's largest answer is cut for a smaller one of the same instance, and the cut counted as a failure of the instance, however little it held. An answer that has no larger one beside it ended without blame in the same place (docs/design/held-memory.md, "Not its fault").

Cause: whether the instance itself fills the room was looked at for the answer that asks, not for the one that is cut.

Fix: it is looked at when an answer is cut, before its bytes are released. One that is cut for what others hold ends as `NoRoomError`, which is no failure of its instance and is repeated or resumed elsewhere as before.

The outcome `noroom` is in the table of outcomes; test_outcomes still fails for `unconfirmedend`, as it did before.

--- a/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller_memory.py
@@ -43,6 +43,8 @@
         self._holding: Holding | None = None
         self.on_cut: Callable[[], None] = lambda: None
         """Called when the answer may not be held any more."""
+        self.was_excess = False
+        """Whether its instance itself filled the room when the answer was cut."""
 
     @property
     def n_bytes(self) -> int:
@@ -63,6 +65,11 @@
         """Whether its instance itself fills the room that it lacks."""
         return self._memory.is_excess(self._instance)
 
+    def cut(self) -> None:
+        """End the answer; what it holds is released afterwards."""
+        self.was_excess = self.is_excess
+        self.on_cut()
+
     def _opened(self) -> Holding:
         if self._holding is None:
             self._holding = self._memory.open_for(self, self._instance)
@@ -125,7 +132,7 @@
     def open_for(self, arrival: Arrival, instance: Hashable) -> Holding:
         """Return an empty holding of an answer."""
         holding = self._memory.open(instance, INSTANCE_FACTOR)
-        self._cuts[holding] = lambda: arrival.on_cut()
+        self._cuts[holding] = arrival.cut
         return holding
 
     def hold_arrival(self, holding: Holding, n_bytes: int) -> bool:
@@ -141,9 +148,8 @@
             largest = self._memory.largest(holding.owner)
             if largest is None or largest.n_bytes <= holding.n_bytes + n_bytes:
                 return False
-            cut = self._cuts[largest]
+            self._cuts[largest]()
             self.close(largest)
-            cut()
         return True
 
     def n_room(self, holding: Holding) -> float:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -66,6 +66,10 @@
     """Raised when the first instance says that the rest of a begun answer is empty."""
 
 
+class NoRoomError(UpstreamError):
+    """Raised when an answer was cut for what others hold, not for its instance."""
+
+
 class SentAnswer:
     """What the caller has received of its answer, over all attempts."""
 
@@ -231,7 +235,7 @@
             # The error keeps this frame until the request has ended.
             blocks.clear()
             arrival.close()
-    raise too_much_error()
+    raise cut_error(arrival)
 
 
 def check_length(n_bytes: int) -> None:
@@ -252,6 +256,17 @@
     return refuse(ResultCode.ANSWER_NOT_HELD, NOT_HELD_DETAIL)
 
 
+def cut_error(arrival: Arrival) -> UpstreamError:
+    """Return the error of an answer that was cut to make room for a smaller one.
+
+    It is a failure of the instance if that sends too much. The answer of another
+    instance may find room, since an instance may hold more of fewer answers.
+    """
+    if arrival.was_excess:
+        return too_much_error()
+    return NoRoomError("others hold too much to keep the answer", sent=True)
+
+
 def too_much_error() -> AnswerTooLongError:
     """Return the error of an answer whose instance sends more than may be held."""
     return AnswerTooLongError("the instance sends more than may be held", sent=True)
@@ -328,7 +343,7 @@
         limit_s = self._stall_s
         while not await self._relay_until_pause(head, exchange, on_data, limit_s):
             if self._is_cut:
-                raise too_much_error()
+                raise cut_error(self.arrival)
             if self._late_chunk:
                 continue
             if not self._is_waiting:
@@ -450,7 +465,7 @@
         """Account for an unfinished event, unless the stream's own part covers it."""
         n_held = n_bytes if n_bytes > STREAM_BYTES else 0
         if n_held != self.arrival.n_bytes and not self.arrival.hold(n_held):
-            raise too_much_error() if self._is_cut else not_held(self.arrival)
+            raise (cut_error if self._is_cut else not_held)(self.arrival)
 
     def _cut(self) -> None:
         self._is_cut = True
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -40,6 +40,7 @@
 from .forward_relay import (
     RESERVE_INTERVAL_S,
     AnswerTooLongError,
+    NoRoomError,
     UnconfirmedEndError,
     WrongAnswerError,
 )
@@ -88,6 +89,7 @@
     WithdrawnError,
     SupersededError,
     UnconfirmedEndError,
+    NoRoomError,
 )
 """Ends of attempts that are no failure of their instance."""
 
--- a/packages/corianderlb-router/tests/test_arriving_answers.py
+++ b/packages/corianderlb-router/tests/test_arriving_answers.py
@@ -62,6 +62,14 @@
             await trio.sleep(0.001)
 
 
+def fill(memory: CallerMemory, n_bytes: int) -> None:
+    """Hold about that many bytes, each account as much as it may."""
+    while memory.n_bytes < n_bytes:
+        holding = memory.open(f"account {memory.n_holdings}", lambda: None)
+        while memory.n_bytes < n_bytes and memory.hold(holding, 1000):
+            pass
+
+
 class EndlessCallsTest(TrioTestCase):
     async def test_all_calls_go_on_at_the_other_instance(self) -> None:
         """Guards against answers without end that fill the memory of a router."""
@@ -145,6 +153,35 @@
             self.assertIn(b"%d" % ResultCode.ANSWER_NOT_HELD, caller.answer)
             self.assertEqual(router.health.failure_rate(("s1", 1)), 0.0)
 
+    async def test_answer_that_is_cut_for_what_others_hold(self) -> None:
+        """Guards against an instance that is blamed for what others hold."""
+        more = trio.Event()
+
+        async def long(stream: trio.abc.Stream) -> None:
+            await stream.send_all(STREAM_HEAD + chunk(bytes(40_000)))
+            await more.wait()
+
+        async def growing(stream: trio.abc.Stream) -> None:
+            await stream.send_all(STREAM_HEAD)
+            for _ in range(20):
+                await trio.sleep(0.01)
+                await stream.send_all(chunk(bytes(1000)))
+            await stream.send_all(b"0\r\n\r\n")
+
+        service = Upstream([long, growing, an_answer()])
+        async with a_router(s1=service) as router:
+            watched = Watched(router)
+            fill(watched.memory, LIMIT - 150_000)
+            first = router.a_caller("/read/1", x_id="q1")
+            second = router.a_caller("/read/2", x_id="q2")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, first)
+                await trio.sleep(0.01)
+                nursery.start_soon(router.serve, second)
+            self.assertEqual((first.status, first.answer), (200, b"done"))
+            self.assertEqual((second.status, second.answer), (200, bytes(20_000)))
+            self.assertEqual(router.health.failure_rate(("s1", 1)), 0.0)
+
 
 class SizedTest(TrioTestCase):
     async def ask(self, answer: bytes) -> tuple[FakeCaller, Watched]:
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -1007,8 +1007,8 @@
 """
 
 OUTCOMES = """\
-answertoolong broken connectfailed notrun runmoved serverfailure silent superseded
-takenoff upstream withdrawn wronganswer
+answertoolong broken connectfailed noroom notrun runmoved serverfailure silent
+superseded takenoff upstream withdrawn wronganswer
 """
 
 TRANSCRIPT = (
