Tests: engines of resumed streams go on where they are asked to

Two tests of test_stream_origins scripted engines that began anew at 1 when asked to go on after 2, which is refused now (502). They go on at 3; what the tests assert is as before.

--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -145,7 +145,8 @@
 
     async def test_stream_of_another_account_is_unknown(self) -> None:
         """Guards against learning of another account's streams by their ids."""
-        upstreams = {"e1": Upstream([a_stream(1, 2)]), "e2": Upstream([a_stream(1, 2)])}
+        script = [a_stream(1, 2), a_stream(3, 4)]
+        upstreams = {"e1": Upstream(script[:]), "e2": Upstream(script[:])}
         async with a_router(**upstreams) as router:
             list_versions(router, e1="v1", e2="v2")
             await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
@@ -216,8 +217,9 @@
 
     async def test_refused_connection_until_the_entry_is_renewed(self) -> None:
         """Guards against an instance that may have restarted with other software."""
-        engine = Upstream([a_stream(1, 2)])
-        async with a_router(e1=engine, e2=Upstream([a_stream(1, 2)])) as router:
+        script = [a_stream(1, 2), a_stream(3, 4)]
+        engine, other = Upstream(script[:]), Upstream(script[:])
+        async with a_router(e1=engine, e2=other) as router:
             list_versions(router, e1="v1", e2="v2")
             await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
             began = "e1" if engine.requests else "e2"
