Streams: an empty rest is confirmed for the same event alone

What callers would see: a stream that ends as complete before its last event, where one instance stood by for a silent one and wrongly sent the end alone, and the silent one went on: the next empty rest, after a later event, was believed at once.

Cause: that an instance had sent an empty rest was kept for the request, not for the event after which the rest was asked for. What the silent attempt sent since has refuted it.

Fix: the number of that event is kept, and compared with the event after which the confirming instance was asked.

Evidence, on the code before: test_joined_runs test_empty_rest_that_was_refuted: AssertionError: Tuples differ: ([('a', 1, 5)], True) != ([('a', 1, 5), ('c', 6, 7)], True) and passing after (all 13 tests in 12 of 12 runs).

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -81,8 +81,8 @@
         """Whether the last event sent to the caller has a number."""
         self.n_events = 0
         """Events sent to the caller."""
-        self.has_empty_rest = False
-        """Whether an instance that was asked for the rest has sent its end only."""
+        self.empty_after: int | None = None
+        """Number of the event after which an instance last sent the end only."""
         self.longest_pause_s = 0.0
         """Longest pause between two writes to the caller."""
         self.last_write_at: float | None = None
@@ -379,8 +379,8 @@
         """
         has_earlier = self.sent.n_events > self.n_events
         is_empty = self.caller.started and has_earlier and self.first_number is None
-        if is_empty and not self.sent.has_empty_rest:
-            self.sent.has_empty_rest = True
+        if is_empty and self.sent.empty_after != self.resume_after:
+            self.sent.empty_after = self.resume_after
             raise UnconfirmedEndError("the rest of the stream is empty", sent=True)
 
     @property
--- a/packages/corianderlb-router/tests/test_joined_runs.py
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -144,3 +144,16 @@
         caller = await self.ask(BREAKS_AFTER_3, empty, a_run("c", 4, 5, 6))
         self.assertEqual((caller.finished, self.n_blamed), (True, 1))
         self.assertEqual(caller.answer.count(b"id: "), 6)
+
+    async def test_empty_rest_that_was_refuted(self) -> None:
+        """Guards against an end that an earlier, wrong one is taken to confirm."""
+
+        async def goes_on(stream: trio.abc.Stream) -> None:
+            await stream.send_all(a_run("a", 1, 2, 3, ends=False))
+            await trio.sleep(1.3)
+            rest = a_run("a", 4, 5, after=0, ends=False).removeprefix(STREAM_HEAD)
+            await stream.send_all(rest)
+            await stream.aclose()
+
+        caller = await self.ask(goes_on, EMPTY, EMPTY, a_run("c", 6, 7))
+        self.assert_whole(caller, ("a", 1, 5), ("c", 6, 7))
