Streams: nothing that was read before a pause says which software an instance runs

6.7 s e1 (v1), which had it last, ends 6.9 s r1 is suspended; 7.4 s r0 is killed 8.3 s e1 is back under its name and address, with v2 9.3 s r1 goes on; the requests that wait for it are served at once 9.4 s x2.4.3 is sent to e1 as v1, by the entry of before: 200, one event of v2 9.7 s r1 reads the new entry of e1

Cause: whether an instance has the version of a stream was looked up in entries that were as old as the pause. The instance's name is the same, so it answers.

Change: a bound stream is sent only if the instances were read since this process last stood still. Otherwise they are read again, and if that fails the request is refused as not run, or the begun answer asks again. It is looked at once more before the first byte.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -222,6 +222,7 @@
                     lambda: self._parts.n_sharing,
                     self._rng,
                 ),
+                is_current=lambda: self._follower.are_instances_current,
             ),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -84,6 +84,9 @@
 SILENT: Final = "silent"
 """Outcome of an attempt whose instance sent nothing for too long."""
 
+STOOD_STILL: Final = "the instances may have changed while this router stood still"
+"""Detail of an attempt that is not sent, as its instance may have restarted."""
+
 UNBLAMED: Final = (
     NotRunError,
     WithdrawnError,
@@ -401,6 +404,9 @@
         """Send the request to one instance and relay its answer."""
         parts, placement = self._parts, attempt.placement
         instance = placement.instance
+        is_bound = self._target.software_version is not None
+        if is_bound and not await parts.origins.make_current():
+            raise NotRunError(STOOD_STILL, sent=False)
         if not parts.state.accepts_requests(instance):
             raise NotRunError("the instance is leaving", sent=False)
         if not self._target.may_run(instance):
@@ -849,7 +855,13 @@
         """Refuse a request that was taken in time and would be sent too late.
 
         Nothing has run it yet, so the caller may go to another router.
+
+        Raise ``NotRunError`` for a stream that is bound to a software version if this
+        process has stood still since it last read the instances.
         """
+        is_bound = self._target.software_version is not None
+        if is_bound and not self._parts.origins.is_current:
+            raise NotRunError(STOOD_STILL, sent=False)
         admission = self._job.admission
         if admission is not None and not (self.may_have_run or self._caller.started):
             estimate_s = attempt.placement.estimate_s
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -179,6 +179,12 @@
         """Read the instances now; return whether the store answered in time."""
         return await self._instances_read.read()
 
+    @property
+    def are_instances_current(self) -> bool:
+        """Whether the instances were read since this process last stood still."""
+        table = self._state.tables[self._state.instances_kind]
+        return not self._pauses.has_resumed_since(table.read_at)
+
     async def _read_instances(self) -> None:
         kind, started_at = self._state.instances_kind, trio.current_time()
         listing = await self._feed.list(kind)
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -129,9 +129,11 @@
         wall_clock: Callable[[], float] = time.time,
         refresh: Callable[[], Awaitable[bool]] = _never_current,
         records: StreamRecords | None = None,
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
         """Read the instances again with ``refresh``, which returns whether it could.
 
+        ``is_current`` tells whether they were read since this process stood still.
         Without ``records``, streams are forgotten once all their routers are gone.
         """
         self._state = state
@@ -146,6 +148,7 @@
         self._lifetime_of: ForwardConfiguration | None = None
         self._kept_lifetime_s = MIN_LIFETIME_S
         self._refresh = refresh
+        self._is_current = is_current
         self._records = records
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
@@ -234,6 +237,23 @@
         if known is not None:
             self._doubted_revisions[known.incarnation_key] = known.revision
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the versions of the instances may be trusted.
+
+        Any instance can have restarted with other software, under its name and address,
+        while this process stood still.
+        """
+        return self._is_current()
+
+    async def make_current(self) -> bool:
+        """Read the instances again if need be; return whether they may be trusted."""
+        if self._is_current():
+            return True
+        was_read = await self._refresh()
+        self._observe()
+        return was_read and self._is_current()
+
     def runs_version(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance is known to run a software version now."""
         known = self._state.incarnation(instance.incarnation_key)
@@ -263,6 +283,8 @@
 
         ``key`` is None for a caller that does not name the stream.
         """
+        if not await self.make_current():
+            return None
         self._observe()
         now = trio.current_time()
         known = self._table.find(key, now) if key else None
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -256,6 +256,37 @@
                 self.assertEqual((await resume(second, resumes=resumes)).status, 503)
             self.assertEqual(n_requests(upstreams), {"e1": 0, "e2": 0})
 
+    async def test_instance_restarts_while_its_router_stands_still(self) -> None:
+        """Guards against a stream that goes on at an instance with other software."""
+        upstreams = {"e1": Upstream([a_stream(1, 2), a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1")
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            origins, has_read = router.parts.origins, []
+
+            async def refresh() -> bool:
+                reborn = an_instance(
+                    "e1", "llm", software_version="v2", born_ms=1 << 45, revision=50
+                )
+                router.list_instances(reborn, revision=50)
+                has_read.append(True)
+                return True
+
+            origins._is_current, origins._refresh = lambda: bool(has_read), refresh
+            self.assertEqual((await resume(router)).status, 503)
+            self.assertEqual(n_requests(upstreams), {"e1": 1})
+
+    async def test_stands_still_before_the_repeat_of_an_answer(self) -> None:
+        """Guards against a begun answer that goes on by what was read long before."""
+        upstreams = {f"e{n}": Upstream([break_off], closes=True) for n in (1, 2)}
+        async with a_router(**upstreams) as router:
+            list_versions(router, e1="v1", e2="v1")
+            origins = router.parts.origins
+            origins._is_current = lambda: sum(n_requests(upstreams).values()) < 1
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertEqual((caller.status, caller.finished), (200, False))
+            self.assertEqual(sum(n_requests(upstreams).values()), 1)
+
     async def test_router_hears_late_that_a_version_joined(self) -> None:
         """Guards against taking the version that was alone until a router looked."""
         upstreams = {"e1": Upstream([a_stream(3, 4)]), "e2": Upstream([a_stream(3, 4)])}
