Memory: a stream counts for what it writes, not for what it once wrote

What callers would see: refusals as MEMORY_FULL, and streams cut for want of room, though little is held: each stream that ever wrote more than 8 KiB at once, as all do after a pause of their engine or of the router, counted for its largest write until its end.

Cause: since a write over the stream's part adds to what its caller holds, and nothing releases it once the caller has taken the bytes, against docs/design/held-memory.md ("more while it writes more at once").

Fix: the part is as before again once the write has ended.

Evidence, on the code before: test_caller_memory test_stream_that_wrote_much_at_once: AssertionError: 40897 != 8196; passing after.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -128,7 +128,8 @@
         if holding is None:
             await super().write(data)
             return
-        if len(data) > self._n_answer:
+        n_usual = self._n_answer
+        if len(data) > n_usual:
             self.hold_answer(len(data))
         holding.unread_since = trio.current_time()
         try:
@@ -139,6 +140,9 @@
                 await self._connection.send_part(data)
         finally:
             holding.unread_since = math.inf
+            if self._n_answer > n_usual:
+                self._may_hold(n_usual - self._n_answer)
+                self._n_answer = n_usual
         self._check_connection()
 
     async def _send_uncancelled(self, message: dict[str, Any]) -> None:
--- a/packages/corianderlb-router/tests/test_caller_memory.py
+++ b/packages/corianderlb-router/tests/test_caller_memory.py
@@ -21,11 +21,15 @@
 from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from forward_builders import (
+    STREAM_END,
+    STREAM_HEAD,
     Upstream,
     a_router,
     a_stream,
     an_answer,
+    an_event,
     bound,
+    chunk,
 )
 
 ANSWER_BYTES = 8 << 20
@@ -93,6 +97,26 @@
             self.assertEqual(served.status, 200)
             self.assertEqual(memory.n_bytes, 0)
 
+    async def test_stream_that_wrote_much_at_once(self) -> None:
+        """Guards against streams that count for what their callers have long taken."""
+
+        async def answer(stream: trio.abc.Stream) -> None:
+            events = b"".join(map(an_event, range(1, 2001)))
+            await stream.send_all(STREAM_HEAD + chunk(events))
+            await trio.sleep(0.5)
+            await stream.send_all(STREAM_END)
+
+        async with (
+            a_router(e1=Upstream([answer])) as router,
+            trio.open_nursery() as nursery,
+        ):
+            memory = router.parts.memory
+            caller = router.a_caller("/quick/x", x_prompt="p:500,own:10")
+            nursery.start_soon(router.serve, caller)
+            await trio.sleep(0.2)
+            self.assertGreater(len(caller.answer), 2 * STREAM_BYTES)
+            self.assertEqual(memory.n_bytes, STREAM_BYTES + len(b"body"))
+
     async def test_bounded_unless_set(self) -> None:
         """Guards against a deployment on which a router holds without a bound."""
         async with a_router(a1=Upstream([an_answer()])) as router:
