Streams: an instance is asked when it started before a bound stream goes to it

Cause: an entry says what an instance was when it wrote it. An instance that restarts serves before the store, or this router, has its new entry; nothing in an answer tells its software. The class is that of: what is known of an instance is older than the instance.

Change: instances say when their process started. Before a stream that is bound to a software version is sent to an instance directly, it is asked; if another process than that of the entry answers, nothing is sent, and the instance takes no bound stream until its entry is renewed. Answers are shared for 0.1 s. An instance that doesn't answer or tell is trusted as before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -479,7 +479,21 @@
             except NoTunnelError:
                 raise exc from None
 
+    async def _check_incarnation(self) -> None:
+        """Raise ``NotRunError`` if the instance can't go on with its stream.
+
+        It has restarted since its entry was read, and may run other software.
+        """
+        parts, instance = self._parts, self.placement.instance
+        if self._target.software_version is None or not instance.born_ms:
+            return
+        check = parts.incarnations
+        if check is not None and await check.has_restarted(instance):
+            parts.origins.record_doubt(instance)
+            raise NotRunError("the instance has restarted", sent=False)
+
     async def _send_directly(self) -> Answer:
+        await self._check_incarnation()
         started_at = trio.current_time()
         try:
             response = await self._send_request()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -40,6 +40,7 @@
 from .health_table import HealthTable
 from .http_server import HttpServer, HttpServerSettings
 from .in_flight import InFlightTable
+from .incarnation_check import IncarnationCheck
 from .instance_limits import InstanceLimits, RefusalLimits
 from .lease_coordinator import LeaseCoordinator
 from .lease_holder import LeaseHolder
@@ -227,6 +228,7 @@
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
+            incarnations=IncarnationCheck(ports.probe) if ports.probe else None,
             copier=self._make_copier(),
             memory=CallerMemory(HELD_SHARE * cfg.forward.memory_bytes),
         )
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -34,6 +34,7 @@
 from .forward_request import ForwardProtocol
 from .health_table import HealthTable
 from .in_flight import InFlightTable
+from .incarnation_check import IncarnationCheck
 from .interface import PeerNetwork
 from .log_writer import log_ms, log_request
 from .memory_copier import MemoryCopier
@@ -137,6 +138,8 @@
     """Assumed number of routers until the peers are known."""
     ran_before_s: Callable[[], float] = lambda: math.inf
     """Time from the previous start of this router to this one; 0 if not known."""
+    incarnations: IncarnationCheck | None = None
+    """Asks instances whether they have restarted; None if they can't be asked."""
     copier: MemoryCopier | None = None
     """Copies runs between engines; None if the engines do not support it."""
     memory: CallerMemory = field(
--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/incarnation_check.py
@@ -0,0 +1,72 @@
+"""Ask instances for their incarnation before a stream of theirs goes on.
+
+An instance can restart with other software under its name and address, and serve before
+its new entry has reached the store or this router. Whoever answers is told from the
+instance that was meant by the time of its start alone::
+
+    if await check.has_restarted(instance):
+        ...  # The entry is that of a process which is gone.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import trio
+
+from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_core.part_index import IncarnationKey
+
+from .path_watch import InstanceProbe
+
+SHARED_S: Final = 0.1
+"""Time for which an answer is shared: far less than a process takes to start."""
+
+
+class _Question:
+    """Question to one instance, which requests that come meanwhile share."""
+
+    def __init__(self) -> None:
+        self.is_answered = trio.Event()
+        self.asked_at = trio.current_time()
+        self.has_restarted: bool | None = None
+        """The answer; None if the request that asked has been given up."""
+
+
+class IncarnationCheck:
+    """Compares the start of the process that answers with that of the entry."""
+
+    def __init__(self, probe: InstanceProbe) -> None:
+        self._probe = probe
+        self._questions: dict[IncarnationKey, _Question] = {}
+
+    async def has_restarted(self, instance: ForwardInstance) -> bool:
+        """Return whether another process than that of the entry answers.
+
+        False also if none answers, or one that doesn't tell when it started.
+        """
+        key, now = instance.incarnation_key, trio.current_time()
+        question = self._questions.get(key)
+        if question is None or now - question.asked_at >= SHARED_S:
+            return await self._ask(instance)
+        await question.is_answered.wait()
+        if question.has_restarted is None:
+            return await self._ask(instance)
+        return question.has_restarted
+
+    async def _ask(self, instance: ForwardInstance) -> bool:
+        key, question = instance.incarnation_key, _Question()
+        self._questions[key] = question
+        try:
+            born_ms = await self._probe.born_ms(instance)
+            question.has_restarted = born_ms not in (0, instance.born_ms)
+        finally:
+            question.is_answered.set()
+            self._forget_old()
+        return question.has_restarted
+
+    def _forget_old(self) -> None:
+        oldest = trio.current_time() - SHARED_S
+        for key, question in list(self._questions.items()):
+            if question.asked_at < oldest and question.is_answered.is_set():
+                del self._questions[key]
--- a/packages/corianderlb-router/src/corianderlb_router/path_watch.py
+++ b/packages/corianderlb-router/src/corianderlb_router/path_watch.py
@@ -30,12 +30,20 @@
 
 
 class InstanceProbe(ABC):
-    """Asks an instance for any answer, on a new connection."""
+    """Asks an instance about itself, on a new connection."""
 
     @abstractmethod
     async def answers(self, instance: ForwardInstance) -> bool:
         """Return whether an instance answers at all."""
 
+    @abstractmethod
+    async def born_ms(self, instance: ForwardInstance) -> int:
+        """Return the start of the process that answers at an instance's address.
+
+        It is in Unix milliseconds; 0 if none answers or tells it, and -1 if the process
+        says that it is another instance.
+        """
+
 
 class PathWatch:
     """Direct paths of one router; without a probe only requests prove them."""
