--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -485,7 +485,7 @@
         It has restarted since its entry was read, and may run other software.
         """
         parts, instance = self._parts, self.placement.instance
-        if self._target.software_version is None or not instance.born_ms:
+        if not self._target.is_bound or not instance.born_ms:
             return
         check = parts.incarnations
         if check is not None and await check.has_restarted(instance):
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -404,8 +404,7 @@
         """Send the request to one instance and relay its answer."""
         parts, placement = self._parts, attempt.placement
         instance = placement.instance
-        is_bound = self._target.software_version is not None
-        if is_bound and not await parts.origins.make_current():
+        if self._target.is_bound and not await parts.origins.make_current():
             raise NotRunError(STOOD_STILL, sent=False)
         if not parts.state.accepts_requests(instance):
             raise NotRunError("the instance is leaving", sent=False)
@@ -859,8 +858,7 @@
         Raise ``NotRunError`` for a stream that is bound to a software version if this
         process has stood still since it last read the instances.
         """
-        is_bound = self._target.software_version is not None
-        if is_bound and not self._parts.origins.is_current:
+        if self._target.is_bound and not self._parts.origins.is_current:
             raise NotRunError(STOOD_STILL, sent=False)
         admission = self._job.admission
         if admission is not None and not (self.may_have_run or self._caller.started):
