Tests: processes that are killed while they answer without length

The stand-ins of the platform get a server that can leave out length and chunks (hypercorn always frames), so that an answer ends as its process does.

--- a/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -21,6 +21,8 @@
 
 from corianderlb_core.codec import DecodeError, from_plain, plain_from_json
 
+from ._plain_http import UNFRAMED, serve_plainly
+
 T = TypeVar("T")
 
 
@@ -45,11 +47,16 @@
         """Return the body decoded from JSON; an empty body gives an empty map."""
         return plain_from_json(self.body) if self.body else {}
 
-    async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Send status and headers."""
+    async def start(
+        self, status: int, headers: dict[str, str], is_framed: bool = True
+    ) -> None:
+        """Send status and headers; without framing, the answer ends by a close.
+
+        Answers without framing need the server of ``serve_app(..., is_plain=True)``.
+        """
         pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
         message = {"type": "http.response.start", "status": status, "headers": pairs}
-        await self.send(message)
+        await self.send({**message, UNFRAMED: not is_framed})
 
     async def write(self, data: bytes, more: bool = True) -> None:
         """Send a part of the body; ``more=False`` ends the answer."""
@@ -57,7 +64,11 @@
         await self.send(message)
 
     async def answer(
-        self, status: int, value: Any = None, headers: dict[str, str] | None = None
+        self,
+        status: int,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+        is_framed: bool = True,
     ) -> None:
         """Send a complete answer; a value that is not bytes is encoded as JSON."""
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -66,7 +77,7 @@
             "content-type": kind or "application/json",
             "content-length": str(len(body)),
         }
-        await self.start(status, {**defaults, **(headers or {})})
+        await self.start(status, {**defaults, **(headers or {})}, is_framed)
         await self.write(body, more=False)
 
     async def cut(self) -> None:
@@ -134,7 +145,9 @@
     return from_plain(type(value), plain)
 
 
-async def serve_app(app: StandIn, host: str, port: int, name: str = "http") -> None:
+async def serve_app(
+    app: StandIn, host: str, port: int, name: str = "http", is_plain: bool = False
+) -> None:
     """Serve until SIGTERM or SIGINT; print the address once the socket listens."""
     cfg = Config()
     cfg.bind = [f"{host}:{port}"]
@@ -147,9 +160,12 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(_stop_on_signal, stop)
         nursery.start_soon(app.background)
-        run = partial(serve, app, cfg, shutdown_trigger=stop.wait)
-        binds = await nursery.start(run)
-        addresses = {name: binds[0].split("://")[-1]}
+        if is_plain:
+            bind = await nursery.start(serve_plainly, app, host, port)
+        else:
+            run = partial(serve, app, cfg, shutdown_trigger=stop.wait)
+            bind = (await nursery.start(run))[0].split("://")[-1]
+        addresses = {name: bind}
         print_listening(**addresses, **await app.extra_addresses())
         await stop.wait()
         nursery.cancel_scope.cancel()
