Log: what showed the end of an answer, and whether its run was being moved

An attempt whose engine was killed had the same log line as a whole one. Each attempt now names its framing, whether its instance ended it so, and whether the run was being moved then; corianderlb_answers_ended_total counts the ends. No logic is changed.

--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -39,6 +39,7 @@
         self._record: dict[str, Callable[[float, Mapping[str, str]], None]] = {
             name: counter(name).add
             for name in (
+                "corianderlb_answers_ended_total",
                 "corianderlb_forwarded_total",
                 "corianderlb_forward_attempts_total",
                 "corianderlb_forward_prompt_tokens_total",
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -431,6 +431,13 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise BrokenError(f"{self.address}: connection reset", sent=True) from exc
 
+    @property
+    def framing(self) -> str:
+        """What delimits the response body: ``length``, ``chunks`` or ``close``."""
+        if self.ends_by_close:
+            return "close"
+        return "chunks" if self._body is not None else "length"
+
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange is complete and the connection stays open."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -594,6 +594,7 @@
         self, head: UpstreamHead, exchange: Exchange, on_data: Callable[[], None]
     ) -> None:
         """Relay an answer; a run that may be resumed can move to another engine."""
+        self.relay.framing = exchange.framing
         copier = self._parts.copier
         may_move = self._route.kind is RepeatKind.STREAM and self._route.may_resume
         is_last = self._owner.is_last(self)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -96,6 +96,11 @@
         if n_events:
             self._record("corianderlb_stream_events_repeated_total", n_events, {})
 
+    def answer_ended(self, framing: str, outcome: str) -> None:
+        """Count an answer that its instance has ended, by what showed its end."""
+        labels = {"framing": framing, "outcome": outcome}
+        self._record("corianderlb_answers_ended_total", 1, labels)
+
     def prompt_read_again(self, n_tokens: int) -> None:
         """Count prompt tokens that the engine of a repeat is expected to prefill."""
         self._record("corianderlb_repeat_prompt_tokens_total", n_tokens, {})
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -121,6 +121,12 @@
         """Number of the first event that the instance sent; None without one."""
         self.last_number: int | None = None
         """Number of the last event that the instance sent; None without one."""
+        self.framing = ""
+        """What delimits the answer: ``length``, ``chunks`` or ``close``."""
+        self.has_ended = False
+        """Whether the instance has ended its answer as the framing tells."""
+        self.was_moving = False
+        """Whether the run was being moved to another instance then."""
         self.reserve_retry: Callable[[], bool] = lambda: False
         """Called when the instance is silent; returns whether to give it up."""
         self.claim: Callable[[], None] = lambda: None
@@ -180,6 +186,7 @@
             await self._relay_as_it_arrives(head, exchange, on_data, n_bytes)
             return
         body = await read_whole(exchange, on_data, self.arrival)
+        self.has_ended = True
         self.caller.hold_answer(len(body))
         self.claim()
         headers, ends_by_close = list(head.headers), exchange.ends_by_close
@@ -201,6 +208,7 @@
         while chunk := await receive_chunk():
             on_data()
             await caller.write(chunk)
+        self.has_ended = True
         await caller.finish()
 
 
@@ -358,6 +366,7 @@
             if self.reserve_retry():
                 raise SilentError(f"no event for {self._stall_s} s", sent=True)
             limit_s = RESERVE_INTERVAL_S
+        self.has_ended, self.was_moving = True, self._is_held
         if self._splitter.has_partial_event:
             raise BrokenError("the stream ended inside an event", sent=True)
         if exchange.ends_by_close and self._must_end:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -133,6 +133,12 @@
     """Number of the last event that its instance sent."""
     n_repeated: int = 0
     """Events that it was not asked for, since the caller had them."""
+    framing: str = ""
+    """What delimits the answer: ``length``, ``chunks`` or ``close``."""
+    has_ended: bool = False
+    """Whether the instance has ended its answer as the framing tells."""
+    was_moving: bool = False
+    """Whether the run was being moved then."""
     silent_ms: int | None = None
     """Time since the last bytes from the instance; None without any."""
     left_ms: int = 0
@@ -984,6 +990,9 @@
                 first_event=attempt.relay.first_number,
                 last_event=attempt.relay.last_number,
                 n_repeated=attempt.relay.n_repeated,
+                framing=attempt.relay.framing,
+                has_ended=attempt.relay.has_ended,
+                was_moving=attempt.relay.was_moving,
                 silent_ms=attempt.silent_ms,
                 left_ms=round((self._deadline - trio.current_time()) * 1000),
                 via=attempt.via,
@@ -1001,5 +1010,7 @@
         is_repeat = attempt.number > 1
         self._parts.metrics.attempt_ended(outcome, is_repeat)
         self._parts.metrics.events_repeated(attempt.relay.n_repeated)
+        if attempt.relay.has_ended:
+            self._parts.metrics.answer_ended(attempt.relay.framing, outcome)
         if is_repeat and choice is not None:
             self._parts.metrics.prompt_read_again(choice.n_missing)
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -131,6 +131,11 @@
         """Whether the body is delimited by connection close."""
         return self._conn.ends_by_close
 
+    @property
+    def framing(self) -> str:
+        """What delimits the body: ``length``, ``chunks`` or ``close``."""
+        return self._conn.framing
+
     @property
     def content_length(self) -> int | None:
         """Length of the body; None if it is not known before its end."""
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -173,6 +173,8 @@
 """
 
 FORWARD_METRICS = """\
+corianderlb_answers_ended_total counter
+corianderlb_answers_ended_total framing outcome
 corianderlb_brittle_instances
 corianderlb_brittle_instances gauge
 corianderlb_callers_cut
@@ -410,6 +412,9 @@
 first_event
 last_event
 n_repeated
+framing
+has_ended
+was_moving
 silent_ms
 left_ms
 via
@@ -512,6 +517,7 @@
     metrics.stream_cut("shutdown", after_silence=True, taken_while_stopping=False)
     metrics.paused_too_long(after_silence=True)
     metrics.events_repeated(1)
+    metrics.answer_ended("close", "ok")
     metrics.prompt_read_again(1)
     node = mock.MagicMock()
     memory = CallerMemory(1e6)
