Answers without a mark of their end: find out whether their process is still there

Cause: an answer without length and chunks ends with its connection. The kernel closes the connections of a killed process in order, and the router took each such close for the end of the answer. The class: the end of a process passed on as the end of an answer.

The router now asks, after the end has arrived and before it passes it on. An instance that tells its start is asked for it: the same one means that the process closed the connection itself. A doubt counts as cut, which costs one more attempt; an empty rest of another instance for the same event then confirms the end.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -36,6 +36,10 @@
 _FRAMING_HEADERS: Final = frozenset({b"transfer-encoding", b"content-length"})
 """Headers that delimit a body."""
 
+_LAST_RECEIVED: Final = struct.Struct("56xI")
+"""Part of the kernel's ``tcp_info``: the milliseconds since the last acknowledgement,
+which each segment of an established connection carries."""
+
 _COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """Parser states after a complete response; in the last two the upstream also closes."""
 
@@ -221,6 +225,20 @@
         """Whether this side has closed it."""
         return self._is_closed
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the kernel last received anything from the remote side.
+
+        After the end of the stream, the time since then at least.
+        """
+        try:
+            info = self._raw.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED.size
+            )
+        except OSError:
+            return 0.0
+        return _LAST_RECEIVED.unpack(info)[0] / 1000
+
     @property
     def local_address(self) -> tuple[str, int]:
         """Address and port of this side."""
@@ -431,6 +449,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise BrokenError(f"{self.address}: connection reset", sent=True) from exc
 
+    @property
+    def silent_s(self) -> float:
+        """Time since anything arrived from the upstream, as far as it is known."""
+        return self._stream.silent_s if isinstance(self._stream, SocketStream) else 0.0
+
     @property
     def framing(self) -> str:
         """What delimits the response body: ``length``, ``chunks`` or ``close``."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -14,6 +14,7 @@
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 from corianderlb_core.quarantine import PartRequest
 
+from .answer_end import AnswerEnd
 from .caller_memory import Arrival
 from .caller_run import RequestWatch
 from .connection import (
@@ -30,8 +31,10 @@
 from .forward_relay import (
     RESERVE_INTERVAL_S,
     EventRelay,
+    ProcessEndedError,
     Relay,
     SentAnswer,
+    UnknownEndError,
     WholeRelay,
     WrongAnswerError,
     read_whole,
@@ -69,6 +72,10 @@
 QUESTION_S: Final = 0.3
 """Least time without an answer after which the path to an instance is probed."""
 
+END_MARGIN_S: Final = 0.05
+"""Time before the deadline by which an answer must be known to be whole, so that its
+last bytes arrive in time."""
+
 WRITE_TIMEOUT_S: Final = 5.0
 """Timeout for sending a request to an upstream."""
 
@@ -244,6 +251,8 @@
         """Whether the health table has its silence as a failure."""
         self._is_withdrawn = False
         """Whether the request was withdrawn before its weights expire."""
+        self.end = ""
+        """What ended an answer without a mark of its end: see ``AnswerEnd``."""
         self.via = ""
         """The router that carries the connection; empty for a direct one."""
 
@@ -627,17 +636,38 @@
         if head.status < 300:
             self.relay.reserve_retry = self._reserve_in_answer
             self.relay.claim = self._claim
+            self.relay.confirm_end = self._confirm_end
             await self.relay.relay_answer(head, exchange, on_data)
             return
         if head.status < SERVER_ERROR and not self._job.caller.started:
             relay = WholeRelay(self._job.sent, self._arrival)
             relay.claim = self._claim
+            relay.confirm_end = self._confirm_end
             await relay.relay_answer(head, exchange, on_data)
             return
         body = await read_whole(exchange, on_data, self._arrival)
+        if exchange.ends_by_close:
+            await self._confirm_end(exchange)
         if not self._job.caller.started:
             self._job.caller.hold_answer(len(body))
         raise ServerFailureError(head, body, exchange.ends_by_close)
 
+    async def _confirm_end(self, exchange: Exchange) -> None:
+        """Raise unless the instance itself has ended an answer that has no mark of it.
+
+        The question takes no longer than what is left to answer the caller in.
+        """
+        ends, end = self._parts.ends, AnswerEnd.UNKNOWN
+        if ends is None:
+            return
+        left_s = self._deadline - trio.current_time() - END_MARGIN_S
+        with trio.move_on_after(max(0.0, left_s)):
+            end = await ends.judge(self.placement.instance, exchange.silent_s)
+        self.end = end.value
+        if end is AnswerEnd.DIED:
+            raise ProcessEndedError("ended with its process", sent=True)
+        if end is AnswerEnd.UNKNOWN:
+            raise UnknownEndError("ended by a close of unknown cause", sent=True)
+
     def _claim(self) -> None:
         self._owner.claim(self)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -22,6 +22,7 @@
 
 from ._stop_signals import receive_signals
 from ._websocket_transport import WebSocketTransport
+from .answer_end import AnswerEnds
 from .caller_memory import HELD_SHARE, CallerMemory
 from .connection import TcpConnector
 from .connection_guard import ConnectionGuard
@@ -197,11 +198,12 @@
             ports.store, InstanceId(cfg.forward.node), quarantine, self._rng
         )
         self._controller = self._make_controller()
+        transport = UpstreamTransport(TcpConnector())
         self._parts = ForwardParts(
             cfg=cfg.forward,
             state=ports.state,
             protocol=ports.protocol,
-            transport=UpstreamTransport(TcpConnector()),
+            transport=transport,
             engines=self._engines,
             health=health,
             quarantine=quarantine,
@@ -228,6 +230,7 @@
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
+            ends=AnswerEnds(transport.pool, ports.probe),
             incarnations=IncarnationCheck(ports.probe) if ports.probe else None,
             copier=self._make_copier(),
             memory=CallerMemory(HELD_SHARE * cfg.forward.memory_bytes),
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -25,6 +25,7 @@
 from corianderlb_core.service_choice import ServiceLoad
 from corianderlb_core.usage_cap import UsageTerms
 
+from .answer_end import AnswerEnds
 from .caller_memory import DEFAULT_MEMORY_BYTES, HELD_SHARE, CallerMemory
 from .engine_table import EngineTable
 from .fleet_quarantine import FleetQuarantine
@@ -138,6 +139,9 @@
     """Assumed number of routers until the peers are known."""
     ran_before_s: Callable[[], float] = lambda: math.inf
     """Time from the previous start of this router to this one; 0 if not known."""
+    ends: AnswerEnds | None = None
+    """Tells whether answers without a mark of their end are whole; None if any that
+    ends in order counts as whole."""
     incarnations: IncarnationCheck | None = None
     """Asks instances whether they have restarted; None if they can't be asked."""
     copier: MemoryCopier | None = None
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -62,6 +62,14 @@
     """Raised when a relay was interrupted between two events."""
 
 
+class ProcessEndedError(BrokenError):
+    """Raised when an answer without a mark of its end has ended with its process."""
+
+
+class UnknownEndError(BrokenError):
+    """Raised when nothing tells whether an answer without such a mark is whole."""
+
+
 class UnconfirmedEndError(UpstreamError):
     """Raised when the first instance says that the rest of a begun answer is empty."""
 
@@ -103,6 +111,10 @@
         self.last_write_at = now
 
 
+async def trust_end(exchange: Exchange) -> None:
+    """Take the end of a connection for that of its answer."""
+
+
 class Relay(ABC):
     """Relays the answer of one attempt to the caller."""
 
@@ -141,6 +153,9 @@
         """Called to end the attempt to which the run is being moved, before events that
         were held are sent. Returns False if it has begun, and leads; the argument tells
         that the answer is complete, so that nothing else is needed."""
+        self.confirm_end: Callable[[Exchange], Awaitable[None]] = trust_end
+        """Called when an answer has ended with its connection, before its end is passed
+        on; raises ``BrokenError`` unless the instance has ended it."""
         self.check_source: Callable[[], None] = lambda: None
         """Called before the first events of an answer are sent to the caller; raises
         ``BrokenError`` if they must not be."""
@@ -187,6 +202,8 @@
             return
         body = await read_whole(exchange, on_data, self.arrival)
         self.has_ended = True
+        if exchange.ends_by_close:
+            await self.confirm_end(exchange)
         self.caller.hold_answer(len(body))
         self.claim()
         headers, ends_by_close = list(head.headers), exchange.ends_by_close
@@ -371,6 +388,8 @@
             raise BrokenError("the stream ended inside an event", sent=True)
         if exchange.ends_by_close and self._must_end:
             raise BrokenError("the rest of the stream has no length", sent=True)
+        if exchange.ends_by_close:
+            await self._confirm_end(exchange)
         if self.wait_to_lead is not None:
             raise UnconfirmedEndError("the stream ended without an event", sent=True)
         if not self._held:
@@ -380,6 +399,15 @@
             self._is_held = False
         await self._write_rest(head, exchange)
 
+    async def _confirm_end(self, exchange: Exchange) -> None:
+        try:
+            await self.confirm_end(exchange)
+        except BrokenError:
+            if self.first_number is not None:
+                # An instance that sends an empty rest for the same event confirms it.
+                self.sent.empty_after = self.last_number
+            raise
+
     def _check_rest(self) -> None:
         """Raise if only this answer tells that a stream cut elsewhere was complete.
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -42,6 +42,7 @@
     AnswerTooLongError,
     NoRoomError,
     UnconfirmedEndError,
+    UnknownEndError,
     WrongAnswerError,
 )
 from .forward_target import (
@@ -92,6 +93,7 @@
     WithdrawnError,
     SupersededError,
     UnconfirmedEndError,
+    UnknownEndError,
     NoRoomError,
 )
 """Ends of attempts that are no failure of their instance."""
@@ -137,6 +139,9 @@
     """What delimits the answer: ``length``, ``chunks`` or ``close``."""
     has_ended: bool = False
     """Whether the instance has ended its answer as the framing tells."""
+    end: str = ""
+    """What ended an answer that has no mark of its end: ``closed`` for its process,
+    ``died`` or ``unknown``."""
     was_moving: bool = False
     """Whether the run was being moved then."""
     silent_ms: int | None = None
@@ -992,6 +997,7 @@
                 n_repeated=attempt.relay.n_repeated,
                 framing=attempt.relay.framing,
                 has_ended=attempt.relay.has_ended,
+                end=attempt.end,
                 was_moving=attempt.relay.was_moving,
                 silent_ms=attempt.silent_ms,
                 left_ms=round((self._deadline - trio.current_time()) * 1000),
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -136,6 +136,11 @@
         """What delimits the body: ``length``, ``chunks`` or ``close``."""
         return self._conn.framing
 
+    @property
+    def silent_s(self) -> float:
+        """Time since anything arrived from the upstream, as far as it is known."""
+        return self._conn.silent_s
+
     @property
     def content_length(self) -> int | None:
         """Length of the body; None if it is not known before its end."""
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -414,6 +414,7 @@
 n_repeated
 framing
 has_ended
+end
 was_moving
 silent_ms
 left_ms
