Shutdown: the grace period begins as the signal arrives

The time of cut was counted from the handling of the signal by the event loop. It is counted from its arrival now, which is recorded in the handler itself. What a process needs to end on a starved machine is not changed by this.

--- a/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
+++ b/packages/corianderlb-router/src/corianderlb_router/exchange_registry.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import field
+from typing import Final
 
 import trio
 
@@ -13,6 +14,9 @@
 
 from .caller import CallerExchange
 
+CUT_MARGIN_S: Final = 0.4
+"""Margin before the end of the grace period at which open requests are aborted."""
+
 
 @dataclass(eq=False)
 class OpenExchange:
@@ -30,8 +34,7 @@
     def __init__(self) -> None:
         self._open: set[OpenExchange] = set()
         self._emptied = trio.Event()
-        self.is_terminated = False
-        """Whether a termination signal has arrived, which is handled a moment later."""
+        self._terminated_at: float | None = None
         self.stopping_since: float | None = None
         """Time of the termination signal, by the router's clock; None before it."""
         self._closing = False
@@ -41,6 +44,27 @@
         """When what is still open is going to be cut, by the router's clock; infinite
         before the termination signal."""
 
+    @property
+    def is_terminated(self) -> bool:
+        """Whether a termination signal has arrived, which is handled later."""
+        return self._terminated_at is not None
+
+    def terminate(self) -> None:
+        """Record the arrival of a termination signal; only the first one counts."""
+        if self._terminated_at is None:
+            self._terminated_at = trio.current_time()
+
+    def begin_stop(self, grace_s: float) -> None:
+        """Stop taking kept connections, and set when the rest is cut.
+
+        The grace period began when the signal arrived. On a busy machine, the event
+        loop may come to handle it only much later.
+        """
+        now = trio.current_time()
+        since = now if self._terminated_at is None else self._terminated_at
+        self.stopping_since, self.closing = since, True
+        self.cut_at = since + grace_s - CUT_MARGIN_S
+
     @property
     def stopping_s(self) -> float:
         """Seconds since the termination signal; 0 before it."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -85,9 +85,6 @@
 LISTEN_POLL_S: Final = 0.1
 """Interval at which it looks whether they still come."""
 
-CUT_MARGIN_S: Final = 0.4
-"""Margin before the end of the grace period at which open requests are aborted."""
-
 END_TIMEOUT_S: Final = 0.15
 """Timeout for what remains once the open requests are aborted: their log lines, and the
 release of the lease, which otherwise expires. It is a part of ``CUT_MARGIN_S``, as are
@@ -380,7 +377,7 @@
 
     def _on_arrival(self, number: int) -> None:
         if number != signal.SIGHUP:
-            self._exchanges.is_terminated = True
+            self._exchanges.terminate()
 
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
@@ -397,11 +394,8 @@
     async def _drain_on_terminate(self) -> None:
         """Wait for termination, then drain until done or out of grace time."""
         await self._terminate.wait()
-        started_at = trio.current_time()
-        self._exchanges.stopping_since = started_at
-        self._exchanges.closing = True
+        self._exchanges.begin_stop(self._cfg.grace_s)
         self._tunnel_server.is_leaving = True
-        self._exchanges.cut_at = started_at + self._cfg.grace_s - CUT_MARGIN_S
         with trio.move_on_at(self._exchanges.cut_at) as scope:
             await trio.sleep(DRAIN_LISTEN_S)
             while self._is_last_resort:
--- a/packages/corianderlb-router/src/corianderlb_router/node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/node.py
@@ -104,7 +104,7 @@
                 self._on_terminate()
 
     def _on_signal(self, number: int) -> None:
-        self._parts.exchanges.is_terminated = True
+        self._parts.exchanges.terminate()
 
     def _on_terminate(self) -> None:
         """Handle a termination request: the first drains, the second stops at once."""
