Answer ends: judge each by its own time; tests of the question

- An answer that waited for another question was judged as if it had ended when the wait did, and one that shared a finding was judged by the age of the asker's.
A process that restarted meanwhile passed for the same one.
An answer now carries the time of its end, and a finding the time at which a connection was accepted.
- Where the question for the start got no answer (a health check that waits for a slot, up to 0.3 s), the connection came too late to tell anything, and each answer of such an instance was in doubt.
Only engines tell their start, so others aren't asked; a connection is opened after 0.03 s beside a question that is open.
- An instance beyond its limit of connections resets each of them, and was in doubt.
A second connection that is accepted after a reset shows that the reset was not the end of the listening socket.
- A network that can't be reached counted as a process that is gone.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -4,7 +4,7 @@
 the connections of a process that dies in order too. Such an answer is taken for whole
 only if its process is still there afterwards, and so has closed the connection itself::
 
-    if await ends.judge(instance, age_s) is not AnswerEnd.CLOSED:
+    if await ends.judge(instance, ended_at) is not AnswerEnd.CLOSED:
         ...  # The answer may be a part.
 
 A doubt goes against the answer: a whole one that counts as cut costs another attempt,
@@ -14,10 +14,12 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Final
 
 import trio
 
+from corianderlb_core.data_class import dataclass
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.part_index import IncarnationKey
 
@@ -35,8 +37,9 @@
 CONNECT_TIMEOUT_S: Final = 0.25
 """Timeout of that connection."""
 
-MAX_CONNECTIONS: Final = 2
-"""Connections to try: an instance with too many of them resets a new one."""
+PROBE_WAIT_S: Final = 0.03
+"""Time after which a connection is opened too if an instance that was asked for its
+start has not answered: it tells something only within ``MIN_RESTART_S``."""
 
 
 class AnswerEnd(enum.Enum):
@@ -50,13 +53,28 @@
     """Nothing tells whether that process is still there."""
 
 
+@dataclass(frozen=True)
+class _Finding:
+    """What was found out about an instance."""
+
+    end: AnswerEnd
+    """End of the answers that ended not too long before."""
+    accepted_at: float = -math.inf
+    """When a process accepted a connection, if only that tells that it is there."""
+
+    def end_of(self, ended_at: float) -> AnswerEnd:
+        """Return the end of an answer that ended at a time."""
+        is_late = self.accepted_at - ended_at >= MIN_RESTART_S
+        return AnswerEnd.UNKNOWN if is_late else self.end
+
+
 class _Question:
     """Question about one instance, which answers that ended before it share."""
 
     def __init__(self) -> None:
         self.is_answered = trio.Event()
         self.asked_at = trio.current_time()
-        self.end: AnswerEnd | None = None
+        self.finding: _Finding | None = None
         """The answer; None if the request that asked has been given up."""
 
 
@@ -71,8 +89,8 @@
         self._probe = probe
         self._questions: dict[IncarnationKey, _Question] = {}
 
-    async def judge(self, instance: ForwardInstance, age_s: float) -> AnswerEnd:
-        """Return what ended an answer of an instance ``age_s`` seconds ago.
+    async def judge(self, instance: ForwardInstance, ended_at: float) -> AnswerEnd:
+        """Return what ended an answer of an instance at a time.
 
         Answers that end while a question is open share the next one, so that an
         instance that marks no end is asked once per round trip.
@@ -81,38 +99,65 @@
         while True:
             question = self._questions.get(key)
             if question is None:
-                return await self._ask(instance, age_s)
+                return (await self._ask(instance, ended_at)).end_of(ended_at)
             await question.is_answered.wait()
-            if question.asked_at >= since and question.end is not None:
-                return question.end
+            if question.asked_at >= since and question.finding is not None:
+                return question.finding.end_of(ended_at)
 
-    async def _ask(self, instance: ForwardInstance, age_s: float) -> AnswerEnd:
+    async def _ask(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         key, question = instance.incarnation_key, _Question()
         self._questions[key] = question
         try:
-            question.end = await self._find_out(instance, question.asked_at - age_s)
+            question.finding = await self._find_out(instance, ended_at)
         finally:
             del self._questions[key]
             question.is_answered.set()
-        return question.end
-
-    async def _find_out(self, instance: ForwardInstance, ended_at: float) -> AnswerEnd:
-        if self._probe is not None and instance.born_ms:
-            born_ms = await self._probe.born_ms(instance)
-            if born_ms:
-                is_same = born_ms == instance.born_ms
-                return AnswerEnd.CLOSED if is_same else AnswerEnd.DIED
-        for _ in range(MAX_CONNECTIONS):
+        return question.finding
+
+    async def _find_out(self, instance: ForwardInstance, ended_at: float) -> _Finding:
+        probe = self._probe
+        if probe is None or not instance.born_ms or not probe.tells_start(instance):
+            return await self._connect(instance)
+        told: list[_Finding] = []
+        is_done = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def ask_start() -> None:
+                if born_ms := await probe.born_ms(instance):
+                    is_same = born_ms == instance.born_ms
+                    end = AnswerEnd.CLOSED if is_same else AnswerEnd.DIED
+                    told.append(_Finding(end))
+                    nursery.cancel_scope.cancel()
+                is_done.set()
+
+            nursery.start_soon(ask_start)
+            with trio.move_on_after(PROBE_WAIT_S):
+                await is_done.wait()
+            accepted = await self._connect(instance)
+            if accepted.end_of(ended_at) is not AnswerEnd.UNKNOWN:
+                nursery.cancel_scope.cancel()
+        return told[0] if told else accepted
+
+    async def _connect(self, instance: ForwardInstance) -> _Finding:
+        """Find out whether anybody listens, and goes on doing so.
+
+        An instance with too many connections resets a new one. If the next one is
+        accepted, the reset came from a process and not from the end of its socket.
+        """
+        for is_first in (True, False):
             try:
                 conn = await self._pool.take(
                     instance.address, fresh=True, connect_s=CONNECT_TIMEOUT_S
                 )
             except ConnectFailedError as exc:
-                return AnswerEnd.DIED if exc.refused else AnswerEnd.UNKNOWN
-            is_soon = trio.current_time() - ended_at < MIN_RESTART_S
-            await trio.sleep(SETTLE_S)
-            is_open = not conn.is_dropped
-            await conn.close()
-            if is_open:
-                return AnswerEnd.CLOSED if is_soon else AnswerEnd.UNKNOWN
-        return AnswerEnd.UNKNOWN
+                has_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+                return _Finding(AnswerEnd.DIED if has_refused else AnswerEnd.UNKNOWN)
+            accepted_at = trio.current_time()
+            try:
+                if is_first:
+                    await trio.sleep(SETTLE_S)
+                if not is_first or not conn.is_dropped:
+                    break
+            finally:
+                await conn.close()
+        return _Finding(AnswerEnd.CLOSED, accepted_at)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -660,9 +660,10 @@
         ends, end = self._parts.ends, AnswerEnd.UNKNOWN
         if ends is None:
             return
-        left_s = self._deadline - trio.current_time() - END_MARGIN_S
-        with trio.move_on_after(max(0.0, left_s)):
-            end = await ends.judge(self.placement.instance, exchange.silent_s)
+        now = trio.current_time()
+        ended_at = now - exchange.silent_s
+        with trio.move_on_after(max(0.0, self._deadline - now - END_MARGIN_S)):
+            end = await ends.judge(self.placement.instance, ended_at)
         self.end = end.value
         if end is AnswerEnd.DIED:
             raise ProcessEndedError("ended with its process", sent=True)
--- a/packages/corianderlb-router/src/corianderlb_router/path_watch.py
+++ b/packages/corianderlb-router/src/corianderlb_router/path_watch.py
@@ -44,6 +44,10 @@
         says that it is another instance.
         """
 
+    def tells_start(self, instance: ForwardInstance) -> bool:
+        """Return whether ``born_ms`` can tell the start of an instance."""
+        return True
+
 
 class PathWatch:
     """Direct paths of one router; without a probe only requests prove them."""
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -0,0 +1,138 @@
+"""Tests of requests whose answers have no mark of their end."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from answer_end_builders import StartProbe
+from corianderlb_core.fleet_retry_budget import BudgetTerms
+from corianderlb_router.answer_end import AnswerEnds
+from corianderlb_router.forward_dispatcher import ForwardDispatcher
+from corianderlb_standins.trio_case import TrioTestCase
+from forward_builders import (
+    Answer,
+    Upstream,
+    a_router,
+    a_stream,
+    an_answer,
+    an_event,
+)
+
+PROMPT = "a:100,own:50"
+
+NO_BUDGET = BudgetTerms(ratio=0.0, fixed=0.0)
+"""Terms that allow no retry."""
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\n"
+"""Head of an answer without length and chunks."""
+
+EMPTY_REST = a_stream(1, 0)
+BORN_MS = 1
+RESTARTED_MS = 2
+
+
+def unmarked(last: int) -> bytes:
+    """Build a stream without length and chunks."""
+    return HEAD + b"".join(an_event(number) for number in range(1, last + 1))
+
+
+class Hosts:
+    """Two instances; the first answer ends with its connection, as scripted."""
+
+    def __init__(
+        self, path: str, first: bytes, *rest: bytes, ends: bool, after_s: float = 0.01
+    ) -> None:
+        names = ("e1", "e2") if path in ("/long/7", "/quick/7") else ("s1", "s2")
+        script: list[bytes | Answer] = [self._close, *rest]
+        self.hosts = {name: Upstream(script) for name in names}
+        self._first = first
+        self._ends = ends
+        """Whether the process ends too."""
+        self._after_s = after_s
+
+    async def _close(self, stream: trio.abc.Stream) -> None:
+        await stream.send_all(self._first)
+        await trio.sleep(self._after_s)
+        if self._ends:
+            host = next(host for host in self.hosts.values() if host.requests)
+            host.alive = False
+        await stream.aclose()
+
+    @property
+    def n_requests(self) -> int:
+        """Number of requests that were sent."""
+        return sum(len(host.requests) for host in self.hosts.values())
+
+
+async def ask(
+    path: str,
+    hosts: Hosts,
+    probe: StartProbe | None,
+    budget: BudgetTerms | None = None,
+    **headers: str,
+) -> tuple[int, bool, bytes]:
+    """Return status, whether the answer has ended as complete, and the answer."""
+    async with a_router(budget, **hosts.hosts) as router:
+        ends = AnswerEnds(router.parts.transport.pool, probe)
+        router.parts = dataclasses.replace(router.parts, ends=ends)
+        router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+        caller = await router.ask(path, x_prompt=PROMPT, **headers)
+        return caller.status, caller.finished, caller.answer
+
+
+PATHS = ("/long/7", "/quick/7", "/read/7", "/book/7")
+"""A stream that may be resumed and one that may not, a repeatable and another call."""
+
+
+class UnmarkedEndTest(TrioTestCase):
+    async def test_instance_that_lives_on(self) -> None:
+        """Guards against repeated work of instances that mark no end."""
+        for path in PATHS:
+            for probe in (None, StartProbe(BORN_MS), StartProbe(0, 0.3)):
+                hosts = Hosts(path, unmarked(4), ends=False)
+                with self.subTest(path=path, probe=probe and probe.start_ms):
+                    found = await ask(path, hosts, probe, NO_BUDGET)
+                    body = unmarked(4).removeprefix(HEAD)
+                    self.assertEqual(found, (200, True, body))
+                    self.assertEqual(hosts.n_requests, 1)
+
+    async def test_process_that_has_ended_is_made_up_for(self) -> None:
+        """Guards against answers that are complete where their process was killed."""
+        whole = b"".join(an_event(number) for number in range(1, 5))
+        for path, first, rest, body in (
+            ("/long/7", unmarked(2), a_stream(3, 4), whole),
+            # It had sent everything.
+            ("/long/7", unmarked(4), EMPTY_REST, whole),
+            ("/read/7", HEAD + b"do", an_answer(), b"done"),
+        ):
+            for probe in (None, StartProbe(0), StartProbe(RESTARTED_MS)):
+                hosts = Hosts(path, first, rest, ends=True)
+                with self.subTest(path=path, first=first, probe=probe):
+                    found = await ask(path, hosts, probe)
+                    self.assertEqual(found, (200, True, body))
+                    self.assertEqual(hosts.n_requests, 2)
+
+    async def test_no_other_attempt_may_follow(self) -> None:
+        """Guards against an end of unknown cause that counts as that of the answer."""
+        for path, status in zip(PATHS, (200, 200, 502, 502), strict=True):
+            for probe in (None, StartProbe(0), StartProbe(RESTARTED_MS)):
+                hosts = Hosts(path, unmarked(2), an_answer(), ends=True)
+                with self.subTest(path=path, probe=probe and probe.start_ms):
+                    found = await ask(path, hosts, probe, NO_BUDGET)
+                    is_whole = found[1] and found[0] == 200
+                    self.assertEqual((found[0], is_whole), (status, False))
+                    self.assertEqual(hosts.n_requests, 1)
+
+    async def test_deadline_is_near(self) -> None:
+        """Guards against a question that makes the answer late."""
+        for path in PATHS:
+            hosts = Hosts(path, unmarked(2), ends=False, after_s=0.92)
+            started_at = trio.current_time()
+            with self.subTest(path=path):
+                found = await ask(
+                    path, hosts, StartProbe(BORN_MS, 0.3), NO_BUDGET, x_deadline_s="1"
+                )
+                self.assertFalse(found[0] == 200 and found[1])
+                self.assertLessEqual(trio.current_time() - started_at, 1.0)
