Tunnels: the router that carries a connection finds out what has ended it

The carrying router passed on each close as the end of the answer, also that by the kernel after a kill; and the router that had the caller asked the instance on its own path, which is cut.

The carrying router now asks, once the instance has closed and unless the other router has its answer by then, and cuts the tunnel if the process has ended or nothing tells. Routers do so from level 8 on; an end that an older one passes on counts as unknown. The router that has the caller asks nothing.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -21,13 +21,18 @@
 PROTOCOL_VERSION: Final = 1
 """Incremented by changes that older routers cannot ignore."""
 
-LEVEL: Final = 7
+LEVEL: Final = 8
 """Level of the messages that this router understands, announced when a link opens.
 
 A router sends a message type above level 0 only over links whose peer has its level,
 since an unknown type closes the link.
 """
 
+TUNNEL_END_LEVEL: Final = 8
+"""Level from which a router that carries a connection passes on its end only if the
+process of the instance has closed it. An older one passes on the end of a process too.
+"""
+
 TUNNEL: Final = "tunnel"
 """Purpose of a link that carries the bytes of one connection to an instance."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -452,7 +452,7 @@
     @property
     def silent_s(self) -> float:
         """Time since anything arrived from the upstream, as far as it is known."""
-        return self._stream.silent_s if isinstance(self._stream, SocketStream) else 0.0
+        return silent_s_of(self._stream)
 
     @property
     def framing(self) -> str:
@@ -496,5 +496,10 @@
             await trio.aclose_forcefully(self._stream)
 
 
+def silent_s_of(stream: trio.abc.Stream) -> float:
+    """Return the time since anything arrived from the remote side, if it is known."""
+    return stream.silent_s if isinstance(stream, SocketStream) else 0.0
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -255,6 +255,8 @@
         """What ended an answer without a mark of its end: see ``AnswerEnd``."""
         self.via = ""
         """The router that carries the connection; empty for a direct one."""
+        self._via_confirms = False
+        """Whether that router passes on only ends by the instance itself."""
 
     @property
     def resume_after(self) -> int | None:
@@ -522,7 +524,7 @@
         except ConnectFailedError:
             self._parts.paths.found_down(instance)
             raise
-        self.via = tunnel.peer
+        self.via, self._via_confirms = tunnel.peer, tunnel.confirms_end
         try:
             return await self._send_request(OpenedConnector(tunnel))
         except ConnectFailedError:
@@ -655,15 +657,20 @@
     async def _confirm_end(self, exchange: Exchange) -> None:
         """Raise unless the instance itself has ended an answer that has no mark of it.
 
-        The question takes no longer than what is left to answer the caller in.
+        The question takes no longer than what is left to answer the caller in. It is
+        for the router that carries the connection if there is one: this one does not
+        reach the instance.
         """
         ends, end = self._parts.ends, AnswerEnd.UNKNOWN
         if ends is None:
             return
         now = trio.current_time()
         ended_at = now - exchange.silent_s
-        with trio.move_on_after(max(0.0, self._deadline - now - END_MARGIN_S)):
-            end = await ends.judge(self.placement.instance, ended_at)
+        if not self.via:
+            with trio.move_on_after(max(0.0, self._deadline - now - END_MARGIN_S)):
+                end = await ends.judge(self.placement.instance, ended_at)
+        elif self._via_confirms:
+            end = AnswerEnd.CLOSED
         self.end = end.value
         if end is AnswerEnd.DIED:
             raise ProcessEndedError("ended with its process", sent=True)
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -166,12 +166,15 @@
         self._refusals = RefusalLimits(ports.state, self._peers, self._epoch)
         self._permits = SendPermits(ports.state, self._limits, self._refusals)
         self._paths = PathWatch(ports.state, self._permits, ports.probe)
+        transport = UpstreamTransport(TcpConnector())
+        ends = AnswerEnds(transport.pool, ports.probe)
         self._tunnel_server = TunnelServer(
             ports.state,
             self._paths,
             self._permits,
             TcpConnector(),
             self._peers.is_member,
+            ends,
         )
         self._peers.serve_tunnel = self._tunnel_server.serve
         self._engines = EngineTable(
@@ -198,7 +201,6 @@
             ports.store, InstanceId(cfg.forward.node), quarantine, self._rng
         )
         self._controller = self._make_controller()
-        transport = UpstreamTransport(TcpConnector())
         self._parts = ForwardParts(
             cfg=cfg.forward,
             state=ports.state,
@@ -230,7 +232,7 @@
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
-            ends=AnswerEnds(transport.pool, ports.probe),
+            ends=ends,
             incarnations=IncarnationCheck(ports.probe) if ports.probe else None,
             copier=self._make_copier(),
             memory=CallerMemory(HELD_SHARE * cfg.forward.memory_bytes),
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -23,6 +23,7 @@
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import (
+    TUNNEL_END_LEVEL,
     MemberState,
     TunnelAnswer,
     TunnelOutcome,
@@ -34,7 +35,13 @@
 from corianderlb_core.result import ResultCode
 
 from ._handshake import AuthenticatedLink
-from .connection import RECEIVE_BYTES, ConnectFailedError, Connector
+from .answer_end import AnswerEnd, AnswerEnds
+from .connection import (
+    RECEIVE_BYTES,
+    ConnectFailedError,
+    Connector,
+    silent_s_of,
+)
 from .path_watch import PathWatch
 from .peer_link import FrameRefusedError, LinkClosedError
 from .peer_network import OverlayNetwork
@@ -88,6 +95,8 @@
     def __init__(self, link: AuthenticatedLink, stack: AsyncExitStack) -> None:
         self.peer = link.peer.instance
         """The router that carries the connection."""
+        self.confirms_end = link.peer.level >= TUNNEL_END_LEVEL
+        """Whether that router tells the end of a process from that of an answer."""
         self._link = link
         self._stack = stack
         self._has_ended = False
@@ -315,7 +324,10 @@
         permits: SendPermits,
         connector: Connector,
         is_member: Callable[[InstanceId], bool],
+        ends: AnswerEnds | None = None,
     ) -> None:
+        """Use ``ends`` to find out what has closed connections."""
+        self._ends = ends
         self._is_member = is_member
         self._state = state
         self._paths = paths
@@ -445,6 +457,22 @@
             # Without the empty frame, the other router sees a broken connection.
             await link.abort()
             return
+        if has_answered and not await self._is_end_of_answer(stream, instance):
+            await link.abort()
+            return
         await link.send(b"")
         # The other router closes once it has read the end.
         await trio.sleep(CLOSE_TIMEOUT_S)
+
+    async def _is_end_of_answer(
+        self, stream: trio.abc.Stream, instance: ForwardInstance
+    ) -> bool:
+        """Return whether the instance itself has closed its connection.
+
+        The other router can't find out, since it doesn't reach the instance. It closes
+        the tunnel meanwhile if the answer has a mark of its end.
+        """
+        if self._ends is None:
+            return True
+        ended_at = trio.current_time() - silent_s_of(stream)
+        return await self._ends.judge(instance, ended_at) is AnswerEnd.CLOSED
--- a/packages/corianderlb-router/tests/test_detour.py
+++ b/packages/corianderlb-router/tests/test_detour.py
@@ -11,6 +11,7 @@
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_router.answer_end import AnswerEnds
 from corianderlb_router.connection import ConnectFailedError
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_router.peer_tunnel import NoTunnelError, Tunnels
@@ -22,6 +23,7 @@
     a_router_in,
     a_stream,
     an_answer,
+    an_event,
     break_off,
 )
 
@@ -55,6 +57,7 @@
         self._reached = network
         self.delay_s = 0.0
         self.has_peer = True
+        self.confirms_end = True
         self.opened: list[str] = []
         self._checks = {}
 
@@ -67,7 +70,7 @@
         except OSError as exc:
             raise ConnectFailedError(str(exc), refused=True) from exc
         self.opened.append(instance.instance)
-        stream.peer = "r2"
+        stream.peer, stream.confirms_end = "r2", self.confirms_end
         return stream
 
 
@@ -112,6 +115,29 @@
                 n_runs = sum(len(found.requests) for found in services.values())
                 self.assertEqual((n_runs, len(cut.tunnels.opened)), (5, 5))
 
+    async def test_end_that_a_peer_passes_on(self) -> None:
+        """Guards against a question on a path that is cut, and against an end that an
+        older router passes on without one."""
+        body = an_event(1) + an_event(2)
+        answer = b"HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\n" + body
+        for path, names in (("/long/7", ("e1", "e2")), ("/read/7", ("s1", "s2"))):
+            for confirms in (True, False):
+                hosts = {name: Upstream([answer], closes=True) for name in names}
+                async with a_cut_router(NO_RETRIES, **hosts) as cut:
+                    parts = cut.router.parts
+                    ends = AnswerEnds(parts.transport.pool)
+                    parts = dataclasses.replace(parts, ends=ends)
+                    cut.router.dispatcher = ForwardDispatcher(
+                        parts, cut.router.exchanges
+                    )
+                    cut.tunnels.confirms_end = confirms
+                    with self.subTest(path=path, confirms=confirms):
+                        caller = await cut.router.ask(path, x_prompt=PROMPT)
+                        is_whole = caller.status == 200 and caller.finished
+                        self.assertEqual(is_whole, confirms)
+                        if confirms:
+                            self.assertEqual(caller.answer, body)
+
     async def test_stream_through_a_peer_is_whole(self) -> None:
         engines = {name: Upstream([a_stream(1, 4)]) for name in ("e1", "e2")}
         async with a_cut_router(NO_RETRIES, **engines) as cut:
--- a/packages/corianderlb-router/tests/test_peer_tunnel.py
+++ b/packages/corianderlb-router/tests/test_peer_tunnel.py
@@ -5,11 +5,13 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import trio
 
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.message import TunnelAnswer, TunnelOutcome, TunnelRequest, encode
+from corianderlb_router.answer_end import AnswerEnds
 from corianderlb_router.connection import ConnectFailedError, Connector
 from corianderlb_router.peer_tunnel import NoTunnelError, Tunnels, TunnelServer
 from corianderlb_standins.trio_case import TrioTestCase
@@ -150,6 +152,46 @@
                     pass
             await stream.aclose()
 
+    async def test_end_of_a_process_is_not_the_end_of_a_body(self) -> None:
+        """Guards against a part that another router passes on as the whole."""
+        for is_ending in (False, True):
+            s1 = Upstream([], closes=True)
+
+            async def answer(
+                stream: trio.abc.Stream,
+                host: Upstream = s1,
+                is_ending: bool = is_ending,
+            ) -> None:
+                await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+                host.alive = not is_ending
+
+            s1.script = [answer]
+            async with a_tunnel_fleet() as found:
+                found.add("r01", s1=s1)
+                pool = found.routers["r01"].parts.transport.pool
+                found.servers["r01"]._ends = AnswerEnds(pool)
+                stream = await found.tunnels("r00").open(an_instance("s1", "app"))
+                self.assertTrue(stream.confirms_end)
+                await stream.send_all(REQUEST)
+                outcome = "ended"
+                with self.subTest(is_ending=is_ending), trio.fail_after(2):
+                    try:
+                        while await stream.receive_some(65536):
+                            pass
+                    except trio.BrokenResourceError:
+                        outcome = "broken"
+                    self.assertEqual(outcome, "broken" if is_ending else "ended")
+                await stream.aclose()
+
+    async def test_older_router_does_not_confirm_ends(self) -> None:
+        """Guards against an end that a router passes on without a question."""
+        with mock.patch("corianderlb_router._handshake.LEVEL", 7):
+            async with a_tunnel_fleet() as found:
+                found.add("r01", s1=Upstream([an_answer(b"body")]))
+                stream = await found.tunnels("r00").open(an_instance("s1", "app"))
+                self.assertFalse(stream.confirms_end)
+                await stream.aclose()
+
     async def test_close_reaches_the_instance(self) -> None:
         """Guards against instances that work on for a caller that has left."""
         left = trio.Event()
