Callers' connections: a close beside unread bytes loses no answer

Cause: closed with unread bytes, a connection is reset by the kernel, which drops what it has not delivered. That happens where a caller has sent its next request before it has read the end of the answer, and where a body or a head is refused before it has all arrived. Only what had arrived at that moment was read.

The router now ends its own side first, reads the rest of a refused body, and closes once the caller's kernel has the whole answer, after 2 s at the latest. A request that follows is not read, so that its caller sees a connection that closed before it was read.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -34,6 +34,12 @@
 MAX_UNREAD_CHUNKS: Final = 1000
 """Most chunks skipped of a body that the application has not asked for."""
 
+LINGER_S: Final = 2.0
+"""Longest time for which a connection is kept for what its caller has not read."""
+
+LINGER_CHECK_S: Final = 0.01
+"""Interval at which is looked whether the caller's kernel has all of an answer."""
+
 N_CHUNKS_A_STEP: Final = 32
 """Chunks of a body after which other tasks run; a chunk can be as short as a byte."""
 
@@ -63,6 +69,9 @@
 """Answer in place of one that ended before its head was written."""
 
 _DISCONNECT: Final = {"type": "http.disconnect"}
+_UNREAD_STATES: Final = (h11.SEND_BODY, h11.ERROR)
+"""States of the remote side in which a body, or what is no HTTP, may follow."""
+
 _ANSWERABLE: Final = (h11.IDLE, h11.SEND_RESPONSE)
 
 log = logging.getLogger(__name__)
@@ -164,9 +173,29 @@
                 if not self._may_go_on():
                     break
                 self.is_idle = True
+            await self._linger()
         finally:
             self.close()
 
+    async def _linger(self) -> None:
+        """Wait until a close loses nothing of the last answer.
+
+        Closed with unread bytes, a connection is reset, and the kernel drops what it
+        has not delivered. The rest of a body is read, as its caller may read no answer
+        before it has sent all; a request that follows is not.
+        """
+        if self._stream.is_closed or self._ends_by_close:
+            return
+        is_body_due = self._state.their_state in _UNREAD_STATES
+        if not is_body_due and not self._stream.has_arrived:
+            return
+        self._stream.end_writes()
+        with trio.move_on_after(LINGER_S):
+            while is_body_due and await self._receive():
+                pass
+            while self._stream.has_undelivered:
+                await trio.sleep(LINGER_CHECK_S)
+
     def close_if_idle(self) -> None:
         """Close the socket unless a request is served or has begun to arrive."""
         if self.is_idle and not self._stream.has_arrived:
@@ -444,7 +473,9 @@
             await self._respond(exc.error_status_hint, headers)
             self._status = exc.error_status_hint
             await self._write(self._encode(h11.EndOfMessage()))
-        self.close()
+            self._stream.end_writes()
+        else:
+            self.close()
 
     def _common_headers(self) -> list[tuple[bytes, bytes]]:
         if not self._cfg.sends_date:
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 from abc import ABC, abstractmethod
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Final
 
@@ -40,6 +43,8 @@
 """Part of the kernel's ``tcp_info``: the milliseconds since the last acknowledgement,
 which each segment of an established connection carries."""
 
+_COUNT: Final = struct.Struct("i")
+
 _COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """Parser states after a complete response; in the last two the upstream also closes."""
 
@@ -208,6 +213,20 @@
         linger = struct.pack("ii", resets, 0)
         self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
+    def end_writes(self) -> None:
+        """Tell the remote side that nothing follows; bytes may still be read."""
+        with suppress(OSError):
+            self._raw.shutdown(socket.SHUT_WR)
+
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether the kernel of the remote side lacks any of what was sent."""
+        try:
+            n_bytes = fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(_COUNT.size))
+        except OSError:
+            return False
+        return bool(_COUNT.unpack(n_bytes)[0])
+
     def close(self) -> None:
         """Close the socket; who waits for it is told."""
         if not self._is_closed:
