Instances: an answer that comes before the body is read is not lost

An instance may answer before it has read a long body, and read on or close. No request was taken for not run, or run twice.

Cause: the whole request had to be sent before anything was read. Where the kernel's buffers don't hold the body, the write failed with the close, or waited for its timeout, and the answer lay unread. A router that carries a tunnel ended it at the failed write in the same way.

The router now reads as soon as anything arrives, and sends what is left meanwhile; a failed write leaves the error to the next read. A connection whose request was not taken whole is not used again. A tunnel drops what its instance does not take, and ends with the answer.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -161,6 +161,10 @@
         except OSError as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
+    async def wait_readable(self) -> None:
+        """Wait until a read returns bytes, the end of the stream or an error."""
+        await trio.lowlevel.wait_readable(self._raw)
+
     def receive_at_once(self) -> bytes:
         """Return the bytes that have arrived; raise ``OSError`` if there are none."""
         return self._raw.recv(RECEIVE_BYTES)
@@ -292,10 +296,12 @@
     __slots__ = (
         "_body",
         "_h11",
+        "_is_cut",
         "_is_head",
         "_needs_body",
         "_raw_rest",
         "_stream",
+        "_unsent",
         "address",
         "content_length",
         "ends_by_close",
@@ -320,6 +326,10 @@
         self._body: ChunkedBody | None = None
         """Body of the response, if it arrives in chunks."""
         self._is_head = False
+        self._unsent: bytes | memoryview = b""
+        """Rest of a request that the upstream began to answer before it was sent."""
+        self._is_cut = False
+        """Whether the upstream took no more of the request."""
 
     async def send_request(self, request: OutgoingRequest) -> None:
         """Send a request in one write."""
@@ -342,9 +352,17 @@
             ) from exc
 
     async def send_rest(self, rest: bytes | memoryview) -> None:
-        """Send the rest of a request that has begun."""
+        """Send the rest of a request that has begun, unless it is answered before.
+
+        What is left then is sent while the answer is read: an upstream may answer
+        before it has read a long body, and read on or close.
+        """
         if not rest:
             return
+        if isinstance(self._stream, SocketStream):
+            self._unsent = rest
+            await self._send_until_answered(self._stream)
+            return
         try:
             await self._stream.send_all(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -352,6 +370,24 @@
                 f"{self.address}: connection closed during send", sent=True
             ) from exc
 
+    async def _send_until_answered(self, stream: SocketStream) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def wait_for_answer() -> None:
+                with suppress(OSError, trio.ClosedResourceError):
+                    await stream.wait_readable()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_for_answer)
+            try:
+                while self._unsent:
+                    await stream.wait_send_all_might_not_block()
+                    self._unsent = stream.send_at_once(self._unsent)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # An answer may have arrived before; the next read tells.
+                self._unsent, self._is_cut = b"", True
+            nursery.cancel_scope.cancel()
+
     def _encode(self, request: OutgoingRequest) -> bytes:
         self._is_head = request.method == b"HEAD"
         event = h11.Request(
@@ -463,6 +499,8 @@
         self._h11.receive_data(await self._receive_some())
 
     async def _receive_some(self) -> bytes:
+        if self._unsent and isinstance(self._stream, SocketStream):
+            await self._send_until_answered(self._stream)
         try:
             return await self._stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -483,6 +521,8 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange is complete and the connection stays open."""
+        if self._unsent or self._is_cut:
+            return False
         if self._body is not None:
             is_whole = self._body.is_complete and not self._body.rest
             # Both sides' headers decide whether our state is done or has to close.
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -305,6 +305,18 @@
     return outcome.value if isinstance(outcome, TunnelOutcome) else outcome
 
 
+async def _send(stream: trio.abc.Stream, data: bytes) -> bool:
+    """Send data to an instance; return whether it takes any more.
+
+    One that has closed may have answered before, so the tunnel ends with its answer.
+    """
+    try:
+        await stream.send_all(data)
+    except trio.BrokenResourceError:
+        return False
+    return True
+
+
 class TunnelServer:
     """Carries connections to instances for routers that do not reach them."""
 
@@ -405,10 +417,12 @@
         async with trio.open_nursery() as nursery:
 
             async def send_up() -> None:
+                is_taken = True
                 try:
                     while data := await link.receive():
-                        await stream.send_all(data)
-                except (LinkClosedError, FrameRefusedError, trio.BrokenResourceError):
+                        if is_taken:
+                            is_taken = await _send(stream, data)
+                except (LinkClosedError, FrameRefusedError):
                     pass
                 nursery.cancel_scope.cancel()
 
--- a/packages/corianderlb-router/tests/test_peer_tunnel.py
+++ b/packages/corianderlb-router/tests/test_peer_tunnel.py
@@ -65,6 +65,29 @@
         return ResetStream()
 
 
+class EarlyStream(ResetStream):
+    """Connection of an instance that has answered and takes no request."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._parts = [an_answer(b"body")]
+
+    async def send_all(self, data: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+        raise trio.BrokenResourceError("closed")
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        await trio.sleep(0.1)
+        return await super().receive_some(max_bytes)
+
+
+class EarlyNetwork(Connector):
+    """Instances that answer before they have read a request, and close."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        return EarlyStream()
+
+
 class TunnelFleet:
     """Linked routers, each before its own view of the same instances."""
 
@@ -150,6 +173,15 @@
                     pass
             await stream.aclose()
 
+    async def test_answer_before_the_request_was_read(self) -> None:
+        """Guards against an answer that is lost, so that its request may have run."""
+        async with a_tunnel_fleet() as found:
+            found.add("r01", s1=Upstream([b""]))
+            found.servers["r01"]._connector = EarlyNetwork()
+            stream = await found.tunnels("r00").open(an_instance("s1", "app"))
+            self.assertTrue((await read_answer(stream)).endswith(b"body"))
+            await stream.aclose()
+
     async def test_close_reaches_the_instance(self) -> None:
         """Guards against instances that work on for a caller that has left."""
         left = trio.Event()
--- a/packages/corianderlb-router/tests/test_unread_bytes.py
+++ b/packages/corianderlb-router/tests/test_unread_bytes.py
@@ -12,8 +12,10 @@
 import trio
 
 from corianderlb_router.caller import CallerExchange
+from corianderlb_router.connection import OutgoingRequest, TcpConnector
 from corianderlb_router.connection_guard import ConnectionGuard
 from corianderlb_router.http_server import HttpServer, HttpServerSettings
+from corianderlb_router.transport import SendSettings, UpstreamTransport
 from corianderlb_standins._asgi import serve_lifespan
 from corianderlb_standins.trio_case import RealTimeTestCase
 
@@ -45,7 +47,62 @@
     return data
 
 
+LONG_BODY = bytes(1 << 24)
+"""Body that the buffers of a connection don't hold."""
+
+REFUSED = b"HTTP/1.1 503 Full\r\ncontent-length: 4\r\n\r\nfull"
+
+
+async def refuse_and_close(stream: trio.SocketStream) -> None:
+    await stream.receive_some()
+    await stream.send_all(REFUSED)
+    await trio.aclose_forcefully(stream)
+
+
+async def refuse_and_wait(stream: trio.SocketStream) -> None:
+    await stream.receive_some()
+    await stream.send_all(REFUSED)
+    await trio.sleep_forever()
+
+
+async def answer_while_reading(stream: trio.SocketStream) -> None:
+    """Begin the answer at once, and end it once the whole request was read."""
+    data = await stream.receive_some()
+    await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfu")
+    n_left = len(LONG_BODY) - len(data.partition(b"\r\n\r\n")[2])
+    while n_left:
+        await trio.sleep(0.001)
+        n_left -= len(await stream.receive_some(1 << 20))
+    await stream.send_all(b"ll")
+
+
 class UnreadBytesTest(RealTimeTestCase):
+    async def test_instance_that_answers_before_the_body_is_read(self) -> None:
+        """Guards against a refusal that is lost, so that its request may have run."""
+        cases = (
+            (refuse_and_close, 503),
+            (refuse_and_wait, 503),
+            (answer_while_reading, 200),
+        )
+        headers = [(b"host", b"h"), (b"content-length", b"%d" % len(LONG_BODY))]
+        request = OutgoingRequest(b"POST", b"/", headers, LONG_BODY)
+        for host, status in cases:
+            transport = UpstreamTransport(TcpConnector())
+            with self.subTest(host.__name__), trio.fail_after(BOUND_S):
+                async with trio.open_nursery() as nursery:
+                    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                    nursery.start_soon(trio.serve_listeners, host, listeners)
+                    port = listeners[0].socket.getsockname()[1]
+                    cfg = SendSettings(connect_s=1.0, write_s=2.0)
+                    address = f"127.0.0.1:{port}"
+                    answer = await transport.send(address, request, cfg)
+                    body = b""
+                    while part := await answer.exchange.receive_chunk():
+                        body += part
+                    self.assertEqual((answer.status, body), (status, b"full"))
+                    await answer.exchange.aclose()
+                    nursery.cancel_scope.cancel()
+
     async def serve(self, test: Callable[[str, int], Awaitable[None]]) -> None:
         cfg = HttpServerSettings("callers", "127.0.0.1:0", 1 << 14)
         server = HttpServer(answer_unread, cfg, ConnectionGuard())
