Callers that have left: their requests are not sent after a standstill

A router that stands still accepts connections all the same: the kernel does.

Cause: the task that watches for a caller's end has its first turn after the request was sent, since nothing in between waits.

The connection is now looked at before the first byte is sent; a request whose caller has ended its side is dropped as one whose caller has left, as before where the watching task saw it in time. A caller that only shuts down its side for writing can't be told from it: streams and repeatable calls of such callers were dropped before too, now calls that may not be repeated are not begun.

test_platform_left_callers failed before (4 requests at the first engine asked) and passes with this; 109 tests of forwarding, signals and stops pass.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -177,6 +177,16 @@
         except OSError:
             return False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the remote side has ended or reset it, and all bytes were read."""
+        try:
+            return not self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send_at_once(self, data: bytes | memoryview) -> memoryview:
         """Send what can be sent without waiting; return the rest."""
         if self._is_closed:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -161,6 +161,11 @@
             holding.unread_since = math.inf
         self._check_connection()
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has left, also if no task has been told yet."""
+        return self._connection is not None and self._connection.has_left
+
     @property
     def _has_whole_request(self) -> bool:
         return self._connection is not None and self._connection.has_whole_request
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -23,7 +23,7 @@
 from corianderlb_core.result import ResultCode
 
 from .attempt_race import AttemptRace, Standby
-from .caller import RequestRefusedError, refuse
+from .caller import CallerGoneError, RequestRefusedError, refuse
 from .connection import BrokenError, ConnectFailedError, SilentError, UpstreamError
 from .fleet_rooms import RoomFullError
 from .forward_attempt import (
@@ -867,8 +867,12 @@
         Nothing has run it yet, so the caller may go to another router.
 
         Raise ``NotRunError`` for a stream that is bound to a software version if this
-        process has stood still since it last read the instances.
+        process has stood still since it last read the instances, and
+        ``CallerGoneError`` if the caller has left, as it may have while this process
+        stood still or had too much to do.
         """
+        if not self.may_have_run and self._caller.has_left:
+            raise CallerGoneError("the caller left before its request was sent")
         if self._target.is_bound and not self._parts.origins.is_current:
             raise NotRunError(STOOD_STILL, sent=False)
         admission = self._job.admission
