--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 from abc import ABC, abstractmethod
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Final
 
@@ -40,6 +43,8 @@
 """Part of the kernel's ``tcp_info``: the milliseconds since the last acknowledgement,
 which each segment of an established connection carries."""
 
+_COUNT: Final = struct.Struct("i")
+
 _COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """Parser states after a complete response; in the last two the upstream also closes."""
 
@@ -156,6 +161,10 @@
         except OSError as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
+    async def wait_readable(self) -> None:
+        """Wait until a read returns bytes, the end of the stream or an error."""
+        await trio.lowlevel.wait_readable(self._raw)
+
     def receive_at_once(self) -> bytes:
         """Return the bytes that have arrived; raise ``OSError`` if there are none."""
         return self._raw.recv(RECEIVE_BYTES)
@@ -168,6 +177,16 @@
         except OSError:
             return False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the remote side has ended or reset it, and all bytes were read."""
+        try:
+            return not self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send_at_once(self, data: bytes | memoryview) -> memoryview:
         """Send what can be sent without waiting; return the rest."""
         if self._is_closed:
@@ -208,6 +227,20 @@
         linger = struct.pack("ii", resets, 0)
         self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
+    def end_writes(self) -> None:
+        """Tell the remote side that nothing follows; bytes may still be read."""
+        with suppress(OSError):
+            self._raw.shutdown(socket.SHUT_WR)
+
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether the kernel of the remote side lacks any of what was sent."""
+        try:
+            n_bytes = fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(_COUNT.size))
+        except OSError:
+            return False
+        return bool(_COUNT.unpack(n_bytes)[0])
+
     def close(self) -> None:
         """Close the socket; who waits for it is told."""
         if not self._is_closed:
@@ -273,10 +306,12 @@
     __slots__ = (
         "_body",
         "_h11",
+        "_is_cut",
         "_is_head",
         "_needs_body",
         "_raw_rest",
         "_stream",
+        "_unsent",
         "address",
         "content_length",
         "ends_by_close",
@@ -301,6 +336,10 @@
         self._body: ChunkedBody | None = None
         """Body of the response, if it arrives in chunks."""
         self._is_head = False
+        self._unsent: bytes | memoryview = b""
+        """Rest of a request that the upstream began to answer before it was sent."""
+        self._is_cut = False
+        """Whether the upstream took no more of the request."""
 
     async def send_request(self, request: OutgoingRequest) -> None:
         """Send a request in one write."""
@@ -323,9 +362,17 @@
             ) from exc
 
     async def send_rest(self, rest: bytes | memoryview) -> None:
-        """Send the rest of a request that has begun."""
+        """Send the rest of a request that has begun, unless it is answered before.
+
+        What is left then is sent while the answer is read: an upstream may answer
+        before it has read a long body, and read on or close.
+        """
         if not rest:
             return
+        if isinstance(self._stream, SocketStream):
+            self._unsent = rest
+            await self._send_until_answered(self._stream)
+            return
         try:
             await self._stream.send_all(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -333,6 +380,24 @@
                 f"{self.address}: connection closed during send", sent=True
             ) from exc
 
+    async def _send_until_answered(self, stream: SocketStream) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def wait_for_answer() -> None:
+                with suppress(OSError, trio.ClosedResourceError):
+                    await stream.wait_readable()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_for_answer)
+            try:
+                while self._unsent:
+                    await stream.wait_send_all_might_not_block()
+                    self._unsent = stream.send_at_once(self._unsent)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # An answer may have arrived before; the next read tells.
+                self._unsent, self._is_cut = b"", True
+            nursery.cancel_scope.cancel()
+
     def _encode(self, request: OutgoingRequest) -> bytes:
         self._is_head = request.method == b"HEAD"
         event = h11.Request(
@@ -444,6 +509,8 @@
         self._h11.receive_data(await self._receive_some())
 
     async def _receive_some(self) -> bytes:
+        if self._unsent and isinstance(self._stream, SocketStream):
+            await self._send_until_answered(self._stream)
         try:
             return await self._stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -464,6 +531,8 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange is complete and the connection stays open."""
+        if self._unsent or self._is_cut:
+            return False
         if self._body is not None:
             is_whole = self._body.is_complete and not self._body.rest
             # Both sides' headers decide whether our state is done or has to close.
