Streams: an instance doesn't confirm its own empty rest

Cause: the router kept the event after which an end was told, not who told it.

It now keeps the first incarnation that told it. Only another one confirms; the same one again counts as a run, so that a sole instance isn't asked until the deadline. A fleet with one instance of a version gets a cut stream in that case, which the caller takes up.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -227,6 +227,7 @@
             placement.instance.incarnation_key
         )
         self.relay = job.make_relay(self._arrival)
+        self.relay.source = placement.instance.incarnation_key
         self._scope = trio.CancelScope()
         self.given_up: UpstreamError | None = None
         """Why the attempt was ended for another one; None if it was not."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -11,6 +11,7 @@
 import trio
 
 from corianderlb_core.error import CorianderError
+from corianderlb_core.part_index import IncarnationKey
 from corianderlb_core.result import ResultCode
 
 from .caller import CallerGoneError, refuse
@@ -67,7 +68,7 @@
 
 
 class UnknownEndError(BrokenError):
-    """Raised when nothing tells whether an answer without such a mark is whole."""
+    """Raised when nothing tells whether an answer is whole."""
 
 
 class UnconfirmedEndError(UpstreamError):
@@ -89,8 +90,10 @@
         """Whether the last event sent to the caller has a number."""
         self.n_events = 0
         """Events sent to the caller."""
-        self.empty_after: int | None = None
-        """Number of the event after which an instance last sent the end only."""
+        self._end_after: int | None = None
+        """Number of the event after which an instance last said that the end is."""
+        self._end_said_by: IncarnationKey | None = None
+        """The first instance that said so."""
         self.longest_pause_s = 0.0
         """Longest pause between two writes to the caller."""
         self.last_write_at: float | None = None
@@ -102,6 +105,18 @@
         has_begun = self.caller.started
         return not has_begun or (self.is_numbered and self.last_number is not None)
 
+    def end_said_by(
+        self, after: int | None, source: IncarnationKey | None
+    ) -> IncarnationKey | None:
+        """Record that an instance says that the stream ends after an event.
+
+        Return which one said so first; None if none did.
+        """
+        if self._end_after != after or self._end_said_by is None:
+            self._end_after, self._end_said_by = after, source
+            return None
+        return self._end_said_by
+
     def record_write(self) -> None:
         """Record that events are about to be sent to the caller."""
         now = trio.current_time()
@@ -123,6 +138,8 @@
         self.caller = sent.caller
         self.arrival = arrival
         """What is held of the answer while it arrives."""
+        self.source: IncarnationKey | None = None
+        """The instance that answers."""
         self.n_events = 0
         """Events of this attempt that were sent to the caller."""
         self.resume_after: int | None = None
@@ -404,21 +421,25 @@
             await self.confirm_end(exchange)
         except BrokenError:
             if self.first_number is not None:
-                # An instance that sends an empty rest for the same event confirms it.
-                self.sent.empty_after = self.last_number
+                # Another one that sends an empty rest for the same event confirms it.
+                self.sent.end_said_by(self.last_number, self.source)
             raise
 
     def _check_rest(self) -> None:
-        """Raise if only this answer tells that a stream cut elsewhere was complete.
+        """Raise if only this instance tells that a stream cut elsewhere was complete.
 
         The instance that was cut may have been about to send more. A comment is no
-        rest.
+        rest, and an instance that says the same again confirms nothing.
         """
         has_earlier = self.sent.n_events > self.n_events
-        is_empty = self.caller.started and has_earlier and self.first_number is None
-        if is_empty and self.sent.empty_after != self.resume_after:
-            self.sent.empty_after = self.resume_after
+        if not (self.caller.started and has_earlier and self.first_number is None):
+            return
+        said_by = self.sent.end_said_by(self.resume_after, self.source)
+        if said_by is None:
             raise UnconfirmedEndError("the rest of the stream is empty", sent=True)
+        if said_by == self.source:
+            # Counted as a run: it could be asked without end.
+            raise UnknownEndError("no other instance knows the end", sent=True)
 
     @property
     def _must_end(self) -> bool:
--- a/packages/corianderlb-router/tests/test_joined_runs.py
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -7,6 +7,9 @@
 import trio
 
 from corianderlb_core.fleet_retry_budget import BudgetTerms
+from corianderlb_core.forwarding import ForwardInstance
+from corianderlb_router.answer_end import AnswerEnd, AnswerEnds
+from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
@@ -19,7 +22,7 @@
     a_router,
     chunk,
 )
-from run_answers import a_run, order_faults, runs_of
+from run_answers import a_run, a_run_event, order_faults, runs_of
 
 PROMPT = "a:100,own:50"
 
@@ -42,14 +45,41 @@
 EMPTY = STREAM_HEAD + STREAM_END
 
 
+UNFRAMED_HEAD = STREAM_HEAD.replace(b"transfer-encoding: chunked\r\n", b"")
+
+ENDS_AFTER_3 = breaks_off(
+    UNFRAMED_HEAD + b"".join(a_run_event(number, "a", number) for number in (1, 2, 3))
+)
+"""Answer without chunks, whose end is that of its connection."""
+
+
+class UnknownEnds(AnswerEnds):
+    """Finds nothing out about any end."""
+
+    def __init__(self) -> None:
+        """Ask nobody."""
+
+    async def judge(self, instance: ForwardInstance, age_s: float) -> AnswerEnd:
+        """Return that nothing is known."""
+        return AnswerEnd.UNKNOWN
+
+
 class JoinedRunsTest(TrioTestCase):
-    async def ask(self, *script: bytes | Answer, **headers: str) -> FakeCaller:
+    async def ask(
+        self,
+        *script: bytes | Answer,
+        n_engines: int = 3,
+        ends: AnswerEnds | None = None,
+        **headers: str,
+    ) -> FakeCaller:
         """Request a stream of engines that answer in the order of the script."""
-        engine = Upstream(list(script))
-        engines = {"e1": engine, "e2": engine, "e3": engine}
+        engine = self.engine = Upstream(list(script))
+        engines = {f"e{number}": engine for number in range(1, n_engines + 1)}
         async with a_router(BudgetTerms(fixed=500.0), **engines) as router:
             routes = (dataclasses.replace(ROUTES[2], max_attempts=3),)
             router.configure(a_configuration(routes=routes, revision=11))
+            router.parts = dataclasses.replace(router.parts, ends=ends)
+            router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
             caller = await router.ask("/long/7", x_prompt=PROMPT, **headers)
             health = router.health
             self.n_blamed = sum(
@@ -100,6 +130,29 @@
         self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
         self.assertEqual(self.n_blamed, 1)
 
+    async def test_engine_that_is_asked_twice_sends_its_end_only(self) -> None:
+        """Guards against an instance that confirms its own false end."""
+        rest = a_run("c", 4, 5, 6)
+        caller = await self.ask(BREAKS_AFTER_3, EMPTY, EMPTY, rest, n_engines=1)
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+
+    async def test_engine_of_a_doubtful_end_sends_its_end_only(self) -> None:
+        """Guards against a doubtful end that the same instance confirms."""
+        script = (ENDS_AFTER_3, EMPTY, a_run("c", 4, 5, 6))
+        caller = await self.ask(*script, n_engines=1, ends=UnknownEnds())
+        self.assert_whole(caller, ("a", 1, 3), ("c", 4, 6))
+
+    async def test_another_engine_confirms_a_doubtful_end(self) -> None:
+        """Guards against a whole answer that is cut though two instances ended it."""
+        caller = await self.ask(ENDS_AFTER_3, EMPTY, ends=UnknownEnds())
+        self.assert_whole(caller, ("a", 1, 3))
+
+    async def test_only_engine_sends_its_end_again_and_again(self) -> None:
+        """Guards against an instance that is asked for its end until the deadline."""
+        caller = await self.ask(BREAKS_AFTER_3, EMPTY, n_engines=1)
+        self.assertFalse(caller.finished)
+        self.assertLessEqual(len(self.engine.requests), 5)
+
     async def test_stream_breaks_off_before_its_end_alone(self) -> None:
         """Guards against a cut answer of which nothing lacks but its end."""
         caller = await self.ask(BREAKS_AFTER_3, EMPTY)
