Two open requests with the same id: each answers its own caller

Cause: attempts were kept by request id and number, so the second request took the place of the first in the table of attempts in flight; the one that ended first removed it, and a KeyError left `ForwardRun._track_in_flight` of the other. Load estimates, which are kept by the same key, lost one of the two as well.

Keys are now numbered over all requests of the router.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -214,7 +214,8 @@
         self.placement = placement
         self.number = number
         """Number among the attempts of the request, from 1."""
-        self.key = f"{job.req.request_id}.{number}"
+        # Callers may have two requests with the same id open.
+        self.key = f"{job.req.request_id}.{next(job.parts.attempt_numbers)}"
         """Key of the attempt among all of the router."""
         self._job = job
         self._owner = owner
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 from collections import Counter
@@ -155,6 +156,8 @@
     waiting: WaitingRequests = field(default_factory=WaitingRequests)
     standbys: Counter[str] = field(default_factory=Counter)
     """Attempts that stand by for silent ones, by upstream."""
+    attempt_numbers: Iterator[int] = field(default_factory=itertools.count)
+    """Numbers of the attempts of all requests."""
     return_schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     """Schedules of the retries of refused callers, by upstream."""
 
--- a/packages/corianderlb-router/tests/test_forward_run.py
+++ b/packages/corianderlb-router/tests/test_forward_run.py
@@ -62,6 +62,20 @@
                         caller = await router.ask(path)
                         self.assertEqual(caller.status, 200, address)
 
+    async def test_two_open_requests_with_the_same_id(self) -> None:
+        """Guards against an error 500 for the request that ends last."""
+        host = Upstream([never_answer])
+        async with a_router(s1=host) as router:
+            callers = [
+                router.a_caller("/book/7", x_id="q1", x_deadline_s=left_s)
+                for left_s in ("0.5", "0.7")
+            ]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(router.serve, caller)
+            self.assertEqual([caller.status for caller in callers], [504, 504])
+            self.assertEqual(len(router.parts.in_flight), 0)
+
     async def test_booking_is_not_retried_after_a_broken_connection(self) -> None:
         # The booking may have run, so a retry could book twice.
         service = Upstream([b""], closes=True)
