--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -214,7 +214,8 @@
         self.placement = placement
         self.number = number
         """Number among the attempts of the request, from 1."""
-        self.key = f"{job.req.request_id}.{number}"
+        # Callers may have two requests with the same id open.
+        self.key = f"{job.req.request_id}.{next(job.parts.attempt_numbers)}"
         """Key of the attempt among all of the router."""
         self._job = job
         self._owner = owner
@@ -227,6 +228,7 @@
             placement.instance.incarnation_key
         )
         self.relay = job.make_relay(self._arrival)
+        self.relay.source = placement.instance.incarnation_key
         self._scope = trio.CancelScope()
         self.given_up: UpstreamError | None = None
         """Why the attempt was ended for another one; None if it was not."""
