Records of streams: write a stream once it is settled, not by a slow timer

Callers whose routers were all killed beside a release had their resumed streams refused (211), though engines of their version were there.

A first event now makes a write due; a router saves up to four writes while it begins nothing. The average (40 a second for the fleet) stays, peaks are bounded (160).

--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -204,7 +204,10 @@
 
     def first_event(self, key: bytes) -> None:
         """Record that the first event of a stream is about to go to its caller."""
-        self._table.record_first_event(key, trio.current_time())
+        now = trio.current_time()
+        self._table.record_first_event(key, now)
+        if self._records is not None:
+            self._records.due(now + SETTLED_S)
 
     def _to_record(self) -> Iterator[KnownOrigin]:
         """Return the streams that the store has to know if all routers end now.
--- a/packages/corianderlb-router/src/corianderlb_router/stream_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -1,8 +1,8 @@
 """Records of begun streams in the store, which outlast all routers.
 
 While several software versions serve, each router writes the streams that it has begun
-to one object of its own, a few times a second. A stream that no router knows any more
-is looked up there.
+to one object of its own, soon after their first events. A stream that no router knows
+any more is looked up there.
 """
 
 from __future__ import annotations
@@ -38,6 +38,12 @@
 MAX_WRITES_PER_S: Final = 40.0
 """Writes of all routers together, a tenth of what a small store bears."""
 
+MAX_PEAK_WRITES_PER_S: Final = 160.0
+"""Writes of all routers together while they use those that they have saved up."""
+
+MAX_SAVED_WRITES: Final = 4.0
+"""Writes that a router may save up while it begins no streams."""
+
 READ_TIMEOUT_S: Final = 0.5
 """Longest time for which a resumed stream waits for the store."""
 
@@ -65,6 +71,13 @@
         """Streams that earlier incarnations of this router have begun."""
         self._inherited_until = -math.inf
         self._written: dict[bytes, str] = {}
+        self._due_at = math.inf
+        """When the next stream can be recorded."""
+        self._is_due = trio.Event()
+        self._wrote_at = -math.inf
+        self._n_saved = 1.0
+        """Writes that this router may send now."""
+        self._saved_at = -math.inf
 
     # Lookup.
 
@@ -94,6 +107,11 @@
 
     # Records of this router.
 
+    def due(self, at: float) -> None:
+        """Have the streams written once another one can be recorded."""
+        self._due_at = min(self._due_at, at)
+        self._is_due.set()
+
     async def run(
         self,
         begun: Callable[[], Iterable[KnownOrigin]],
@@ -104,7 +122,9 @@
         A record counts for ``keep_s`` after it was written.
         """
         while True:
-            await trio.sleep(self._interval_s() * self._rng.uniform(0.8, 1.2))
+            # Versions that join or are corrected make streams due as well.
+            with trio.move_on_after(self._interval_s() * self._rng.uniform(0.8, 1.2)):
+                await self._wait_until_due()
             try:
                 await self._write(list(begun()), keep_s())
             except StoreError as exc:
@@ -113,10 +133,30 @@
     def _interval_s(self) -> float:
         return max(MIN_INTERVAL_S, self._n_routers() / MAX_WRITES_PER_S)
 
+    async def _wait_until_due(self) -> None:
+        """Wait for a stream to record, and until this router may write again."""
+        await self._is_due.wait()
+        await trio.sleep_until(self._due_at)
+        self._due_at, self._is_due = math.inf, trio.Event()
+        gap_s = max(MIN_INTERVAL_S, self._n_routers() / MAX_PEAK_WRITES_PER_S)
+        missing_s = max(0.0, 1.0 - self._save_up()) * self._interval_s()
+        now = trio.current_time()
+        await trio.sleep_until(max(self._wrote_at + gap_s, now + missing_s))
+
+    def _save_up(self) -> float:
+        """Return how many writes this router may send now."""
+        now = trio.current_time()
+        earned = (now - self._saved_at) / self._interval_s()
+        self._n_saved = min(MAX_SAVED_WRITES, self._n_saved + earned)
+        self._saved_at = now
+        return self._n_saved
+
     async def _write(self, begun: Sequence[KnownOrigin], keep_s: float) -> None:
         versions = {origin.key: origin.version for origin in begun}
         if versions.items() <= self._written.items():
             return
+        self._n_saved = max(0.0, self._save_up() - 1.0)
+        self._wrote_at = trio.current_time()
         if not self._own.is_read:
             await self._inherit()
         now_ms = round(self._wall_clock() * 1000)
