Moved runs: a run that may have been stopped for its copy has no believed end

When an engine stops a run as it copies it, the stream is closed without its end. An answer without length and chunks then ends in order, its process is still there, and the router passed the close on as the end of the stream, also while events were held for the move.

From the order of a copy until its move has failed, such a close now counts as a doubt: the attempt that goes on from the copy leads, or another one is asked for the rest. A run that goes on after a failed move is believed as before.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -156,6 +156,9 @@
         """Whether the instance has ended its answer as the framing tells."""
         self.was_moving = False
         """Whether the run was being moved to another instance then."""
+        self.may_be_stopped = False
+        """Whether its run is being copied, so that its instance may have stopped it:
+        its answer has no end then, but a close in order looks like one."""
         self.reserve_retry: Callable[[], bool] = lambda: False
         """Called when the instance is silent; returns whether to give it up."""
         self.claim: Callable[[], None] = lambda: None
@@ -418,6 +421,8 @@
 
     async def _confirm_end(self, exchange: Exchange) -> None:
         try:
+            if self.may_be_stopped:
+                raise UnknownEndError("ended while its run was copied", sent=True)
             await self.confirm_end(exchange)
         except BrokenError:
             if self.first_number is not None:
--- a/packages/corianderlb-router/src/corianderlb_router/run_mover.py
+++ b/packages/corianderlb-router/src/corianderlb_router/run_mover.py
@@ -144,6 +144,7 @@
                 if not owner.charge_move(attempt):
                     return
                 n_copies += 1
+                attempt.relay.may_be_stopped = True
                 successor = await self._open_copied(fallback)
             else:
                 successor = owner.open_restart(attempt)
@@ -155,6 +156,7 @@
                     return
                 # It may not go on from a copy elsewhere either.
                 self._has_successor, n_copies = False, MAX_COPIES
+            attempt.relay.may_be_stopped = False
             await self._drop_copy()
             await trio.sleep(RETRY_S)
 
--- a/packages/corianderlb-router/tests/test_moved_runs.py
+++ b/packages/corianderlb-router/tests/test_moved_runs.py
@@ -78,6 +78,36 @@
     return answer
 
 
+def without_chunks(script: Answer) -> Answer:
+    """Build a run whose answer has neither length nor chunks."""
+
+    async def answer(stream: trio.abc.Stream) -> None:
+        await script(UnframedStream(stream))
+
+    return answer
+
+
+class UnframedStream:
+    """Sends the contents of chunks."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def send_all(self, data: bytes) -> None:
+        """Send a head, a chunk without its frame, or the end."""
+        if data == STREAM_END:
+            await self._stream.aclose()
+        elif data == STREAM_HEAD:
+            head = STREAM_HEAD.replace(b"transfer-encoding: chunked\r\n", b"")
+            await self._stream.send_all(head)
+        else:
+            await self._stream.send_all(data.partition(b"\r\n")[2][:-2])
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
 STEADY_STEPS = [(number * STEP_S, number + 1) for number in range(N_EVENTS)]
 
 go_on = a_first_run(*STEADY_STEPS)
@@ -272,6 +302,25 @@
         self.assert_whole(caller, "e1:broken e2:ok", took_s=1.35, n_first=2)
         self.assertEqual((len(other.requests), self.copier.dropped), (1, []))
 
+    async def test_run_that_is_stopped_by_its_copy(self) -> None:
+        """Guards against a stopped run whose close is taken for the whole answer."""
+        # The second one writes an event after the copy, and ends while it is held.
+        for stops_at, n_written in ((0.61, 2), (1.2, 3)):
+            steps = ((0.0, 1), (0.5, 2), (1.0, n_written), (stops_at, n_written))
+            first = without_chunks(a_first_run(*steps, then=break_early))
+            other = Upstream([a_late_answer(the_rest(2), 0.7)])
+            with self.subTest(stops_at=stops_at):
+                caller = await self.move(Upstream([first]), other)
+                self.assert_in_order(caller, 2)
+                outcomes = [item.outcome for item in self.ended()["attempts"]]
+                self.assertEqual(outcomes, ["unknownend", "ok"])
+
+    async def test_unframed_run_that_ends_after_its_move_failed(self) -> None:
+        """Guards against a doubt of a run that went on after it was copied."""
+        first = without_chunks(go_on)
+        caller = await self.move(Upstream([first]), Upstream([never_answer]))
+        self.assert_whole(caller, "e2:superseded e1:ok")
+
     async def test_run_that_is_silent_while_its_events_are_held(self) -> None:
         """Guards against held events that wait for more of a silent engine."""
         first = a_first_run((0.0, 1), (0.5, 2), (0.8, 4), (1.9, N_EVENTS))
