Streams: wrong clocks join no runs of two software versions

An instance that restarts with other software under its name and address serves before its new entry is known. Which streams its new process began is told from its start, by its own clock, and from their sending, by the router's.

The entry arrives within half a second of the start in general. If its start lies further off by the router's clock, either the entry is late or a clock is wrong; nothing tells which. Streams that either process may have begun then have an unknown version, and their callers are refused the rest as not run. With clocks that agree and an entry that is late, that concerns streams that began at the instance between its start and its entry alone.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -29,6 +29,12 @@
 """Largest difference between the clocks of two machines. An instance takes longer to
 restart."""
 
+MAX_ENTRY_MS: Final = 2000
+"""Time after its start by which an instance's entry is known, if its clock is wrong."""
+
+UNKNOWN_VERSION: Final = "?"
+"""Software version of a stream of which nothing tells which incarnation began it."""
+
 
 def stream_key(account: str, request_id: str) -> bytes:
     """Return the key of a stream, which only its own account can name.
@@ -149,17 +155,31 @@
         )
 
     def correct(
-        self, old: IncarnationKey, new: IncarnationKey, version: str, now: float
+        self,
+        old: IncarnationKey,
+        new: IncarnationKey,
+        version: str,
+        now: float,
+        now_ms: int,
     ) -> tuple[KnownOrigin, ...]:
         """Correct the streams begun before the newest entry of an instance was known.
 
         An instance can restart with another software version before its new entry
-        arrives. Returns the corrected origins.
+        arrives, at ``now_ms`` by this router's clock. The start in the entry is by the
+        instance's clock. If it lies further off than a start that is known at once, the
+        clocks may differ: streams that either incarnation may have begun then have an
+        unknown version. Returns the corrected origins.
         """
+        late_ms = now_ms - new[1]
+        since_ms = min(now_ms, new[1]) - MAX_ADVANCE_MS
+        if late_ms < -MAX_ADVANCE_MS:
+            since_ms = now_ms - MAX_ENTRY_MS
+        if old != new and abs(late_ms) > MAX_ADVANCE_MS:
+            version = UNKNOWN_VERSION
         corrected = tuple(
             replace(origin, incarnation=new, version=version)
             for origin in self._streams_of(old)
-            if old == new or origin.began_ms >= new[1] - MAX_ADVANCE_MS
+            if old == new or origin.began_ms >= since_ms
         )
         for origin in corrected:
             self.record(origin, now)
--- a/packages/corianderlb-core/tests/test_stream_origin.py
+++ b/packages/corianderlb-core/tests/test_stream_origin.py
@@ -53,7 +53,7 @@
         table = OriginTable()
         table.record(an_origin(b"before", began_ms=5_000), 0.0)
         table.record(an_origin(b"after", began_ms=8_100), 0.0)
-        corrected = table.correct(("e1", 1_000), ("e1", 8_000), "v2", 0.0)
+        corrected = table.correct(("e1", 1_000), ("e1", 8_000), "v2", 0.0, 8_200)
         self.assertEqual([origin.key for origin in corrected], [b"after"])
         self.assertEqual(table.find(b"before", 0.0).version, "v1")
         self.assertEqual(table.find(b"after", 0.0).version, "v2")
@@ -62,7 +62,7 @@
         """Guards against streams that keep the version of a mistaken entry."""
         table = OriginTable()
         table.record(an_origin(), 0.0)
-        table.correct(("e1", 1_000), ("e1", 1_000), "v2", 0.0)
+        table.correct(("e1", 1_000), ("e1", 1_000), "v2", 0.0, 8_200)
         self.assertEqual(table.find(b"k", 0.0).version, "v2")
 
 
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -32,7 +32,12 @@
     StreamOriginsUpdate,
 )
 from corianderlb_core.part_index import IncarnationKey
-from corianderlb_core.stream_origin import KnownOrigin, OriginTable, VersionHistory
+from corianderlb_core.stream_origin import (
+    UNKNOWN_VERSION,
+    KnownOrigin,
+    OriginTable,
+    VersionHistory,
+)
 
 from .interface import PeerNetwork
 from .serving_state import ServingState
@@ -283,6 +288,13 @@
 
         ``key`` is None for a caller that does not name the stream.
         """
+        origin = await self._find_origin(key, route)
+        is_known = origin is not None and origin.version != UNKNOWN_VERSION
+        return origin if is_known else None
+
+    async def _find_origin(
+        self, key: bytes | None, route: ForwardRoute
+    ) -> ResumedOrigin | None:
         if not await self.make_current():
             return None
         self._observe()
@@ -537,6 +549,7 @@
             instance.incarnation_key,
             instance.software_version,
             trio.current_time(),
+            round(self._wall_clock() * 1000),
         )
         if corrected:
             self._announce(corrected)
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -231,6 +231,49 @@
             self.assertEqual((await resume(router)).status, 200)
 
 
+class ClockErrorTest(TrioTestCase):
+    """An instance that restarts with other software, and whose clock is wrong."""
+
+    async def version_after(self, error_s: float, restart_s: float) -> str:
+        """Return the version at which a stream goes on that e1 began; empty if at none.
+
+        The entry of the restarted e1 arrives 1 s after the stream began. e1 started
+        ``restart_s`` after that moment, and its clock is ahead by ``error_s``.
+        """
+        script = [a_stream(1, 2), a_stream(3, 4)]
+        upstreams = {"e1": Upstream(script[:]), "e2": Upstream([a_stream(3, 4)])}
+        now = time.time()
+        async with a_router(**upstreams) as router:
+            origins = router.parts.origins
+            origins._wall_clock = lambda: now
+            list_versions(router, e1="v1")
+            origins._observe()
+            await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+            now += 1.0
+            born_ms = round((now - 1.0 + restart_s + error_s) * 1000)
+            fields = {"software_version": "v2", "born_ms": born_ms, "revision": 40}
+            other = an_instance("e2", "llm", software_version="v1", revision=40)
+            reborn = an_instance("e1", "llm", **fields)
+            router.list_instances(reborn, other, revision=40)
+            await resume(router)
+        went_on = n_requests(upstreams)
+        return "v2" if went_on["e1"] == 2 else "v1" if went_on["e2"] else ""
+
+    async def test_stream_of_before_the_restart(self) -> None:
+        """Guards against the rest of a stream from software that didn't begin it."""
+        for error_s in (-60.0, -2.0, 0.0, 2.0, 60.0):
+            with self.subTest(error_s=error_s):
+                version = await self.version_after(error_s, restart_s=0.9)
+                self.assertIn(version, ("v1", "") if error_s else ("v1",))
+
+    async def test_stream_of_after_the_restart(self) -> None:
+        """Guards against the version of an entry that is older than the instance."""
+        for error_s in (-60.0, -2.0, 0.0, 2.0, 60.0):
+            with self.subTest(error_s=error_s):
+                version = await self.version_after(error_s, restart_s=-0.1)
+                self.assertIn(version, ("v2", ""))
+
+
 class OutOfStepTest(TrioTestCase):
     """A router whose view of the instances is some seconds old."""
 
