Streams: record a stream at its first event, for the incarnation that began it

Of the streams that were refused after all routers had been killed beside a release, those that began in the last 0.2 s could have no record: a router waits for so long, as the entry of a restarted instance may still arrive.

A router now records them at once, with the incarnation that it knew. Only the version of a stream depends on whether the instance had restarted: a router that finds such a record waits for 0.2 s, reads the instances, and goes by it if that incarnation is still the one listed, with the same version. Otherwise, and where the instances can't be read, the stream is refused as before. From 0.2 s on a stream is recorded for good as before. Records without such streams keep their bytes; earlier routers ignore the new field.

Streams that have settled wait for the next write of their router, so each costs one write; the fleet's average is bounded by 60 a second now, a sixth of what the smallest store bears.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -75,8 +75,7 @@
 
     def each_key(self) -> Iterator[bytes]:
         """Return each key."""
-        for start in range(0, len(self.keys), KEY_BYTES):
-            yield self.keys[start : start + KEY_BYTES]
+        return _each_key(self.keys)
 
     def without(self, keys: Collection[bytes]) -> StoredStreams:
         """Return the streams that are not among some keys."""
@@ -84,6 +83,37 @@
         return replace(self, keys=kept)
 
 
+@dataclass(frozen=True)
+class UnsettledStreams:
+    """Streams of one instance that were recorded right after their first events.
+
+    The instance may have restarted with another software version just before. They are
+    those of the version only if the instance still has this start in an entry that is
+    read later.
+    """
+
+    upstream: str
+    version: str
+    instance: str
+    born_ms: BoundedInteger
+    keys: bytes
+    """Their keys, one after the other."""
+
+    @property
+    def incarnation(self) -> IncarnationKey:
+        """The incarnation whose entry the router knew."""
+        return self.instance, self.born_ms
+
+    def each_key(self) -> Iterator[bytes]:
+        """Return each key."""
+        return _each_key(self.keys)
+
+    def without(self, keys: Collection[bytes]) -> UnsettledStreams:
+        """Return the streams that are not among some keys."""
+        kept = b"".join(key for key in self.each_key() if key not in keys)
+        return replace(self, keys=kept)
+
+
 @dataclass(frozen=True)
 class StreamRecord:
     """What one router stores of the streams that it has begun."""
@@ -93,6 +123,7 @@
     keep_ms: BoundedInteger
     """Time for which its streams can be resumed after that."""
     streams: tuple[StoredStreams, ...]
+    unsettled: tuple[UnsettledStreams, ...] = ()
 
     @property
     def until_ms(self) -> int:
@@ -100,6 +131,27 @@
         return self.written_ms + self.keep_ms
 
 
+def _each_key(keys: bytes) -> Iterator[bytes]:
+    for start in range(0, len(keys), KEY_BYTES):
+        yield keys[start : start + KEY_BYTES]
+
+
+def group_unsettled(origins: Iterable[KnownOrigin]) -> tuple[UnsettledStreams, ...]:
+    """Return streams by incarnation, as they are stored right after they began.
+
+    Those of an instance that doesn't tell when it started are left out.
+    """
+    keys: dict[tuple[str, str, IncarnationKey], list[bytes]] = {}
+    for origin in origins:
+        if origin.incarnation is not None and origin.incarnation[1]:
+            group = origin.upstream, origin.version, origin.incarnation
+            keys.setdefault(group, []).append(origin.key)
+    return tuple(
+        UnsettledStreams(upstream, version, *incarnation, b"".join(found))
+        for (upstream, version, incarnation), found in keys.items()
+    )
+
+
 def group_streams(origins: Iterable[KnownOrigin]) -> tuple[StoredStreams, ...]:
     """Return streams by upstream and software version, as they are stored."""
     keys: dict[tuple[str, str], list[bytes]] = {}
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -36,7 +36,7 @@
 
 from .interface import PeerNetwork
 from .serving_state import ServingState
-from .stream_records import StreamRecords
+from .stream_records import SETTLED_S, StreamRecords
 
 N_KEEPERS: Final = 8
 """Peers to which the origin of a stream is announced. Of 78 routers with 16 links each,
@@ -59,10 +59,6 @@
 OBSERVE_INTERVAL_S: Final = 0.05
 """Shortest interval at which the instances are looked at without a request."""
 
-SETTLED_S: Final = 0.2
-"""Time after its first event from which a stream is recorded. The new entry of an
-instance that has restarted with another version takes less."""
-
 CLOCK_ERROR_S: Final = 0.5
 """Largest difference between the wall clocks of a router and an instance."""
 
@@ -204,10 +200,9 @@
 
     def first_event(self, key: bytes) -> None:
         """Record that the first event of a stream is about to go to its caller."""
-        now = trio.current_time()
-        self._table.record_first_event(key, now)
+        self._table.record_first_event(key, trio.current_time())
         if self._records is not None:
-            self._records.due(now + SETTLED_S)
+            self._records.due()
 
     def _to_record(self) -> Iterator[KnownOrigin]:
         """Return the streams that the store has to know if all routers end now.
@@ -215,13 +210,12 @@
         These are none while one version has served for long enough.
         """
         now = trio.current_time()
-        latest = now - SETTLED_S
         for name, history in self._histories.items():
             is_new = now - history.since < self._lifetime_s
             is_mixed = len(history.recent(now, self._lifetime_s)) > 1
             if is_mixed or (is_new and self._has_newcomer({name}, self._lifetime_s)):
                 for origin in self._table.own(name, now):
-                    if origin.first_event_at <= latest:
+                    if origin.first_event_at <= now:
                         yield origin
 
     def version_of(self, key: bytes) -> str | None:
@@ -307,8 +301,29 @@
         stored = await self._records.find(key) if self._records and key else None
         if stored is not None:
             return ResumedOrigin(*stored, "stored")
+        unsettled = await self._find_unsettled(key) if key else None
+        if unsettled is not None:
+            return unsettled
         return self._exclude(route, ask.answers) if is_current else None
 
+    async def _find_unsettled(self, key: bytes) -> ResumedOrigin | None:
+        """Return the origin of a stream that was recorded right after its begin.
+
+        Its instance must have the same start in an entry that is read after the stream
+        can be settled: it did not restart with other software before the stream.
+        """
+        found = self._records.find_unsettled(key) if self._records else None
+        if found is None:
+            return None
+        await trio.sleep(SETTLED_S)
+        if not await self._refresh() or not await self.make_current():
+            return None
+        self._observe()
+        known = self._state.incarnation(found.incarnation)
+        if known is None or known.software_version != found.version:
+            return None
+        return ResumedOrigin(found.upstream, found.version, "stored")
+
     def _sole_version(
         self, route: ForwardRoute, answers: Sequence[StreamOriginAnswer]
     ) -> tuple[str, str] | None:
--- a/packages/corianderlb-router/src/corianderlb_router/stream_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from typing import Final
 
 import eliot
@@ -22,7 +23,9 @@
     KnownOrigin,
     StoredStreams,
     StreamRecord,
+    UnsettledStreams,
     group_streams,
+    group_unsettled,
 )
 
 from .own_object import OwnObject
@@ -32,11 +35,18 @@
 STREAMS_PREFIX: Final = "streams/"
 """Key prefix of the records in the store."""
 
+SETTLED_S: Final = 0.2
+"""Time after its first event from which a stream is recorded for good. The new entry of
+an instance that has restarted with another version takes less."""
+
 MIN_INTERVAL_S: Final = 0.25
-"""Shortest time between two writes of a router."""
+"""Shortest time between two writes of a router on average."""
+
+MIN_GAP_S: Final = 0.05
+"""Shortest time between two writes of a router that it has saved up."""
 
-MAX_WRITES_PER_S: Final = 40.0
-"""Writes of all routers together, a tenth of what a small store bears."""
+MAX_WRITES_PER_S: Final = 60.0
+"""Writes of all routers together on average, a sixth of what a small store bears."""
 
 MAX_PEAK_WRITES_PER_S: Final = 160.0
 """Writes of all routers together while they use those that they have saved up."""
@@ -67,12 +77,14 @@
         self._shared_read = SharedRead(self._read, READ_TIMEOUT_S)
         self._found: dict[bytes, tuple[str, str] | None] = {}
         """Upstream and version by key; None where two records differ."""
+        self._unsettled: dict[bytes, UnsettledStreams | None] = {}
+        """Streams that are recorded for an incarnation; None where records differ."""
         self._inherited: tuple[StoredStreams, ...] = ()
         """Streams that earlier incarnations of this router have begun."""
+        self._inherited_unsettled: tuple[UnsettledStreams, ...] = ()
         self._inherited_until = -math.inf
-        self._written: dict[bytes, str] = {}
-        self._due_at = math.inf
-        """When the next stream can be recorded."""
+        self._written: dict[bytes, tuple[str, bool]] = {}
+        """Version of each stream that is recorded, and whether it was settled."""
         self._is_due = trio.Event()
         self._wrote_at = -math.inf
         self._n_saved = 1.0
@@ -90,8 +102,17 @@
             await self._shared_read.read()
         return self._found.get(key)
 
+    def find_unsettled(self, key: bytes) -> UnsettledStreams | None:
+        """Return the record of a stream right after its begin, or None.
+
+        Goes by what the last ``find`` has read. Whether the record holds depends on the
+        entry of its instance.
+        """
+        return None if key in self._found else self._unsettled.get(key)
+
     async def _read(self) -> None:
         found: dict[bytes, tuple[str, str] | None] = {}
+        unsettled: dict[bytes, UnsettledStreams | None] = {}
         now_ms = self._wall_clock() * 1000
         for stored in await self._store.read_all(STREAMS_PREFIX):
             record = _record_of(stored)
@@ -103,13 +124,17 @@
                     known = found.setdefault(key, origin)
                     if known != origin:
                         found[key] = None
-        self._found = found
+            for group in record.unsettled:
+                origin = replace(group, keys=b"")
+                for key in group.each_key():
+                    if unsettled.setdefault(key, origin) != origin:
+                        unsettled[key] = None
+        self._found, self._unsettled = found, unsettled
 
     # Records of this router.
 
-    def due(self, at: float) -> None:
-        """Have the streams written once another one can be recorded."""
-        self._due_at = min(self._due_at, at)
+    def due(self) -> None:
+        """Have the streams written, since another one has begun."""
         self._is_due.set()
 
     async def run(
@@ -122,9 +147,13 @@
         A record counts for ``keep_s`` after it was written.
         """
         while True:
-            # Versions that join or are corrected make streams due as well.
+            # Streams settle, and versions join or are corrected, without a begin.
             with trio.move_on_after(self._interval_s() * self._rng.uniform(0.8, 1.2)):
                 await self._wait_until_due()
+            # Streams that have settled since can wait for the next one that begins.
+            if self._save_up() < (0.99 if self._is_due.is_set() else 2.0):
+                continue
+            self._is_due = trio.Event()
             try:
                 await self._write(list(begun()), keep_s())
             except StoreError as exc:
@@ -136,9 +165,7 @@
     async def _wait_until_due(self) -> None:
         """Wait for a stream to record, and until this router may write again."""
         await self._is_due.wait()
-        await trio.sleep_until(self._due_at)
-        self._due_at, self._is_due = math.inf, trio.Event()
-        gap_s = max(MIN_INTERVAL_S, self._n_routers() / MAX_PEAK_WRITES_PER_S)
+        gap_s = max(MIN_GAP_S, self._n_routers() / MAX_PEAK_WRITES_PER_S)
         missing_s = max(0.0, 1.0 - self._save_up()) * self._interval_s()
         now = trio.current_time()
         await trio.sleep_until(max(self._wrote_at + gap_s, now + missing_s))
@@ -152,7 +179,11 @@
         return self._n_saved
 
     async def _write(self, begun: Sequence[KnownOrigin], keep_s: float) -> None:
-        versions = {origin.key: origin.version for origin in begun}
+        latest = trio.current_time() - SETTLED_S
+        settled = [origin for origin in begun if origin.first_event_at <= latest]
+        recent = [origin for origin in begun if origin.first_event_at > latest]
+        versions = {origin.key: (origin.version, True) for origin in settled}
+        versions.update({origin.key: (origin.version, False) for origin in recent})
         if versions.items() <= self._written.items():
             return
         self._n_saved = max(0.0, self._save_up() - 1.0)
@@ -160,10 +191,11 @@
         if not self._own.is_read:
             await self._inherit()
         now_ms = round(self._wall_clock() * 1000)
-        streams = group_streams(begun)
+        streams, unsettled = group_streams(settled), group_unsettled(recent)
         if now_ms < self._inherited_until:
             streams = (*streams, *self._inherited)
-        record = StreamRecord(now_ms, round(keep_s * 1000), streams)
+            unsettled = (*unsettled, *self._inherited_unsettled)
+        record = StreamRecord(now_ms, round(keep_s * 1000), streams, unsettled)
         await self._own.write(to_cbor(record))
         self._written = versions
 
@@ -176,6 +208,9 @@
             self._inherited = tuple(
                 kept for s in record.streams if (kept := s.without(own)).keys
             )
+            self._inherited_unsettled = tuple(
+                kept for s in record.unsettled if (kept := s.without(own)).keys
+            )
             self._inherited_until = record.until_ms
 
 
--- a/packages/corianderlb-router/tests/test_stored_names.py
+++ b/packages/corianderlb-router/tests/test_stored_names.py
@@ -169,6 +169,11 @@
 streams streams[].upstream
 streams streams[].version
 streams streams[].keys
+streams unsettled[].upstream
+streams unsettled[].version
+streams unsettled[].instance
+streams unsettled[].born_ms
+streams unsettled[].keys
 """
 
 RECORDS = (
@@ -337,6 +342,30 @@
             ),
         },
     ),
+    (
+        StreamRecord,
+        "a46a7772697474656e5f6d7307676b6565705f6d73193a986773747265616d73"
+        "81a368757073747265616d65656d6265726776657273696f6e627631646b6579"
+        "734c30313233343536373839616269756e736574746c656481a5687570737472"
+        "65616d65656d6265726776657273696f6e62763268696e7374616e6365626531"
+        "67626f726e5f6d7309646b6579734c626139383736353433323130",
+        {
+            "written_ms": 7,
+            "keep_ms": 15_000,
+            "streams": (
+                {"upstream": "ember", "version": "v1", "keys": b"0123456789ab"},
+            ),
+            "unsettled": (
+                {
+                    "upstream": "ember",
+                    "version": "v2",
+                    "instance": "e1",
+                    "born_ms": 9,
+                    "keys": b"ba9876543210",
+                },
+            ),
+        },
+    ),
     (
         StoredAnswer,
         "a46673746174757318c9676865616465727381826161616264626f6479417868"
