Answer ends: a connection that outlives the answer shows its process

Cause: a connection tells something only within 0.1 s of the end, and a router that gets few turns looks later than that; ages of up to 0.18 s were measured.

A connection that was opened before the end of the answer and is open afterwards shows the same process however late the router looks, since the kernel ends all connections of a process at once.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -23,9 +23,9 @@
 from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_core.part_index import IncarnationKey
 
-from .connection import ConnectFailedError
+from .connection import ConnectFailedError, Connection
 from .path_watch import InstanceProbe
-from .transport import ConnectionPool
+from .transport import MAX_IDLE_S, ConnectionPool
 
 MIN_RESTART_S: Final = 0.1
 """Time within which no process ends and is back at its address."""
@@ -37,6 +37,9 @@
 CONNECT_TIMEOUT_S: Final = 0.25
 """Timeout of that connection."""
 
+CLOCK_S: Final = 0.02
+"""What the time of an end may be wrong by: the kernel's clock for it is coarse."""
+
 PROBE_WAIT_S: Final = 0.03
 """Time after which a connection is opened too if an instance that was asked for its
 start has not answered: it tells something only within ``MIN_RESTART_S``."""
@@ -58,14 +61,13 @@
     """What was found out about an instance."""
 
     end: AnswerEnd
-    """End of the answers that ended not too long before."""
-    accepted_at: float = -math.inf
-    """When a process accepted a connection, if only that tells that it is there."""
+    """End of the answers that ended since then."""
+    there_since: float = -math.inf
+    """Since when the process that is there now has been there, as far as is known."""
 
     def end_of(self, ended_at: float) -> AnswerEnd:
         """Return the end of an answer that ended at a time."""
-        is_late = self.accepted_at - ended_at >= MIN_RESTART_S
-        return AnswerEnd.UNKNOWN if is_late else self.end
+        return self.end if self.there_since < ended_at else AnswerEnd.UNKNOWN
 
 
 class _Question:
@@ -88,6 +90,8 @@
         self._pool = pool
         self._probe = probe
         self._questions: dict[IncarnationKey, _Question] = {}
+        self._held: dict[IncarnationKey, Connection] = {}
+        """Open connections to instances that were asked lately."""
 
     async def judge(self, instance: ForwardInstance, ended_at: float) -> AnswerEnd:
         """Return what ended an answer of an instance at a time.
@@ -107,6 +111,7 @@
     async def _ask(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         key, question = instance.incarnation_key, _Question()
         self._questions[key] = question
+        await self._close_idle()
         try:
             question.finding = await self._find_out(instance, ended_at)
         finally:
@@ -115,6 +120,9 @@
         return question.finding
 
     async def _find_out(self, instance: ForwardInstance, ended_at: float) -> _Finding:
+        since = await self._witnessed_since(instance, ended_at)
+        if since is not None:
+            return _Finding(AnswerEnd.CLOSED, since)
         probe = self._probe
         if probe is None or not instance.born_ms or not probe.tells_start(instance):
             return await self._connect(instance)
@@ -138,6 +146,23 @@
                 nursery.cancel_scope.cancel()
         return told[0] if told else accepted
 
+    async def _witnessed_since(
+        self, instance: ForwardInstance, ended_at: float
+    ) -> float | None:
+        """Return since when a connection has been open that outlives the answer.
+
+        None if there is none that is older than the end of the answer. It needs no
+        question, and shows the same process however late this one comes to look.
+        """
+        opened_before = ended_at - CLOCK_S
+        witnesses = self._pool.open_before(instance.address, opened_before)
+        if not witnesses:
+            return None
+        now = trio.current_time()
+        await trio.sleep_until(max(now, ended_at + SETTLE_S) + SETTLE_S)
+        times = [conn.opened_at for conn in witnesses if not conn.has_ended]
+        return min(times) + CLOCK_S if times else None
+
     async def _connect(self, instance: ForwardInstance) -> _Finding:
         """Find out whether anybody listens, and goes on doing so.
 
@@ -153,11 +178,31 @@
                 has_refused = isinstance(exc.__cause__, ConnectionRefusedError)
                 return _Finding(AnswerEnd.DIED if has_refused else AnswerEnd.UNKNOWN)
             accepted_at = trio.current_time()
+            is_held = False
             try:
                 if is_first:
                     await trio.sleep(SETTLE_S)
-                if not is_first or not conn.is_dropped:
+                    is_held = not conn.is_dropped
+                if is_held or not is_first:
                     break
             finally:
+                await (self._hold(instance, conn) if is_held else conn.close())
+        return _Finding(AnswerEnd.CLOSED, accepted_at - MIN_RESTART_S)
+
+    async def _hold(self, instance: ForwardInstance, conn: Connection) -> None:
+        """Leave a connection open, which tells later whether its process is there."""
+        key = instance.incarnation_key
+        if key in self._held:
+            await self._held.pop(key).close()
+        self._held[key] = conn
+        conn.idle_since = trio.current_time()
+
+    async def _close_idle(self) -> None:
+        """Close connections to instances that weren't asked for a while."""
+        now = trio.current_time()
+        for key, conn in list(self._held.items()):
+            if key in self._questions:
+                conn.idle_since = now
+            elif now - conn.idle_since > MAX_IDLE_S:
+                del self._held[key]
                 await conn.close()
-        return _Finding(AnswerEnd.CLOSED, accepted_at)
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -245,6 +245,15 @@
         host, port, *_ = self._raw.getsockname()
         return host, port
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether either side has closed or reset it, whatever is left to read."""
+        if self._is_closed:
+            return True
+        poll = select.poll()
+        poll.register(self._raw.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @property
     def is_readable(self) -> bool:
         """Whether a read would return bytes or end of stream without blocking."""
@@ -277,11 +286,13 @@
         "_needs_body",
         "_raw_rest",
         "_stream",
+        "__weakref__",
         "address",
         "content_length",
         "ends_by_close",
         "generation",
         "idle_since",
+        "opened_at",
     )
 
     def __init__(self, stream: trio.abc.Stream, address: str, generation: int) -> None:
@@ -290,6 +301,7 @@
         self.address = address
         self.generation = generation
         """The pool's generation when opened; older ones are not reused."""
+        self.opened_at = trio.current_time()
         self.idle_since = 0.0
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
@@ -483,6 +495,11 @@
         """Whether the upstream closed or sent unsolicited data while idle."""
         return isinstance(self._stream, SocketStream) and self._stream.is_readable
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether either side has closed or reset it, or nothing tells."""
+        return not isinstance(self._stream, SocketStream) or self._stream.has_ended
+
     @property
     def closes_at_once(self) -> bool:
         """Whether ``close`` never waits."""
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import lru_cache
 from typing import Final, TypeVar
+from weakref import WeakSet
 
 import httpx
 import trio
@@ -55,6 +56,8 @@
         self._connector = connector
         self._idle: dict[str, list[Connection]] = {}
         self._generation: dict[str, int] = {}
+        self._opened: dict[str, WeakSet[Connection]] = {}
+        """Connections that may still be open."""
 
     async def take(self, address: str, fresh: bool, connect_s: float) -> Connection:
         """Return a usable idle connection, or a new one."""
@@ -90,9 +93,17 @@
             # The last two are raised for an invalid address or port.
             message = f"{address}: {exc}"
             raise ConnectFailedError(message, refused=True) from exc
-        if generation is None:
-            generation = self._generation.get(address, 0)
-        return Connection(stream, address, generation)
+        if generation is not None:
+            return Connection(stream, address, generation)
+        conn = Connection(stream, address, self._generation.get(address, 0))
+        self._opened.setdefault(address, WeakSet()).add(conn)
+        return conn
+
+    def open_before(self, address: str, at: float) -> list[Connection]:
+        """Return the connections that are open since before a time, oldest first."""
+        opened = [conn for conn in self._opened.get(address, ()) if conn.opened_at < at]
+        opened.sort(key=lambda conn: conn.opened_at)
+        return [conn for conn in opened if not conn.has_ended]
 
     async def give_back(self, conn: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -23,6 +23,13 @@
     def __init__(self, is_dropped: bool) -> None:
         self.is_dropped = is_dropped
         self.is_closed = False
+        self.opened_at = trio.current_time()
+        self.idle_since = 0.0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether either side has closed it."""
+        return self.is_dropped or self.is_closed
 
     async def close(self) -> None:
         """Close the connection."""
@@ -54,6 +61,10 @@
         self.opened.append(ScriptedConnection(outcome == DROPPED))
         return self.opened[-1]
 
+    def open_before(self, address: str, at: float) -> list[ScriptedConnection]:
+        """Return the connections that are open since before a time."""
+        return [c for c in self.opened if c.opened_at < at and not c.has_ended]
+
 
 class StartProbe(InstanceProbe):
     """Tells the same start of each instance, after some time."""
