Own calls: read answers of engines that show by themselves that they are whole

An engine whose reports have neither length nor chunks was never heard: each report was refused, so the router knew neither its start nor its weights, and its answers could only be judged by connections.

Imports, loads and orders of the own interface still refuse an answer without length (test_unmarked_ends).

--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -36,6 +36,10 @@
 UNTIL_CLOSE: Final = "until_close"
 """Request extension: see ``OutgoingRequest.until_close``."""
 
+SHOWS_END: Final = "shows_end"
+"""Request extension: read a body without length too. Only for calls whose reader tells
+a part of a body from the whole, as that of a JSON object does."""
+
 SEND_BEFORE: Final = "send_before"
 """Request extension: time by the router's clock after which nothing may be sent."""
 
@@ -136,6 +140,8 @@
         self._conn = conn
         self._read_s = read_s
         self._closed = False
+        self.shows_end = False
+        """Whether the reader tells by the body itself whether it is whole."""
 
     @property
     def ends_by_close(self) -> bool:
@@ -165,12 +171,12 @@
         return self._conn.receive_chunk
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        if self._conn.ends_by_close:
+        if self._conn.ends_by_close and not self.shows_end:
             # A broken connection can't be told from the end of the body.
             message = f"{self._conn.address}: response without length"
             raise BrokenError(message, sent=True)
         while chunk := await _with_timeout(
-            self._read_s, self._conn, self._conn.receive_chunk
+            self._read_s, self._conn, self.receive_chunk
         ):
             yield chunk
 
@@ -238,6 +244,7 @@
             until_close=bool(extensions.get(UNTIL_CLOSE)),
         )
         answer = await self.send(request.url.netloc.decode(), outgoing, cfg)
+        answer.exchange.shows_end = bool(extensions.get(SHOWS_END))
         return httpx.Response(
             answer.status,
             headers=answer.headers,
--- a/packages/corianderlb-router/tests/test_unmarked_ends.py
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -9,11 +9,14 @@
 from answer_end_builders import StartProbe
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_router.answer_end import AnswerEnds
+from corianderlb_router.connection import UpstreamError
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
+from corianderlb_router.upstream_client import ExchangeTimeouts, UpstreamClient
 from corianderlb_standins.trio_case import TrioTestCase
 from forward_builders import (
     Answer,
     Upstream,
+    UpstreamNetwork,
     a_router,
     a_stream,
     an_answer,
@@ -86,6 +89,17 @@
 """A stream that may be resumed and one that may not, a repeatable and another call."""
 
 
+class OwnCallTest(TrioTestCase):
+    async def test_calls_whose_body_need_not_show_its_end(self) -> None:
+        """Guards against a part of an import, load or order that is read as whole."""
+        async with trio.open_nursery() as nursery:
+            host = Upstream([HEAD + b'{"imported":12}'], closes=True)
+            client = UpstreamClient(UpstreamNetwork(nursery, {"e1": host}))
+            with self.assertRaises(UpstreamError):
+                await client.post("e1:80", "/x", b"", ExchangeTimeouts(1.0, 1.0))
+            self.assertEqual(len(host.requests), 1)
+
+
 class UnmarkedEndTest(TrioTestCase):
     async def test_instance_that_lives_on(self) -> None:
         """Guards against repeated work of instances that mark no end."""
