Own interface: a stream is never whole before its terminal event

A test cuts a stream of the own interface at each byte, which an end of a process may do: the assembler counts none of the parts as finished. With the tests that exist (a close in order before the terminal event, a service's answer without length) the path from engines and services of the own interface has no end of a process that is passed on as the end of an answer. No fault was found, and nothing is changed.

--- a/packages/corianderlb-core/tests/test_stream.py
+++ b/packages/corianderlb-core/tests/test_stream.py
@@ -44,6 +44,15 @@
             self.assertTrue(assembler.finished)
             self.assertIsNone(assembler.fault)
 
+    def test_stream_that_ends_at_any_byte(self) -> None:
+        """Guards against a part that is whole since its connection ended in order."""
+        stream = a_stream(2)
+        for n_sent in range(len(stream)):
+            assembler = an_assembler()
+            out = assembler.feed(stream[:n_sent])
+            self.assertFalse(assembler.finished, stream[:n_sent])
+            self.assertTrue(a_stream(2, "r").startswith(out))
+
     def test_event_in_small_chunks(self) -> None:
         """Guards against an event without an end that blocks the router."""
         assembler, began_at = an_assembler(), time.process_time()
