--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import lru_cache
 from typing import Final, TypeVar
+from weakref import WeakSet
 
 import httpx
 import trio
@@ -35,6 +36,10 @@
 UNTIL_CLOSE: Final = "until_close"
 """Request extension: see ``OutgoingRequest.until_close``."""
 
+SHOWS_END: Final = "shows_end"
+"""Request extension: read a body without length too. Only for calls whose reader tells
+a part of a body from the whole, as that of a JSON object does."""
+
 SEND_BEFORE: Final = "send_before"
 """Request extension: time by the router's clock after which nothing may be sent."""
 
@@ -55,6 +60,8 @@
         self._connector = connector
         self._idle: dict[str, list[Connection]] = {}
         self._generation: dict[str, int] = {}
+        self._opened: dict[str, WeakSet[Connection]] = {}
+        """Connections that may still be open."""
 
     async def take(self, address: str, fresh: bool, connect_s: float) -> Connection:
         """Return a usable idle connection, or a new one."""
@@ -90,9 +97,17 @@
             # The last two are raised for an invalid address or port.
             message = f"{address}: {exc}"
             raise ConnectFailedError(message, refused=True) from exc
-        if generation is None:
-            generation = self._generation.get(address, 0)
-        return Connection(stream, address, generation)
+        if generation is not None:
+            return Connection(stream, address, generation)
+        conn = Connection(stream, address, self._generation.get(address, 0))
+        self._opened.setdefault(address, WeakSet()).add(conn)
+        return conn
+
+    def open_before(self, address: str, at: float) -> list[Connection]:
+        """Return the connections that are open since before a time, oldest first."""
+        opened = [conn for conn in self._opened.get(address, ()) if conn.opened_at < at]
+        opened.sort(key=lambda conn: conn.opened_at)
+        return [conn for conn in opened if not conn.has_closed]
 
     async def give_back(self, conn: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
@@ -125,6 +140,8 @@
         self._conn = conn
         self._read_s = read_s
         self._closed = False
+        self.shows_end = False
+        """Whether the reader tells by the body itself whether it is whole."""
 
     @property
     def ends_by_close(self) -> bool:
@@ -154,12 +171,12 @@
         return self._conn.receive_chunk
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        if self._conn.ends_by_close:
+        if self._conn.ends_by_close and not self.shows_end:
             # A broken connection can't be told from the end of the body.
             message = f"{self._conn.address}: response without length"
             raise BrokenError(message, sent=True)
         while chunk := await _with_timeout(
-            self._read_s, self._conn, self._conn.receive_chunk
+            self._read_s, self._conn, self.receive_chunk
         ):
             yield chunk
 
@@ -227,6 +244,7 @@
             until_close=bool(extensions.get(UNTIL_CLOSE)),
         )
         answer = await self.send(request.url.netloc.decode(), outgoing, cfg)
+        answer.exchange.shows_end = bool(extensions.get(SHOWS_END))
         return httpx.Response(
             answer.status,
             headers=answer.headers,
