Streams: a record has not expired to a router whose clock is ahead

All routers were killed beside a release, and one of the new ones had a clock 60 s ahead.

A record now counts for 60 s longer than its streams can be resumed. The keys are those of requests, so that no other stream takes them meanwhile.

test_router_whose_clock_is_ahead failed before for each stream that e1 began (60 s ahead; 2 s ahead was right) and passes with this; 60 tests of origins and records pass.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -32,6 +32,10 @@
 MAX_ENTRY_MS: Final = 2000
 """Time after its start by which an instance's entry is known, if its clock is wrong."""
 
+RECORD_SLACK_MS: Final = 60_000
+"""Time for which a record counts longer than its streams, so that it has not expired to
+a router whose clock is ahead. It does no harm meanwhile: no stream takes its keys."""
+
 UNKNOWN_VERSION: Final = "?"
 """Software version of a stream of which nothing tells which incarnation began it."""
 
@@ -134,7 +138,7 @@
     @property
     def until_ms(self) -> int:
         """Unix milliseconds until which it counts."""
-        return self.written_ms + self.keep_ms
+        return self.written_ms + self.keep_ms + RECORD_SLACK_MS
 
 
 def _each_key(keys: bytes) -> Iterator[bytes]:
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -422,6 +422,27 @@
                 self.assertEqual(caller.status, 200)
                 self.assertEqual(n_requests(engines)[engine], before + 1)
 
+    async def test_router_whose_clock_is_ahead(self) -> None:
+        """Guards against records that seem to have expired to another machine."""
+        for error_s in (2.0, 60.0):
+            store, now = FakeStore(), time.time() + error_s
+            async with self.restarted_routers(store, 1.0) as (router, engines, began):
+                # A release has replaced the instances of v1.
+                born_ms = round((time.time() - 3.0) * 1000)
+                reborn, other = (
+                    an_instance(name, "llm", software_version="v2", **fields)
+                    for name, fields in (("e1", {"born_ms": born_ms}), ("e2", {}))
+                )
+                router.list_instances(reborn, other, revision=40)
+                origins = router.parts.origins
+                for clock_user in (origins, origins._records):
+                    clock_user._wall_clock = lambda now=now: now
+                for stream in (s for s, engine in began.items() if engine == "e1"):
+                    caller = await resume(router, resumes=stream)
+                    with self.subTest(error_s=error_s, stream=stream):
+                        self.assertEqual(caller.status, 503)
+                self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
+
     async def test_stream_that_was_not_recorded_yet(self) -> None:
         """Guards against a guess where no record can have been written."""
         store = FakeStore()
