New streams: ask an instance for its start while its entry may be old

Cause: only streams that go on asked for the start of the process.

New resumable streams ask too, but only while an entry can be old without the router knowing: while the store doesn't answer, after a pause of the router until the instances are read again, and after nobody listened at the instance's address. The last two ask once per instance; answers are shared for 0.1 s as before. Not at each first event, which would cost a connection per stream, and not when a stream is resumed, since the process that began it is mostly gone by then. A reset asks for nothing: full instances reset connections all the time.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -491,17 +491,21 @@
                 raise exc from None
 
     async def _check_incarnation(self) -> None:
-        """Raise ``NotRunError`` if the instance can't go on with its stream.
+        """Raise ``NotRunError`` if its stream can't go on or begin at the instance.
 
-        It has restarted since its entry was read, and may run other software.
+        It has restarted since its entry was read, and may run other software. A new
+        stream asks only while the entry may be old: a question for each would cost a
+        connection, though few of them go on anywhere.
         """
         parts, instance = self._parts, self.placement.instance
-        if not self._target.is_bound or not instance.born_ms:
+        check, target = parts.incarnations, self._target
+        if check is None or not instance.born_ms or target.stream_key is None:
             return
-        check = parts.incarnations
-        if check is not None and await check.has_restarted(instance):
-            parts.origins.record_doubt(instance)
-            raise NotRunError("the instance has restarted", sent=False)
+        seen_at = check.seen_at(instance)
+        if target.is_bound or parts.origins.may_have_restarted(instance, seen_at):
+            if await check.has_restarted(instance):
+                parts.origins.record_doubt(instance, is_gone=True)
+                raise NotRunError("the instance has restarted", sent=False)
 
     async def _send_directly(self) -> Answer:
         await self._check_incarnation()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -226,6 +226,7 @@
                     self._rng,
                 ),
                 is_current=lambda: self._follower.are_instances_current,
+                may_lack_restarts=self._follower.may_lack_restarts,
             ),
             tunnels=Tunnels(self._peers, cfg.forward.zone, self._rng),
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -916,7 +916,8 @@
         placement = attempt.placement
         is_unanswered = attempt.began_ms is None
         if isinstance(exc, ConnectFailedError | BrokenError) and is_unanswered:
-            self._parts.origins.record_doubt(placement.instance)
+            is_gone = isinstance(exc, ConnectFailedError) and exc.refused
+            self._parts.origins.record_doubt(placement.instance, is_gone)
         health = self._parts.health
         incarnation_key = placement.instance.incarnation_key
         outcome = type(exc).__name__.removesuffix("Error").lower()
--- a/packages/corianderlb-router/src/corianderlb_router/incarnation_check.py
+++ b/packages/corianderlb-router/src/corianderlb_router/incarnation_check.py
@@ -1,4 +1,4 @@
-"""Ask instances for their incarnation before a stream of theirs goes on.
+"""Ask instances for their incarnation before a stream goes on or begins there.
 
 An instance can restart with other software under its name and address, and serve before
 its new entry has reached the store or this router. Whoever answers is told from the
@@ -6,10 +6,15 @@
 
     if await check.has_restarted(instance):
         ...  # The entry is that of a process which is gone.
+
+A stream that goes on always asks. One that begins asks only while the entry may be old,
+since most streams go on nowhere.
 """
 
 from __future__ import annotations
 
+import math
+from collections import OrderedDict
 from typing import Final
 
 import trio
@@ -22,6 +27,9 @@
 SHARED_S: Final = 0.1
 """Time for which an answer is shared: far less than a process takes to start."""
 
+SEEN_KEPT_S: Final = 60.0
+"""Time for which it is kept when an instance was last that of its entry."""
+
 
 class _Question:
     """Question to one instance, which requests that come meanwhile share."""
@@ -39,6 +47,11 @@
     def __init__(self, probe: InstanceProbe) -> None:
         self._probe = probe
         self._questions: dict[IncarnationKey, _Question] = {}
+        self._seen_at: OrderedDict[IncarnationKey, float] = OrderedDict()
+
+    def seen_at(self, instance: ForwardInstance) -> float:
+        """Return when the process of the entry answered last; -inf if never."""
+        return self._seen_at.get(instance.incarnation_key, -math.inf)
 
     async def has_restarted(self, instance: ForwardInstance) -> bool:
         """Return whether another process than that of the entry answers.
@@ -60,6 +73,9 @@
         try:
             born_ms = await self._probe.born_ms(instance)
             question.has_restarted = born_ms not in (0, instance.born_ms)
+            if born_ms == instance.born_ms:
+                self._seen_at[key] = question.asked_at
+                self._seen_at.move_to_end(key)
         finally:
             question.is_answered.set()
             self._forget_old()
@@ -70,3 +86,6 @@
         for key, question in list(self._questions.items()):
             if question.asked_at < oldest and question.is_answered.is_set():
                 del self._questions[key]
+        oldest = trio.current_time() - SEEN_KEPT_S
+        while self._seen_at and next(iter(self._seen_at.values())) < oldest:
+            self._seen_at.popitem(last=False)
--- a/packages/corianderlb-router/src/corianderlb_router/state_follower.py
+++ b/packages/corianderlb-router/src/corianderlb_router/state_follower.py
@@ -185,6 +185,16 @@
         table = self._state.tables[self._state.instances_kind]
         return not self._pauses.has_resumed_since(table.read_at)
 
+    def may_lack_restarts(self, seen_at: float) -> bool:
+        """Whether an instance may have restarted without a change that was read.
+
+        ``seen_at`` is when it last was the one of its entry. While the store doesn't
+        answer, no change arrives.
+        """
+        table = self._state.tables[self._state.instances_kind]
+        has_paused = self._pauses.has_resumed_since(max(table.read_at, seen_at))
+        return has_paused or self._state.is_store_lost
+
     async def _read_instances(self) -> None:
         kind, started_at = self._state.instances_kind, trio.current_time()
         listing = await self._feed.list(kind)
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -130,10 +130,12 @@
         refresh: Callable[[], Awaitable[bool]] = _never_current,
         records: StreamRecords | None = None,
         is_current: Callable[[], bool] = lambda: True,
+        may_lack_restarts: Callable[[float], bool] = lambda seen_at: False,
     ) -> None:
         """Read the instances again with ``refresh``, which returns whether it could.
 
-        ``is_current`` tells whether they were read since this process stood still.
+        ``is_current`` tells whether they were read since this process stood still,
+        ``may_lack_restarts`` whether one may have restarted unnoticed since a time.
         Without ``records``, streams are forgotten once all their routers are gone.
         """
         self._state = state
@@ -149,10 +151,12 @@
         self._kept_lifetime_s = MIN_LIFETIME_S
         self._refresh = refresh
         self._is_current = is_current
+        self._may_lack_restarts = may_lack_restarts
         self._records = records
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
         self._doubted_revisions: dict[IncarnationKey, int] = {}
+        self._gone_at: dict[IncarnationKey, float] = {}
         peers.subscribe(StreamOriginsUpdate, self.on_update)
         peers.subscribe(StreamOriginRequest, self.on_request)
         peers.subscribe(StreamOriginAnswer, self.on_answer)
@@ -228,14 +232,18 @@
 
     # Instances.
 
-    def record_doubt(self, instance: ForwardInstance) -> None:
+    def record_doubt(self, instance: ForwardInstance, is_gone: bool = False) -> None:
         """Record that an instance gave no answer, so that it may have restarted.
 
-        Its version is not known then before it renews its entry.
+        Its version is not known then before it renews its entry. ``is_gone`` tells that
+        its process has ended: nobody listens, or another one does. A new stream asks
+        for no less, since an instance that is full resets connections all the time.
         """
         known = self._state.incarnation(instance.incarnation_key)
         if known is not None:
             self._doubted_revisions[known.incarnation_key] = known.revision
+            if is_gone:
+                self._gone_at[known.incarnation_key] = trio.current_time()
 
     @property
     def is_current(self) -> bool:
@@ -257,10 +265,24 @@
     def runs_version(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance is known to run a software version now."""
         known = self._state.incarnation(instance.incarnation_key)
-        if known is None:
+        if known is None or self._is_doubted(known):
             return False
+        return known.software_version == version
+
+    def _is_doubted(self, known: ForwardInstance) -> bool:
         doubted_revision = self._doubted_revisions.get(known.incarnation_key, -1)
-        return known.software_version == version and known.revision > doubted_revision
+        return known.revision <= doubted_revision
+
+    def may_have_restarted(self, instance: ForwardInstance, seen_at: float) -> bool:
+        """Return whether the entry of an instance may be older than its process.
+
+        ``seen_at`` is when its process was last seen to be the one of the entry.
+        """
+        known = self._state.incarnation(instance.incarnation_key)
+        if known is None or self._may_lack_restarts(seen_at):
+            return True
+        gone_at = self._gone_at.get(known.incarnation_key)
+        return gone_at is not None and seen_at <= gone_at and self._is_doubted(known)
 
     def has_changed(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance turned out to have restarted with other software.
@@ -547,6 +569,7 @@
             gone = self._entries.pop(name)
             self._present[gone.upstream, gone.software_version] -= 1
             self._doubted_revisions.pop(gone.incarnation_key, None)
+            self._gone_at.pop(gone.incarnation_key, None)
 
     def _observe_versions(self) -> None:
         """Record the present versions; announce own streams if they are mixed now."""
