--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -27,7 +27,7 @@
         self.idle_since = 0.0
 
     @property
-    def has_ended(self) -> bool:
+    def has_closed(self) -> bool:
         """Whether either side has closed it."""
         return self.is_dropped or self.is_closed
 
@@ -63,7 +63,7 @@
 
     def open_before(self, address: str, at: float) -> list[ScriptedConnection]:
         """Return the connections that are open since before a time."""
-        return [c for c in self.opened if c.opened_at < at and not c.has_ended]
+        return [c for c in self.opened if c.opened_at < at and not c.has_closed]
 
 
 class StartProbe(InstanceProbe):
--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -69,7 +69,7 @@
             with self.subTest(script=script, age_s=age_s):
                 end_found = await judge(AnswerEnds(pool), UNTOLD, age_s)
                 self.assertIs(end_found, end)
-                n_open = sum(not conn.has_ended for conn in pool.opened)
+                n_open = sum(not conn.has_closed for conn in pool.opened)
                 self.assertEqual(n_open, int(script == (OPEN,)))
 
     async def test_connection_that_outlives_the_answer(self) -> None:
