Log: why a resumed stream is unknown

`request:ended` with STREAM_ORIGIN_UNKNOWN didn't tell whether peers had not answered, the store had not been read in time, or there was no record. The line `stream:unknown` does, so that refusals after a restart of all routers can be told from those of a store that is away.

--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -304,7 +304,18 @@
         unsettled = await self._find_unsettled(key) if key else None
         if unsettled is not None:
             return unsettled
-        return self._exclude(route, ask.answers) if is_current else None
+        excluded = self._exclude(route, ask.answers) if is_current else None
+        if excluded is None:
+            versions, _ = self._known_versions(route, ask.answers)
+            eliot.log_message(
+                message_type="stream:unknown",
+                peers=ask.n_expected,
+                answers=len(ask.answers),
+                current=is_current,
+                versions=sorted(version for _, version in versions),
+                record=self._records.state_of(key) if self._records and key else "",
+            )
+        return excluded
 
     async def _find_unsettled(self, key: bytes) -> ResumedOrigin | None:
         """Return the origin of a stream that was recorded right after its begin.
--- a/packages/corianderlb-router/src/corianderlb_router/stream_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -75,6 +75,8 @@
         self._rng = rng
         self._wall_clock = wall_clock
         self._shared_read = SharedRead(self._read, READ_TIMEOUT_S)
+        self._is_read = False
+        """Whether the store answered the last read."""
         self._found: dict[bytes, tuple[str, str] | None] = {}
         """Upstream and version by key; None where two records differ."""
         self._unsettled: dict[bytes, UnsettledStreams | None] = {}
@@ -99,9 +101,17 @@
         Every record that was written before the call is taken into account.
         """
         if self._found.get(key) is None:
-            await self._shared_read.read()
+            self._is_read = await self._shared_read.read()
         return self._found.get(key)
 
+    def state_of(self, key: bytes) -> str:
+        """Return why the last ``find`` of a stream told nothing, for the log."""
+        if not self._is_read:
+            return "unread"
+        if key in self._found:
+            return "differs"
+        return "unsettled" if key in self._unsettled else "absent"
+
     def find_unsettled(self, key: bytes) -> UnsettledStreams | None:
         """Return the record of a stream right after its begin, or None.
 
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -371,6 +371,7 @@
 store:history_gone kind
 store:lost
 store:regained away_s
+stream:unknown answers current peers record versions
 streams:not_recorded reason
 streams:unreadable key reason
 tunnel:not_opened instance peer reason
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -386,6 +386,7 @@
         async with self.restarted_routers(store, 0.1) as (router, engines, _):
             store.faults.delay_s = 0.0
             self.assertEqual((await resume(router, resumes="s3")).status, 503)
+            self.assertEqual(record_state(router, "s3"), "absent")
             self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
 
     async def test_stream_recorded_right_after_its_begin(self) -> None:
@@ -409,6 +410,7 @@
                 for number in range(4):
                     caller = await resume(router, resumes=f"s{number}")
                     self.assertEqual(caller.status, 503)
+                    self.assertEqual(record_state(router, f"s{number}"), "unsettled")
                 self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
 
     async def test_instances_cannot_be_read(self) -> None:
@@ -430,6 +432,7 @@
             asked_at = trio.current_time()
             self.assertEqual((await resume(router, resumes="s0")).status, 503)
             self.assertLess(trio.current_time() - asked_at, 1.5)
+            self.assertEqual(record_state(router, "s0"), "unread")
             self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
 
     async def test_records_that_cannot_be_read(self) -> None:
@@ -452,6 +455,7 @@
         store.objects["streams/other"] = StoredObject("streams/other", value, "1")
         async with self.restarted_routers(store, 1.0) as (router, engines, _):
             self.assertEqual((await resume(router, resumes="s0")).status, 503)
+            self.assertEqual(record_state(router, "s0"), "differs")
 
     async def test_restarted_router_keeps_what_it_recorded(self) -> None:
         """Guards against a restart that overwrites the streams before it."""
@@ -469,6 +473,13 @@
                 self.assertEqual(caller.status, 200)
 
 
+def record_state(router: ForwardRouter, stream: str) -> str:
+    """Return what a router logs of the record of a stream that it refused."""
+    records = router.parts.origins._records
+    assert records is not None
+    return records.state_of(stream_key("acme", stream))
+
+
 def a_recording_router(
     network: UpstreamNetwork, store: FakeStore, name: str
 ) -> ForwardRouter:
