Answer ends: an instance that tells its start is asked first

A connection that is older than the end and still looks open tells less than the start of the process: a lost segment delays its end. Connections are looked at only for instances that tell no start, or none in time. Closing idle connections can be cancelled, which left a question open for good; it is inside the try now.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -111,8 +111,8 @@
     async def _ask(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         key, question = instance.incarnation_key, _Question()
         self._questions[key] = question
-        await self._close_idle()
         try:
+            await self._close_idle()
             question.finding = await self._find_out(instance, ended_at)
         finally:
             del self._questions[key]
@@ -120,12 +120,9 @@
         return question.finding
 
     async def _find_out(self, instance: ForwardInstance, ended_at: float) -> _Finding:
-        since = await self._witnessed_since(instance, ended_at)
-        if since is not None:
-            return _Finding(AnswerEnd.CLOSED, since)
         probe = self._probe
         if probe is None or not instance.born_ms or not probe.tells_start(instance):
-            return await self._connect(instance)
+            return await self._look_at_connections(instance, ended_at)
         told: list[_Finding] = []
         is_done = trio.Event()
         async with trio.open_nursery() as nursery:
@@ -141,10 +138,22 @@
             nursery.start_soon(ask_start)
             with trio.move_on_after(PROBE_WAIT_S):
                 await is_done.wait()
-            accepted = await self._connect(instance)
-            if accepted.end_of(ended_at) is not AnswerEnd.UNKNOWN:
+            seen = await self._look_at_connections(instance, ended_at)
+            if seen.end_of(ended_at) is not AnswerEnd.UNKNOWN:
                 nursery.cancel_scope.cancel()
-        return told[0] if told else accepted
+        return told[0] if told else seen
+
+    async def _look_at_connections(
+        self, instance: ForwardInstance, ended_at: float
+    ) -> _Finding:
+        """Find out what open connections, or a new one, tell of an instance.
+
+        They tell less than its start: a lost segment delays the end of a connection.
+        """
+        since = await self._witnessed_since(instance, ended_at)
+        if since is not None:
+            return _Finding(AnswerEnd.CLOSED, since)
+        return await self._connect(instance)
 
     async def _witnessed_since(
         self, instance: ForwardInstance, ended_at: float
