--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -340,13 +340,13 @@
         n_unread = self._n_body_bytes
         return n_unread is not None and len(self._state.trailing_data[0]) >= n_unread
 
-    @property
-    def has_left(self) -> bool:
-        """Whether the caller has left, as far as the kernel knows by now.
+    def look_for_end(self) -> bool:
+        """Return whether the caller has left, as far as the kernel knows by now.
 
         One that has only ended its own side can't be told from one that has left.
         """
-        return self._is_gone or self._stream.has_ended
+        self._is_gone = self._is_gone or self._stream.has_ended
+        return self._is_gone
 
     async def _receive(self) -> bytes | None:
         """Return bytes, empty at the end of the stream; None if it is broken."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_caller.py
@@ -164,7 +164,7 @@
     @property
     def has_left(self) -> bool:
         """Whether the caller has left, also if no task has been told yet."""
-        return self._connection is not None and self._connection.has_left
+        return self._connection is not None and self._connection.look_for_end()
 
     @property
     def _has_whole_request(self) -> bool:
