Streams: the time of an origin is when its request is sent

Cause: the origin of the stream bore the time at which the attempt began. Being over 0.5 s before the start of the new process, it was not corrected when the new entry came. Now the time is that of the first byte sent, and an entry that has come by then is used. The new test has a rest of v1 without the change (its caller gets a finished answer), and none with it.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -881,6 +881,9 @@
     def record_sent(self, attempt: ForwardAttempt) -> None:
         """Record that the first byte of an attempt is about to be sent."""
         self._caller.sent_route = self._route.name
+        key, instance = self._target.stream_key, attempt.placement.instance
+        if key is not None and not self._target.is_bound:
+            self._parts.origins.sent(key, instance)
         attempt.retry_number = self._retries.sent()
         charge = self._retries.last_charge
         if self._retries.n_sent > 1:
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
-from dataclasses import field
+from dataclasses import field, replace
 from typing import Final
 
 import eliot
@@ -202,6 +202,22 @@
         if not is_covered or len(self._recent(route, now)) > 1:
             self._announce([origin])
 
+    def sent(self, key: bytes, instance: ForwardInstance) -> None:
+        """Record that the request of a stream that began is sent only now.
+
+        Connections and tunnels can take longer than an instance needs to restart, so
+        the process that runs the stream may have started since ``began``.
+        """
+        origin = self._table.find(key, trio.current_time())
+        if origin is None or origin.incarnation != instance.incarnation_key:
+            return
+        sent = replace(origin, began_ms=round(self._wall_clock() * 1000))
+        self._table.record(sent, trio.current_time())
+        self._observe()
+        known = self._entries.get(instance.instance)
+        if known is not None and self.has_changed(instance, instance.software_version):
+            self._correct_streams(instance, known)
+
     def first_event(self, key: bytes) -> None:
         """Record that the first event of a stream is about to go to its caller."""
         self._table.record_first_event(key, trio.current_time())
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -99,6 +99,35 @@
                 caller = await router.ask("/long/7", x_prompt=PROMPT, x_id=f"q{number}")
                 self.assertEqual(caller.status, 200)
 
+    async def test_instance_restarts_before_the_request_is_sent(self) -> None:
+        """Guards against a rest of the version that a restarted instance had before."""
+        wall = [1000.0]
+        upstreams = {"e1": Upstream([]), "e2": Upstream([a_stream(3, 4)])}
+        async with a_router(**upstreams) as router:
+            router.parts.origins._wall_clock = lambda: wall[0]
+            old = an_instance("e1", "llm", software_version="v1", revision=30)
+            router.list_instances(old, revision=30)
+
+            async def break_off_as_new(stream: trio.abc.Stream) -> None:
+                await stream.send_all(a_stream(1, 2, ends=False))
+                await trio.sleep(0.1)
+                terms = {"software_version": "v2", "born_ms": 1_001_500}
+                other = an_instance("e2", "llm", software_version="v1", revision=40)
+                new = an_instance("e1", "llm", revision=40, **terms)
+                router.list_instances(new, other, revision=40)
+                router.parts.origins._observe()
+                await stream.aclose()
+
+            async def connect(address: str) -> trio.abc.Stream:
+                wall[0] += 2.0
+                return await UpstreamNetwork.connect(router.network, address)
+
+            upstreams["e1"].script = [break_off_as_new]
+            router.network.connect = connect
+            caller = await router.ask("/long/7", x_prompt=PROMPT)
+            self.assertEqual((caller.status, caller.finished), (200, False))
+            self.assertEqual(n_requests(upstreams)["e2"], 0)
+
 
 class ResumeTest(TrioTestCase):
     async def test_resumed_stream_goes_to_its_version(self) -> None:
