Records of streams: repeat a failed write at once

A write that fails used up the wake-up of its stream, which then waited for the next stream or a saved write. The router tries again as soon as it may write.

--- a/packages/corianderlb-router/src/corianderlb_router/stream_records.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_records.py
@@ -168,6 +168,7 @@
                 await self._write(list(begun()), keep_s())
             except StoreError as exc:
                 eliot.log_message(message_type="streams:not_recorded", reason=str(exc))
+                self.due()
 
     def _interval_s(self) -> float:
         return max(MIN_INTERVAL_S, self._n_routers() / MAX_WRITES_PER_S)
--- a/packages/corianderlb-router/tests/test_stream_records.py
+++ b/packages/corianderlb-router/tests/test_stream_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Iterator
@@ -10,6 +11,7 @@
 
 from corianderlb_core.identity import InstanceId
 from corianderlb_core.stream_origin import stream_key
+from corianderlb_router.store import StoreUnavailableError
 from corianderlb_router.stream_origins import StreamOrigins
 from corianderlb_router.stream_records import StreamRecords
 from corianderlb_standins.fake_store import FakeStore
@@ -32,12 +34,18 @@
         self.n_writes: Counter[int] = Counter()
         """Writes in each second."""
         self.first_events: dict[bytes, float] = {}
+        self.fails_from = math.inf
+        """From then on, the next write of each router fails."""
+        self._failed: set[str] = set()
         self.store.before_write = self._count
         self._streams_per_s = streams_per_s
         self._rng = random.Random(seed)
 
     async def _count(self, key: str) -> None:
         self.n_writes[int(trio.current_time())] += 1
+        if trio.current_time() >= self.fails_from and key not in self._failed:
+            self._failed.add(key)
+            raise StoreUnavailableError("the next write of each router fails")
 
     async def run(self) -> None:
         """Begin streams at all routers; return when these are killed."""
@@ -88,6 +96,13 @@
 
 
 class FleetKilledTest(TrioTestCase):
+    async def test_failed_write_is_repeated(self) -> None:
+        """Guards against a stream that waits for the next one after a failed write."""
+        fleet = RecordedFleet(streams_per_s=10.0, seed=1)
+        fleet.fails_from = LENGTH_S - 1.5
+        await fleet.run()
+        self.assertGreater(await fleet.share_found(1.5, 0.5), 0.9)
+
     async def test_streams_of_the_last_seconds_are_recorded(self) -> None:
         """Guards against streams that are refused since a large fleet records late."""
         shares = []
