Answer ends: one open connection isn't enough beside others that ended

Of the connections to an instance that are older than the end of an answer, one that still looked open counted as the process: with a hundred of them, the loss of one segment, or one socket that a child process has inherited, made every answer of a process that had died complete.

If others than that of the answer have ended too, a new connection is tried, and a refused one shows that the process is gone. The new test failed before: closed where died is asked. A connection that is held open isn't replaced by a younger one.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -70,6 +70,16 @@
         return self.end if self.there_since < ended_at else AnswerEnd.UNKNOWN
 
 
+@dataclass(frozen=True)
+class _Witnesses:
+    """Connections that are open after an answer has ended, and older than its end."""
+
+    since: float
+    """Since when one of them is open."""
+    n_ended: int
+    """Others that have ended, with that of the answer."""
+
+
 class _Question:
     """Question about one instance, which answers that ended before it share."""
 
@@ -150,27 +160,33 @@
 
         They tell less than its start: a lost segment delays the end of a connection.
         """
-        since = await self._witnessed_since(instance, ended_at)
-        if since is not None:
-            return _Finding(AnswerEnd.CLOSED, since)
-        return await self._connect(instance)
-
-    async def _witnessed_since(
+        witnesses = await self._look_for_witnesses(instance, ended_at)
+        if witnesses is None:
+            return await self._connect(instance)
+        if witnesses.n_ended > 1:
+            # They may have ended with their process, and the end of one be late.
+            found = await self._connect(instance)
+            if found.end is AnswerEnd.DIED:
+                return found
+        return _Finding(AnswerEnd.CLOSED, witnesses.since)
+
+    async def _look_for_witnesses(
         self, instance: ForwardInstance, ended_at: float
-    ) -> float | None:
-        """Return since when a connection has been open that outlives the answer.
+    ) -> _Witnesses | None:
+        """Return what is known of connections that may outlive the answer.
 
         None if there is none that is older than the end of the answer. It needs no
         question, and shows the same process however late this one comes to look.
         """
-        opened_before = ended_at - CLOCK_S
-        witnesses = self._pool.open_before(instance.address, opened_before)
-        if not witnesses:
+        conns = self._pool.opened_before(instance.address, ended_at - CLOCK_S)
+        if all(conn.has_closed for conn in conns):
             return None
         now = trio.current_time()
         await trio.sleep_until(max(now, ended_at + SETTLE_S) + SETTLE_S)
-        times = [conn.opened_at for conn in witnesses if not conn.has_closed]
-        return min(times) + CLOCK_S if times else None
+        times = [conn.opened_at for conn in conns if not conn.has_closed]
+        if not times:
+            return None
+        return _Witnesses(min(times) + CLOCK_S, len(conns) - len(times))
 
     async def _connect(self, instance: ForwardInstance) -> _Finding:
         """Find out whether anybody listens, and goes on doing so.
@@ -199,12 +215,17 @@
         return _Finding(AnswerEnd.CLOSED, accepted_at - MIN_RESTART_S)
 
     async def _hold(self, instance: ForwardInstance, conn: Connection) -> None:
-        """Leave a connection open, which tells later whether its process is there."""
+        """Leave a connection open, which tells later whether its process is there.
+
+        An older one tells more.
+        """
         key = instance.incarnation_key
-        if key in self._held:
-            await self._held.pop(key).close()
-        self._held[key] = conn
-        conn.idle_since = trio.current_time()
+        held = self._held.get(key, conn)
+        kept, other = (conn, held) if held.has_closed else (held, conn)
+        if other is not kept:
+            await other.close()
+        self._held[key] = kept
+        kept.idle_since = trio.current_time()
 
     async def _close_idle(self) -> None:
         """Close connections to instances that weren't asked for a while."""
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -569,6 +569,11 @@
         """Whether either side has closed or reset it, or nothing tells."""
         return not isinstance(self._stream, SocketStream) or self._stream.has_closed
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether this side has closed it, as far as that is known."""
+        return isinstance(self._stream, SocketStream) and self._stream.is_closed
+
     @property
     def closes_at_once(self) -> bool:
         """Whether ``close`` never waits."""
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -103,11 +103,10 @@
         self._opened.setdefault(address, WeakSet()).add(conn)
         return conn
 
-    def open_before(self, address: str, at: float) -> list[Connection]:
-        """Return the connections that are open since before a time, oldest first."""
-        opened = [conn for conn in self._opened.get(address, ()) if conn.opened_at < at]
-        opened.sort(key=lambda conn: conn.opened_at)
-        return [conn for conn in opened if not conn.has_closed]
+    def opened_before(self, address: str, at: float) -> list[Connection]:
+        """Return the connections opened before a time that this side has not closed."""
+        opened = self._opened.get(address, ())
+        return [c for c in opened if c.opened_at < at and not c.is_closed]
 
     async def give_back(self, conn: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -61,9 +61,9 @@
         self.opened.append(ScriptedConnection(outcome == DROPPED))
         return self.opened[-1]
 
-    def open_before(self, address: str, at: float) -> list[ScriptedConnection]:
-        """Return the connections that are open since before a time."""
-        return [c for c in self.opened if c.opened_at < at and not c.has_closed]
+    def opened_before(self, address: str, at: float) -> list[ScriptedConnection]:
+        """Return the connections opened before a time that this side has not closed."""
+        return [c for c in self.opened if c.opened_at < at and not c.is_closed]
 
 
 class StartProbe(InstanceProbe):
--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -100,6 +100,18 @@
                     self.assertIs(await judge(ends, UNTOLD, 0.5), end)
                 self.assertEqual(pool.n_asked, 1 + n_new)
 
+    async def test_one_connection_outlives_its_process(self) -> None:
+        """Guards against a lost segment that passes for a process that lives on."""
+        for last, end, n_new in ((REFUSED, DIED, 1), (OPEN, CLOSED, 1)):
+            pool = ScriptedPool(OPEN, OPEN, OPEN, last)
+            conns = [await pool.take("s1:80", True, 1.0) for _ in range(3)]
+            await trio.sleep(1.0)
+            for conn in conns[1:]:
+                conn.is_dropped = True
+            with self.subTest(last=last):
+                self.assertIs(await judge(AnswerEnds(pool), UNTOLD), end)
+                self.assertEqual(pool.n_asked, 3 + n_new)
+
     async def test_connection_is_left_open_for_the_next_answer(self) -> None:
         """Guards against a new connection for each answer, and one that stays open."""
         pool = ScriptedPool(OPEN)
