Answer ends: a failure of unknown length is one of its instance

An error status without length or chunks, whose end was in doubt, counted as a doubt only, and a doubt is no failure of the instance: one that did nothing but fail was sent requests like a sound one. Its head tells that it has failed.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -655,7 +655,11 @@
             return
         body = await read_whole(exchange, on_data, self._arrival)
         if exchange.ends_by_close:
-            await self._confirm_end(exchange)
+            try:
+                await self._confirm_end(exchange)
+            except UnknownEndError as exc:
+                # Its head tells that the instance has failed, however it has ended.
+                raise BrokenError(str(exc), sent=True) from exc
         if not self._job.caller.started:
             self._job.caller.hold_answer(len(body))
         raise ServerFailureError(head, body, exchange.ends_by_close)
--- a/packages/corianderlb-router/tests/test_unmarked_ends.py
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from answer_end_builders import StartProbe
+from answer_end_builders import UNREACHABLE, ScriptedPool, StartProbe
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_router.answer_end import AnswerEnds
 from corianderlb_router.connection import UpstreamError
@@ -139,6 +139,20 @@
                     self.assertEqual((found[0], is_whole), (status, False))
                     self.assertEqual(hosts.n_requests, 1)
 
+    async def test_failure_of_unknown_length(self) -> None:
+        """Guards against an instance that only fails, and is never avoided."""
+        failure = HEAD.replace(b"200 OK", b"500 Failed") + b"no"
+        failing, sound = Upstream([failure], closes=True), Upstream([an_answer()])
+        async with a_router(s1=sound, s2=failing) as router:
+            ends = AnswerEnds(ScriptedPool(UNREACHABLE))
+            router.parts = dataclasses.replace(router.parts, ends=ends)
+            router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+            for number in range(40):
+                caller = await router.ask(f"/read/{number}")
+                self.assertEqual(caller.status, 200)
+                await trio.sleep(0.01)
+        self.assertLessEqual(len(failing.requests), 2)
+
     async def test_deadline_is_near(self) -> None:
         """Guards against a question that makes the answer late."""
         for path in PATHS:
