Moved runs: a close may arrive after the move was given up

A run that its engine stops as it copies it ends by a close in order. The router doubted that only until the move had failed. With an engine that refuses at once, the close arrives after that, and an order without an answer may be carried out later still; both made a complete answer of a part.

--- a/packages/corianderlb-router/src/corianderlb_router/run_mover.py
+++ b/packages/corianderlb-router/src/corianderlb_router/run_mover.py
@@ -99,6 +99,8 @@
         self._request_id = request_id
         self._move_error: RunMovedError | None = None
         self._unused_copy = ""
+        self._has_open_order = False
+        """Whether an engine may still carry out an order to copy the run."""
         self._has_successor = False
         """Whether an attempt is open to which the run is to be moved."""
 
@@ -156,9 +158,10 @@
                     return
                 # It may not go on from a copy elsewhere either.
                 self._has_successor, n_copies = False, MAX_COPIES
-            attempt.relay.may_be_stopped = False
             await self._drop_copy()
+            # The close of a run that was stopped may still be on its way.
             await trio.sleep(RETRY_S)
+            attempt.relay.may_be_stopped = self._has_open_order
 
     async def _open_copied(self, fallback: Placement) -> Successor | None:
         """Copy the run's KV cache and send an attempt that continues from it."""
@@ -174,6 +177,7 @@
             outcome=copy.outcome.value,
             took_ms=round((trio.current_time() - started_at) * 1000),
         )
+        self._has_open_order |= copy.outcome is CopyOutcome.UNKNOWN
         if copy.outcome is not CopyOutcome.COPIED:
             return None
         self._unused_copy = copy.handle
--- a/packages/corianderlb-router/tests/test_moved_runs.py
+++ b/packages/corianderlb-router/tests/test_moved_runs.py
@@ -14,6 +14,7 @@
 from corianderlb_core.fleet_retry_budget import BudgetTerms
 from corianderlb_core.weights_rollout import EnginePhase
 from corianderlb_router.forward_relay import MAX_HELD_BYTES
+from corianderlb_router.memory_copier import CopyOutcome
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
 from forward_builders import (
@@ -150,10 +151,11 @@
         phase: EnginePhase = EnginePhase.EMPTYING,
         budget: BudgetTerms | None = None,
         pause_objective_s: float = PAUSE_OBJECTIVE_S,
+        copier: Copier | None = None,
     ) -> FakeCaller:
         """Request a stream of ``first``, and empty it when two events were sent."""
         async with a_router(budget, e1=first) as router:
-            self.copier = router.use_copier(Copier())
+            self.copier = router.use_copier(copier or Copier())
             route = dataclasses.replace(
                 ROUTES[2], timeout_s=6.0, pause_objective_s=pause_objective_s
             )
@@ -315,6 +317,22 @@
                 outcomes = [item.outcome for item in self.ended()["attempts"]]
                 self.assertEqual(outcomes, ["unknownend", "ok"])
 
+    async def test_run_that_is_stopped_as_its_move_fails(self) -> None:
+        """Guards against a close that arrives after the move was given up."""
+        # The copy takes 0.02 s; an order of unknown outcome may be carried out later.
+        for outcome, stops_at in (
+            (CopyOutcome.COPIED, 0.65),
+            (CopyOutcome.UNKNOWN, 0.65),
+            (CopyOutcome.UNKNOWN, 0.95),
+        ):
+            steps = ((0.0, 1), (0.5, 2), (stops_at, 2))
+            first = without_chunks(a_first_run(*steps, then=break_early))
+            other = Upstream([NOT_RUN, the_rest(2)])
+            with self.subTest(outcome=outcome, stops_at=stops_at):
+                copier = Copier(outcome)
+                caller = await self.move(Upstream([first]), other, copier=copier)
+                self.assert_in_order(caller, 2)
+
     async def test_unframed_run_that_ends_after_its_move_failed(self) -> None:
         """Guards against a doubt of a run that went on after it was copied."""
         first = without_chunks(go_on)
