Streams: an unknown version stays unknown

A stream of which nothing tells the incarnation that began it lost that mark at the next change of its instance's entry, and got the version of then: with the same start and another version, and after another restart whose start was known at once. It could then go on with other software. Nothing that comes later tells who began it, so the mark stays. The new test failed before: v3 for unknown in both cases. 42 tests of origins and records pass.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -233,7 +233,10 @@
         if old != new and abs(late_ms) > MAX_ADVANCE_MS:
             version = UNKNOWN_VERSION
         corrected = tuple(
-            replace(origin, incarnation=new, version=version)
+            # Nothing later tells which incarnation began a stream of unknown version.
+            replace(origin, incarnation=new)
+            if origin.version == UNKNOWN_VERSION
+            else replace(origin, incarnation=new, version=version)
             for origin in self._streams_of(old)
             if old == new or origin.began_ms >= since_ms
         )
--- a/packages/corianderlb-core/tests/test_stream_origin.py
+++ b/packages/corianderlb-core/tests/test_stream_origin.py
@@ -10,6 +10,7 @@
 from corianderlb_core.message import MemberState
 from corianderlb_core.overlay import choose_links
 from corianderlb_core.stream_origin import (
+    UNKNOWN_VERSION,
     KnownOrigin,
     OriginTable,
     VersionHistory,
@@ -65,6 +66,16 @@
         table.correct(("e1", 1_000), ("e1", 1_000), "v2", 0.0, 8_200)
         self.assertEqual(table.find(b"k", 0.0).version, "v2")
 
+    def test_unknown_version_stays_unknown(self) -> None:
+        """Guards against a version that a later entry gives to a doubtful stream."""
+        for later in (("e1", 8_000), ("e1", 12_200)):
+            table = OriginTable()
+            table.record(an_origin(began_ms=11_900), 0.0)
+            table.correct(("e1", 1_000), ("e1", 8_000), "v2", 0.0, 12_000)
+            self.assertEqual(table.find(b"k", 0.0).version, UNKNOWN_VERSION)
+            table.correct(("e1", 8_000), later, "v3", 0.0, 12_300)
+            self.assertEqual(table.find(b"k", 0.0).version, UNKNOWN_VERSION)
+
 
 class VersionHistoryTest(unittest.TestCase):
     def test_version_stays_known_after_its_last_instance(self) -> None:
