Tests: doubtful ends of what may not run twice, with budget left

The budget of test_no_other_attempt_may_follow allowed no retry on any route, so it did not show that a call or stream that may not be repeated is sent once.

--- a/packages/corianderlb-router/tests/test_unmarked_ends.py
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -130,11 +130,17 @@
 
     async def test_no_other_attempt_may_follow(self) -> None:
         """Guards against an end of unknown cause that counts as that of the answer."""
-        for path, status in zip(PATHS, (200, 200, 502, 502), strict=True):
+        for path, status, budget in (
+            ("/long/7", 200, NO_BUDGET),
+            ("/read/7", 502, NO_BUDGET),
+            # These may not run twice, whatever is left of the budget.
+            ("/quick/7", 200, None),
+            ("/book/7", 502, None),
+        ):
             for probe in (None, StartProbe(0), StartProbe(RESTARTED_MS)):
                 hosts = Hosts(path, unmarked(2), an_answer(), ends=True)
                 with self.subTest(path=path, probe=probe and probe.start_ms):
-                    found = await ask(path, hosts, probe, NO_BUDGET)
+                    found = await ask(path, hosts, probe, budget)
                     is_whole = found[1] and found[0] == 200
                     self.assertEqual((found[0], is_whole), (status, False))
                     self.assertEqual(hosts.n_requests, 1)
