--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -222,10 +222,10 @@
         key = instance.incarnation_key
         held = self._held.get(key, conn)
         kept, other = (conn, held) if held.has_closed else (held, conn)
-        if other is not kept:
-            await other.close()
         self._held[key] = kept
         kept.idle_since = trio.current_time()
+        if other is not kept:
+            await other.close()
 
     async def _close_idle(self) -> None:
         """Close connections to instances that weren't asked for a while."""
