--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -254,8 +254,8 @@
         """Record that an instance gave no answer, so that it may have restarted.
 
         Its version is not known then before it renews its entry. ``is_gone`` tells that
-        its process has ended: nobody listens, or another one does. A new stream asks
-        for no less, since an instance that is full resets connections all the time.
+        its process has ended: a connection was refused, or another start was told.
+        New streams ask only then, since a full instance resets connections often.
         """
         known = self._state.incarnation(instance.incarnation_key)
         if known is not None:
--- a/packages/corianderlb-router/tests/test_detour.py
+++ b/packages/corianderlb-router/tests/test_detour.py
@@ -116,8 +116,7 @@
                 self.assertEqual((n_runs, len(cut.tunnels.opened)), (5, 5))
 
     async def test_end_that_a_peer_passes_on(self) -> None:
-        """Guards against a question on a path that is cut, and against an end that an
-        older router passes on without one."""
+        """Guards against trust in an end that an older router has not looked into."""
         body = an_event(1) + an_event(2)
         answer = b"HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\n" + body
         for path, names in (("/long/7", ("e1", "e2")), ("/read/7", ("s1", "s2"))):
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -483,8 +483,7 @@
             self.assertEqual(n_requests(engines), {"e1": 0, "e2": 0})
 
     async def test_stream_recorded_right_after_its_begin(self) -> None:
-        """Guards against the loss of the streams that began just before the routers
-        ended."""
+        """Guards against the loss of streams begun just before all routers ended."""
         async with self.restarted_routers(FakeStore(), 0.1) as (router, engines, began):
             for number, (stream, engine) in enumerate(began.items()):
                 before = n_requests(engines)[engine]
@@ -493,8 +492,7 @@
                 self.assertEqual(n_requests(engines)[engine], before + 1)
 
     async def test_engine_restarted_before_a_stream_was_settled(self) -> None:
-        """Guards against a stream of two versions: its first events may come from a
-        restarted engine whose entry arrived after its router had ended."""
+        """Guards against a stream of two versions whose engine's entry came late."""
         for born_ms, version in ((2, "v3"), (2, ""), (1, "v3")):
             restarted = self.restarted_routers(
                 FakeStore(), 0.1, born_ms=born_ms, version=version
