--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -73,7 +73,7 @@
                 self.assertEqual(n_open, int(script == (OPEN,)))
 
     async def test_connection_that_outlives_the_answer(self) -> None:
-        """Guards against needless doubts and questions while this process is starved."""
+        """Guards against needless doubts and questions of a starved router."""
         for opened_s, ends_after_s, end, n_new in (
             (0.0, math.inf, CLOSED, 0),
             # Younger than the answer, or ended with it.
