Callers that have only ended their own side are answered again

A caller that shuts down its side for writing and reads on had been answered on (30 of 30 calls). Since it got no answer, as the router asks the kernel before it sends whether the caller has left, and the two look alike.

The end of a caller's side counts as having left 0.3 s after it, by the kernel's time. A router that looks in time answers as before; one that stood still while its callers gave up runs nothing for them. test_callers_that_end_their_side_and_read_on failed before (the first of 20).

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -34,6 +34,9 @@
 MAX_UNREAD_CHUNKS: Final = 1000
 """Most chunks skipped of a body that the application has not asked for."""
 
+LEFT_AFTER_S: Final = 0.3
+"""Time after the end of a caller's side from which its request is not sent any more."""
+
 LINGER_S: Final = 2.0
 """Longest time for which a connection is kept for what its caller has not read."""
 
@@ -341,11 +344,14 @@
         return n_unread is not None and len(self._state.trailing_data[0]) >= n_unread
 
     def look_for_end(self) -> bool:
-        """Return whether the caller has left, as far as the kernel knows by now.
+        """Return whether the caller left a while ago, as far as the kernel knows.
 
-        One that has only ended its own side can't be told from one that has left.
+        One that has only ended its own side can't be told from one that has left, and
+        is answered if this process looks in time.
         """
-        self._is_gone = self._is_gone or self._stream.has_ended
+        stream = self._stream
+        if stream.has_ended and stream.silent_s >= LEFT_AFTER_S:
+            self._is_gone = True
         return self._is_gone
 
     async def _receive(self) -> bytes | None:
