Log the age of an answer's unmarked end, and whether its instance was leaving

Three hypotheses on streams that end as complete before their last event look the same in the log: end 'closed', last_event the last that came. Attempts now have end_age_ms and ended_leaving, and corianderlb_unmarked_ends_total counts ends by cause. No decision changes.

--- a/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_metric_exporter.py
@@ -49,6 +49,7 @@
                 "corianderlb_streams_cut_total",
                 "corianderlb_streams_paused_total",
                 "corianderlb_streams_resumed_total",
+                "corianderlb_unmarked_ends_total",
             )
         }
         for name in (
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -255,6 +255,10 @@
         """Whether the request was withdrawn before its weights expire."""
         self.end = ""
         """What ended an answer without a mark of its end: see ``AnswerEnd``."""
+        self.end_age_ms: int | None = None
+        """Age of that end when it was passed on, or taken for a cut."""
+        self.ended_leaving = False
+        """Whether the instance was known to be leaving then."""
         self.via = ""
         """The router that carries the connection; empty for a direct one."""
         self._via_confirms = False
@@ -674,14 +678,17 @@
         ends, end = self._parts.ends, AnswerEnd.UNKNOWN
         if ends is None:
             return
-        now = trio.current_time()
+        now, instance = trio.current_time(), self.placement.instance
         ended_at = now - exchange.silent_s
         if not self.via:
             with trio.move_on_after(max(0.0, self._deadline - now - END_MARGIN_S)):
-                end = await ends.judge(self.placement.instance, ended_at)
+                end = await ends.judge(instance, ended_at)
         elif self._via_confirms:
             end = AnswerEnd.CLOSED
         self.end = end.value
+        self.end_age_ms = round((trio.current_time() - ended_at) * 1000)
+        self.ended_leaving = not self._parts.state.accepts_requests(instance)
+        self._parts.metrics.unmarked_end(self.end, self.ended_leaving)
         if end is AnswerEnd.DIED:
             raise ProcessEndedError("ended with its process", sent=True)
         if end is AnswerEnd.UNKNOWN:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_metric.py
@@ -101,6 +101,11 @@
         labels = {"framing": framing, "outcome": outcome}
         self._record("corianderlb_answers_ended_total", 1, labels)
 
+    def unmarked_end(self, end: str, is_leaving: bool) -> None:
+        """Count an answer without a mark of its end, by what is known of its end."""
+        labels = {"end": end, "leaving": str(is_leaving).lower()}
+        self._record("corianderlb_unmarked_ends_total", 1, labels)
+
     def prompt_read_again(self, n_tokens: int) -> None:
         """Count prompt tokens that the engine of a repeat is expected to prefill."""
         self._record("corianderlb_repeat_prompt_tokens_total", n_tokens, {})
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -142,6 +142,10 @@
     end: str = ""
     """What ended an answer that has no mark of its end: ``closed`` for its process,
     ``died`` or ``unknown``."""
+    end_age_ms: int | None = None
+    """Age of that end when it was passed on, or taken for a cut."""
+    ended_leaving: bool = False
+    """Whether its instance was known to be leaving then."""
     was_moving: bool = False
     """Whether the run was being moved then."""
     silent_ms: int | None = None
@@ -1006,6 +1010,8 @@
                 framing=attempt.relay.framing,
                 has_ended=attempt.relay.has_ended,
                 end=attempt.end,
+                end_age_ms=attempt.end_age_ms,
+                ended_leaving=attempt.ended_leaving,
                 was_moving=attempt.relay.was_moving,
                 silent_ms=attempt.silent_ms,
                 left_ms=round((self._deadline - trio.current_time()) * 1000),
--- a/packages/corianderlb-router/tests/test_shown_names.py
+++ b/packages/corianderlb-router/tests/test_shown_names.py
@@ -255,6 +255,8 @@
 corianderlb_streams_paused_total counter
 corianderlb_streams_resumed_total counter
 corianderlb_streams_resumed_total source
+corianderlb_unmarked_ends_total counter
+corianderlb_unmarked_ends_total end leaving
 """
 
 COUNTERS = """\
@@ -416,6 +418,8 @@
 framing
 has_ended
 end
+end_age_ms
+ended_leaving
 was_moving
 silent_ms
 left_ms
@@ -520,6 +524,7 @@
     metrics.paused_too_long(after_silence=True)
     metrics.events_repeated(1)
     metrics.answer_ended("close", "ok")
+    metrics.unmarked_end("closed", is_leaving=False)
     metrics.prompt_read_again(1)
     node = mock.MagicMock()
     memory = CallerMemory(1e6)
