--- a/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -146,9 +146,17 @@
 
 
 async def serve_app(
-    app: StandIn, host: str, port: int, name: str = "http", is_plain: bool = False
+    app: StandIn,
+    host: str,
+    port: int,
+    name: str = "http",
+    is_plain: bool = False,
+    listen_fd: int | None = None,
 ) -> None:
-    """Serve until SIGTERM or SIGINT; print the address once the socket listens."""
+    """Serve until SIGTERM or SIGINT; print the address once the socket listens.
+
+    With ``is_plain``, ``listen_fd`` may be an inherited socket that listens already.
+    """
     cfg = Config()
     cfg.bind = [f"{host}:{port}"]
     cfg.keep_alive_timeout = 600
@@ -161,7 +169,7 @@
         await nursery.start(_stop_on_signal, stop)
         nursery.start_soon(app.background)
         if is_plain:
-            bind = await nursery.start(serve_plainly, app, host, port)
+            bind = await nursery.start(serve_plainly, app, host, port, listen_fd)
         else:
             run = partial(serve, app, cfg, shutdown_trigger=stop.wait)
             bind = (await nursery.start(run))[0].split("://")[-1]
--- a/packages/corianderlb-standins/src/corianderlb_standins/_plain_http.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_plain_http.py
@@ -28,10 +28,15 @@
     app: Any,
     host: str,
     port: int,
+    listen_fd: int | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application; report ``host:port`` once the socket listens."""
-    listeners = await trio.open_tcp_listeners(port, host=host)
+    if listen_fd is None:
+        listeners = await trio.open_tcp_listeners(port, host=host)
+    else:
+        sock = trio.socket.from_stdlib_socket(socket.socket(fileno=listen_fd))
+        listeners = [trio.SocketListener(sock)]
     name = listeners[0].socket.getsockname()
     task_status.started(f"{name[0]}:{name[1]}")
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/process.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -39,6 +40,8 @@
         self.arguments = arguments
         self.addresses: dict[str, str] = {}
         """Addresses by purpose; ``http`` is always present."""
+        self.listener: socket.socket | None = None
+        """Listening socket that the process inherits and that outlives it."""
         self._log = log
         self._process: trio.Process | None = None
 
@@ -61,7 +64,8 @@
         """Start the process and wait until it prints its addresses."""
         with self._log.open("ab") as log:
             self._process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", *self.arguments],
+                [sys.executable, "-m", *self.arguments, *self._listen_options()],
+                pass_fds=(self.listener.fileno(),) if self.listener else (),
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=log,
@@ -115,6 +119,9 @@
         text = self._log.read_text(errors="replace") if self._log.exists() else ""
         return text[-LOG_TAIL_CHARS:]
 
+    def _listen_options(self) -> list[str]:
+        return ["--listen-fd", str(self.listener.fileno())] if self.listener else []
+
     def _running(self) -> trio.Process:
         if self._process is None:
             raise ProcessError(f"{self.name} was not started; await start() first")
