Pass an end on as whole only if its process outlives it, not only if it is there

Cause: the router asked for the process at the moment after the end. A process that is about to exit still listens then and tells its start.

The process must now be there 1.2 s after the end, too. The events of a stream are with its caller meanwhile; a call is held back within 0.8 of its objective, 0.35 s at least. An idle connection to the instance is watched, so that a process that goes is found within 0.1 s. While the end is judged, the attempt no longer counts as in flight at its instance. A failure is judged at once, so that another attempt may follow, and again before its body is passed on. A router that carries a connection waits the same way. A run that has made as many events as its request allows tokens is whole for certain.

Cost for an engine that lives and marks no end: a connection per 2 s and a question per 0.1 s and router at most; no second run and nothing of the retry budget (test_instance_that_lives_on_and_marks_no_end: 1000 ends in 10 s).

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -1,10 +1,12 @@
 """Tell whether an answer that ends with its connection was ended by its process.
 
 An answer without length and chunks has no other mark of its end, and the kernel closes
-the connections of a process that dies in order too. Such an answer is taken for whole
-only if its process is still there afterwards, and so has closed the connection itself::
+the connections of a process that dies in order too. So does a process that is asked to
+end: it closes its answers first and exits later. Such an answer is taken for whole only
+if its process is still there some time afterwards::
 
-    if await ends.judge(instance, ended_at) is not AnswerEnd.CLOSED:
+    end = await ends.judge(instance, ended_at, ended_at + STAY_S)
+    if end is not AnswerEnd.CLOSED:
         ...  # The answer may be a part.
 
 A doubt goes against the answer: a whole one that counts as cut costs another attempt,
@@ -15,6 +17,7 @@
 
 import enum
 import math
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import trio
@@ -44,6 +47,20 @@
 """Time after which a connection is opened too if an instance that was asked for its
 start has not answered: it tells something only within ``MIN_RESTART_S``."""
 
+STAY_S: Final = 1.2
+"""Time for which a process has to outlive the answer that it has ended. Callers may
+leave a stream that is silent for two seconds."""
+
+SHARED_S: Final = 0.1
+"""Part of that time within which answers share the question whether it is there."""
+
+WATCH_INTERVAL_S: Final = 0.1
+"""Interval at which connections are looked at meanwhile."""
+
+WATCH_KEPT_S: Final = 2.0
+"""Age up to which an open connection serves for that: its upstream may close one that
+is idle for five seconds, which would look like the end of its process."""
+
 
 class AnswerEnd(enum.Enum):
     """What is known of the end of an answer that has no mark of it."""
@@ -90,6 +107,57 @@
         """The answer; None if the request that asked has been given up."""
 
 
+class _Questions:
+    """Questions to instances, which all requests share that come before one is asked.
+
+    An instance is asked once per round trip, however many answers it ends meanwhile.
+    """
+
+    def __init__(
+        self, ask: Callable[[ForwardInstance, float], Awaitable[_Finding]]
+    ) -> None:
+        """Use ``ask`` to ask an instance about an answer that ended at a time."""
+        self._ask = ask
+        self._open: dict[IncarnationKey, _Question] = {}
+        self._answered: dict[IncarnationKey, _Question] = {}
+        """The latest ones that were answered."""
+
+    def is_open(self, key: IncarnationKey) -> bool:
+        """Return whether a question to an instance is not answered yet."""
+        return key in self._open
+
+    async def ask(
+        self, instance: ForwardInstance, ended_at: float, since: float
+    ) -> _Finding:
+        """Return the answer to a question that was asked after a time."""
+        key = instance.incarnation_key
+        while question := self._open.get(key):
+            await question.is_answered.wait()
+        question = self._answered.get(key)
+        if question is None or question.asked_at < since or question.finding is None:
+            question = await self._ask_now(instance, ended_at)
+        assert question.finding is not None
+        return question.finding
+
+    async def _ask_now(self, instance: ForwardInstance, ended_at: float) -> _Question:
+        key, question = instance.incarnation_key, _Question()
+        self._open[key] = question
+        try:
+            question.finding = await self._ask(instance, ended_at)
+            self._answered[key] = question
+        finally:
+            del self._open[key]
+            question.is_answered.set()
+        self._forget_old()
+        return question
+
+    def _forget_old(self) -> None:
+        oldest = trio.current_time() - SHARED_S
+        for key, question in list(self._answered.items()):
+            if question.asked_at < oldest:
+                del self._answered[key]
+
+
 class AnswerEnds:
     """Asks instances that have ended an answer whether they are still there."""
 
@@ -99,59 +167,80 @@
         """Use ``probe`` to ask instances for their start, if they can be asked."""
         self._pool = pool
         self._probe = probe
-        self._questions: dict[IncarnationKey, _Question] = {}
-        self._held: dict[IncarnationKey, Connection] = {}
-        """Open connections to instances that were asked lately."""
-
-    async def judge(self, instance: ForwardInstance, ended_at: float) -> AnswerEnd:
+        self._looks = _Questions(self._look)
+        self._questions = _Questions(self._find_out)
+        self._held: dict[IncarnationKey, list[Connection]] = {}
+        """Open connections to instances that were asked lately, the oldest first."""
+
+    async def judge(
+        self,
+        instance: ForwardInstance,
+        ended_at: float,
+        settles_at: float = -math.inf,
+    ) -> AnswerEnd:
         """Return what ended an answer of an instance at a time.
 
-        Answers that end while a question is open share the next one, so that an
-        instance that marks no end is asked once per round trip.
+        The process must be there until ``settles_at``; if it is found to have gone
+        before, this returns at once.
         """
-        key, since = instance.incarnation_key, trio.current_time()
-        while True:
-            question = self._questions.get(key)
-            if question is None:
-                return (await self._ask(instance, ended_at)).end_of(ended_at)
-            await question.is_answered.wait()
-            if question.asked_at >= since and question.finding is not None:
-                return question.finding.end_of(ended_at)
+        await self._close_idle(instance.incarnation_key)
+        now, is_watched = trio.current_time(), True
+        if now < settles_at:
+            seen = await self._looks.ask(instance, ended_at, now)
+            if seen.end is AnswerEnd.DIED:
+                return seen.end
+            conns = self._open_conns(instance, ended_at)
+            is_watched = bool(conns) or seen.end_of(ended_at) is not AnswerEnd.CLOSED
+            while not await _stay_open(conns, settles_at):
+                now = trio.current_time()
+                found = await self._questions.ask(instance, ended_at, now)
+                if found.end_of(ended_at) is not AnswerEnd.CLOSED:
+                    return found.end_of(ended_at)
+                # They were closed alone.
+                conns = []
+        since = max(now, min(settles_at, trio.current_time()) - SHARED_S)
+        found = await self._questions.ask(instance, ended_at, since)
+        # Without a connection to watch, the process was there at both times.
+        return found.end_of(ended_at) if is_watched else found.end
+
+    async def _look(self, instance: ForwardInstance, ended_at: float) -> _Finding:
+        """Have an idle connection open that will show whether the process has gone.
+
+        Those of other answers end with them.
+        """
+        now, held = trio.current_time(), self._held.get(instance.incarnation_key, ())
+        times = [conn.opened_at for conn in held if not conn.has_closed]
+        if times and now - max(times) < WATCH_KEPT_S:
+            return _Finding(AnswerEnd.CLOSED, _there_since(min(times)))
+        return await self._connect(instance)
 
-    async def _ask(self, instance: ForwardInstance, ended_at: float) -> _Finding:
-        key, question = instance.incarnation_key, _Question()
-        self._questions[key] = question
-        try:
-            await self._close_idle()
-            question.finding = await self._find_out(instance, ended_at)
-        finally:
-            del self._questions[key]
-            question.is_answered.set()
-        return question.finding
+    def _open_conns(
+        self, instance: ForwardInstance, ended_at: float
+    ) -> list[Connection]:
+        """Return open connections to the process that has ended an answer."""
+        before = ended_at + MIN_RESTART_S - CLOCK_S
+        conns = self._pool.opened_before(instance.address, before)
+        return [conn for conn in conns if not conn.has_closed]
 
     async def _find_out(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         probe = self._probe
         if probe is None or not instance.born_ms or not probe.tells_start(instance):
             return await self._look_at_connections(instance, ended_at)
         told: list[_Finding] = []
-        is_done = trio.Event()
+        seen: list[_Finding] = []
         async with trio.open_nursery() as nursery:
 
-            async def ask_start() -> None:
-                if born_ms := await probe.born_ms(instance):
-                    is_same = born_ms == instance.born_ms
-                    end = AnswerEnd.CLOSED if is_same else AnswerEnd.DIED
-                    told.append(_Finding(end))
-                    nursery.cancel_scope.cancel()
-                is_done.set()
-
-            nursery.start_soon(ask_start)
-            with trio.move_on_after(PROBE_WAIT_S):
-                await is_done.wait()
-            seen = await self._look_at_connections(instance, ended_at)
-            if seen.end_of(ended_at) is not AnswerEnd.UNKNOWN:
+            async def look() -> None:
+                await trio.sleep(PROBE_WAIT_S)
+                seen.append(await self._look_at_connections(instance, ended_at))
+
+            nursery.start_soon(look)
+            if born_ms := await probe.born_ms(instance):
+                is_same = born_ms == instance.born_ms
+                end = AnswerEnd.CLOSED if is_same else AnswerEnd.DIED
+                told.append(_Finding(end))
                 nursery.cancel_scope.cancel()
-        return told[0] if told else seen
+        return (told or seen)[0]
 
     async def _look_at_connections(
         self, instance: ForwardInstance, ended_at: float
@@ -162,13 +251,15 @@
         """
         witnesses = await self._look_for_witnesses(instance, ended_at)
         if witnesses is None:
-            return await self._connect(instance)
-        if witnesses.n_ended > 1:
-            # They may have ended with their process, and the end of one be late.
             found = await self._connect(instance)
-            if found.end is AnswerEnd.DIED:
-                return found
-        return _Finding(AnswerEnd.CLOSED, witnesses.since)
+        else:
+            found = _Finding(AnswerEnd.CLOSED, witnesses.since)
+            if witnesses.n_ended > 1:
+                # They may have ended with their process, and the end of one be late.
+                connected = await self._connect(instance)
+                if connected.end is AnswerEnd.DIED:
+                    return connected
+        return found
 
     async def _look_for_witnesses(
         self, instance: ForwardInstance, ended_at: float
@@ -178,15 +269,18 @@
         None if there is none that is older than the end of the answer. It needs no
         question, and shows the same process however late this one comes to look.
         """
-        conns = self._pool.opened_before(instance.address, ended_at - CLOCK_S)
+        before = ended_at + MIN_RESTART_S - CLOCK_S
+        conns = self._pool.opened_before(instance.address, before)
         if all(conn.has_closed for conn in conns):
             return None
         now = trio.current_time()
         await trio.sleep_until(max(now, ended_at + SETTLE_S) + SETTLE_S)
-        times = [conn.opened_at for conn in conns if not conn.has_closed]
-        if not times:
+        left = [conn for conn in conns if not conn.has_closed]
+        if not left:
             return None
-        return _Witnesses(min(times) + CLOCK_S, len(conns) - len(times))
+        n_ended = len(conns) - len(left)
+        since = min(conn.opened_at for conn in left)
+        return _Witnesses(_there_since(since), n_ended)
 
     async def _connect(self, instance: ForwardInstance) -> _Finding:
         """Find out whether anybody listens, and goes on doing so.
@@ -215,24 +309,42 @@
         return _Finding(AnswerEnd.CLOSED, accepted_at - MIN_RESTART_S)
 
     async def _hold(self, instance: ForwardInstance, conn: Connection) -> None:
-        """Leave a connection open, which tells later whether its process is there.
+        """Leave a connection open, which tells later whether its process is there."""
+        conn.idle_since = trio.current_time()
+        self._held.setdefault(instance.incarnation_key, []).append(conn)
 
-        An older one tells more.
+    async def _close_idle(self, used: IncarnationKey) -> None:
+        """Close connections that have ended, or to instances not asked for a while.
+
+        Of those to the instance that is used the oldest one stays, which tells most.
         """
-        key = instance.incarnation_key
-        held = self._held.get(key, conn)
-        kept, other = (conn, held) if held.has_closed else (held, conn)
-        self._held[key] = kept
-        kept.idle_since = trio.current_time()
-        if other is not kept:
-            await other.close()
-
-    async def _close_idle(self) -> None:
-        """Close connections to instances that weren't asked for a while."""
         now = trio.current_time()
-        for key, conn in list(self._held.items()):
-            if key in self._questions:
-                conn.idle_since = now
-            elif now - conn.idle_since > MAX_IDLE_S:
+        for key, conns in list(self._held.items()):
+            if key == used or self._questions.is_open(key):
+                conns[0].idle_since = now
+            kept = [
+                conn
+                for conn in conns
+                if not conn.has_closed and now - conn.idle_since <= MAX_IDLE_S
+            ]
+            if kept:
+                self._held[key] = kept
+            else:
                 del self._held[key]
-                await conn.close()
+            for conn in conns:
+                if conn not in kept:
+                    await conn.close()
+
+
+async def _stay_open(conns: Sequence[Connection], until: float) -> bool:
+    """Wait until a time; return False as soon as all of some connections have ended."""
+    while (left_s := until - trio.current_time()) > 0:
+        if conns and all(conn.has_closed for conn in conns):
+            return False
+        await trio.sleep(min(WATCH_INTERVAL_S, left_s))
+    return True
+
+
+def _there_since(opened_at: float) -> float:
+    """Return since when the process of a connection has been there at least."""
+    return opened_at - MIN_RESTART_S + CLOCK_S
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -4,8 +4,9 @@
 
 import math
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import field
+from functools import partial
 from typing import Final
 
 import trio
@@ -14,7 +15,7 @@
 from corianderlb_core.forwarding import ForwardRoute, RepeatKind
 from corianderlb_core.quarantine import PartRequest
 
-from .answer_end import AnswerEnd
+from .answer_end import STAY_S, AnswerEnd
 from .caller_memory import Arrival
 from .caller_run import RequestWatch
 from .connection import (
@@ -76,6 +77,15 @@
 """Time before the deadline by which an answer must be known to be whole, so that its
 last bytes arrive in time."""
 
+END_QUESTION_S: Final = 0.3
+"""Time that the question whether an answer is whole may take."""
+
+CALL_STAY_S: Final = 0.35
+"""Least time for which a process has to outlive its answer to a call."""
+
+CALL_STAY_SHARE: Final = 0.8
+"""Share of a call's objective until which its answer may be held back for that."""
+
 WRITE_TIMEOUT_S: Final = 5.0
 """Timeout for sending a request to an upstream."""
 
@@ -113,6 +123,13 @@
         self.body = body
         self.ends_by_close = ends_by_close
         """Whether the body was delimited by connection close."""
+        self.confirm_end: Callable[[], Awaitable[None]] = trust_body
+        """Called before the body is passed on; raises ``BrokenError`` if it may be a
+        part."""
+
+
+async def trust_body() -> None:
+    """Take a body for whole."""
 
 
 @dataclass(frozen=True)
@@ -253,6 +270,8 @@
         """Whether the health table has its silence as a failure."""
         self._is_withdrawn = False
         """Whether the request was withdrawn before its weights expire."""
+        self.on_answer_end: Callable[[], None] = lambda: None
+        """Called once the instance has ended its answer, before the end is judged."""
         self.end = ""
         """What ended an answer without a mark of its end: see ``AnswerEnd``."""
         self.end_age_ms: int | None = None
@@ -658,20 +677,37 @@
             await relay.relay_answer(head, exchange, on_data)
             return
         body = await read_whole(exchange, on_data, self._arrival)
+        failure = ServerFailureError(head, body, exchange.ends_by_close)
         if exchange.ends_by_close:
+            ended_at = trio.current_time() - exchange.silent_s
             try:
-                await self._confirm_end(exchange)
+                await self._judge_end(ended_at, 0.0)
             except UnknownEndError as exc:
                 # Its head tells that the instance has failed, however it has ended.
                 raise BrokenError(str(exc), sent=True) from exc
+            # Another attempt may follow meanwhile.
+            failure.confirm_end = partial(self._judge_end, ended_at, CALL_STAY_S)
         if not self._job.caller.started:
             self._job.caller.hold_answer(len(body))
-        raise ServerFailureError(head, body, exchange.ends_by_close)
+        raise failure
 
     async def _confirm_end(self, exchange: Exchange) -> None:
         """Raise unless the instance itself has ended an answer that has no mark of it.
 
-        The question takes no longer than what is left to answer the caller in. It is
+        The events of a stream are with its caller already. The answer to a call is held
+        back within its objective.
+        """
+        stay_s = STAY_S
+        if self._route.kind is not RepeatKind.STREAM:
+            due_at = self._job.caller.arrived_at
+            due_at += CALL_STAY_SHARE * self._route.objective_s
+            stay_s = min(STAY_S, max(CALL_STAY_S, due_at - trio.current_time()))
+        await self._judge_end(trio.current_time() - exchange.silent_s, stay_s)
+
+    async def _judge_end(self, ended_at: float, stay_s: float) -> None:
+        """Raise unless the process that has ended an answer outlives it by a time.
+
+        That takes no longer than what is left to answer the caller in. The question is
         for the router that carries the connection if there is one: this one does not
         reach the instance.
         """
@@ -679,10 +715,12 @@
         if ends is None:
             return
         now, instance = trio.current_time(), self.placement.instance
-        ended_at = now - exchange.silent_s
+        latest = self._deadline - END_MARGIN_S
+        settles_at = min(ended_at + stay_s, latest - END_QUESTION_S)
+        self.on_answer_end()
         if not self.via:
-            with trio.move_on_after(max(0.0, self._deadline - now - END_MARGIN_S)):
-                end = await ends.judge(instance, ended_at)
+            with trio.move_on_at(max(now, latest)):
+                end = await ends.judge(instance, ended_at, settles_at)
         elif self._via_confirms:
             end = AnswerEnd.CLOSED
         self.end = end.value
--- a/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_dispatcher.py
@@ -206,12 +206,15 @@
         if origin is not None:
             target.bind(origin.version)
         resume_after = req.resume_after if route.kind is RepeatKind.STREAM else None
+        # An event holds at least one token.
+        is_new = req.prompt is not None and resume_after is None
+        most_events = req.prompt.n_output if is_new else None
         job = ForwardJob(
             self._parts,
             req,
             route,
             target,
-            SentAnswer(caller, resume_after),
+            SentAnswer(caller, resume_after, most_events or None),
             caller,
             deadline,
             body,
--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -82,8 +82,16 @@
 class SentAnswer:
     """What the caller has received of its answer, over all attempts."""
 
-    def __init__(self, caller: ForwardCaller, resume_after: int | None = None) -> None:
+    def __init__(
+        self,
+        caller: ForwardCaller,
+        resume_after: int | None = None,
+        most_events: int | None = None,
+    ) -> None:
+        """Take ``most_events`` for the most that a whole answer can have, if known."""
         self.caller = caller
+        self._most_events = most_events
+        self._n_numbered = 0
         self.last_number = resume_after
         """Number of the last event sent to the caller, from which to resume."""
         self.is_numbered = True
@@ -105,6 +113,15 @@
         has_begun = self.caller.started
         return not has_begun or (self.is_numbered and self.last_number is not None)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the caller has as many events as a whole answer can have."""
+        return self._most_events is not None and self._n_numbered >= self._most_events
+
+    def add_numbers(self, first: int, last: int) -> None:
+        """Count the events of some numbers that are about to be sent."""
+        self._n_numbered += last - first + 1
+
     def end_said_by(
         self, after: int | None, source: IncarnationKey | None
     ) -> IncarnationKey | None:
@@ -420,6 +437,8 @@
         await self._write_rest(head, exchange)
 
     async def _confirm_end(self, exchange: Exchange) -> None:
+        if self.sent.is_full:
+            return
         try:
             if self.may_be_stopped:
                 raise UnknownEndError("ended while its run was copied", sent=True)
@@ -641,6 +660,9 @@
             message = "another attempt has answered meanwhile"
             raise TakenOffError(message, sent=True)
         sent.last_number, sent.is_numbered = end
+        first = self.first_number if after is None else after + 1
+        if first is not None and end[0] is not None:
+            sent.add_numbers(first, end[0])
         sent.n_events += len(events)
         self.n_events += len(events)
         sent.record_write()
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -533,15 +533,26 @@
         parts.in_flight.begin(tracked)
         parts.health.started(instance.incarnation_key)
         self._target.sent(key, placement)
-        try:
-            yield
-        finally:
+        is_tracked = True
+
+        def end() -> None:
+            nonlocal is_tracked
+            if not is_tracked:
+                return
+            is_tracked = False
             begun_at = first_at[0] if first_at else None
             attempt.part_request = PartRequest(self._part_digests, sent_at, begun_at)
             parts.in_flight.end(AttemptId(key))
             parts.health.ended(instance.incarnation_key, has_begun=bool(first_at))
             self._target.ended(key, placement, has_first_token=bool(first_at))
 
+        # Its place at the instance is free while its end is judged.
+        attempt.on_answer_end = end
+        try:
+            yield
+        finally:
+            end()
+
     # Failure handling.
 
     def _handle_move(self, attempt: ForwardAttempt, exc: RunMovedError) -> None:
@@ -677,6 +688,7 @@
         """Return whether a run has begun to answer, and no other attempt is open."""
         has_begun = self._caller.started and self._sent_answer.may_resume
         is_alone = attempt is self._race.lead and self._race.standby is None
+        is_alone = is_alone and not attempt.relay.has_ended
         n_in_vain = max(
             self._n_not_run - MAX_NOT_RUN, self._n_unreached - MAX_UNREACHED
         )
@@ -916,6 +928,10 @@
 
     async def _relay_failure(self, failure: ServerFailureError) -> None:
         """Relay the upstream's own error response to the caller."""
+        try:
+            await failure.confirm_end()
+        except BrokenError as exc:
+            raise refuse(ResultCode.UPSTREAM_FAILED, str(exc)) from exc
         self._caller.result = ResultCode.UPSTREAM_FAILED
         head, headers = failure.head, list(failure.head.headers)
         await self._caller.answer(
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -35,7 +35,7 @@
 from corianderlb_core.result import ResultCode
 
 from ._handshake import AuthenticatedLink
-from .answer_end import AnswerEnd, AnswerEnds
+from .answer_end import STAY_S, AnswerEnd, AnswerEnds
 from .connection import (
     RECEIVE_BYTES,
     ConnectFailedError,
@@ -489,4 +489,5 @@
         if self._ends is None:
             return True
         ended_at = trio.current_time() - silent_s_of(stream)
-        return await self._ends.judge(instance, ended_at) is AnswerEnd.CLOSED
+        end = await self._ends.judge(instance, ended_at, ended_at + STAY_S)
+        return end is AnswerEnd.CLOSED
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -23,6 +23,7 @@
     def __init__(self, is_dropped: bool) -> None:
         self.is_dropped = is_dropped
         self.is_closed = False
+        self.has_answered = False
         self.opened_at = trio.current_time()
         self.idle_since = 0.0
 
@@ -69,15 +70,22 @@
 class StartProbe(InstanceProbe):
     """Tells the same start of each instance, after some time."""
 
-    def __init__(self, born_ms: int, takes_s: float = 0.002, tells: bool = True):
+    def __init__(
+        self,
+        born_ms: int,
+        takes_s: float = 0.002,
+        tells: bool = True,
+        responds: bool = True,
+    ) -> None:
         self.start_ms = born_ms
+        self.responds = responds
         self.takes_s = takes_s
         self.tells = tells
         self.n_asked = 0
 
     async def answers(self, instance: ForwardInstance) -> bool:
-        """Return whether an instance has a start."""
-        return bool(self.start_ms)
+        """Return whether an instance answers."""
+        return self.responds
 
     async def born_ms(self, instance: ForwardInstance) -> int:
         """Return the start of the process that answers."""
--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -16,8 +16,10 @@
     ScriptedPool,
     StartProbe,
 )
+from corianderlb_core.forwarding import ForwardInstance
 from corianderlb_router.answer_end import (
     MIN_RESTART_S,
+    STAY_S,
     AnswerEnd,
     AnswerEnds,
 )
@@ -218,6 +220,91 @@
         self.assertEqual([conn.is_closed for conn in pool.opened], [True])
 
 
+class OutlivedAnswerTest(TrioTestCase):
+    """What becomes of the process that ended an answer, some time after the end."""
+
+    async def judge_after(
+        self,
+        goes_after_s: float,
+        pool: ScriptedPool,
+        probe: StartProbe | None,
+        instance: ForwardInstance = ENTRY,
+    ) -> tuple[AnswerEnd, float]:
+        """Return what is found of an answer, and the time that took."""
+        ends, ended_at = AnswerEnds(pool, probe), trio.current_time()
+        async with trio.open_nursery() as nursery:
+
+            async def go() -> None:
+                await trio.sleep(goes_after_s)
+                pool.script = [REFUSED]
+                for conn in pool.opened:
+                    conn.is_dropped = True
+                if probe is not None:
+                    probe.start_ms, probe.responds = 0, False
+
+            nursery.start_soon(go)
+            end = await ends.judge(instance, ended_at, ended_at + STAY_S)
+            took_s = trio.current_time() - ended_at
+            nursery.cancel_scope.cancel()
+        return end, took_s
+
+    async def test_process_that_ends_its_answers_first(self) -> None:
+        """Guards against answers that are whole since their process exits later."""
+        for goes_after_s in (0.03, 0.05, 0.3, 1.0):
+            for instance, probe in (
+                (ENTRY, StartProbe(1)),
+                (ENTRY, StartProbe(0)),
+                (UNTOLD, StartProbe(0)),
+                (UNTOLD, None),
+            ):
+                with self.subTest(goes_after_s=goes_after_s, instance=instance):
+                    pool = ScriptedPool(OPEN)
+                    end, took_s = await self.judge_after(
+                        goes_after_s, pool, probe, instance
+                    )
+                    self.assertIs(end, DIED)
+                    self.assertLess(took_s, goes_after_s + 0.5)
+
+    async def test_process_that_is_replaced_meanwhile(self) -> None:
+        """Guards against the next process that passes for the one that has ended."""
+        for instance, end in ((ENTRY, DIED), (UNTOLD, UNKNOWN)):
+            pool, probe = ScriptedPool(OPEN), StartProbe(2)
+            async with trio.open_nursery() as nursery:
+
+                async def replace(pool=pool) -> None:
+                    await trio.sleep(0.2)
+                    pool.opened[0].is_dropped = True
+
+                nursery.start_soon(replace)
+                ended_at = trio.current_time()
+                found = await AnswerEnds(pool, probe).judge(
+                    instance, ended_at, ended_at + STAY_S
+                )
+            self.assertIs(found, end)
+
+    async def test_instance_that_lives_on_and_marks_no_end(self) -> None:
+        """Guards against a question, or a connection, for each of its answers."""
+        for instance, probe in ((ENTRY, StartProbe(1, 0.01)), (UNTOLD, None)):
+            pool, found = ScriptedPool(OPEN), []
+            ends = AnswerEnds(pool, probe)
+
+            async def end(ends=ends, instance=instance, found=found) -> None:
+                ended_at = trio.current_time()
+                found.append(await ends.judge(instance, ended_at, ended_at + STAY_S))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(1000):
+                    nursery.start_soon(end)
+                    await trio.sleep(0.01)
+            self.assertEqual(found, [CLOSED] * 1000)
+            n_probes = probe.n_asked if probe else 0
+            with self.subTest(instance=instance):
+                self.assertLess(pool.n_asked, 10)
+                self.assertLess(n_probes, 1000 / 5)
+                n_open = sum(not conn.is_closed for conn in pool.opened)
+                self.assertLess(n_open, 5)
+
+
 class SilentSocketTest(RealTimeTestCase):
     async def test_age_of_the_end_of_a_connection(self) -> None:
         """Guards against an end that counts as new after a pause of this process."""
--- a/packages/corianderlb-router/tests/test_joined_runs.py
+++ b/packages/corianderlb-router/tests/test_joined_runs.py
@@ -59,7 +59,9 @@
     def __init__(self) -> None:
         """Ask nobody."""
 
-    async def judge(self, instance: ForwardInstance, age_s: float) -> AnswerEnd:
+    async def judge(
+        self, instance: ForwardInstance, ended_at: float, settles_at: float = 0.0
+    ) -> AnswerEnd:
         """Return that nothing is known."""
         return AnswerEnd.UNKNOWN
 
