A connection counts for a process only if something answers it

Cause: the kernel accepts connections for a socket whether or not a process takes them. An open connection is evidence of its own only if it has carried an answer; otherwise the instance must also answer a question. One that is answered leaves a connection that serves for the ends that follow.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -95,6 +95,8 @@
     """Since when one of them is open."""
     n_ended: int
     """Others that have ended, with that of the answer."""
+    has_answered: bool
+    """Whether one of them has carried an answer, so that a process has accepted it."""
 
 
 class _Question:
@@ -247,7 +249,8 @@
     ) -> _Finding:
         """Find out what open connections, or a new one, tell of an instance.
 
-        They tell less than its start: a lost segment delays the end of a connection.
+        They tell less than its start: a lost segment delays the end of a connection,
+        and one that has carried no answer may never have reached a process.
         """
         witnesses = await self._look_for_witnesses(instance, ended_at)
         if witnesses is None:
@@ -259,6 +262,11 @@
                 connected = await self._connect(instance)
                 if connected.end is AnswerEnd.DIED:
                     return connected
+            if witnesses.has_answered:
+                return found
+        if found.end is AnswerEnd.CLOSED and self._probe is not None:
+            if not await self._probe.answers(instance):
+                return _Finding(AnswerEnd.UNKNOWN)
         return found
 
     async def _look_for_witnesses(
@@ -279,8 +287,9 @@
         if not left:
             return None
         n_ended = len(conns) - len(left)
-        since = min(conn.opened_at for conn in left)
-        return _Witnesses(_there_since(since), n_ended)
+        proven = [conn for conn in left if conn.has_answered]
+        since = min(conn.opened_at for conn in proven or left)
+        return _Witnesses(_there_since(since), n_ended, bool(proven))
 
     async def _connect(self, instance: ForwardInstance) -> _Finding:
         """Find out whether anybody listens, and goes on doing so.
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -326,6 +326,7 @@
         "content_length",
         "ends_by_close",
         "generation",
+        "has_answered",
         "idle_since",
         "opened_at",
     )
@@ -338,6 +339,8 @@
         """The pool's generation when opened; older ones are not reused."""
         self.opened_at = trio.current_time()
         self.idle_since = 0.0
+        self.has_answered = False
+        """Whether the head of a response has arrived on it."""
         self.ends_by_close = False
         """Whether the response body is delimited by connection close."""
         self.content_length: int | None = None
@@ -429,6 +432,7 @@
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.has_answered = True
                 self._record_framing(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -282,6 +282,15 @@
                 )
             self.assertIs(found, end)
 
+    async def test_listening_socket_that_outlives_its_process(self) -> None:
+        """Guards against a connection that no process has accepted."""
+        for responds, end in ((False, UNKNOWN), (True, CLOSED)):
+            probe = StartProbe(0, responds=responds)
+            pool = ScriptedPool(OPEN)
+            for instance in (ENTRY, UNTOLD):
+                found, _ = await self.judge_after(math.inf, pool, probe, instance)
+                self.assertIs(found, end)
+
     async def test_instance_that_lives_on_and_marks_no_end(self) -> None:
         """Guards against a question, or a connection, for each of its answers."""
         for instance, probe in ((ENTRY, StartProbe(1, 0.01)), (UNTOLD, None)):
