Routers tell each other of answers that end without a mark

EndAnnouncements keeps the ends that a router and its peers have seen, and tells whether one coincides with others. ForwardParts.end_announcements offers it; no decision uses it yet. AnswerEndsUpdate (level 9) goes to the linked peers at most once in 0.2 s, only while there are ends without a mark; ages count from sending. Routers drop updates for a second after a pause of their process, since they can't be dated.

One update has 250 items at most, 3.5 kB.

The wire name and frame are added to the guard tests. The new test of the overlay network joins both parts over links: one end at each of three routers is found, a lone one and marked ones are not, and marked ones send nothing.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -21,7 +21,7 @@
 PROTOCOL_VERSION: Final = 1
 """Incremented by changes that older routers cannot ignore."""
 
-LEVEL: Final = 8
+LEVEL: Final = 9
 """Level of the messages that this router understands, announced when a link opens.
 
 A router sends a message type above level 0 only over links whose peer has its level,
@@ -758,6 +758,17 @@
     """How far back ``versions`` reaches."""
 
 
+@dataclass(frozen=True)
+class AnswerEndsUpdate:
+    """Ends of answers that have no mark of their end; best effort.
+
+    Those that the sender has seen, and some that it was told of.
+    """
+
+    ends: bytes
+    """Packed items of ``end_gossip``; the ages in them count from sending."""
+
+
 Message: TypeAlias = (
     Challenge
     | Hello
@@ -797,6 +808,7 @@
     | StreamOriginsUpdate
     | StreamOriginRequest
     | StreamOriginAnswer
+    | AnswerEndsUpdate
 )
 
 _TYPES: Final[dict[str, type]] = {
@@ -838,6 +850,7 @@
     "StreamOriginRequest": StreamOriginRequest,
     "StreamOriginAnswer": StreamOriginAnswer,
     "EngineReport": EngineReport,
+    "AnswerEndsUpdate": AnswerEndsUpdate,
 }
 """Message classes by wire name. Classes may be renamed, but these names may not."""
 
@@ -858,6 +871,7 @@
     StreamOriginAnswer: 5,
     RoomUpdate: 6,
     EngineReport: 7,
+    AnswerEndsUpdate: 9,
 }
 """Levels above 0, by message class."""
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_node.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_node.py
@@ -26,6 +26,7 @@
 from .caller_memory import HELD_SHARE, CallerMemory
 from .connection import TcpConnector
 from .connection_guard import ConnectionGuard
+from .end_announcements import EndAnnouncements
 from .engine_orders import EngineOrders
 from .engine_table import EngineTable
 from .exchange_registry import ExchangeRegistry
@@ -192,6 +193,7 @@
             cfg.forward.fair_room,
             lambda: self._parts.n_sharing,
         )
+        self._end_announcements = EndAnnouncements(ports.state, self._peers, self._rng)
         self._follower = StateFollower(ports.feed, ports.state, self._peers, self._rng)
         quarantine = FleetQuarantine(self._peers, QUARANTINE_S)
         self._quarantine_records = QuarantineRecords(
@@ -231,6 +233,7 @@
             n_routers_at_start=len({cfg.listen.peer, *cfg.peers.seeds}),
             ran_before_s=lambda: ports.registration.ran_before_s,
             ends=ends,
+            end_announcements=self._end_announcements,
             incarnations=IncarnationCheck(ports.probe) if ports.probe else None,
             copier=self._make_copier(),
             memory=CallerMemory(HELD_SHARE * cfg.forward.memory_bytes),
@@ -290,6 +293,7 @@
             self._paths.run,
             self._rooms.run,
             self._parts.origins.run,
+            self._end_announcements.run,
         ]
 
     async def _serve_callers(self, front: HttpServer) -> None:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_parts.py
@@ -28,6 +28,7 @@
 
 from .answer_end import AnswerEnds
 from .caller_memory import DEFAULT_MEMORY_BYTES, HELD_SHARE, CallerMemory
+from .end_announcements import EndAnnouncements
 from .engine_table import EngineTable
 from .fleet_quarantine import FleetQuarantine
 from .fleet_rooms import FleetRooms
@@ -143,6 +144,9 @@
     ends: AnswerEnds | None = None
     """Tells whether answers without a mark of their end are whole; None if any that
     ends in order counts as whole."""
+    end_announcements: EndAnnouncements | None = None
+    """Tells whether ends of answers coincide, over all routers; None if nothing is told
+    of them."""
     incarnations: IncarnationCheck | None = None
     """Asks instances whether they have restarted; None if they can't be asked."""
     copier: MemoryCopier | None = None
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -16,6 +16,7 @@
 from corianderlb_core.identity import InstanceId, InstanceRecord, Presence, Role
 from corianderlb_core.message import (
     LEVEL,
+    AnswerEndsUpdate,
     CrashReport,
     EngineUpdate,
     EngineWork,
@@ -34,12 +35,15 @@
     initiate,
 )
 from corianderlb_router._websocket_transport import WebSocketTransport
+from corianderlb_router.end_announcements import INTERVAL_S, EndAnnouncements
+from corianderlb_router.object_feed import FeedListing
 from corianderlb_router.peer_link import LinkClosedError, PeerLink
 from corianderlb_router.peer_network import OverlayNetwork
 from corianderlb_router.store import InstanceList
 from corianderlb_standins.connection_texts import bad_texts
 from corianderlb_standins.memory_transport import MemoryFabric
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
+from forward_builders import INSTANCES, TableDecoder, a_state, an_instance
 
 KEY = b"k" * 32
 REGIONS = ("pnw", "trondelag")
@@ -300,6 +304,39 @@
             self.assertEqual(received, [update, update])
         self.assertLess(n_bytes[1], n_bytes[0] / 2)
 
+    async def test_ends_that_each_router_sees_one_of_are_found_together(self) -> None:
+        """Guards against parts of answers that an instance ended, and lived on."""
+        fleet, engine, decoder = Fleet(4), an_instance("e1", "llm"), TableDecoder()
+        state = a_state(decoder)
+        listing = FeedListing((decoder.put(engine, "e1"),), 20)
+        state.apply_listing(INSTANCES, listing)
+        received: list[AnswerEndsUpdate] = []
+
+        async def on_update(sender: InstanceId, message: AnswerEndsUpdate) -> None:
+            received.append(message)
+
+        *networks, last = fleet.networks.values()
+        last.subscribe(AnswerEndsUpdate, on_update)
+        seen = [EndAnnouncements(state, x, random.Random(x.own)) for x in networks]
+        async with fleet.running() as nursery:
+            for announcements in seen:
+                nursery.start_soon(announcements.run)
+            await trio.sleep(3)
+            for n_ends, is_marked, n_sent in (
+                (1, False, 1),
+                (3, True, 0),
+                (3, False, 3),
+            ):
+                now = trio.current_time()
+                for n, announcements in enumerate(seen[:n_ends]):
+                    announcements.record_end(engine, now, is_marked, 20.0 + n)
+                received.clear()
+                await trio.sleep(INTERVAL_S + 0.1)
+                found = {x.coincides(engine, now) for x in seen[:n_ends]}
+                self.assertEqual(found, {n_ends == 3 and not is_marked})
+                self.assertEqual(len(received), n_sent)
+                await trio.sleep(3)
+
     async def test_closed_surplus_link_raises_no_suspicion(self) -> None:
         """Guards against a live router that is left out after a link was closed."""
         fleet = Fleet(2)
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -263,6 +263,7 @@
 EngineReport speeds.sent_ms
 EngineReport speeds.reports[]\
 (instance born_ms n_tokens usual_ms n_running n_waiting slowdown age_ms)
+AnswerEndsUpdate ends
 """
 
 FRAMES = {
@@ -609,6 +610,11 @@
             "held_parts": b"\x01" * 12,
         },
     ),
+    "AnswerEndsUpdate": (
+        "830170416e73776572456e6473557064617465a164656e64734e010101010101"
+        "0101010101010101",
+        {"ends": b"\x01" * 14},
+    ),
     "EngineNews": (
         "83016a456e67696e654e657773a364776f726b81a668696e7374616e63656265"
         "3167626f726e5f6d731903e86f6e5f756e726561645f746f6b656e73146a6e5f"
@@ -926,6 +932,7 @@
 """
 
 MAP_KEYS = """\
+AnswerEndsUpdate
 CatalogueChanges CatalogueRequest Challenge CrashReport EngineNews EngineReport Grant
 GrantRequest Heartbeat Hello HotPrefixes InstanceLimitUpdate InstancesListed
 InstancesRequest LeaseHandover LeaseOffer LeaseRenewed LeaseWish LinkClosing LoadVector
