--- a/packages/corianderlb-core/tests/end_fleet.py
+++ b/packages/corianderlb-core/tests/end_fleet.py
@@ -53,68 +53,58 @@
                     links.add(peer)
                     self._links[peer].add(router)
             self._at(self.rng.uniform(0, INTERVAL_S), self._tell, router)
-        self.keys = [(f"e{n}", n) for n in range(n_engines)]
-        self._by_digest = {engine_digest(key): key for key in self.keys}
-        self._open: list[dict[int, tuple[int, float]]] = [{} for _ in self.keys]
+        self._keys = [(f"e{n}", n) for n in range(n_engines)]
+        self._by_digest = {engine_digest(key): key for key in self._keys}
+        self._open: list[dict[int, tuple[int, float]]] = [{} for _ in self._keys]
         """By engine and stream: its router and its beginning."""
         self.count_anew()
         for engine in range(n_engines):
-            for _ in range(max(1, n_open // n_begun)):
+            for _ in range(n_open // n_begun):
                 self._at(self.rng.uniform(0, mean_s), self._begin, engine)
 
+    def count_anew(self) -> None:
+        """Count ends, and those found to coincide, from now on."""
+        self.n_whole = self.n_whole_found = self.n_cut = self.n_cut_found = 0
+
     def run(self, until: float) -> None:
         """Let everything happen that is due until a time."""
         while self._actions and self._actions[0][0] <= until:
-            self.now, _, action, subject = heapq.heappop(self._actions)
-            action(subject)
+            self.now, _, action, args = heapq.heappop(self._actions)
+            action(*args)
         self.now = until
 
     def reset(self, engine: int) -> None:
         """Let an engine end all its answers in order, and live on."""
         for stream in list(self._open[engine]):
-            router, begun_at = self._open[engine].pop(stream)
             ended_at = self.now + self.rng.uniform(0, 0.005)
-            self._at(ended_at, self._end, (engine, router, begun_at, False))
-            self._at(ended_at + self.rng.expovariate(1.0), self._begin, engine)
+            args = (engine, *self._open[engine].pop(stream), False)
+            self._at(ended_at, self._end, *args)
 
-    def count_anew(self) -> None:
-        """Count ends, those found to coincide, messages and bytes from now on."""
-        self.n_whole = self.n_whole_found = self.n_cut = self.n_cut_found = 0
-        self.n_messages = self.n_bytes = 0
-
-    def _at(self, when: float, action: Callable[..., None], subject: Any) -> None:
-        heapq.heappush(self._actions, (when, next(self._numbers), action, subject))
+    def _at(self, when: float, action: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self._actions, (when, next(self._numbers), action, args))
 
     def _begin(self, engine: int) -> None:
-        length_s = self.rng.expovariate(1 / self._mean_s)
-        n_begun = self._n_begun
-        for n in range(n_begun):
+        ended_at = self.now + self.rng.expovariate(1 / self._mean_s)
+        if self._step_s:
+            ended_at = math.ceil(ended_at / self._step_s) * self._step_s
+        for _ in range(self._n_begun):
             stream, router = next(self._numbers), self.rng.randrange(len(self._ends))
             self._open[engine][stream] = (router, self.now)
-            ended_at = self.now + length_s
-            if self._step_s:
-                ended_at = math.ceil(ended_at / self._step_s) * self._step_s
-            self._at(ended_at, self._end_whole, (engine, stream, n == n_begun - 1))
+            self._at(ended_at, self._end_whole, engine, stream)
+        self._at(ended_at + self.rng.uniform(0, 0.1), self._begin, engine)
 
-    def _end_whole(self, subject: tuple[int, int, bool]) -> None:
-        engine, stream, is_last = subject
+    def _end_whole(self, engine: int, stream: int) -> None:
         if stream in self._open[engine]:
-            router, begun_at = self._open[engine].pop(stream)
-            self._end((engine, router, begun_at, True))
-            if is_last:
-                # Of those that an engine has ended itself, each is replaced there.
-                self._at(self.now + self.rng.uniform(0, 0.1), self._begin, engine)
-
-    def _end(self, subject: tuple[int, int, float, bool]) -> None:
-        engine, router, begun_at, is_whole = subject
-        key = self.keys[engine]
+            self._end(engine, *self._open[engine].pop(stream), True)
+
+    def _end(self, engine: int, router: int, begun_at: float, is_whole: bool) -> None:
+        key = self._keys[engine]
         self._gossips[router].record(key, self.now, False, self.now - begun_at)
-        asked = (key, router, self.now, is_whole)
-        self._at(self.now + ASKED_AFTER_S, self._ask, asked)
+        asked_at = self.now + ASKED_AFTER_S
+        self._at(asked_at, self._ask, engine, router, self.now, is_whole)
 
-    def _ask(self, asked: tuple[tuple[str, int], int, float, bool]) -> None:
-        key, router, ended_at, is_whole = asked
-        is_found = self._ends[router].coincides(key, ended_at)
+    def _ask(self, engine: int, router: int, ended_at: float, is_whole: bool) -> None:
+        is_found = self._ends[router].coincides(self._keys[engine], ended_at)
         self.n_whole += is_whole
         self.n_whole_found += is_whole and is_found
         self.n_cut += not is_whole
@@ -122,16 +112,12 @@
 
     def _tell(self, router: int) -> None:
         packed = self._gossips[router].take(self.now)
-        if packed:
-            for peer in self._links[router]:
-                self.n_messages += 1
-                self.n_bytes += len(packed)
-                arrives_at = self.now + self.rng.uniform(0, MAX_DELAY_S)
-                self._at(arrives_at, self._hear, (peer, packed))
+        for peer in self._links[router] if packed else ():
+            arrives_at = self.now + self.rng.uniform(0, MAX_DELAY_S)
+            self._at(arrives_at, self._hear, peer, packed)
         self._at(self.now + INTERVAL_S, self._tell, router)
 
-    def _hear(self, subject: tuple[int, bytes]) -> None:
-        router, packed = subject
+    def _hear(self, router: int, packed: bytes) -> None:
         n_others = len(self._ends) - 1
         reach = len(self._links[router]) / n_others
         gossip = self._gossips[router]
