Ends of one moment beyond chance count as cuts

An engine that ends all its streams without a mark at one moment and lives on (a proxy whose worker has died) had them passed on as whole. Time cannot tell: its process is there for good. Ends are now recorded, own and the peers', and one that coincides with others beyond chance counts as an end of unknown cause: a stream that may be resumed is asked for elsewhere, a call repeated where it may be.

The level from which a router that carries a connection confirms ends is 9 now: older ones don't wait for the process to outlive the answer.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -28,10 +28,10 @@
 since an unknown type closes the link.
 """
 
-TUNNEL_END_LEVEL: Final = 8
+TUNNEL_END_LEVEL: Final = 9
 """Level from which a router that carries a connection passes on its end only if the
-process of the instance has closed it. An older one passes on the end of a process too.
-"""
+process of the instance has outlived it. An older one also passes on the end of an
+answer whose process is about to exit."""
 
 TUNNEL: Final = "tunnel"
 """Purpose of a link that carries the bytes of one connection to an instance."""
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -270,6 +270,8 @@
         """Whether the health table has its silence as a failure."""
         self._is_withdrawn = False
         """Whether the request was withdrawn before its weights expire."""
+        self._is_end_recorded = False
+        """Whether the end of its answer was recorded to be compared with others."""
         self.on_answer_end: Callable[[], None] = lambda: None
         """Called once the instance has ended its answer, before the end is judged."""
         self.end = ""
@@ -346,9 +348,13 @@
         try:
             head = self._read_head(response)
             await self._relay_answer(head, response.exchange, on_data)
+            self._record_end(trio.current_time(), is_marked=True)
         except (BrokenError, SilentError) as exc:
             heard_at = self.received_at or self._head_received_at
             is_own = exc is not self.given_up and not isinstance(exc, WrongAnswerError)
+            if is_own and isinstance(exc, BrokenError):
+                ended_at = trio.current_time() - response.exchange.silent_s
+                self._record_end(ended_at, is_marked=False)
             if is_own and heard_at is not None:
                 self._doubt_path(heard_at, str(exc))
             raise
@@ -704,6 +710,22 @@
             stay_s = min(STAY_S, max(CALL_STAY_S, due_at - trio.current_time()))
         await self._judge_end(trio.current_time() - exchange.silent_s, stay_s)
 
+    def _record_end(self, ended_at: float, is_marked: bool) -> None:
+        """Record the end of the answer, to be compared with that of others.
+
+        What a peer carries ends late.
+        """
+        ends, since = self._parts.end_announcements, self._head_received_at
+        if ends is None or since is None or self.via or self._is_end_recorded:
+            return
+        self._is_end_recorded = True
+        instance = self.placement.instance
+        ends.record_end(instance, ended_at, is_marked, ended_at - since)
+
+    def _ended_beside_others(self, ended_at: float) -> bool:
+        ends = self._parts.end_announcements
+        return ends is not None and ends.coincides(self.placement.instance, ended_at)
+
     async def _judge_end(self, ended_at: float, stay_s: float) -> None:
         """Raise unless the process that has ended an answer outlives it by a time.
 
@@ -718,17 +740,25 @@
         latest = self._deadline - END_MARGIN_S
         settles_at = min(ended_at + stay_s, latest - END_QUESTION_S)
         self.on_answer_end()
+        self._record_end(ended_at, is_marked=False)
         if not self.via:
             with trio.move_on_at(max(now, latest)):
                 end = await ends.judge(instance, ended_at, settles_at)
         elif self._via_confirms:
             end = AnswerEnd.CLOSED
+        ended_beside = end is AnswerEnd.CLOSED and self._ended_beside_others(ended_at)
+        if ended_beside:
+            # Something has ended them all, though their process lives on.
+            end = AnswerEnd.UNKNOWN
         self.end = end.value
         self.end_age_ms = round((trio.current_time() - ended_at) * 1000)
         self.ended_leaving = not self._parts.state.accepts_requests(instance)
         self._parts.metrics.unmarked_end(self.end, self.ended_leaving)
         if end is AnswerEnd.DIED:
             raise ProcessEndedError("ended with its process", sent=True)
+        if ended_beside:
+            message = "ended at one moment with other answers of its instance"
+            raise UnknownEndError(message, sent=True)
         if end is AnswerEnd.UNKNOWN:
             raise UnknownEndError("ended by a close of unknown cause", sent=True)
 
