--- a/packages/corianderlb-core/src/corianderlb_core/end_coincidence.py
+++ b/packages/corianderlb-core/src/corianderlb_core/end_coincidence.py
@@ -46,8 +46,9 @@
 """Largest time between two steps of an engine, in which it sends events of all its
 answers. A window counts as longer by one step, since it touches that many more."""
 
-SAME_START_S: Final = 0.1
-"""Distance of the beginnings of answers that count as begun at once."""
+SAME_START_S: Final = 0.3
+"""Distance of the beginnings of answers that count as begun at once. Answers that are
+open for less than 0.2 s end together if their callers come together."""
 
 GUARD_S: Final = 0.1
 """Time on both sides of a window that counts for nothing: what ends with the others may
--- a/packages/corianderlb-core/src/corianderlb_core/end_gossip.py
+++ b/packages/corianderlb-core/src/corianderlb_core/end_gossip.py
@@ -113,6 +113,8 @@
         self, key: IncarnationKey, ended_at: float, is_marked: bool, open_for_s: float
     ) -> None:
         """Record an end that this router has seen, and tell it if it has no mark."""
+        # The kernel dates an end, which may then lie before the head was read.
+        open_for_s = max(0.0, open_for_s)
         number = self._rng.randrange(1, 1 << 32)
         self._ends.record(key, ended_at, is_marked, open_for_s, number)
         if not is_marked:
--- a/packages/corianderlb-core/tests/test_end_coincidence.py
+++ b/packages/corianderlb-core/tests/test_end_coincidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from corianderlb_core.end_coincidence import (
@@ -10,6 +11,7 @@
     MAX_ENDS,
     EndCoincidence,
 )
+from corianderlb_core.end_gossip import EndGossip, unpack
 from end_fleet import EndFleet
 
 KEY = ("e1", 1)
@@ -56,6 +58,20 @@
                 ends.record(KEY, 100.0, is_marked and n > 0, 20.0 + n)
             self.assertIs(ends.coincides(KEY, 100.0), not is_marked)
 
+    def test_calls_of_one_burst(self) -> None:
+        """Guards against short answers that count as cut since callers come at once."""
+        ends = EndCoincidence()
+        for n, took_s in enumerate((0.005, 0.05, 0.12, 0.19)):
+            ends.record(KEY, 100.0 + 0.01 * n, False, took_s)
+        self.assertFalse(ends.coincides(KEY, 100.0))
+
+    def test_end_that_is_dated_before_its_beginning(self) -> None:
+        """Guards against a router that ends since the kernel's clock is coarse."""
+        gossip = EndGossip(EndCoincidence(), random.Random(1))
+        gossip.record(KEY, 1.0, False, -0.004)
+        (told,) = unpack(gossip.take(1.1))
+        self.assertEqual(told.open_for_s, 0.0)
+
     def test_memory_is_bounded(self) -> None:
         """Guards against a router that keeps the ends of all that ever ran."""
         ends = EndCoincidence()
