A new stream keeps the version of the process that began it

A stream that began at an instance in the moment before its new entry (other software, same name and address) reached the router, and broke before it was listed, went on elsewhere as the version of the old entry, with its end: events of two versions in one answer. Until the store counted as lost, new streams asked nobody although their instance had just broken its answers off.

Once a begun stream breaks, its first instance is asked for its start if it still listens, shared for 0.1 s. Another process that may have begun the stream, by the rule that corrects origins, has its entry waited for, 3 s at most; without it the version becomes unknown here and at the keepers, and the rest is cut and refused. A process that started after the stream, none that answers, or one that tells nothing leaves it as it was, so that a usual kill cuts no stream; it costs one question for the answers of an instance that break together, and none for a new stream. An answer that breaks off makes new streams ask until the process has answered or the entry is renewed.

--- a/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
+++ b/packages/corianderlb-core/src/corianderlb_core/stream_origin.py
@@ -52,6 +52,16 @@
     return digest.digest()
 
 
+def may_have_begun_since(started_ms: int, now_ms: int) -> int:
+    """Return the earliest time at which a process may have been sent a stream.
+
+    ``started_ms`` is its start by its own clock, learnt at ``now_ms`` by this router's.
+    """
+    if started_ms > now_ms + MAX_ADVANCE_MS:
+        return now_ms - MAX_ENTRY_MS
+    return min(now_ms, started_ms) - MAX_ADVANCE_MS
+
+
 @dataclass(frozen=True)
 class KnownOrigin:
     """Origin of a stream as known to one router."""
@@ -227,9 +237,7 @@
         unknown version. Returns the corrected origins.
         """
         late_ms = now_ms - new[1]
-        since_ms = min(now_ms, new[1]) - MAX_ADVANCE_MS
-        if late_ms < -MAX_ADVANCE_MS:
-            since_ms = now_ms - MAX_ENTRY_MS
+        since_ms = may_have_begun_since(new[1], now_ms)
         if old != new and abs(late_ms) > MAX_ADVANCE_MS:
             version = UNKNOWN_VERSION
         corrected = tuple(
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -181,6 +181,8 @@
         self._race = AttemptRace()
         self._announced: ForwardInstance | None = None
         """Instance that was last made known as the one to run the stream."""
+        self._listening: IncarnationKey | None = None
+        """Instance that still listens after it has broken an answer off."""
         self._n_tasks = 0
         """Tasks of the request that have not ended."""
         self._is_repeat_unused = False
@@ -562,6 +564,8 @@
             self._handle_move(attempt, exc)
             return False
         await self._account_for(attempt, exc)
+        if attempt.n_events and isinstance(exc, BrokenError):
+            await self._confirm_version(attempt, exc)
         if self._race.has_successor or self._next_placement is not None:
             # Checked and charged when it was reserved.
             return False
@@ -581,6 +585,27 @@
             return False
         return await self._fail_request(exc)
 
+    async def _confirm_version(self, attempt: ForwardAttempt, exc: BrokenError) -> None:
+        """Cut a stream unless the version that has begun it is known.
+
+        Its instance may have restarted with other software just before, so that its
+        events are not those of the version in the entry. The process that answers now
+        tells; one that has ended since is taken for that of the entry.
+        """
+        check, origins = self._parts.incarnations, self._parts.origins
+        key, instance = self._target.stream_key, attempt.placement.instance
+        if check is None or key is None or attempt.via:
+            return
+        was_checked = not isinstance(exc, WrongAnswerError)
+        if was_checked and self._listening != instance.incarnation_key:
+            return
+        if not origins.has_begun(key, instance):
+            return
+        started_ms = await check.restarted_ms(instance)
+        if started_ms and not await origins.confirm(key, instance, started_ms):
+            detail = f"nothing tells which version {instance.instance} ran"
+            raise StreamCutError(detail)
+
     async def _account_for(
         self, attempt: ForwardAttempt, exc: UpstreamError, goes_on: bool = False
     ) -> bool:
@@ -925,6 +950,8 @@
         if isinstance(exc, ConnectFailedError | BrokenError) and is_unanswered:
             is_gone = isinstance(exc, ConnectFailedError) and exc.refused
             self._parts.origins.record_doubt(placement.instance, is_gone)
+        elif isinstance(exc, BrokenError) and not isinstance(exc, WrongAnswerError):
+            self._parts.origins.record_break(placement.instance)
         health = self._parts.health
         incarnation_key = placement.instance.incarnation_key
         outcome = type(exc).__name__.removesuffix("Error").lower()
@@ -953,6 +980,7 @@
         """
         parts, placement = self._parts, attempt.placement
         instance = placement.instance
+        self._listening = None
         name = InstanceId(instance.instance)
         suspects = (*parts.in_flight.suspects(name), self._digest)
         begun = parts.in_flight.part_requests(name)
@@ -973,6 +1001,7 @@
                     name, instance.born_ms, suspects, suspected_parts
                 )
             return
+        self._listening = instance.incarnation_key
         await conn.close()
 
     def _record_attempt(
--- a/packages/corianderlb-router/src/corianderlb_router/incarnation_check.py
+++ b/packages/corianderlb-router/src/corianderlb_router/incarnation_check.py
@@ -8,7 +8,7 @@
         ...  # The entry is that of a process which is gone.
 
 A stream that goes on always asks. One that begins asks only while the entry may be old,
-since most streams go on nowhere.
+since most streams go on nowhere; its instance is asked once it breaks off.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         self.is_answered = trio.Event()
         self.asked_at = trio.current_time()
-        self.has_restarted: bool | None = None
+        self.born_ms: int | None = None
         """The answer; None if the request that asked has been given up."""
 
 
@@ -50,7 +50,12 @@
         self._seen_at: OrderedDict[IncarnationKey, float] = OrderedDict()
 
     def seen_at(self, instance: ForwardInstance) -> float:
-        """Return when the process of the entry answered last; -inf if never."""
+        """Return when the process of the entry answered last; -inf if never.
+
+        It is inf for an instance that tells no start, which is asked for nothing.
+        """
+        if not self._probe.tells_start(instance):
+            return math.inf
         return self._seen_at.get(instance.incarnation_key, -math.inf)
 
     async def has_restarted(self, instance: ForwardInstance) -> bool:
@@ -58,28 +63,40 @@
 
         False also if none answers, or one that doesn't tell when it started.
         """
+        return await self._ask_start(instance) not in (0, instance.born_ms)
+
+    async def restarted_ms(self, instance: ForwardInstance) -> int:
+        """Return the start of another process than that of the entry, which answers.
+
+        It is in Unix milliseconds; 0 if that of the entry answers, or none that tells.
+        """
+        if not (instance.born_ms and self._probe.tells_start(instance)):
+            return 0
+        born_ms = await self._ask_start(instance)
+        return 0 if born_ms == instance.born_ms else max(0, born_ms)
+
+    async def _ask_start(self, instance: ForwardInstance) -> int:
         key, now = instance.incarnation_key, trio.current_time()
         question = self._questions.get(key)
         if question is None or now - question.asked_at >= SHARED_S:
             return await self._ask(instance)
         await question.is_answered.wait()
-        if question.has_restarted is None:
+        if question.born_ms is None:
             return await self._ask(instance)
-        return question.has_restarted
+        return question.born_ms
 
-    async def _ask(self, instance: ForwardInstance) -> bool:
+    async def _ask(self, instance: ForwardInstance) -> int:
         key, question = instance.incarnation_key, _Question()
         self._questions[key] = question
         try:
-            born_ms = await self._probe.born_ms(instance)
-            question.has_restarted = born_ms not in (0, instance.born_ms)
+            question.born_ms = born_ms = await self._probe.born_ms(instance)
             if born_ms == instance.born_ms:
                 self._seen_at[key] = question.asked_at
                 self._seen_at.move_to_end(key)
         finally:
             question.is_answered.set()
             self._forget_old()
-        return question.has_restarted
+        return born_ms
 
     def _forget_old(self) -> None:
         oldest = trio.current_time() - SHARED_S
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
@@ -37,6 +38,7 @@
     KnownOrigin,
     OriginTable,
     VersionHistory,
+    may_have_begun_since,
 )
 
 from .interface import PeerNetwork
@@ -67,6 +69,10 @@
 CLOCK_ERROR_S: Final = 0.5
 """Largest difference between the wall clocks of a router and an instance."""
 
+ENTRY_WAIT_S: Final = 3.0
+"""Longest wait for the entry of a process that has begun a stream before it is listed,
+as long as one for an instance of a stream's version."""
+
 MAX_ORIGINS_PER_MESSAGE: Final = 500
 """Maximum number of streams in one message."""
 
@@ -157,7 +163,9 @@
         self._asks: dict[int, _Ask] = {}
         self._n_asks = 0
         self._doubted_revisions: dict[IncarnationKey, int] = {}
-        self._gone_at: dict[IncarnationKey, float] = {}
+        self._gone: dict[IncarnationKey, tuple[float, int]] = {}
+        """When the process of an entry may have ended, and the revision of the entry
+        then."""
         peers.subscribe(StreamOriginsUpdate, self.on_update)
         peers.subscribe(StreamOriginRequest, self.on_request)
         peers.subscribe(StreamOriginAnswer, self.on_answer)
@@ -243,6 +251,39 @@
                     if origin.first_event_at <= now:
                         yield origin
 
+    async def confirm(
+        self, key: bytes, instance: ForwardInstance, started_ms: int
+    ) -> bool:
+        """Return whether the version of a stream that an instance began is known.
+
+        ``started_ms`` is the start of another process than that of the entry, which
+        answers in its place now. If it may have begun the stream, its own entry is
+        waited for, which corrects the version. Without that no router knows it.
+        """
+        now, now_ms = trio.current_time(), round(self._wall_clock() * 1000)
+        origin = self._table.find(key, now)
+        if origin is None or origin.incarnation != instance.incarnation_key:
+            return True
+        if origin.began_ms < may_have_begun_since(started_ms, now_ms):
+            return True
+        with trio.move_on_after(ENTRY_WAIT_S):
+            await self._refresh()
+            while True:
+                changed = self._state.changed
+                if self._state.incarnation((instance.instance, started_ms)):
+                    self._observe()
+                    return self.version_of(key) != UNKNOWN_VERSION
+                await changed.wait()
+        unknown = replace(origin, version=UNKNOWN_VERSION)
+        self._table.record(unknown, trio.current_time())
+        self._announce([unknown])
+        return False
+
+    def has_begun(self, key: bytes, instance: ForwardInstance) -> bool:
+        """Return whether the process of an entry is taken to have begun a stream."""
+        origin = self._table.find(key, trio.current_time())
+        return origin is not None and origin.incarnation == instance.incarnation_key
+
     def version_of(self, key: bytes) -> str | None:
         """Return the version that began a stream; None if it is not known here."""
         origin = self._table.find(key, trio.current_time())
@@ -255,13 +296,22 @@
 
         Its version is not known then before it renews its entry. ``is_gone`` tells that
         its process has ended: a connection was refused, or another start was told.
-        New streams ask only then, since a full instance resets connections often.
         """
         known = self._state.incarnation(instance.incarnation_key)
         if known is not None:
             self._doubted_revisions[known.incarnation_key] = known.revision
             if is_gone:
-                self._gone_at[known.incarnation_key] = trio.current_time()
+                self.record_break(instance)
+
+    def record_break(self, instance: ForwardInstance) -> None:
+        """Record that an answer broke off, so that its process may have ended.
+
+        New streams ask only then, since a full instance resets new connections often.
+        """
+        known = self._state.incarnation(instance.incarnation_key)
+        if known is not None:
+            found = trio.current_time(), known.revision
+            self._gone[known.incarnation_key] = found
 
     @property
     def is_current(self) -> bool:
@@ -299,8 +349,8 @@
         known = self._state.incarnation(instance.incarnation_key)
         if known is None or self._may_lack_restarts(seen_at):
             return True
-        gone_at = self._gone_at.get(known.incarnation_key)
-        return gone_at is not None and seen_at <= gone_at and self._is_doubted(known)
+        gone_at, revision = self._gone.get(known.incarnation_key, (-math.inf, -1))
+        return seen_at <= gone_at and known.revision <= revision
 
     def has_changed(self, instance: ForwardInstance, version: str) -> bool:
         """Return whether an instance turned out to have restarted with other software.
@@ -627,7 +677,7 @@
             gone = self._entries.pop(name)
             self._present[gone.upstream, gone.software_version] -= 1
             self._doubted_revisions.pop(gone.incarnation_key, None)
-            self._gone_at.pop(gone.incarnation_key, None)
+            self._gone.pop(gone.incarnation_key, None)
 
     def _observe_versions(self) -> None:
         """Record the present versions; announce own streams if they are mixed now."""
--- a/packages/corianderlb-router/tests/test_incarnation_check.py
+++ b/packages/corianderlb-router/tests/test_incarnation_check.py
@@ -13,7 +13,15 @@
 from corianderlb_router.path_watch import InstanceProbe
 from corianderlb_router.stream_origins import StreamOrigins
 from corianderlb_standins.trio_case import TrioTestCase
-from forward_builders import ForwardRouter, Upstream, a_router, a_stream, an_instance
+from forward_builders import (
+    ForwardRouter,
+    Upstream,
+    a_router,
+    a_stream,
+    an_instance,
+    break_off,
+    break_off_after,
+)
 from test_stream_origins import list_versions, n_requests, resume
 
 PROMPT = "a:100,own:50"
@@ -26,16 +34,21 @@
 
     def __init__(self, **born_ms: int) -> None:
         self.born = born_ms
-        self.n_asked = 0
+        self.asked: list[str] = []
         self.takes_s = 0.05
 
+    @property
+    def n_asked(self) -> int:
+        """Number of questions."""
+        return len(self.asked)
+
     async def answers(self, instance: ForwardInstance) -> bool:
         """Return whether an instance is known."""
         return instance.instance in self.born
 
     async def born_ms(self, instance: ForwardInstance) -> int:
         """Return the start of an instance after some time; 0 if it is not known."""
-        self.n_asked += 1
+        self.asked.append(instance.instance)
         await trio.sleep(self.takes_s)
         return self.born.get(instance.instance, 0)
 
@@ -110,6 +123,80 @@
                 self.assertLessEqual(probe.n_asked, n_asked)
                 self.assertEqual(probe.n_asked > 0, n_asked > 0)
 
+    async def go_on(
+        self, age_s: float, entry: str = "", entry_s: float = 0.1, ends: bool = False
+    ) -> tuple[str, bool]:
+        """Return where a stream goes on that e1 broke off, and whether it ends.
+
+        The process of e1 started ``age_s`` before its request was sent. It is listed as
+        an earlier one of v1, and as one of ``entry`` from ``entry_s`` after the break.
+        ``ends`` tells that it has ended then, and is asked for nothing.
+        """
+        rest, began_at = a_stream(3, 4), trio.current_time()
+        started_ms, breaks_s = BORN_MS - round(age_s * 1000), 0.1 + max(0.0, -age_s)
+        upstreams = {"e1": Upstream([break_off_after(2, breaks_s), rest])}
+        probe = Probe(e1=started_ms)
+        upstreams |= {name: Upstream([rest]) for name in ("e2", "e3")}
+        old = an_instance("e1", "llm", software_version="v1", born_ms=1)
+        others = [
+            an_instance(name, "llm", software_version=version, revision=30)
+            for name, version in (("e2", "v1"), ("e3", "v2"))
+        ]
+        fields = {"software_version": entry, "born_ms": started_ms, "revision": 32}
+        new = an_instance("e1", "llm", **fields)
+        async with trio.open_nursery() as nursery, a_router(**upstreams) as router:
+            router.parts.origins._wall_clock = lambda: (
+                BORN_MS / 1000 + trio.current_time() - began_at
+            )
+            use_probe(router, probe)
+            router.list_instances(old, revision=30)
+
+            async def list_later() -> None:
+                await trio.sleep(breaks_s / 2)
+                router.list_instances(old, *others, revision=31)
+                upstreams["e1"].alive = not ends
+                await trio.sleep(breaks_s / 2 + entry_s)
+                if entry:
+                    router.list_instances(new, *others, revision=32)
+
+            nursery.start_soon(list_later)
+            caller = await router.ask("/long/7", x_prompt=PROMPT, x_id="q1")
+        self.assertEqual("e1" in probe.asked, not ends)
+        software = {"e1": entry, "e2": "v1", "e3": "v2"}
+        n_rests = {**n_requests(upstreams), "e1": n_requests(upstreams)["e1"] - 1}
+        went_on = [software[name] for name, n in n_rests.items() if n]
+        return "".join(went_on), caller.finished
+
+    async def test_stream_begun_before_the_new_entry_breaks(self) -> None:
+        """Guards against the rest of a new stream from the version of an old entry."""
+        self.assertEqual(await self.go_on(0.2), ("", False))
+        self.assertEqual(await self.go_on(0.2, "v2"), ("v2", True))
+        self.assertEqual(await self.go_on(0.2, "v1", 2.0), ("v1", True))
+        # Its clock may be wrong.
+        self.assertEqual(await self.go_on(0.2, "v2", 2.0), ("", False))
+
+    async def test_stream_begun_well_before_the_restart_breaks(self) -> None:
+        """Guards against cutting each stream whose instance has come back."""
+        self.assertEqual(await self.go_on(-1.0), ("v1", True))
+        self.assertEqual(await self.go_on(0.2, ends=True), ("v1", True))
+
+    async def test_new_stream_after_an_answer_broke_off(self) -> None:
+        """Guards against new streams by an old entry until the store counts as lost."""
+        self.paused_until = -math.inf
+        for started_ms, n_asked, n_sent in ((BORN_MS, 3, 2), (1, 1, 5), (0, 3, 5)):
+            probe = Probe()
+            upstreams = {"e1": Upstream([break_off, a_stream(1, 2)])}
+            with self.subTest(started_ms=started_ms):
+                async with a_router(**upstreams) as router:
+                    use_probe(router, probe)
+                    await router.ask("/long/7", x_prompt=PROMPT, x_id="q0")
+                    probe.born["e1"], probe.asked = started_ms, []
+                    for number in range(1, 4):
+                        await trio.sleep(1.0)
+                        await router.ask("/long/7", x_prompt=PROMPT, x_id=f"q{number}")
+                    found = min(probe.n_asked, 3), n_requests(upstreams)["e1"]
+                    self.assertEqual(found, (n_asked, n_sent))
+
     async def test_streams_that_come_together_share_an_answer(self) -> None:
         """Guards against a question for each stream of an instance that broke off."""
         probe = Probe(e1=2)
