The end of a process is no witness of an empty rest

A stream whose engine was killed ended as complete at a part when one other instance wrongly sent the end alone for the rest: the close that came with the end of the process, or of a run that may have been stopped for its copy, was counted as the first of two statements that nothing follows. Neither says anything of what was due.

They count no more; an end of unknown cause still does. After the end of a process a second instance must confirm an empty rest, or the same one says it twice, which happens only where no other can be asked. A cut there would be no safer, since the caller takes the stream up after its last event and believes the first instance.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_relay.py
@@ -94,6 +94,8 @@
         """Number of the event after which an instance last said that the end is."""
         self._end_said_by: IncarnationKey | None = None
         """The first instance that said so."""
+        self._died_after: int | None = None
+        """Number of the event after which an answer last ended with its process."""
         self.longest_pause_s = 0.0
         """Longest pause between two writes to the caller."""
         self.last_write_at: float | None = None
@@ -117,6 +119,21 @@
             return None
         return self._end_said_by
 
+    def died_after(self, after: int | None) -> None:
+        """Record that an answer ended with its process after an event.
+
+        That doesn't tell whether more was due.
+        """
+        self._died_after = after
+
+    def may_be_whole(self, after: int | None) -> bool:
+        """Return whether an event may have been the last of a process that has ended.
+
+        Without another instance to ask, one that says so twice is believed then: the
+        rest is the end alone each time an engine exits right after a whole answer.
+        """
+        return after is not None and self._died_after == after
+
     def record_write(self) -> None:
         """Record that events are about to be sent to the caller."""
         now = trio.current_time()
@@ -420,11 +437,15 @@
         await self._write_rest(head, exchange)
 
     async def _confirm_end(self, exchange: Exchange) -> None:
+        if self.may_be_stopped:
+            raise UnknownEndError("ended while its run was copied", sent=True)
         try:
-            if self.may_be_stopped:
-                raise UnknownEndError("ended while its run was copied", sent=True)
             await self.confirm_end(exchange)
-        except BrokenError:
+        except ProcessEndedError:
+            if self.first_number is not None:
+                self.sent.died_after(self.last_number)
+            raise
+        except UnknownEndError:
             if self.first_number is not None:
                 # Another one that sends an empty rest for the same event confirms it.
                 self.sent.end_said_by(self.last_number, self.source)
@@ -442,7 +463,8 @@
         said_by = self.sent.end_said_by(self.resume_after, self.source)
         if said_by is None:
             raise UnconfirmedEndError("the rest of the stream is empty", sent=True)
-        if said_by == self.source:
+        is_same = said_by == self.source
+        if is_same and not self.sent.may_be_whole(self.resume_after):
             # Counted as a run: it could be asked without end.
             raise UnknownEndError("no other instance knows the end", sent=True)
 
