--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -748,17 +748,17 @@
             end = AnswerEnd.CLOSED
         ended_beside = end is AnswerEnd.CLOSED and self._ended_beside_others(ended_at)
         if ended_beside:
-            # Something has ended them all, though their process lives on.
-            end = AnswerEnd.UNKNOWN
+            # What made them has ended, whoever answers for it now.
+            end = AnswerEnd.DIED
         self.end = end.value
         self.end_age_ms = round((trio.current_time() - ended_at) * 1000)
         self.ended_leaving = not self._parts.state.accepts_requests(instance)
         self._parts.metrics.unmarked_end(self.end, self.ended_leaving)
-        if end is AnswerEnd.DIED:
-            raise ProcessEndedError("ended with its process", sent=True)
         if ended_beside:
             message = "ended at one moment with other answers of its instance"
-            raise UnknownEndError(message, sent=True)
+            raise ProcessEndedError(message, sent=True)
+        if end is AnswerEnd.DIED:
+            raise ProcessEndedError("ended with its process", sent=True)
         if end is AnswerEnd.UNKNOWN:
             raise UnknownEndError("ended by a close of unknown cause", sent=True)
 
