--- a/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
+++ b/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import Final
 
 import trio
@@ -35,6 +36,33 @@
 well within the time for which an end is held back."""
 
 
+USUAL_SHARE: Final = 0.5
+"""Share of marked ends above which an end without a mark is unusual."""
+
+N_REMEMBERED: Final = 200
+"""Ends of an upstream that count for that share, about."""
+
+
+class MarkedShare:
+    """Share of the answers of each upstream that have a mark of their end."""
+
+    def __init__(self) -> None:
+        self._n_all: Counter[str] = Counter()
+        self._n_marked: Counter[str] = Counter()
+
+    def record(self, upstream: str, is_marked: bool) -> None:
+        """Record the end of an answer; older ones count less and less."""
+        self._n_all[upstream] += 1
+        self._n_marked[upstream] += is_marked
+        if self._n_all[upstream] >= N_REMEMBERED:
+            self._n_all[upstream] //= 2
+            self._n_marked[upstream] //= 2
+
+    def share(self, upstream: str) -> float:
+        """Return the share; 0 for an upstream whose answers are not known."""
+        return self._n_marked[upstream] / max(1, self._n_all[upstream])
+
+
 class EndAnnouncements:
     """Ends of answers at all instances, as this router and its peers have seen them."""
 
@@ -45,6 +73,7 @@
         self._peers = peers
         self._ends = EndCoincidence()
         self._gossip = EndGossip(self._ends, rng)
+        self._marks = MarkedShare()
         self._pauses = PauseWatch()
         self._has_news = trio.Event()
         self._by_digest: dict[int, IncarnationKey] = {}
@@ -64,6 +93,7 @@
         ended isn't recorded. ``open_for_s`` is the time from the head of the answer to
         its end.
         """
+        self._marks.record(instance.upstream, is_marked)
         key = instance.incarnation_key
         self._gossip.record(key, ended_at, is_marked, open_for_s)
         self._wake()
@@ -75,6 +105,10 @@
         """
         return self._ends.coincides(instance.incarnation_key, ended_at)
 
+    def marks_ends(self, instance: ForwardInstance) -> bool:
+        """Return whether answers of its upstream usually have a mark of their end."""
+        return self._marks.share(instance.upstream) > USUAL_SHARE
+
     async def run(self) -> None:
         """Send updates until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -701,10 +701,11 @@
         """Raise unless the instance itself has ended an answer that has no mark of it.
 
         The events of a stream are with its caller already. The answer to a call is held
-        back within its objective.
+        back within its objective, unless a missing mark is unusual.
         """
-        stay_s = STAY_S
-        if self._route.kind is not RepeatKind.STREAM:
+        stay_s, ends = STAY_S, self._parts.end_announcements
+        is_usual = ends is None or not ends.marks_ends(self.placement.instance)
+        if is_usual and self._route.kind is not RepeatKind.STREAM:
             due_at = self._job.caller.arrived_at
             due_at += CALL_STAY_SHARE * self._route.objective_s
             stay_s = min(STAY_S, max(CALL_STAY_S, due_at - trio.current_time()))
--- a/packages/corianderlb-router/tests/test_unmarked_ends.py
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -8,8 +8,10 @@
 
 from answer_end_builders import UNREACHABLE, ScriptedPool, StartProbe
 from corianderlb_core.fleet_retry_budget import BudgetTerms
-from corianderlb_router.answer_end import AnswerEnds
+from corianderlb_router.answer_end import STAY_S, AnswerEnds
 from corianderlb_router.connection import UpstreamError
+from corianderlb_router.end_announcements import EndAnnouncements
+from corianderlb_router.forward_attempt import CALL_STAY_S
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_router.upstream_client import ExchangeTimeouts, UpstreamClient
 from corianderlb_standins.trio_case import TrioTestCase
@@ -145,6 +147,29 @@
                     self.assertEqual((found[0], is_whole), (status, False))
                     self.assertEqual(hosts.n_requests, 1)
 
+    async def test_call_is_held_back_while_it_is_in_time(self) -> None:
+        """Guards against late calls of upstreams that never mark an end."""
+        for n_marked, least_s, most_s in ((0, CALL_STAY_S, 0.9), (5, STAY_S, 1.4)):
+            script = [*[an_answer()] * n_marked, unmarked(2)]
+            host = Upstream(script, closes=True)
+            async with a_router(s1=host) as router:
+                parts = router.parts
+                announcements = EndAnnouncements(parts.state, parts.peers, parts.rng)
+                router.parts = dataclasses.replace(
+                    parts,
+                    ends=AnswerEnds(parts.transport.pool),
+                    end_announcements=announcements,
+                )
+                router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+                for number in range(n_marked):
+                    await router.ask(f"/read/{number}")
+                started_at = trio.current_time()
+                caller = await router.ask("/read/7")
+                took_s = trio.current_time() - started_at
+            with self.subTest(n_marked=n_marked):
+                self.assertEqual((caller.status, caller.finished), (200, True))
+                self.assertTrue(least_s <= took_s <= most_s, took_s)
+
     async def test_failure_of_unknown_length(self) -> None:
         """Guards against an instance that only fails, and is never avoided."""
         failure = HEAD.replace(b"200 OK", b"500 Failed") + b"no"
