--- a/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_asgi.py
@@ -21,7 +21,7 @@
 
 from corianderlb_core.codec import DecodeError, from_plain, plain_from_json
 
-from ._plain_http import UNFRAMED, serve_plainly
+from ._plain_http import RAW, UNFRAMED, serve_plainly
 
 T = TypeVar("T")
 
@@ -42,6 +42,7 @@
     body: bytes
     receive: Any
     send: Any
+    client_port: int = 0
 
     def plain(self) -> Any:
         """Return the body decoded from JSON; an empty body gives an empty map."""
@@ -80,6 +81,13 @@
         await self.start(status, {**defaults, **(headers or {})}, is_framed)
         await self.write(body, more=False)
 
+    async def write_raw(self, data: bytes) -> None:
+        """Send bytes as they are, also after the end of the answer.
+
+        They need the server of ``serve_app(..., is_plain=True)``.
+        """
+        await self.send({"type": RAW, "body": data})
+
     async def cut(self) -> None:
         """Send status and headers, then close the connection."""
         await self.start(200, {"content-length": "1"})
@@ -202,6 +210,7 @@
         body=body,
         receive=receive,
         send=send,
+        client_port=(scope.get("client") or ("", 0))[1],
     )
 
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/_plain_http.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/_plain_http.py
@@ -21,6 +21,9 @@
 UNFRAMED: Final = "corianderlb.unframed"
 """Key of a message that starts an answer without length and chunks."""
 
+RAW: Final = "corianderlb.raw"
+"""Type of a message whose body goes onto the connection as it is."""
+
 RECEIVE_BYTES: Final = 65536
 
 
@@ -82,6 +85,7 @@
             "path": unquote(path.decode()),
             "query_string": query,
             "headers": list(request.headers),
+            "client": self._stream.socket.getpeername(),
         }
         is_read, closed = False, trio.Event()
 
@@ -125,6 +129,9 @@
             await self._stream.send_all(self._head(message))
             return
         data = message.get("body", b"")
+        if message["type"] == RAW:
+            await self._stream.send_all(data)
+            return
         self._is_complete = not message.get("more_body", False)
         if self._is_unframed:
             parts = data
--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import errno
+import random
 import socket
 import struct
 from collections import Counter
@@ -33,6 +34,9 @@
 HANG_RESET_NEW: Final = "hang_reset_new"
 """Open connections of cut clients forward nothing more, and new ones are reset."""
 
+HOLD_CHECK_S: Final = 0.02
+"""Time between two looks whether data that is held may go on."""
+
 CONNECT_TIMEOUT_S: Final = 2.0
 """Timeout for connecting to the target."""
 
@@ -57,6 +61,15 @@
     """Clients, by process id, that are cut off from the target while others are not."""
     cut_how: str = HANG
     """What happens to the connections of ``cut_pids``."""
+    holds_requests: bool = False
+    """Keep what clients send, and their closes, until this is reset."""
+    holds_replies: bool = False
+    """Keep what the target sends, and its closes, until this is reset."""
+    held_pids: tuple[int, ...] = ()
+    """Clients, by process id, whose data is held; all if empty."""
+    late_share: float = 0.0
+    """Share of the chunks that are ``late_s`` late, as lost segments are."""
+    late_s: float = 0.0
 
 
 class _Connection:
@@ -78,6 +91,7 @@
         self._port = int(port)
         self._connections: set[_Connection] = set()
         self._calls: Counter[str] = Counter()
+        self._rng = random.Random(target)
         self._listen_host = ""
         self._listen_port = 0
         self._listening = trio.CancelScope()
@@ -125,7 +139,10 @@
                 conn.frozen = True
 
     def _is_cut(self, client: trio.SocketStream) -> bool:
-        pids = self.faults.cut_pids
+        return self._is_of(client, self.faults.cut_pids)
+
+    def _is_of(self, client: trio.SocketStream, pids: tuple[int, ...]) -> bool:
+        """Return whether a connection is one of some client processes."""
         if not pids:
             return False
         try:
@@ -199,7 +216,10 @@
             while data := await source.receive_some(CHUNK_BYTES):
                 await self._relay(conn, sink, data)
             await self._relay(conn, sink, b"")
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except trio.BrokenResourceError:
+            # A reset of one side is one of the other, not an end in order.
+            _reset_when_closed(sink)
+        except trio.ClosedResourceError:
             pass
         if not conn.frozen:
             conn.scope.cancel()
@@ -209,6 +229,10 @@
     ) -> None:
         if self.faults.delay_s:
             await trio.sleep(self.faults.delay_s)
+        if self._rng.random() < self.faults.late_share:
+            await trio.sleep(self.faults.late_s)
+        while self._is_held(conn, sink):
+            await trio.sleep(HOLD_CHECK_S)
         if conn.frozen:
             # Both ends stay open: neither receives data or a close from the other.
             await trio.sleep_forever()
@@ -217,6 +241,14 @@
         elif data:
             await sink.send_all(data)
 
+    def _is_held(self, conn: _Connection, sink: trio.SocketStream) -> bool:
+        """Return whether data for one side of a connection waits."""
+        faults = self.faults
+        is_reply = sink is conn.client
+        if not (faults.holds_replies if is_reply else faults.holds_requests):
+            return False
+        return not faults.held_pids or self._is_of(conn.client, faults.held_pids)
+
     def _should_drop_reply(self) -> bool:
         n_left = self.faults.drop_replies
         if n_left == 0:
