--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -70,6 +70,8 @@
     late_share: float = 0.0
     """Share of the chunks that are ``late_s`` late, as lost segments are."""
     late_s: float = 0.0
+    follows_target: bool = False
+    """Refuse connections while the target does, as a link without a proxy would."""
 
 
 class _Connection:
@@ -96,6 +98,7 @@
         self._listen_port = 0
         self._listening = trio.CancelScope()
         self._opened = trio.Event()
+        self._is_target_away = False
 
     def counters(self) -> dict[str, Any]:
         """Return the number of connections opened, cut, frozen, dropped and open."""
@@ -172,9 +175,20 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._serve_once(nursery)
-                while self.faults.refuse:
+                while self.faults.refuse or await self._is_still_away():
                     await trio.sleep(0.01)
 
+    async def _is_still_away(self) -> bool:
+        """Return whether the target has refused a connection and still does."""
+        if self._is_target_away:
+            try:
+                server = await trio.open_tcp_stream(self._host, self._port)
+            except OSError:
+                return True
+            await server.aclose()
+            self._is_target_away = False
+        return False
+
     async def _serve_once(self, nursery: trio.Nursery) -> None:
         listeners = await _open_listeners(self._listen_host, self._listen_port)
         self._listen_port = listeners[0].socket.getsockname()[1]
@@ -193,7 +207,14 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 server = await trio.open_tcp_stream(self._host, self._port)
-        except (OSError, trio.TooSlowError):
+        except OSError:
+            if self.faults.follows_target:
+                self._is_target_away = True
+                self._listening.cancel()
+                _reset_when_closed(client)
+            await client.aclose()
+            return
+        except trio.TooSlowError:
             await client.aclose()
             return
         conn = _Connection(client, server)
