--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -136,7 +136,7 @@
             if how == RESET_NEW or not self._is_cut(conn.client):
                 continue
             if how == RESET:
-                _reset_when_closed(conn.client)
+                reset_when_closed(conn.client)
                 conn.scope.cancel()
             else:
                 conn.frozen = True
@@ -201,7 +201,7 @@
         is_cut = self._is_cut(client)
         if is_cut and self.faults.cut_how != HANG:
             self._calls["cut"] += 1
-            _reset_when_closed(client)
+            reset_when_closed(client)
             await client.aclose()
             return
         try:
@@ -211,7 +211,7 @@
             if self.faults.follows_target:
                 self._is_target_away = True
                 self._listening.cancel()
-                _reset_when_closed(client)
+                reset_when_closed(client)
             await client.aclose()
             return
         except trio.TooSlowError:
@@ -239,7 +239,8 @@
             await self._relay(conn, sink, b"")
         except trio.BrokenResourceError:
             # A reset of one side is one of the other, not an end in order.
-            _reset_when_closed(sink)
+            reset_when_closed(source)
+            reset_when_closed(sink)
         except trio.ClosedResourceError:
             pass
         if not conn.frozen:
@@ -280,7 +281,8 @@
         return True
 
 
-def _reset_when_closed(stream: trio.SocketStream) -> None:
+def reset_when_closed(stream: trio.SocketStream) -> None:
+    """Let the close of a connection reset it."""
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
