--- a/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/fault_proxy.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import errno
+import random
 import socket
 import struct
 from collections import Counter
@@ -33,6 +34,9 @@
 HANG_RESET_NEW: Final = "hang_reset_new"
 """Open connections of cut clients forward nothing more, and new ones are reset."""
 
+HOLD_CHECK_S: Final = 0.02
+"""Time between two looks whether data that is held may go on."""
+
 CONNECT_TIMEOUT_S: Final = 2.0
 """Timeout for connecting to the target."""
 
@@ -57,6 +61,17 @@
     """Clients, by process id, that are cut off from the target while others are not."""
     cut_how: str = HANG
     """What happens to the connections of ``cut_pids``."""
+    holds_requests: bool = False
+    """Keep what clients send, and their closes, until this is reset."""
+    holds_replies: bool = False
+    """Keep what the target sends, and its closes, until this is reset."""
+    held_pids: tuple[int, ...] = ()
+    """Clients, by process id, whose data is held; all if empty."""
+    late_share: float = 0.0
+    """Share of the chunks that are ``late_s`` late, as lost segments are."""
+    late_s: float = 0.0
+    follows_target: bool = False
+    """Refuse connections while the target does, as a link without a proxy would."""
 
 
 class _Connection:
@@ -78,10 +93,12 @@
         self._port = int(port)
         self._connections: set[_Connection] = set()
         self._calls: Counter[str] = Counter()
+        self._rng = random.Random(target)
         self._listen_host = ""
         self._listen_port = 0
         self._listening = trio.CancelScope()
         self._opened = trio.Event()
+        self._is_target_away = False
 
     def counters(self) -> dict[str, Any]:
         """Return the number of connections opened, cut, frozen, dropped and open."""
@@ -119,13 +136,16 @@
             if how == RESET_NEW or not self._is_cut(conn.client):
                 continue
             if how == RESET:
-                _reset_when_closed(conn.client)
+                reset_when_closed(conn.client)
                 conn.scope.cancel()
             else:
                 conn.frozen = True
 
     def _is_cut(self, client: trio.SocketStream) -> bool:
-        pids = self.faults.cut_pids
+        return self._is_of(client, self.faults.cut_pids)
+
+    def _is_of(self, client: trio.SocketStream, pids: tuple[int, ...]) -> bool:
+        """Return whether a connection is one of some client processes."""
         if not pids:
             return False
         try:
@@ -155,9 +175,20 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._serve_once(nursery)
-                while self.faults.refuse:
+                while self.faults.refuse or await self._is_still_away():
                     await trio.sleep(0.01)
 
+    async def _is_still_away(self) -> bool:
+        """Return whether the target has refused a connection and still does."""
+        if self._is_target_away:
+            try:
+                server = await trio.open_tcp_stream(self._host, self._port)
+            except OSError:
+                return True
+            await server.aclose()
+            self._is_target_away = False
+        return False
+
     async def _serve_once(self, nursery: trio.Nursery) -> None:
         listeners = await _open_listeners(self._listen_host, self._listen_port)
         self._listen_port = listeners[0].socket.getsockname()[1]
@@ -170,13 +201,20 @@
         is_cut = self._is_cut(client)
         if is_cut and self.faults.cut_how != HANG:
             self._calls["cut"] += 1
-            _reset_when_closed(client)
+            reset_when_closed(client)
             await client.aclose()
             return
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 server = await trio.open_tcp_stream(self._host, self._port)
-        except (OSError, trio.TooSlowError):
+        except OSError:
+            if self.faults.follows_target:
+                self._is_target_away = True
+                self._listening.cancel()
+                reset_when_closed(client)
+            await client.aclose()
+            return
+        except trio.TooSlowError:
             await client.aclose()
             return
         conn = _Connection(client, server)
@@ -199,7 +237,11 @@
             while data := await source.receive_some(CHUNK_BYTES):
                 await self._relay(conn, sink, data)
             await self._relay(conn, sink, b"")
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except trio.BrokenResourceError:
+            # A reset of one side is one of the other, not an end in order.
+            reset_when_closed(source)
+            reset_when_closed(sink)
+        except trio.ClosedResourceError:
             pass
         if not conn.frozen:
             conn.scope.cancel()
@@ -209,6 +251,10 @@
     ) -> None:
         if self.faults.delay_s:
             await trio.sleep(self.faults.delay_s)
+        if self._rng.random() < self.faults.late_share:
+            await trio.sleep(self.faults.late_s)
+        while self._is_held(conn, sink):
+            await trio.sleep(HOLD_CHECK_S)
         if conn.frozen:
             # Both ends stay open: neither receives data or a close from the other.
             await trio.sleep_forever()
@@ -217,6 +263,14 @@
         elif data:
             await sink.send_all(data)
 
+    def _is_held(self, conn: _Connection, sink: trio.SocketStream) -> bool:
+        """Return whether data for one side of a connection waits."""
+        faults = self.faults
+        is_reply = sink is conn.client
+        if not (faults.holds_replies if is_reply else faults.holds_requests):
+            return False
+        return not faults.held_pids or self._is_of(conn.client, faults.held_pids)
+
     def _should_drop_reply(self) -> bool:
         n_left = self.faults.drop_replies
         if n_left == 0:
@@ -227,7 +281,8 @@
         return True
 
 
-def _reset_when_closed(stream: trio.SocketStream) -> None:
+def reset_when_closed(stream: trio.SocketStream) -> None:
+    """Let the close of a connection reset it."""
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
