A stream's changed version is told to all peers, not to eight others

What callers saw: a stream of two software versions.

Cause: each announcement of a stream's version goes to eight peers chosen at random. With more than nine routers the second one, with the version that really began the stream, misses some that have the first; they keep it, and tell others who ask. The same holds for the correction after an engine restarted with other software. Tests of the data path didn't show it, since their peers passed every such message on to all.

Now a version that replaces another one is sent to all linked peers. First announcements, nearly all of them, go to eight as before. A peer without a link at that moment still keeps the older version.

The test failed before: of 12 routers some had v1 after v2 was announced.

--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -205,7 +205,7 @@
             return
         is_covered = self._observed_s(route, now) >= self._lifetime_s
         if not is_covered or len(self._recent(route, now)) > 1:
-            self._announce([origin])
+            self._announce([origin], is_correction=known is not None)
 
     def sent(self, key: bytes, instance: ForwardInstance) -> None:
         """Record that the request of a stream that began is sent only now.
@@ -531,12 +531,21 @@
         self._table.record(origin, now)
         return origin
 
-    def _announce(self, origins: Sequence[KnownOrigin]) -> None:
+    def _announce(
+        self, origins: Sequence[KnownOrigin], is_correction: bool = False
+    ) -> None:
+        """Announce origins to some peers, corrected ones to all.
+
+        A peer that has the version of before would go on with it.
+        """
         now = trio.current_time()
         for start in range(0, len(origins), MAX_ORIGINS_PER_MESSAGE):
             part = origins[start : start + MAX_ORIGINS_PER_MESSAGE]
             update = StreamOriginsUpdate(tuple(o.announcement(now) for o in part))
-            self._peers.forward_update(update, N_KEEPERS)
+            if is_correction:
+                self._peers.broadcast(update)
+            else:
+                self._peers.forward_update(update, N_KEEPERS)
 
     # Software versions of the instances.
 
@@ -619,7 +628,7 @@
             round(self._wall_clock() * 1000),
         )
         if corrected:
-            self._announce(corrected)
+            self._announce(corrected, is_correction=True)
 
     def _drop_entries_except(self, names: set[str]) -> None:
         """Drop the entries of instances that are gone."""
--- a/packages/corianderlb-router/tests/data_path_fakes.py
+++ b/packages/corianderlb-router/tests/data_path_fakes.py
@@ -286,6 +286,7 @@
         self._others = others
         self._handlers: dict[type, Handler] = {}
         self._is_cut_off = False
+        self._rng = random.Random(name)
         self.is_leaving = False
         others.append(self)
 
@@ -305,15 +306,23 @@
                     return True
         return False
 
+    def forward_update(self, message: Message, n_peers: int = 3) -> int:
+        others = [other for other in self._others if other is not self]
+        chosen = self._rng.sample(others, min(n_peers, len(others)))
+        return self._post(chosen, message)
+
     def broadcast(self, message: Message) -> int:
-        for other in self._others:
+        return self._post(self._others, message)
+
+    def _post(self, peers: Collection[FakePeers], message: Message) -> int:
+        for other in peers:
             if other is self or self._is_cut_off or other._is_cut_off:
                 continue
             if type(message) in other._handlers:
                 trio.lowlevel.spawn_system_task(
                     other._handlers[type(message)], self._name, message
                 )
-        return len(self._others) - 1
+        return len(peers) - (self in peers)
 
     @property
     def own(self) -> InstanceId:
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -130,6 +130,21 @@
 
 
 class ResumeTest(TrioTestCase):
+    async def test_no_router_keeps_a_version_that_was_replaced(self) -> None:
+        """Guards against a peer that was told of the first attempt of a stream only."""
+        upstreams = {"e1": Upstream([]), "e2": Upstream([])}
+        async with a_fleet(12, **upstreams) as routers:
+            for router in routers:
+                list_versions(router, e1="v1", e2="v2")
+            parts, key = routers[0].parts, stream_key("acme", "q1")
+            route = parts.state.configuration.routes[0]
+            for instance in parts.state.all_instances():
+                parts.origins.began(key, instance, route)
+                await trio.sleep(1)
+            last = instance.software_version
+            known = {router.parts.origins.version_of(key) for router in routers}
+            self.assertEqual(known - {None}, {last})
+
     async def test_resumed_stream_goes_to_its_version(self) -> None:
         upstreams = {f"e{n}": Upstream([a_stream(1, 2)]) for n in (1, 2, 3, 4)}
         async with a_fleet(2, **upstreams) as (first, second):
