An instance that drops a new connection as it exits is not there

Only connections that cannot show their close stand for both moments now; without one to watch, and no start told, the end is of unknown cause. Unit test failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -192,7 +192,8 @@
             if seen.end is AnswerEnd.DIED:
                 return seen.end
             conns = self._open_conns(instance, ended_at)
-            is_watched = bool(conns) or seen.end_of(ended_at) is not AnswerEnd.CLOSED
+            held = self._held.get(instance.incarnation_key, ())
+            is_watched = all(conn.shows_close for conn in held)
             while not await _stay_open(conns, settles_at):
                 now = trio.current_time()
                 found = await self._questions.ask(instance, ended_at, now)
@@ -202,7 +203,7 @@
                 conns = []
         since = max(now, min(settles_at, trio.current_time()) - SHARED_S)
         found = await self._questions.ask(instance, ended_at, since)
-        # Without a connection to watch, the process was there at both times.
+        # If none can be watched, a process was there at both times.
         return found.end_of(ended_at) if is_watched else found.end
 
     async def _look(self, instance: ForwardInstance, ended_at: float) -> _Finding:
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -568,6 +568,11 @@
         """Whether the upstream closed or sent unsolicited data while idle."""
         return isinstance(self._stream, SocketStream) and self._stream.is_readable
 
+    @property
+    def shows_close(self) -> bool:
+        """Whether a close by the other side is known before it is read."""
+        return isinstance(self._stream, SocketStream)
+
     @property
     def has_closed(self) -> bool:
         """Whether either side has closed or reset it, or nothing tells."""
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -20,6 +20,8 @@
 class ScriptedConnection:
     """Connection that stays open, or is dropped by the other side."""
 
+    shows_close = True
+
     def __init__(self, is_dropped: bool) -> None:
         self.is_dropped = is_dropped
         self.is_closed = False
--- a/packages/corianderlb-router/tests/test_answer_end.py
+++ b/packages/corianderlb-router/tests/test_answer_end.py
@@ -282,6 +282,13 @@
                 )
             self.assertIs(found, end)
 
+    async def test_process_that_drops_new_connections_as_it_exits(self) -> None:
+        """Guards against a dropped connection, and the next process, as one process."""
+        pool = ScriptedPool(DROPPED, OPEN, OPEN)
+        ended_at = trio.current_time()
+        found = await AnswerEnds(pool).judge(UNTOLD, ended_at, ended_at + STAY_S)
+        self.assertIs(found, UNKNOWN)
+
     async def test_listening_socket_that_outlives_its_process(self) -> None:
         """Guards against a connection that no process has accepted."""
         for responds, end in ((False, UNKNOWN), (True, CLOSED)):
