Keep requests suspects of a crash while the ends of their answers are judged

Requests whose answers had no mark of their end were each reported as the only suspect when their process was found to have crashed after them: an attempt left the table of those in flight once its answer had ended, while the crash is found up to 1.2 s later. So of the requests that were there at two crashes, which are refused, the one that caused them was not told from the others, nor reported by a router that doesn't hear of it. Its place at the instance is still free at once; only the table of suspects keeps it until the end is judged.

Two streams that end in order 0.3 s before their process: the first report named one suspect of two before, and both now (test_unmarked_ends).

--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -544,16 +544,17 @@
             is_tracked = False
             begun_at = first_at[0] if first_at else None
             attempt.part_request = PartRequest(self._part_digests, sent_at, begun_at)
-            parts.in_flight.end(AttemptId(key))
             parts.health.ended(instance.incarnation_key, has_begun=bool(first_at))
             self._target.ended(key, placement, has_first_token=bool(first_at))
 
-        # Its place at the instance is free while its end is judged.
+        # Its place at the instance is free while its end is judged. It stays a suspect,
+        # since the process may be found to have crashed.
         attempt.on_answer_end = end
         try:
             yield
         finally:
             end()
+            parts.in_flight.end(AttemptId(key))
 
     # Failure handling.
 
--- a/packages/corianderlb-router/tests/test_unmarked_ends.py
+++ b/packages/corianderlb-router/tests/test_unmarked_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from functools import partial
 
 import trio
 
@@ -130,6 +131,32 @@
                     self.assertEqual(found, (200, True, body))
                     self.assertEqual(hosts.n_requests, n_requests)
 
+    async def test_all_answers_of_a_process_that_ends_later_are_suspects(self) -> None:
+        """Guards against a harmless request that is the only suspect of a crash."""
+        n_waiting, reports = 2, []
+
+        async def close(stream: trio.abc.Stream) -> None:
+            await stream.send_all(unmarked(2))
+            await trio.sleep(0.1)
+            await stream.aclose()
+            await trio.sleep(0.3)
+            engine.alive = False
+
+        engine = Upstream([close])
+        async with a_router(e1=engine) as router:
+            ends = AnswerEnds(router.parts.transport.pool, StartProbe(0))
+            router.parts = dataclasses.replace(router.parts, ends=ends)
+            router.dispatcher = ForwardDispatcher(router.parts, router.exchanges)
+            router.parts.quarantine.report_crash = lambda *report: reports.append(
+                set(report[2])
+            )
+            async with trio.open_nursery() as nursery:
+                for number in range(n_waiting):
+                    nursery.start_soon(
+                        partial(router.ask, f"/long/{number}", x_prompt=PROMPT)
+                    )
+        self.assertEqual(len(reports[0]), n_waiting)
+
     async def test_no_other_attempt_may_follow(self) -> None:
         """Guards against an end of unknown cause that counts as that of the answer."""
         for path, status, budget in (
