Carried ends are held back for 0.8 s; a whole answer is counted by its framing

A router that carries a connection held an end back for as long as the other one waits for an event, which then began a second run; it is 0.8 s now. A stream that has made all its tokens counted as marked, so that calls of an upstream that never marks an end were held back beyond their objective; failures and cuts counted as unmarked. Only the framing of whole answers counts now.

--- a/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
+++ b/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
@@ -93,11 +93,14 @@
         ended isn't recorded. ``open_for_s`` is the time from the head of the answer to
         its end.
         """
-        self._marks.record(instance.upstream, is_marked)
         key = instance.incarnation_key
         self._gossip.record(key, ended_at, is_marked, open_for_s)
         self._wake()
 
+    def record_framing(self, instance: ForwardInstance, has_mark: bool) -> None:
+        """Record whether a whole answer had a mark of its end."""
+        self._marks.record(instance.upstream, has_mark)
+
     def coincides(self, instance: ForwardInstance, ended_at: float) -> bool:
         """Return whether a recorded end came together with others beyond chance.
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -348,7 +348,7 @@
         try:
             head = self._read_head(response)
             await self._relay_answer(head, response.exchange, on_data)
-            self._record_end(trio.current_time(), is_marked=True)
+            self._record_whole(has_mark=not response.exchange.ends_by_close)
         except (BrokenError, SilentError) as exc:
             heard_at = self.received_at or self._head_received_at
             is_own = exc is not self.given_up and not isinstance(exc, WrongAnswerError)
@@ -711,6 +711,13 @@
             stay_s = min(STAY_S, max(CALL_STAY_S, due_at - trio.current_time()))
         await self._judge_end(trio.current_time() - exchange.silent_s, stay_s)
 
+    def _record_whole(self, has_mark: bool) -> None:
+        """Record the end of a whole answer, whatever has shown that it is whole."""
+        if self._parts.end_announcements is not None:
+            instance = self.placement.instance
+            self._parts.end_announcements.record_framing(instance, has_mark)
+        self._record_end(trio.current_time(), is_marked=True)
+
     def _record_end(self, ended_at: float, is_marked: bool) -> None:
         """Record the end of the answer, to be compared with that of others.
 
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -35,7 +35,7 @@
 from corianderlb_core.result import ResultCode
 
 from ._handshake import AuthenticatedLink
-from .answer_end import STAY_S, AnswerEnd, AnswerEnds
+from .answer_end import AnswerEnd, AnswerEnds
 from .connection import (
     RECEIVE_BYTES,
     ConnectFailedError,
@@ -77,6 +77,10 @@
 CLOSE_TIMEOUT_S: Final = 5.0
 """Time for the other router to close a tunnel whose instance has closed."""
 
+CARRIED_STAY_S: Final = 0.8
+"""Time for which a process has to outlive an answer that is carried. The other router
+takes the instance for silent meanwhile, and replaces its attempt after 1.2 s."""
+
 MAX_TUNNELS: Final = 256
 """Maximum number of tunnels that a router carries for others; bounds their memory."""
 
@@ -489,5 +493,5 @@
         if self._ends is None:
             return True
         ended_at = trio.current_time() - silent_s_of(stream)
-        end = await self._ends.judge(instance, ended_at, ended_at + STAY_S)
+        end = await self._ends.judge(instance, ended_at, ended_at + CARRIED_STAY_S)
         return end is AnswerEnd.CLOSED
