A version that has become unknown is told to all peers

Of 12 routers some kept the version of before, since eight were told, and would have gone on with the stream: the cause of a replaced version, in the code that confirms the version of a stream that breaks off. The test failed before.

--- a/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
+++ b/packages/corianderlb-router/src/corianderlb_router/end_announcements.py
@@ -128,8 +128,8 @@
     async def on_update(self, sender: InstanceId, update: AnswerEndsUpdate) -> None:
         """Record the ends that a peer tells, and pass some of them on.
 
-        After a pause of this process nobody knows when an update has arrived, so that
-        it can't be dated.
+        After a pause of this process the time at which an update arrived is not known,
+        so that it can't be dated.
         """
         if self._pauses.has_just_resumed:
             return
--- a/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
+++ b/packages/corianderlb-router/src/corianderlb_router/stream_origins.py
@@ -276,7 +276,7 @@
                 await changed.wait()
         unknown = replace(origin, version=UNKNOWN_VERSION)
         self._table.record(unknown, trio.current_time())
-        self._announce([unknown])
+        self._announce([unknown], is_correction=True)
         return False
 
     def has_begun(self, key: bytes, instance: ForwardInstance) -> bool:
--- a/packages/corianderlb-router/tests/test_stream_origins.py
+++ b/packages/corianderlb-router/tests/test_stream_origins.py
@@ -12,7 +12,12 @@
 
 from corianderlb_core.codec import to_cbor
 from corianderlb_core.identity import InstanceId
-from corianderlb_core.stream_origin import StoredStreams, StreamRecord, stream_key
+from corianderlb_core.stream_origin import (
+    UNKNOWN_VERSION,
+    StoredStreams,
+    StreamRecord,
+    stream_key,
+)
 from corianderlb_router.forward_dispatcher import ForwardDispatcher
 from corianderlb_router.store import StoredObject
 from corianderlb_router.stream_origins import StreamOrigins
@@ -144,6 +149,12 @@
             last = instance.software_version
             known = {router.parts.origins.version_of(key) for router in routers}
             self.assertEqual(known - {None}, {last})
+            # Another process has begun it, whose entry doesn't come.
+            started_ms = round(time.time() * 1000)
+            self.assertFalse(await parts.origins.confirm(key, instance, started_ms))
+            await trio.sleep(1)
+            known = {router.parts.origins.version_of(key) for router in routers}
+            self.assertEqual(known - {None}, {UNKNOWN_VERSION})
 
     async def test_resumed_stream_goes_to_its_version(self) -> None:
         upstreams = {f"e{n}": Upstream([a_stream(1, 2)]) for n in (1, 2, 3, 4)}
