--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -54,6 +54,10 @@
 SHARED_S: Final = 0.1
 """Part of that time within which answers share the question whether it is there."""
 
+RECENT_S: Final = 0.2
+"""Age up to which an answered request shows that a process answers: answers that share
+a question have all ended before."""
+
 WATCH_INTERVAL_S: Final = 0.1
 """Interval at which connections are looked at meanwhile."""
 
@@ -265,11 +269,22 @@
                     return connected
             if witnesses.has_answered:
                 return found
-        if found.end is AnswerEnd.CLOSED and self._probe is not None:
-            if not await self._probe.answers(instance):
-                return _Finding(AnswerEnd.UNKNOWN)
+        if found.end is AnswerEnd.CLOSED and not await self._answers(
+            instance, ended_at
+        ):
+            return _Finding(AnswerEnd.UNKNOWN)
         return found
 
+    async def _answers(self, instance: ForwardInstance, ended_at: float) -> bool:
+        """Return whether a process answers on connections opened after an end.
+
+        Requests that were answered show it without a question.
+        """
+        since = max(ended_at, trio.current_time() - RECENT_S)
+        if self._probe is None or self._pool.answered_since(instance.address, since):
+            return True
+        return await self._probe.answers(instance)
+
     async def _look_for_witnesses(
         self, instance: ForwardInstance, ended_at: float
     ) -> _Witnesses | None:
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -62,6 +62,8 @@
         self._generation: dict[str, int] = {}
         self._opened: dict[str, WeakSet[Connection]] = {}
         """Connections that may still be open."""
+        self._answered: dict[str, float] = {}
+        """When the newest connection was opened on which a response has arrived."""
 
     async def take(self, address: str, fresh: bool, connect_s: float) -> Connection:
         """Return a usable idle connection, or a new one."""
@@ -108,6 +110,15 @@
         opened = self._opened.get(address, ())
         return [c for c in opened if c.opened_at < at and not c.is_closed]
 
+    def record_answer(self, conn: Connection) -> None:
+        """Record that a response has arrived on a connection."""
+        opened_at = self._answered.get(conn.address, -math.inf)
+        self._answered[conn.address] = max(opened_at, conn.opened_at)
+
+    def answered_since(self, address: str, at: float) -> bool:
+        """Return whether a connection opened after a time has carried a response."""
+        return self._answered.get(address, -math.inf) > at
+
     async def give_back(self, conn: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         idle = self._idle.setdefault(conn.address, [])
@@ -278,6 +289,8 @@
             if rest:
                 await _with_timeout(cfg.write_s, conn, lambda: conn.send_rest(rest))
             head = await _with_timeout(cfg.read_s, conn, conn.receive_head)
+            if cfg.connector is None:
+                self.pool.record_answer(conn)
         except BaseException:
             with trio.CancelScope(shield=True):
                 await conn.close()
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -64,6 +64,10 @@
         self.opened.append(ScriptedConnection(outcome == DROPPED))
         return self.opened[-1]
 
+    def answered_since(self, address: str, at: float) -> bool:
+        """Return that no request was answered."""
+        return False
+
     def opened_before(self, address: str, at: float) -> list[ScriptedConnection]:
         """Return the connections opened before a time that this side has not closed."""
         return [c for c in self.opened if c.opened_at < at and not c.is_closed]
