Ends of answers: one way to find connections that are still open, and one to leave a place

No change of behaviour. Which connections may lead to a process, and which of them are open, was written out five times; the place at an instance is left by an exit stack, which runs once, in place of a flag of its own; a condition that could not be false goes. Idle connections are taken off the list before any is closed, so that ends which are judged meanwhile find it whole. 251 tests of the modules concerned pass.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -140,12 +140,11 @@
         while question := self._open.get(key):
             await question.is_answered.wait()
         question = self._answered.get(key)
-        if question is None or question.asked_at < since or question.finding is None:
-            question = await self._ask_now(instance, ended_at)
-        assert question.finding is not None
-        return question.finding
+        if question is not None and question.finding and question.asked_at >= since:
+            return question.finding
+        return await self._ask_now(instance, ended_at)
 
-    async def _ask_now(self, instance: ForwardInstance, ended_at: float) -> _Question:
+    async def _ask_now(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         key, question = instance.incarnation_key, _Question()
         self._open[key] = question
         try:
@@ -155,7 +154,7 @@
             del self._open[key]
             question.is_answered.set()
         self._forget_old()
-        return question
+        return question.finding
 
     def _forget_old(self) -> None:
         oldest = trio.current_time() - SHARED_S
@@ -216,7 +215,7 @@
         Those of other answers end with them.
         """
         now, held = trio.current_time(), self._held.get(instance.incarnation_key, ())
-        times = [conn.opened_at for conn in held if not conn.has_closed]
+        times = [conn.opened_at for conn in _still_open(held)]
         if times and now - max(times) < WATCH_KEPT_S:
             return _Finding(AnswerEnd.CLOSED, _there_since(min(times)))
         return await self._connect(instance)
@@ -225,9 +224,14 @@
         self, instance: ForwardInstance, ended_at: float
     ) -> list[Connection]:
         """Return open connections to the process that has ended an answer."""
+        return _still_open(self._conns_to_process(instance, ended_at))
+
+    def _conns_to_process(
+        self, instance: ForwardInstance, ended_at: float
+    ) -> list[Connection]:
+        """Return connections, ended ones too, that the process may have accepted."""
         before = ended_at + MIN_RESTART_S - CLOCK_S
-        conns = self._pool.opened_before(instance.address, before)
-        return [conn for conn in conns if not conn.has_closed]
+        return self._pool.opened_before(instance.address, before)
 
     async def _find_out(self, instance: ForwardInstance, ended_at: float) -> _Finding:
         probe = self._probe
@@ -269,9 +273,8 @@
                     return connected
             if witnesses.has_answered:
                 return found
-        if found.end is AnswerEnd.CLOSED and not await self._answers(
-            instance, ended_at
-        ):
+        is_there = found.end is AnswerEnd.CLOSED
+        if is_there and not await self._answers(instance, ended_at):
             return _Finding(AnswerEnd.UNKNOWN)
         return found
 
@@ -293,13 +296,12 @@
         None if there is none that is older than the end of the answer. It needs no
         question, and shows the same process however late this one comes to look.
         """
-        before = ended_at + MIN_RESTART_S - CLOCK_S
-        conns = self._pool.opened_before(instance.address, before)
-        if all(conn.has_closed for conn in conns):
+        conns = self._conns_to_process(instance, ended_at)
+        if not _still_open(conns):
             return None
         now = trio.current_time()
         await trio.sleep_until(max(now, ended_at + SETTLE_S) + SETTLE_S)
-        left = [conn for conn in conns if not conn.has_closed]
+        left = _still_open(conns)
         if not left:
             return None
         n_ended = len(conns) - len(left)
@@ -343,33 +345,35 @@
 
         Of those to the instance that is used the oldest one stays, which tells most.
         """
-        now = trio.current_time()
+        now, dropped = trio.current_time(), []
         for key, conns in list(self._held.items()):
             if key == used or self._questions.is_open(key):
                 conns[0].idle_since = now
-            kept = [
-                conn
-                for conn in conns
-                if not conn.has_closed and now - conn.idle_since <= MAX_IDLE_S
-            ]
+            kept = [c for c in _still_open(conns) if now - c.idle_since <= MAX_IDLE_S]
+            dropped += [conn for conn in conns if conn not in kept]
             if kept:
                 self._held[key] = kept
             else:
                 del self._held[key]
-            for conn in conns:
-                if conn not in kept:
-                    await conn.close()
+        # Other ends may be judged while a connection closes.
+        for conn in dropped:
+            await conn.close()
 
 
 async def _stay_open(conns: Sequence[Connection], until: float) -> bool:
     """Wait until a time; return False as soon as all of some connections have ended."""
     while (left_s := until - trio.current_time()) > 0:
-        if conns and all(conn.has_closed for conn in conns):
+        if conns and not _still_open(conns):
             return False
         await trio.sleep(min(WATCH_INTERVAL_S, left_s))
     return True
 
 
+def _still_open(conns: Sequence[Connection]) -> list[Connection]:
+    """Return those connections that neither side has ended."""
+    return [conn for conn in conns if not conn.has_closed]
+
+
 def _there_since(opened_at: float) -> float:
     """Return since when the process of a connection has been there at least."""
     return opened_at - MIN_RESTART_S + CLOCK_S
--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -754,19 +754,17 @@
                 end = await ends.judge(instance, ended_at, settles_at)
         elif self._via_confirms:
             end = AnswerEnd.CLOSED
-        ended_beside = end is AnswerEnd.CLOSED and self._ended_beside_others(ended_at)
-        if ended_beside:
+        death = "ended with its process"
+        if end is AnswerEnd.CLOSED and self._ended_beside_others(ended_at):
             # What made them has ended, whoever answers for it now.
             end = AnswerEnd.DIED
+            death = "ended at one moment with other answers of its instance"
         self.end = end.value
         self.end_age_ms = round((trio.current_time() - ended_at) * 1000)
         self.ended_leaving = not self._parts.state.accepts_requests(instance)
         self._parts.metrics.unmarked_end(self.end, self.ended_leaving)
-        if ended_beside:
-            message = "ended at one moment with other answers of its instance"
-            raise ProcessEndedError(message, sent=True)
         if end is AnswerEnd.DIED:
-            raise ProcessEndedError("ended with its process", sent=True)
+            raise ProcessEndedError(death, sent=True)
         if end is AnswerEnd.UNKNOWN:
             raise UnknownEndError("ended by a close of unknown cause", sent=True)
 
--- a/packages/corianderlb-router/src/corianderlb_router/forward_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_run.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Collection, Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from functools import partial
 from typing import Any, Final
 
@@ -535,13 +535,8 @@
         parts.in_flight.begin(tracked)
         parts.health.started(instance.incarnation_key)
         self._target.sent(key, placement)
-        is_tracked = True
 
-        def end() -> None:
-            nonlocal is_tracked
-            if not is_tracked:
-                return
-            is_tracked = False
+        def leave_place() -> None:
             begun_at = first_at[0] if first_at else None
             attempt.part_request = PartRequest(self._part_digests, sent_at, begun_at)
             parts.health.ended(instance.incarnation_key, has_begun=bool(first_at))
@@ -549,11 +544,12 @@
 
         # Its place at the instance is free while its end is judged. It stays a suspect,
         # since the process may be found to have crashed.
-        attempt.on_answer_end = end
         try:
-            yield
+            with ExitStack() as place:
+                place.callback(leave_place)
+                attempt.on_answer_end = place.close
+                yield
         finally:
-            end()
             parts.in_flight.end(AttemptId(key))
 
     # Failure handling.
@@ -714,11 +710,11 @@
         """Return whether a run has begun to answer, and no other attempt is open."""
         has_begun = self._caller.started and self._sent_answer.may_resume
         is_alone = attempt is self._race.lead and self._race.standby is None
-        is_alone = is_alone and not attempt.relay.has_ended
+        goes_on = not attempt.relay.has_ended
         n_in_vain = max(
             self._n_not_run - MAX_NOT_RUN, self._n_unreached - MAX_UNREACHED
         )
-        return has_begun and is_alone and n_in_vain <= 0
+        return has_begun and goes_on and is_alone and n_in_vain <= 0
 
     def open_move(self, placement: Placement) -> Successor:
         """Send an attempt, charged before, that continues a run from its copy."""
