An answered request counts for the ends before it, whoever shares the question

Beside load, services were asked 12 times for 120 answers where fewer than 12 are allowed (test_no_work_is_repeated_without_a_fault, once): a request counted as a sign that something takes connections for 0.2 s only, so that the last ends of a series each asked. A finding now says up to which end it holds, which takes the place of that time.

--- a/packages/corianderlb-router/src/corianderlb_router/answer_end.py
+++ b/packages/corianderlb-router/src/corianderlb_router/answer_end.py
@@ -18,6 +18,7 @@
 import enum
 import math
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
 import trio
@@ -54,10 +55,6 @@
 SHARED_S: Final = 0.1
 """Part of that time within which answers share the question whether it is there."""
 
-RECENT_S: Final = 0.2
-"""Age up to which an answered request shows that a process answers: answers that share
-a question have all ended before."""
-
 WATCH_INTERVAL_S: Final = 0.1
 """Interval at which connections are looked at meanwhile."""
 
@@ -85,6 +82,8 @@
     """End of the answers that ended since then."""
     there_since: float = -math.inf
     """Since when the process that is there now has been there, as far as is known."""
+    covers_until: float = math.inf
+    """Time from which ends need a question of their own."""
 
     def end_of(self, ended_at: float) -> AnswerEnd:
         """Return the end of an answer that ended at a time."""
@@ -140,8 +139,10 @@
         while question := self._open.get(key):
             await question.is_answered.wait()
         question = self._answered.get(key)
-        if question is not None and question.finding and question.asked_at >= since:
-            return question.finding
+        if question is not None and question.asked_at >= since:
+            found = question.finding
+            if found is not None and ended_at < found.covers_until:
+                return found
         return await self._ask_now(instance, ended_at)
 
     async def _ask_now(self, instance: ForwardInstance, ended_at: float) -> _Finding:
@@ -273,20 +274,14 @@
                     return connected
             if witnesses.has_answered:
                 return found
-        is_there = found.end is AnswerEnd.CLOSED
-        if is_there and not await self._answers(instance, ended_at):
-            return _Finding(AnswerEnd.UNKNOWN)
-        return found
-
-    async def _answers(self, instance: ForwardInstance, ended_at: float) -> bool:
-        """Return whether a process answers on connections opened after an end.
-
-        Requests that were answered show it without a question.
-        """
-        since = max(ended_at, trio.current_time() - RECENT_S)
-        if self._probe is None or self._pool.answered_since(instance.address, since):
-            return True
-        return await self._probe.answers(instance)
+        if self._probe is None or found.end is not AnswerEnd.CLOSED:
+            return found
+        answered_at = self._pool.newest_answered(instance.address)
+        if ended_at < answered_at:
+            # A request that was sent later shows it without a question.
+            return replace(found, covers_until=answered_at)
+        answers = await self._probe.answers(instance)
+        return found if answers else _Finding(AnswerEnd.UNKNOWN)
 
     async def _look_for_witnesses(
         self, instance: ForwardInstance, ended_at: float
--- a/packages/corianderlb-router/src/corianderlb_router/transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/transport.py
@@ -112,12 +112,12 @@
 
     def record_answer(self, conn: Connection) -> None:
         """Record that a response has arrived on a connection."""
-        opened_at = self._answered.get(conn.address, -math.inf)
-        self._answered[conn.address] = max(opened_at, conn.opened_at)
+        newest = self.newest_answered(conn.address)
+        self._answered[conn.address] = max(newest, conn.opened_at)
 
-    def answered_since(self, address: str, at: float) -> bool:
-        """Return whether a connection opened after a time has carried a response."""
-        return self._answered.get(address, -math.inf) > at
+    def newest_answered(self, address: str) -> float:
+        """Return when the newest connection with a response was opened, or -inf."""
+        return self._answered.get(address, -math.inf)
 
     async def give_back(self, conn: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
--- a/packages/corianderlb-router/tests/answer_end_builders.py
+++ b/packages/corianderlb-router/tests/answer_end_builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from corianderlb_core.forwarding import ForwardInstance
@@ -64,9 +66,9 @@
         self.opened.append(ScriptedConnection(outcome == DROPPED))
         return self.opened[-1]
 
-    def answered_since(self, address: str, at: float) -> bool:
+    def newest_answered(self, address: str) -> float:
         """Return that no request was answered."""
-        return False
+        return -math.inf
 
     def opened_before(self, address: str, at: float) -> list[ScriptedConnection]:
         """Return the connections opened before a time that this side has not closed."""
