A connection that has failed has no end of stream, whoever was told of it

Callers got a part of an answer as a whole one: an upstream answered an upload of 4 MB before it had read it, without length and chunks, and reset the connection while the router was still sending. All kinds of route were concerned, also with a plain close, which the kernel turns into a reset once more of the upload arrives.

Cause: the kernel reports an error of a socket once. The write of the rest of the upload took it and left it to the next read, which then returned an ordinary end; after a FIN, no read reports an error at all. An ordinary end delimits a body without length.

A read that returns the end now looks at the state of the connection, which the kernel keeps whoever took the error (`SocketStream.has_failed`), so all readers of sockets share the check. A body without length is whole only once the upstream's kernel has all of the request: what is left of it is sent first, for upstreams that end their side and read on (RFC 9112, 9.6), and a reset that follows makes the answer a broken one.

Shown by test_reset_while_the_request_is_sent over loopback: three framings, five ways to end, three pauses, four kinds of route.

--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -43,8 +43,15 @@
 """Part of the kernel's ``tcp_info``: the milliseconds since the last acknowledgement,
 which each segment of an established connection carries."""
 
+_TCP_CLOSE: Final = b"\x07"
+"""First byte of the kernel's ``tcp_info``, the state, of a connection that was reset or
+timed out."""
+
 _COUNT: Final = struct.Struct("i")
 
+DELIVERY_CHECK_S: Final = 0.01
+"""Interval at which is looked whether the remote kernel has all that was sent."""
+
 _COMPLETE_STATES: Final = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """Parser states after a complete response; in the last two the upstream also closes."""
 
@@ -129,6 +136,7 @@
         raw.setblocking(False)
         self._raw = raw
         self._is_closed = False
+        self._has_ended_writes = False
 
     async def connect(self, host: str, port: int) -> None:
         """Connect to an IP address and port."""
@@ -148,18 +156,51 @@
             raise OSError(code, os.strerror(code))
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Return the available bytes, at least one; empty at end of stream."""
+        """Return the available bytes, at least one; empty at end of stream.
+
+        A connection that has failed has no end of stream, whatever was told of that.
+        """
         try:
             while True:
                 await trio.lowlevel.wait_readable(self._raw)
                 try:
-                    return self._raw.recv(max_bytes or RECEIVE_BYTES)
+                    data = self._raw.recv(max_bytes or RECEIVE_BYTES)
+                    break
                 except BlockingIOError:
                     continue
         except trio.ClosedResourceError:
             raise
         except OSError as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
+        if not data and self.has_failed:
+            raise trio.BrokenResourceError("the connection has failed")
+        return data
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the connection was reset or has timed out.
+
+        The kernel reports an error once, to whichever of a read and a write comes next,
+        and none to a read after the end of the remote side. Its state stays.
+        """
+        if self._is_closed or self._has_ended_writes:
+            # A connection that both sides have ended has the same state.
+            return False
+        try:
+            state = self._raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return False
+        return state == _TCP_CLOSE
+
+    async def wait_until_delivered(self) -> None:
+        """Wait until the remote kernel has all that was sent.
+
+        Raise ``trio.BrokenResourceError`` if the connection fails before.
+        """
+        while self.has_undelivered and not self.has_failed:
+            await trio.sleep(DELIVERY_CHECK_S)
+        if self.has_failed:
+            raise trio.BrokenResourceError("the connection failed before all was taken")
 
     async def wait_readable(self) -> None:
         """Wait until a read returns bytes, the end of the stream or an error."""
@@ -229,6 +270,7 @@
 
     def end_writes(self) -> None:
         """Tell the remote side that nothing follows; bytes may still be read."""
+        self._has_ended_writes = True
         with suppress(OSError):
             self._raw.shutdown(socket.SHUT_WR)
 
@@ -459,11 +501,14 @@
 
         For bodies delimited by connection close; bypasses the parser, which is not
         needed for them. A success that ends right after its head is broken: the head
-        may have been cut before the line that delimits the body.
+        may have been cut before the line that delimits the body. So is an answer whose
+        upstream does not take the whole request.
         """
         data, self._raw_rest = self._raw_rest, b""
         if not data:
             data = await self._receive_some()
+        if not data:
+            await self._finish_request()
         if self._needs_body:
             if not data:
                 message = f"{self.address}: closed right after the head"
@@ -471,6 +516,23 @@
             self._needs_body = False
         return data
 
+    async def _finish_request(self) -> None:
+        """Send what is left of the request; raise ``BrokenError`` if it isn't taken.
+
+        An upstream may end its side early and read on. One that has closed before it
+        has read a request resets the connection, only later, as if it had ended it.
+        """
+        if not isinstance(self._stream, SocketStream):
+            return
+        try:
+            while self._unsent:
+                await self._stream.wait_send_all_might_not_block()
+                self._unsent = self._stream.send_at_once(self._unsent)
+            await self._stream.wait_until_delivered()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            message = f"{self.address}: closed before it took the request"
+            raise BrokenError(message, sent=True) from exc
+
     async def receive_chunk(self) -> bytes:
         """Return the available body bytes, at least one; empty at the end of the body.
 
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 
 import trio
 
+from corianderlb_router.connection import TcpConnector
 from corianderlb_router.peer_tunnel import Tunnels
-from corianderlb_standins.trio_case import TrioTestCase
+from corianderlb_standins.connection_texts import framed_answers
+from corianderlb_standins.loopback import EarlyEnding, EarlyHost
+from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from cut_answers import (
     BODY,
     SHAPES,
@@ -55,6 +59,14 @@
         return await self.tunnels.open(an_instance(name, "app"))
 
 
+class HostNetwork(UpstreamNetwork):
+    """Instances that are hosts on loopback."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        host = self.upstreams[address.partition(":")[0]]
+        return await TcpConnector().connect(host.address)
+
+
 def an_upstream(case: CutAnswer) -> Upstream:
     """Build an upstream that gives a cut answer to each request."""
     return Upstream([case.answer], resets=case.ending is Ending.RESET)
@@ -158,3 +170,49 @@
             caller = await router.ask("/long/1", x_prompt=PROMPT)
         self.assertEqual((caller.status, len(engine.requests)), (200, 2))
         self.assertFalse(caller.finished and not caller.ends_by_close)
+
+
+LONG_BODY = bytes(1 << 22)
+"""Request body that the buffers of a connection don't hold."""
+
+EARLY_ANSWERS = framed_answers(BODY, b"x-seal: s")
+"""Whole answers by what delimits them."""
+
+
+class EarlyAnswerTest(RealTimeTestCase):
+    """Answers that arrive while their request is being sent, over loopback."""
+
+    async def check(
+        self,
+        network: UpstreamNetwork,
+        framing: str,
+        ending: EarlyEnding,
+        pause_s: float,
+    ) -> None:
+        """Ask a host that answers early on all kinds of route."""
+        host = EarlyHost(EARLY_ANSWERS[framing], len(LONG_BODY), ending, pause_s)
+        is_known = framing != "close" or ending.takes_request
+        async with host.running():
+            for path, name in ROUTES.items():
+                network.upstreams.clear()
+                network.upstreams[name] = host
+                router = a_router_in(network)
+                with trio.fail_after(10):
+                    caller = await router.ask(path, LONG_BODY, x_prompt=PROMPT)
+                await router.parts.transport.aclose()
+                with self.subTest(framing, path=path, ending=ending, pause_s=pause_s):
+                    is_whole = caller.status == 200 and caller.finished
+                    self.assertEqual(is_whole, is_known, caller.status)
+                    self.assertTrue(not is_whole or caller.answer == BODY)
+
+    async def check_all(
+        self, network: UpstreamNetwork, pauses_s: Iterable[float]
+    ) -> None:
+        """Check all framings and ends."""
+        for case in itertools.product(EARLY_ANSWERS, EarlyEnding, pauses_s):
+            await self.check(network, *case)
+
+    async def test_reset_while_the_request_is_sent(self) -> None:
+        """Guards against a part of an answer whose reset only the write was told."""
+        async with trio.open_nursery() as nursery:
+            await self.check_all(HostNetwork(nursery, {}), (0.0, 0.005, 0.05))
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from enum import Enum
 from typing import Any
 
 import httpx
@@ -56,6 +57,69 @@
         await trio.aclose_forcefully(stream)
 
 
+class EarlyEnding(Enum):
+    """How a host ends a connection on which it has answered before its request."""
+
+    RESET = "reset"
+    RESET_READING = "reset while it reads"
+    CLOSE = "close"
+    """Close with the request unread, which the kernel turns into a reset."""
+    CLOSE_READ = "close once the request is read"
+    END_FIRST = "end its side, read the request, close"
+    """The close in two steps of RFC 9112, section 9.6."""
+
+    @property
+    def takes_request(self) -> bool:
+        """Whether the host reads the request to its end."""
+        return self in (EarlyEnding.CLOSE_READ, EarlyEnding.END_FIRST)
+
+
+class EarlyHost(RawHost):
+    """Host that answers once it has the head of a request, and ends as scripted."""
+
+    def __init__(
+        self, answer: bytes, n_bytes: int, ending: EarlyEnding, pause_s: float = 0.0
+    ) -> None:
+        """Expect a request body of ``n_bytes``; pause before and while it is read."""
+        super().__init__(answer)
+        self._n_bytes = n_bytes
+        self._ending = ending
+        self._pause_s = pause_s
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            head, found, body = await self._read_head(stream)
+            if not found:
+                return
+            self.requests.append(head)
+            await stream.send_all(self._answer)
+            if self._ending is EarlyEnding.END_FIRST:
+                await stream.send_eof()
+            await trio.sleep(self._pause_s)
+            if self._ending.takes_request:
+                await self._read(stream, self._n_bytes - len(body), 0.0)
+            elif self._ending is EarlyEnding.RESET_READING:
+                await self._read(stream, self._n_bytes // 8, 0.001)
+            resets = self._ending in (EarlyEnding.RESET, EarlyEnding.RESET_READING)
+            linger = struct.pack("ii", resets, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await trio.aclose_forcefully(stream)
+
+    @staticmethod
+    async def _read_head(stream: trio.SocketStream) -> tuple[bytes, bytes, bytes]:
+        """Read little at a time, so that most of the body stays with the sender."""
+        data = b""
+        while b"\r\n\r\n" not in data and (part := await stream.receive_some(1024)):
+            data += part
+        return data.partition(b"\r\n\r\n")
+
+    @staticmethod
+    async def _read(stream: trio.SocketStream, n_bytes: int, pause_s: float) -> None:
+        while n_bytes > 0 and (data := await stream.receive_some(1 << 16)):
+            n_bytes -= len(data)
+            await trio.sleep(pause_s)
+
+
 class EndlessHost(RawHost):
     """Host that follows the start of each answer with bytes without end."""
 
