A tunnel passes on an end only after the request was taken, and a reset after the answer

A part of an answer came as a whole one through a peer, too: the router that helps writes the upload and reads the answer of one connection in two tasks. The one that writes took the error of a reset, the other read an ordinary end and passed it on as the instance's. It looks at the connection itself now, and an end waits until the instance's kernel has what has arrived of the request.

The reset that is no longer hidden would lose whole early answers: the link was ended at once, while the router that asked was still sending its upload and had read nothing. A reset is now told once that one sends no more, and its own write leaves it to the next read whether an answer has come before. An end of the link is never the end of a body.

Peers below level 10 may still hide a reset, so that an end without a mark which they pass on counts as unknown, as before with those below 9. test_older_router_does_not_ confirm_ends plays the level below, which is 9 now.

Shown by test_reset_behind_a_peer, with links in memory and by websockets over loopback.

--- a/packages/corianderlb-core/src/corianderlb_core/message.py
+++ b/packages/corianderlb-core/src/corianderlb_core/message.py
@@ -21,17 +21,17 @@
 PROTOCOL_VERSION: Final = 1
 """Incremented by changes that older routers cannot ignore."""
 
-LEVEL: Final = 9
+LEVEL: Final = 10
 """Level of the messages that this router understands, announced when a link opens.
 
 A router sends a message type above level 0 only over links whose peer has its level,
 since an unknown type closes the link.
 """
 
-TUNNEL_END_LEVEL: Final = 9
+TUNNEL_END_LEVEL: Final = 10
 """Level from which a router that carries a connection passes on its end only if the
-process of the instance has outlived it. An older one also passes on the end of an
-answer whose process is about to exit."""
+process of the instance has outlived it and has taken the request. An older one also
+passes on the end of an answer whose process is about to exit, or a reset."""
 
 TUNNEL: Final = "tunnel"
 """Purpose of a link that carries the bytes of one connection to an instance."""
--- a/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
+++ b/packages/corianderlb-router/src/corianderlb_router/peer_tunnel.py
@@ -10,7 +10,7 @@
 
 import random
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import field
 from typing import Final
 
@@ -37,9 +37,11 @@
 from ._handshake import AuthenticatedLink
 from .answer_end import AnswerEnd, AnswerEnds
 from .connection import (
+    DELIVERY_CHECK_S,
     RECEIVE_BYTES,
     ConnectFailedError,
     Connector,
+    SocketStream,
     silent_s_of,
 )
 from .path_watch import PathWatch
@@ -81,6 +83,10 @@
 """Time for which a process has to outlive an answer that is carried. The other router
 takes the instance for silent meanwhile, and replaces its attempt after 1.2 s."""
 
+SENT_AFTER_S: Final = 0.05
+"""Time without a frame after which the other router has likely sent its request, and
+reads the answer."""
+
 MAX_TUNNELS: Final = 256
 """Maximum number of tunnels that a router carries for others; bounds their memory."""
 
@@ -106,15 +112,16 @@
         self._has_ended = False
 
     async def send_all(self, data: bytes) -> None:
-        """Send all bytes."""
+        """Send all bytes, or as many as the peer takes.
+
+        An answer may have arrived before the peer has closed; the next read tells.
+        """
         frames = [
             data[start : start + RECEIVE_BYTES]
             for start in range(0, len(data), RECEIVE_BYTES)
         ]
-        try:
+        with suppress(LinkClosedError):
             await self._link.send(*frames)
-        except LinkClosedError as exc:
-            raise trio.BrokenResourceError(str(exc)) from exc
 
     async def wait_send_all_might_not_block(self) -> None:
         """Return at once: frames are written as they are sent."""
@@ -330,6 +337,36 @@
     return True
 
 
+@dataclass
+class _Upload:
+    """What the other router sends on a connection that is carried for it."""
+
+    received_at: float
+    """When the last frame arrived."""
+    is_writing: bool = False
+    """Whether a frame is being passed on."""
+
+    async def wait_until_taken(self, stream: trio.abc.Stream) -> None:
+        """Wait until the instance has all that has arrived.
+
+        Raise ``trio.BrokenResourceError`` if its connection fails before.
+        """
+        if not isinstance(stream, SocketStream):
+            return
+        while self.is_writing and not stream.has_failed:
+            await trio.sleep(DELIVERY_CHECK_S)
+        await stream.wait_until_delivered()
+
+    async def wait_until_sent(self) -> None:
+        """Wait until the other router sends no more, so that it reads the answer.
+
+        A link that is closed before would lose the rest of an answer that is whole.
+        """
+        with trio.move_on_after(CLOSE_TIMEOUT_S):
+            while trio.current_time() < self.received_at + SENT_AFTER_S:
+                await trio.sleep_until(self.received_at + SENT_AFTER_S)
+
+
 class TunnelServer:
     """Carries connections to instances for routers that do not reach them."""
 
@@ -430,14 +467,18 @@
         opened_at: float,
     ) -> None:
         """Pass bytes on until either side ends; each waits for the other to read."""
+        upload = _Upload(opened_at)
         async with trio.open_nursery() as nursery:
 
             async def send_up() -> None:
                 is_taken = True
                 try:
                     while data := await link.receive():
+                        upload.received_at = trio.current_time()
                         if is_taken:
+                            upload.is_writing = True
                             is_taken = await _send(stream, data)
+                            upload.is_writing = False
                 except (LinkClosedError, FrameRefusedError):
                     pass
                 nursery.cancel_scope.cancel()
@@ -450,7 +491,7 @@
             nursery.start_soon(send_up)
             nursery.start_soon(end_without_router)
             try:
-                await self._send_down(link, stream, instance, opened_at)
+                await self._send_down(link, stream, instance, upload, opened_at)
             except LinkClosedError:
                 pass
             nursery.cancel_scope.cancel()
@@ -460,24 +501,30 @@
         link: AuthenticatedLink,
         stream: trio.abc.Stream,
         instance: ForwardInstance,
+        upload: _Upload,
         opened_at: float,
     ) -> None:
-        has_answered = False
+        has_answered, is_end = False, True
         try:
             while data := await stream.receive_some(RECEIVE_BYTES):
                 if not has_answered:
                     has_answered = True
                     self._paths.answered(instance, opened_at)
                 await link.send(data)
+            if has_answered:
+                is_end = await self._is_end_of_answer(stream, instance)
+            if is_end:
+                await upload.wait_until_taken(stream)
         except trio.BrokenResourceError as exc:
+            is_end = False
             if not has_answered:
                 self._paths.failed(instance, opened_at, f"broken for a peer: {exc}")
+        if not is_end:
+            if has_answered:
+                await upload.wait_until_sent()
             # Without the empty frame, the other router sees a broken connection.
             await link.abort()
             return
-        if has_answered and not await self._is_end_of_answer(stream, instance):
-            await link.abort()
-            return
         await link.send(b"")
         # The other router closes once it has read the end.
         await trio.sleep(CLOSE_TIMEOUT_S)
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -33,6 +33,7 @@
     an_instance,
     break_off,
 )
+from test_peer_network import Fleet, LoopbackFleet
 from test_peer_tunnel import a_tunnel_fleet
 
 PROMPT = "a:100,own:50"
@@ -216,3 +217,15 @@
         """Guards against a part of an answer whose reset only the write was told."""
         async with trio.open_nursery() as nursery:
             await self.check_all(HostNetwork(nursery, {}), (0.0, 0.005, 0.05))
+
+    async def test_reset_behind_a_peer(self) -> None:
+        """Guards against an end of the router that helps in place of a reset."""
+        for kind in (Fleet, LoopbackFleet):
+            async with a_tunnel_fleet(kind=kind) as fleet:
+                fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
+                async with trio.open_nursery() as nursery:
+                    network = TunnelNetwork(nursery, {})
+                    network.tunnels = fleet.tunnels("r00")
+                    hosts = HostNetwork(nursery, network.upstreams)
+                    fleet.servers["r01"]._connector = hosts
+                    await self.check_all(network, (0.0, 0.005, 0.05))
--- a/packages/corianderlb-router/tests/test_peer_network.py
+++ b/packages/corianderlb-router/tests/test_peer_network.py
@@ -37,10 +37,11 @@
 from corianderlb_router._websocket_transport import WebSocketTransport
 from corianderlb_router.end_announcements import INTERVAL_S, EndAnnouncements
 from corianderlb_router.object_feed import FeedListing
-from corianderlb_router.peer_link import LinkClosedError, PeerLink
+from corianderlb_router.peer_link import LinkClosedError, PeerLink, PeerTransport
 from corianderlb_router.peer_network import OverlayNetwork
 from corianderlb_router.store import InstanceList
 from corianderlb_standins.connection_texts import bad_texts
+from corianderlb_standins.loopback import free_port
 from corianderlb_standins.memory_transport import MemoryFabric
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from forward_builders import INSTANCES, TableDecoder, a_state, an_instance
@@ -89,13 +90,17 @@
             peer_address=record.peer_address,
             catalogue_version=0,
         )
-        transport = self.fabric.transport(record.peer_address)
+        transport = self.transport(record.peer_address)
         rng = random.Random(f"{record.instance}{epoch}")
         made = OverlayNetwork(own, key, transport, self.cfg, rng)
         if self.listed:
             made.merge_list(InstanceList(1, tuple(self.records)))
         return made
 
+    def transport(self, address: str) -> PeerTransport:
+        """Return the transport of the router with an address."""
+        return self.fabric.transport(address)
+
     async def run_one(self, name: str) -> None:
         with trio.CancelScope() as self.scopes[name]:
             await self.networks[name].run()
@@ -116,6 +121,19 @@
             case.assertEqual(self.members_of(name), names, name)
 
 
+class LoopbackFleet(Fleet):
+    """Routers that are connected by websockets over loopback."""
+
+    def record(self, name: str, i: int, n_zones: int) -> InstanceRecord:
+        record = super().record(name, i, n_zones)
+        address = f"127.0.0.1:{free_port()}"
+        return dataclasses.replace(record, peer_address=address)
+
+    def transport(self, address: str) -> PeerTransport:
+        host, _, port = address.rpartition(":")
+        return WebSocketTransport(host, int(port))
+
+
 @asynccontextmanager
 async def a_link_to(
     accept: Callable[[PeerLink], Awaitable[None]],
--- a/packages/corianderlb-router/tests/test_peer_tunnel.py
+++ b/packages/corianderlb-router/tests/test_peer_tunnel.py
@@ -93,8 +93,8 @@
 class TunnelFleet:
     """Linked routers, each before its own view of the same instances."""
 
-    def __init__(self, nursery: trio.Nursery, n_routers: int, n_zones: int) -> None:
-        self.fleet = Fleet(n_routers, n_zones)
+    def __init__(self, nursery: trio.Nursery, fleet: Fleet) -> None:
+        self.fleet = fleet
         self.routers: dict[str, ForwardRouter] = {}
         self.servers: dict[str, TunnelServer] = {}
         self.instances: dict[str, dict[str, Upstream]] = {}
@@ -128,11 +128,11 @@
 
 @asynccontextmanager
 async def a_tunnel_fleet(
-    n_routers: int = 2, n_zones: int = 3
+    n_routers: int = 2, n_zones: int = 3, kind: type[Fleet] = Fleet
 ) -> AsyncIterator[TunnelFleet]:
     """Run linked routers."""
     async with trio.open_nursery() as nursery:
-        found = TunnelFleet(nursery, n_routers, n_zones)
+        found = TunnelFleet(nursery, kind(n_routers, n_zones))
         async with found.fleet.running():
             await trio.sleep(3)
             yield found
@@ -208,7 +208,7 @@
 
     async def test_older_router_does_not_confirm_ends(self) -> None:
         """Guards against an end that a router passes on without a question."""
-        with mock.patch("corianderlb_router._handshake.LEVEL", 8):
+        with mock.patch("corianderlb_router._handshake.LEVEL", 9):
             async with a_tunnel_fleet() as found:
                 found.add("r01", s1=Upstream([an_answer(b"body")]))
                 stream = await found.tunnels("r00").open(an_instance("s1", "app"))
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -1,4 +1,4 @@
-"""HTTP client and host for calls between the processes of one machine."""
+"""HTTP client, hosts and ports for calls between the processes of one machine."""
 
 from __future__ import annotations
 
@@ -26,6 +26,23 @@
     return httpx.AsyncClient(verify=False, trust_env=False, **options)
 
 
+def free_port() -> int:
+    """Return a port that is reserved for about a minute.
+
+    A closed connection leaves the port in TIME_WAIT: a server may bind to it with
+    SO_REUSEADDR, but the kernel does not assign it to outgoing connections before the
+    process starts or restarts.
+    """
+    with socket.socket() as server, socket.socket() as client:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind(("127.0.0.1", 0))
+        server.listen(1)
+        client.connect(server.getsockname())
+        accepted, _ = server.accept()
+        accepted.close()
+        return server.getsockname()[1]
+
+
 class RawHost:
     """Host that answers each request with the same bytes and ends the connection."""
 
