A head is checked as it was received, before the parser reads it

Callers got answers in whose head the name of a field held a blank or a control byte. A line that begins with a space or a tab was joined to the field before it and passed on in its value; a line that begins or ends with a bare LF ended the head, so that all fields after it came as the body, and the upstream's length and seal were lost with them.

Cause: the parser joins continuation lines, which a proxy has to replace or refuse (RFC 9112, 5.2), and takes a bare LF for a line end, and two for the end of the head. What it returns doesn't show either. `HeadCheck` gets the bytes before the parser does: each line has to be a field with a name that is a token, and all lines of a head have the same end. Heads whose lines all end with a bare LF are read as before (RFC 9112, 2.2). It covers informational heads, whose number it bounds in place of the connection, and all that is read by a `Connection`: calls, streams, further attempts, tunnels, own calls, the older data path.

The check alone is tested with each byte that no name may hold.

--- /dev/null
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -0,0 +1,85 @@
+"""Check of the heads of responses as they were received (RFC 9112, sections 2 to 6).
+
+Parsers are lenient: they join a line that begins with a blank to the field before it,
+and take a bare LF for the end of a line or of the head. Fields would then be passed on
+that the upstream has not sent as such, or come as the body.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+MAX_INFORMATIONAL: Final = 100
+"""Most informational heads before that of a response. A read brings thousands of them,
+which take longer than other callers should wait."""
+
+FIELD_LINE: Final = rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[^\x00\r\n]*"
+"""Pattern of a field without its line end. Other control bytes in a value may be kept
+(RFC 9110, section 5.5)."""
+
+_STATUS_LINE: Final = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})(?: [^\r\n]*)?")
+_FIELD_LINE: Final = re.compile(FIELD_LINE)
+_END: Final = re.compile(rb"\n\r?\n")
+"""What parsers take for the end of a head."""
+
+_MAX_SHOWN: Final = 80
+"""Most bytes of a line that a message shows."""
+
+
+class HeadError(ValueError):
+    """Raised for a head that is malformed."""
+
+
+class HeadCheck:
+    """Checks the head of one response, and the informational ones before it.
+
+    For example::
+
+        check = HeadCheck()
+        check.add(b"HTTP/1.1 200 OK\\r\\nx-model: m\\r\\n")
+        check.add(b"content-length: 4\\r\\n\\r\\nbody")  # The body is not looked at.
+        check.add(b"more")
+
+    The parser that gets the same bytes bounds the length of a head.
+    """
+
+    def __init__(self) -> None:
+        self._received = bytearray()
+        """What has arrived and is no complete head yet."""
+        self._n_heads = 0
+        self._is_complete = False
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes; raise ``HeadError`` for a malformed head."""
+        if self._is_complete:
+            return
+        received = self._received
+        # The end may have begun with the last two bytes before.
+        start = max(0, len(received) - 2)
+        received += data
+        while found := _END.search(received, start):
+            head = bytes(received[: found.end()])
+            if not _is_informational(head):
+                self._is_complete = True
+                received.clear()
+                return
+            self._n_heads += 1
+            if self._n_heads > MAX_INFORMATIONAL:
+                raise HeadError(f"more than {MAX_INFORMATIONAL} informational heads")
+            del received[: found.end()]
+            start = 0
+
+
+def _is_informational(head: bytes) -> bool:
+    """Check a head; return whether that of a response follows it."""
+    # One kind of line end: a bare LF among CRLFs is a byte of a name or a value.
+    line_end = b"\r\n" if head.endswith(b"\r\n\r\n") else b"\n"
+    first, *lines = head[: -2 * len(line_end)].split(line_end)
+    status = _STATUS_LINE.fullmatch(first)
+    if status is None:
+        raise HeadError(f"{first[:_MAX_SHOWN]!r} is no status line of HTTP/1")
+    for line in lines:
+        if not _FIELD_LINE.fullmatch(line):
+            raise HeadError(f"{line[:_MAX_SHOWN]!r} is no field of a head")
+    return status[2].startswith(b"1")
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -26,6 +26,7 @@
 from corianderlb_core.result import ResultCode
 
 from ._chunked_body import ChunkedBody, ChunkError
+from ._response_head import HeadCheck, HeadError
 
 RECEIVE_BYTES: Final = 65536
 """Most bytes read from a socket at once; bounds the memory per slow caller."""
@@ -61,10 +62,6 @@
 MAX_HEAD_BYTES: Final = 65536
 """Longest head of a response."""
 
-MAX_INFORMATIONAL: Final = 100
-"""Most informational heads before that of a response. A read brings thousands of them,
-which take longer than other callers should wait."""
-
 
 class UpstreamError(CorianderError):
     """Base class of errors between the router and an upstream."""
@@ -357,6 +354,7 @@
     __slots__ = (
         "_body",
         "_h11",
+        "_head",
         "_is_cut",
         "_is_head",
         "_needs_body",
@@ -376,6 +374,7 @@
     def __init__(self, stream: trio.abc.Stream, address: str, generation: int) -> None:
         self._stream = stream
         self._h11 = _new_parser()
+        self._head = HeadCheck()
         self.address = address
         self.generation = generation
         """The pool's generation when opened; older ones are not reused."""
@@ -471,7 +470,7 @@
 
     async def receive_head(self) -> h11.Response:
         """Return the head of the response, skipping informational ones."""
-        for _ in range(MAX_INFORMATIONAL + 1):
+        while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.has_answered = True
@@ -479,8 +478,6 @@
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(f"{self.address}: closed before response", sent=True)
-        message = f"{self.address}: more than {MAX_INFORMATIONAL} informational heads"
-        raise BrokenError(message, sent=True)
 
     def _record_framing(self, head: h11.Response) -> None:
         names = {name for name, _ in head.headers}
@@ -584,7 +581,12 @@
             raise BrokenError(f"{self.address}: {exc}", sent=True) from exc
 
     async def _receive(self) -> None:
-        self._h11.receive_data(await self._receive_some())
+        data = await self._receive_some()
+        try:
+            self._head.add(data)
+        except HeadError as exc:
+            raise BrokenError(f"{self.address}: {exc}", sent=True) from exc
+        self._h11.receive_data(data)
 
     async def _receive_some(self) -> bytes:
         if self._unsent and isinstance(self._stream, SocketStream):
@@ -620,6 +622,7 @@
 
     def start_next_exchange(self) -> None:
         """Reset the parser for the next exchange after a complete one."""
+        self._head = HeadCheck()
         if self._body is None:
             self._h11.start_next_cycle()
         else:
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -9,8 +9,8 @@
 
 from corianderlb_router.connection import TcpConnector
 from corianderlb_router.peer_tunnel import Tunnels
-from corianderlb_standins.connection_texts import framed_answers
-from corianderlb_standins.loopback import EarlyEnding, EarlyHost
+from corianderlb_standins.connection_texts import bad_field_answers, framed_answers
+from corianderlb_standins.loopback import EarlyEnding, EarlyHost, RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from cut_answers import (
     BODY,
@@ -229,3 +229,24 @@
                     hosts = HostNetwork(nursery, network.upstreams)
                     fleet.servers["r01"]._connector = hosts
                     await self.check_all(network, (0.0, 0.005, 0.05))
+
+
+class MalformedAnswerTest(RealTimeTestCase):
+    """Answers whose head is malformed, over loopback."""
+
+    async def check(self, answer: bytes, name: str) -> None:
+        """Check that no caller is given an answer, to a call and a stream."""
+        async with trio.open_nursery() as nursery, RawHost(answer).running() as host:
+            for path in ("/book/1", "/quick/1"):
+                network = HostNetwork(nursery, {ROUTES[path]: host})
+                router = a_router_in(network)
+                with trio.fail_after(10):
+                    caller = await router.ask(path, x_prompt=PROMPT)
+                await router.parts.transport.aclose()
+                with self.subTest(name, path=path):
+                    self.assertEqual(caller.status, 502)
+
+    async def test_line_that_is_no_field(self) -> None:
+        """Guards against a field or a body that the upstream has not sent as such."""
+        for name, answer in bad_field_answers(BODY, b"x-seal: s"):
+            await self.check(answer, name)
--- /dev/null
+++ b/packages/corianderlb-router/tests/test_response_head.py
@@ -0,0 +1,80 @@
+"""Tests of the check of response heads."""
+
+from __future__ import annotations
+
+import unittest
+
+from corianderlb_router._response_head import MAX_INFORMATIONAL, HeadCheck, HeadError
+from corianderlb_standins.connection_texts import NO_NAME_BYTES, bad_field_lines
+
+STATUS_LINE = b"HTTP/1.1 200 OK"
+
+GOOD_LINES = {
+    "empty value": b"X-Good:",
+    "no blank after the colon": b"X-Good:v",
+    "blanks around the value": b"X-Good: \t v \t",
+    "control byte in the value": b"X-Good: a\x01\x0b\x7fb",
+    "byte above 127 in the value": b"X-Good: \xe9",
+    "all bytes of a name": b"!#$%&'*+-.^_`|~09azAZ: v",
+}
+"""Lines by name that are a field."""
+
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
+
+
+def a_head(*lines: bytes, end: bytes = b"\r\n") -> bytes:
+    """Build a head with these lines among others."""
+    return end.join([STATUS_LINE, b"x-seal: s", *lines, b"x-last: 1", b"", b""])
+
+
+def is_accepted(*parts: bytes) -> bool:
+    """Return whether a response that arrives in these parts passes the check."""
+    check = HeadCheck()
+    try:
+        for part in parts:
+            check.add(part)
+    except HeadError:
+        return False
+    return True
+
+
+class HeadCheckTest(unittest.TestCase):
+    def test_line_that_is_no_field(self) -> None:
+        for name, line in bad_field_lines(NO_NAME_BYTES).items():
+            for before in (b"", EARLY_HINTS):
+                with self.subTest(name, before=before):
+                    self.assertFalse(is_accepted(before + a_head(line) + b"body"))
+            with self.subTest(name, before="as an informational head"):
+                hints = EARLY_HINTS.replace(b"link: </x>", line)
+                self.assertFalse(is_accepted(hints + a_head()))
+
+    def test_line_that_is_a_field(self) -> None:
+        for name, line in GOOD_LINES.items():
+            for end in (b"\r\n", b"\n"):
+                with self.subTest(name, end=end):
+                    self.assertTrue(is_accepted(a_head(line, end=end)))
+
+    def test_head_that_arrives_in_parts(self) -> None:
+        good, bad = EARLY_HINTS + a_head(), EARLY_HINTS + a_head(b"X-Bad\n: v")
+        for place in range(len(good) + 1):
+            self.assertTrue(is_accepted(good[:place], good[place:]), place)
+        for place in range(len(bad) + 1):
+            self.assertFalse(is_accepted(bad[:place], bad[place:]), place)
+        self.assertFalse(is_accepted(*(bytes([byte]) for byte in bad)))
+
+    def test_body_is_not_looked_at(self) -> None:
+        self.assertTrue(is_accepted(a_head() + b"X Bad: v\r\n\r\n", b"\n\n"))
+
+    def test_bare_line_feeds_alone_end_lines(self) -> None:
+        head = a_head(b"x: 1", end=b"\n")
+        self.assertTrue(is_accepted(head))
+        for place, byte in enumerate(head):
+            if byte == ord("\n"):
+                mixed = head[:place] + b"\r" + head[place:]
+                with self.subTest(place=place):
+                    self.assertFalse(is_accepted(mixed))
+
+    def test_informational_heads_without_end(self) -> None:
+        """Guards against heads whose check takes longer than callers should wait."""
+        self.assertTrue(is_accepted(EARLY_HINTS * MAX_INFORMATIONAL + a_head()))
+        self.assertFalse(is_accepted(EARLY_HINTS * (MAX_INFORMATIONAL + 1)))
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -9,7 +9,7 @@
 import base64
 import gzip
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
@@ -118,6 +118,54 @@
                 yield f"{name}, {n_sent}, {ending}", answer[:n_sent], resets
 
 
+NO_NAME_BYTES = (*range(33), 127, *range(128, 256), *b'"(),/;<=>?@[]{}\\')
+"""Bytes that the name of a field never holds."""
+
+FEW_NO_NAME_BYTES = (0, 1, 9, 10, 13, 32, 127, 233)
+"""One of each kind of these bytes."""
+
+
+def bad_field_lines(codes: Iterable[int] = FEW_NO_NAME_BYTES) -> dict[str, bytes]:
+    """Return lines by name that are no field of a head, each without its line end.
+
+    The bytes of ``codes`` stand in front of, within and after the name of one.
+    """
+    lines = {
+        "line end behind": b"X-Bad: v\n",
+        "line end between two fields": b"X-Bad: v\nX-Good: v",
+        "continued by a blank line": b"X-Bad: v\r\n ",
+        "no name": b": v",
+        "no colon": b"X-Bad",
+        "carriage return in the value": b"X-Bad: v\rw",
+        "NUL in the value": b"X-Bad: v\0w",
+    }
+    for code in codes:
+        for place, line in (
+            ("in front", b"%cX-Bad: v"),
+            ("within", b"X%cBad: v"),
+            ("before the colon", b"X-Bad%c: v"),
+        ):
+            lines[f"byte {code:#04x} {place}"] = line % code
+    return lines
+
+
+def bad_field_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yield answers with a bad line, by name: its place, the line and the framing.
+
+    It stands before, between or after the good fields.
+    """
+    for name, line in bad_field_lines().items():
+        for place, fields in (
+            ("first", (line, *headers)),
+            ("between", (*headers, line)),
+        ):
+            for framing, answer in framed_answers(body, *fields).items():
+                yield f"{place}, {name}, {framing}", answer
+        for framing, answer in framed_answers(body, *headers).items():
+            head, end, rest = answer.partition(b"\r\n\r\n")
+            yield f"last, {name}, {framing}", head + b"\r\n" + line + end + rest
+
+
 def endless_answers() -> dict[str, tuple[bytes, bytes]]:
     """Return the start of answers by name, each with bytes that go on without end."""
     piece = b"x" * 50_000
