A status outside 100 to 599, or a status line that is none, is no answer

A status beyond 599 has no class (RFC 9110, 15): its caller can't tell whether the request was served, and a client should treat it as a failure of the server. It counts as a broken answer now: another attempt where the route allows, else 502, as 000 does.

--- a/packages/corianderlb-router/src/corianderlb_router/_response_head.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -18,7 +18,12 @@
 """Pattern of a field without its line end. Other control bytes in a value may be kept
 (RFC 9110, section 5.5)."""
 
-_STATUS_LINE: Final = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})(?: [^\r\n]*)?")
+_STATUS_LINE: Final = re.compile(
+    rb"HTTP/1\.[0-9] ([1-5])[0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
+)
+"""Pattern of a status line without its line end. A status outside 100 to 599 has no
+class (RFC 9110, section 15), so nobody can tell what it says of the request."""
+
 _FIELD_LINE: Final = re.compile(FIELD_LINE)
 _END: Final = re.compile(rb"\n\r?\n")
 """What parsers take for the end of a head."""
@@ -78,8 +83,9 @@
     first, *lines = head[: -2 * len(line_end)].split(line_end)
     status = _STATUS_LINE.fullmatch(first)
     if status is None:
-        raise HeadError(f"{first[:_MAX_SHOWN]!r} is no status line of HTTP/1")
+        shown = first[:_MAX_SHOWN]
+        raise HeadError(f"{shown!r} is no status line of HTTP/1, status 100 to 599")
     for line in lines:
         if not _FIELD_LINE.fullmatch(line):
             raise HeadError(f"{line[:_MAX_SHOWN]!r} is no field of a head")
-    return status[2].startswith(b"1")
+    return status[1] == b"1"
--- a/packages/corianderlb-router/tests/test_response_head.py
+++ b/packages/corianderlb-router/tests/test_response_head.py
@@ -5,7 +5,11 @@
 import unittest
 
 from corianderlb_router._response_head import MAX_INFORMATIONAL, HeadCheck, HeadError
-from corianderlb_standins.connection_texts import NO_NAME_BYTES, bad_field_lines
+from corianderlb_standins.connection_texts import (
+    NO_NAME_BYTES,
+    bad_field_lines,
+    bad_status_lines,
+)
 
 STATUS_LINE = b"HTTP/1.1 200 OK"
 
@@ -19,6 +23,14 @@
 }
 """Lines by name that are a field."""
 
+GOOD_STATUS_LINES = (
+    b"HTTP/1.0 200 OK",
+    b"HTTP/1.2 599 Odd",
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 404 n\xe9 \tpas",
+)
+
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
 
 
@@ -54,6 +66,19 @@
                 with self.subTest(name, end=end):
                     self.assertTrue(is_accepted(a_head(line, end=end)))
 
+    def test_line_that_is_no_status_line(self) -> None:
+        """The parser refuses 101, which is a status but answers no request here."""
+        for name, line in bad_status_lines().items():
+            for before in (b"", EARLY_HINTS):
+                with self.subTest(name, before=before):
+                    head = a_head().replace(STATUS_LINE, line)
+                    self.assertEqual(is_accepted(before + head), name == "101")
+
+    def test_line_that_is_a_status_line(self) -> None:
+        for line in GOOD_STATUS_LINES:
+            with self.subTest(line):
+                self.assertTrue(is_accepted(a_head().replace(STATUS_LINE, line)))
+
     def test_head_that_arrives_in_parts(self) -> None:
         good, bad = EARLY_HINTS + a_head(), EARLY_HINTS + a_head(b"X-Bad\n: v")
         for place in range(len(good) + 1):
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -166,6 +166,41 @@
             yield f"last, {name}, {framing}", head + b"\r\n" + line + end + rest
 
 
+def bad_status_lines() -> dict[str, bytes]:
+    """Return lines by name that are no status line of a response, without line end."""
+    statuses = (
+        *("000", "001", "099", "600", "999"),
+        *("2", "20", "0200", "2000", "abc", "2x0", "+20", "-20", "2 0", "\u0662"),
+        "101",
+    )
+    lines = {status: f"HTTP/1.1 {status} OK".encode() for status in statuses}
+    for name, line in {
+        "no status": b"HTTP/1.1 OK",
+        "blank in front": b" HTTP/1.1 200 OK",
+        "two blanks": b"HTTP/1.1  200 OK",
+        "tab": b"HTTP/1.1\t200 OK",
+        "lower case": b"http/1.1 200 OK",
+        "another protocol": b"ICY 200 OK",
+        "HTTP/0.9": b"HTTP/0.9 200 OK",
+        "HTTP/2.0": b"HTTP/2.0 200 OK",
+        "version of one digit": b"HTTP/1 200 OK",
+        "control byte in the reason": b"HTTP/1.1 200 O\x01K",
+        "DEL in the reason": b"HTTP/1.1 200 O\x7fK",
+        "line end in the reason": b"HTTP/1.1 200 O\nK",
+    }.items():
+        lines[name] = line
+    return lines
+
+
+def malformed_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yield answers by name that are none, of any kind."""
+    yield from bad_field_answers(body, *headers)
+    for name, line in bad_status_lines().items():
+        for framing, answer in framed_answers(body, *headers).items():
+            answer = line + answer.removeprefix(b"HTTP/1.1 200 OK")
+            yield f"status, {name}, {framing}", answer
+
+
 def endless_answers() -> dict[str, tuple[bytes, bytes]]:
     """Return the start of answers by name, each with bytes that go on without end."""
     piece = b"x" * 50_000
