A head with two framings, or with chunks in HTTP/1.0, is no answer

Both were passed on as the parser read them. A length beside chunks ought to be handled as an error, and a transfer coding in HTTP/1.0 is a faulty framing (RFC 9112, 6.3 and 6.1): either line may be from a sender, or a proxy, that knows nothing of the other, and what is the body depends on which one is believed.

Shown by test_malformed_answers: of 15 framings, each on a call and a stream, these two came as 200, now none. Held before: two lengths, a length with a sign, negative, empty or no number, an unknown coding, one after chunks, chunks twice, `identity`, a chunk line that ends with a bare LF, a negative chunk, no last chunk, and one without its end.

--- a/packages/corianderlb-router/src/corianderlb_router/_response_head.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -14,12 +14,12 @@
 """Most informational heads before that of a response. A read brings thousands of them,
 which take longer than other callers should wait."""
 
-FIELD_LINE: Final = rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[^\x00\r\n]*"
+FIELD_LINE: Final = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*"
 """Pattern of a field without its line end. Other control bytes in a value may be kept
 (RFC 9110, section 5.5)."""
 
 _STATUS_LINE: Final = re.compile(
-    rb"HTTP/1\.[0-9] ([1-5])[0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
+    rb"HTTP/1\.(?P<minor>[0-9]) (?P<class>[1-5])[0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 """Pattern of a status line without its line end. A status outside 100 to 599 has no
 class (RFC 9110, section 15), so nobody can tell what it says of the request."""
@@ -65,7 +65,7 @@
         received += data
         while found := _END.search(received, start):
             head = bytes(received[: found.end()])
-            if not _is_informational(head):
+            if not _check(head):
                 self._is_complete = True
                 received.clear()
                 return
@@ -76,8 +76,8 @@
             start = 0
 
 
-def _is_informational(head: bytes) -> bool:
-    """Check a head; return whether that of a response follows it."""
+def _check(head: bytes) -> bool:
+    """Check a head; return whether it is informational, so that another follows."""
     # One kind of line end: a bare LF among CRLFs is a byte of a name or a value.
     line_end = b"\r\n" if head.endswith(b"\r\n\r\n") else b"\n"
     first, *lines = head[: -2 * len(line_end)].split(line_end)
@@ -85,7 +85,15 @@
     if status is None:
         shown = first[:_MAX_SHOWN]
         raise HeadError(f"{shown!r} is no status line of HTTP/1, status 100 to 599")
+    names = set()
     for line in lines:
         if not _FIELD_LINE.fullmatch(line):
             raise HeadError(f"{line[:_MAX_SHOWN]!r} is no field of a head")
-    return status[1] == b"1"
+        names.add(line.partition(b":")[0].lower())
+    if b"transfer-encoding" in names:
+        # Either may be from a sender that knows nothing of the other (RFC 9112, 6).
+        if b"content-length" in names:
+            raise HeadError("a transfer-encoding beside a content-length")
+        if status["minor"] == b"0":
+            raise HeadError("a transfer-encoding in HTTP/1.0")
+    return status["class"] == b"1"
--- a/packages/corianderlb-router/tests/test_response_head.py
+++ b/packages/corianderlb-router/tests/test_response_head.py
@@ -79,6 +79,22 @@
             with self.subTest(line):
                 self.assertTrue(is_accepted(a_head().replace(STATUS_LINE, line)))
 
+    def test_framing_that_can_be_read_in_two_ways(self) -> None:
+        length, coding = b"Content-Length: 4", b"Transfer-Encoding: chunked"
+        old = STATUS_LINE.replace(b"1.1", b"1.0")
+        for lines, accepted in (
+            ((length, coding), False),
+            ((coding, length.lower()), False),
+            ((coding,), True),
+            ((length,), True),
+        ):
+            with self.subTest(lines):
+                self.assertEqual(is_accepted(a_head(*lines)), accepted)
+        for line, accepted in ((coding, False), (length, True)):
+            head = a_head(line).replace(STATUS_LINE, old)
+            with self.subTest("HTTP/1.0", line=line):
+                self.assertEqual(is_accepted(head), accepted)
+
     def test_head_that_arrives_in_parts(self) -> None:
         good, bad = EARLY_HINTS + a_head(), EARLY_HINTS + a_head(b"X-Bad\n: v")
         for place in range(len(good) + 1):
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -192,6 +192,50 @@
     return lines
 
 
+def bad_framings(body: bytes, *headers: bytes) -> dict[str, bytes]:
+    """Return answers by name that don't delimit their body as they should."""
+    chunk = b"%x\r\n%b\r\n" % (len(body), body)
+    length, chunked = b"content-length: %d" % len(body), b"transfer-encoding: chunked"
+    lengths = {
+        "length and chunks": (length, chunked),
+        "two lengths": (length, b"content-length: %d" % (len(body) - 1)),
+        "length with a sign": (b"content-length: +%d" % len(body),),
+        "negative length": (b"content-length: -1",),
+        "empty length": (b"content-length:",),
+        "length that is no number": (b"content-length: 0x1",),
+    }
+    codings = {
+        name: (b"transfer-encoding: %b" % value,)
+        for name, value in {
+            "unknown coding": b"gzip",
+            "coding after chunks": b"chunked, gzip",
+            "chunks twice": b"chunked, chunked",
+            "identity": b"identity",
+        }.items()
+    }
+    bodies = {
+        "chunk line with a bare line feed": chunk.replace(b"\r\n", b"\n", 1),
+        "negative chunk": b"-1\r\n",
+        "no last chunk": chunk,
+        "last chunk without its end": chunk + b"0\r\n",
+    }
+    head = b"\r\n".join([b"HTTP/1.1 200 OK", *headers, b""])
+    answers = {
+        name: b"\r\n".join([head + lines[0], *lines[1:], b"", body])
+        for name, lines in lengths.items()
+    }
+    for name, lines in codings.items():
+        answers[name] = head + lines[0] + b"\r\n\r\n" + chunk + b"0\r\n\r\n"
+    for name, data in bodies.items():
+        answers[name] = head + chunked + b"\r\n\r\n" + data
+    both = answers["length and chunks"]
+    answers["length and chunks"] = both[: -len(body)] + chunk + b"0\r\n\r\n"
+    answers["chunks in HTTP/1.0"] = answers["no last chunk"].replace(
+        b"HTTP/1.1", b"HTTP/1.0", 1
+    ) + (b"0\r\n\r\n")
+    return answers
+
+
 def malformed_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes]]:
     """Yield answers by name that are none, of any kind."""
     yield from bad_field_answers(body, *headers)
@@ -199,6 +243,8 @@
         for framing, answer in framed_answers(body, *headers).items():
             answer = line + answer.removeprefix(b"HTTP/1.1 200 OK")
             yield f"status, {name}, {framing}", answer
+    for name, answer in bad_framings(body, *headers).items():
+        yield f"framing, {name}", answer
 
 
 def endless_answers() -> dict[str, tuple[bytes, bytes]]:
