A trailer has to be a field, and its line to end as others do

Answers in chunks were passed on whatever followed the last chunk: a blank or a control byte in the name of a trailer, none at all, a bare LF as the end of a line, or of all trailers, which leaves the rest of them for whoever reads the connection next. Trailers are dropped, but an upstream that frames them so says nothing reliable about the end of its answer. They have the syntax of the fields of a head now.

Held before: a bare CR.

--- a/packages/corianderlb-router/src/corianderlb_router/_chunked_body.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_chunked_body.py
@@ -9,13 +9,15 @@
 import re
 from typing import Final
 
+from ._response_head import FIELD_LINE
+
 MAX_LINE_BYTES: Final = 65536
 """Longest line between two chunks, and most bytes of trailers."""
 
 _FIRST: Final = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
 _NEXT: Final = re.compile(rb"\r\n([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
-_BLANK: Final = (b"\r\n", b"\n")
-_TRAILER: Final = re.compile(rb"[^\r\n]*\r?\n")
+_BLANK: Final = b"\r\n"
+_TRAILER: Final = re.compile(rb"(?:" + FIELD_LINE + rb")?\r\n")
 
 
 class ChunkError(ValueError):
@@ -73,7 +75,7 @@
                 break
             place = found.end()
             if self._line is _TRAILER:
-                self.is_complete = found[0] in _BLANK
+                self.is_complete = found[0] == _BLANK
                 self._n_trailers += len(found[0])
                 continue
             self._n_left = int(found[1], 16)
@@ -89,4 +91,6 @@
             raise ChunkError("too many bytes between two chunks")
         n_end = 2 if self._line is _NEXT else 0
         if b"\n" in self._buffer[n_end:]:
-            raise ChunkError("the line before a chunk has no size, or a trailer no end")
+            raise ChunkError(
+                "the line before a chunk has no size, or a trailer is no field"
+            )
--- a/packages/corianderlb-router/tests/test_chunked_body.py
+++ b/packages/corianderlb-router/tests/test_chunked_body.py
@@ -8,6 +8,7 @@
 import h11
 
 from corianderlb_router._chunked_body import ChunkedBody, ChunkError
+from corianderlb_standins.connection_texts import NO_NAME_BYTES, bad_field_lines
 
 BODY = (
     b"5\r\nhello\r\n00a;note=1\r\n\r\n0\r\n\r\nab\r\r\n1\r\n!\r\n"
@@ -78,7 +79,16 @@
             self.assertLess(large, 4 * 2 * small)
 
     def test_trailer_is_malformed(self) -> None:
-        body = ChunkedBody(b"0\r\nx: a\rb\n\r\n")
+        lines = bad_field_lines(NO_NAME_BYTES)
+        lines["line end within the value"] = b"x: a\rb\n"
+        for name, line in lines.items():
+            body = ChunkedBody(b"0\r\n" + line + b"\r\n\r\n")
+            with self.subTest(name), self.assertRaises(ChunkError):
+                body.take()
+
+    def test_last_line_is_a_bare_line_feed(self) -> None:
+        """Guards against an end that leaves bytes of the trailers for the next head."""
+        body = ChunkedBody(b"0\r\n\n")
         with self.assertRaises(ChunkError):
             body.take()
 
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -219,6 +219,8 @@
         "no last chunk": chunk,
         "last chunk without its end": chunk + b"0\r\n",
     }
+    for name, trailer in bad_field_lines().items():
+        bodies[f"trailers, {name}"] = chunk + b"0\r\n" + trailer + b"\r\n\r\n"
     head = b"\r\n".join([b"HTTP/1.1 200 OK", *headers, b""])
     answers = {
         name: b"\r\n".join([head + lines[0], *lines[1:], b"", body])
