Answers of the store are checked as those of instances are

The store is called through httpx, whose parser reads heads and trailers as leniently: an object was read from a body that began in the middle of the head, a version from a line that was joined to the `etag` before it. `CheckedTransport` gives the same bytes to the same check (`HeadCheck`, and `ChunkedBody` for trailers) before the library reads them. TLS, pool and limits stay the library's. A malformed answer counts as lost.

--- a/packages/corianderlb-router/src/corianderlb_router/_response_head.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
 from typing import Final
 
 MAX_INFORMATIONAL: Final = 100
@@ -19,7 +20,7 @@
 (RFC 9110, section 5.5)."""
 
 _STATUS_LINE: Final = re.compile(
-    rb"HTTP/1\.(?P<minor>[0-9]) (?P<class>[1-5])[0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
+    rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 """Pattern of a status line without its line end. A status outside 100 to 599 has no
 class (RFC 9110, section 15), so nobody can tell what it says of the request."""
@@ -42,58 +43,67 @@
     For example::
 
         check = HeadCheck()
-        check.add(b"HTTP/1.1 200 OK\\r\\nx-model: m\\r\\n")
-        check.add(b"content-length: 4\\r\\n\\r\\nbody")  # The body is not looked at.
-        check.add(b"more")
+        check.add(b"HTTP/1.1 200 OK\\r\\nx-model: m\\r\\n")  # b""
+        check.add(b"content-length: 4\\r\\n\\r\\nbo")  # b"bo"
+        check.add(b"dy")  # b"dy", which is not looked at
 
     The parser that gets the same bytes bounds the length of a head.
     """
 
     def __init__(self) -> None:
+        self.status = 0
+        """Status of the response; 0 until its head is complete."""
+        self.fields: dict[bytes, bytes] = {}
+        """Fields of that head by their names in lower case, the last of each name."""
         self._received = bytearray()
         """What has arrived and is no complete head yet."""
         self._n_heads = 0
-        self._is_complete = False
 
-    def add(self, data: bytes) -> None:
-        """Add received bytes; raise ``HeadError`` for a malformed head."""
-        if self._is_complete:
-            return
+    def add(self, data: bytes) -> bytes:
+        """Return what received bytes hold of the body.
+
+        Raise ``HeadError`` for a malformed head.
+        """
+        if self.status:
+            return data
         received = self._received
         # The end may have begun with the last two bytes before.
         start = max(0, len(received) - 2)
         received += data
         while found := _END.search(received, start):
-            head = bytes(received[: found.end()])
-            if not _check(head):
-                self._is_complete = True
+            status, fields = _read(bytes(received[: found.end()]))
+            del received[: found.end()]
+            if status >= HTTPStatus.OK:
+                self.status, self.fields = status, fields
+                body = bytes(received)
                 received.clear()
-                return
+                return body
             self._n_heads += 1
             if self._n_heads > MAX_INFORMATIONAL:
                 raise HeadError(f"more than {MAX_INFORMATIONAL} informational heads")
-            del received[: found.end()]
             start = 0
+        return b""
 
 
-def _check(head: bytes) -> bool:
-    """Check a head; return whether it is informational, so that another follows."""
+def _read(head: bytes) -> tuple[int, dict[bytes, bytes]]:
+    """Return the status and the fields of a head; raise ``HeadError``."""
     # One kind of line end: a bare LF among CRLFs is a byte of a name or a value.
     line_end = b"\r\n" if head.endswith(b"\r\n\r\n") else b"\n"
     first, *lines = head[: -2 * len(line_end)].split(line_end)
-    status = _STATUS_LINE.fullmatch(first)
-    if status is None:
+    found = _STATUS_LINE.fullmatch(first)
+    if found is None:
         shown = first[:_MAX_SHOWN]
         raise HeadError(f"{shown!r} is no status line of HTTP/1, status 100 to 599")
-    names = set()
+    fields: dict[bytes, bytes] = {}
     for line in lines:
         if not _FIELD_LINE.fullmatch(line):
             raise HeadError(f"{line[:_MAX_SHOWN]!r} is no field of a head")
-        names.add(line.partition(b":")[0].lower())
-    if b"transfer-encoding" in names:
+        name, _, value = line.partition(b":")
+        fields[name.lower()] = value.strip()
+    if b"transfer-encoding" in fields:
         # Either may be from a sender that knows nothing of the other (RFC 9112, 6).
-        if b"content-length" in names:
+        if b"content-length" in fields:
             raise HeadError("a transfer-encoding beside a content-length")
-        if status["minor"] == b"0":
+        if found["minor"] == b"0":
             raise HeadError("a transfer-encoding in HTTP/1.0")
-    return status["class"] == b"1"
+    return int(found["status"]), fields
--- a/packages/corianderlb-router/src/corianderlb_router/store_caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/store_caller.py
@@ -15,6 +15,7 @@
 import httpx
 import trio
 
+from .checked_transport import CheckedTransport
 from .connection_guard import PROCESS_FAULTS
 from .http_client import STORE_BOUNDS, make_client
 from .store import StoreUnavailableError, StoreUnknownError
@@ -69,7 +70,7 @@
         )
         # Loading the certificate authorities takes a good part of a start.
         is_encrypted = httpx.URL(url).scheme != "http"
-        transport = transport or httpx.AsyncHTTPTransport(
+        transport = transport or CheckedTransport(
             verify=is_encrypted,
             limits=limits,
             socket_options=KEEPALIVE_OPTIONS,
--- a/packages/corianderlb-router/tests/test_store_connection.py
+++ b/packages/corianderlb-router/tests/test_store_connection.py
@@ -9,10 +9,17 @@
 from corianderlb_router.http_store import HttpObjectStore
 from corianderlb_router.store import StoreUnavailableError, StoreUnknownError
 from corianderlb_router.store_caller import StoreCall, StoreCaller
-from corianderlb_standins.connection_texts import bad_answers, cut_answers
+from corianderlb_standins.connection_texts import (
+    bad_answers,
+    cut_answers,
+    malformed_answers,
+)
 from corianderlb_standins.loopback import RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
+OBJECT_FIELDS = (b'etag: "4"', b"x-revision: 4")
+"""Fields of an answer with an object."""
+
 
 class StoreConnectionTest(RealTimeTestCase):
     async def test_answer_that_cannot_be_read(self) -> None:
@@ -29,8 +36,7 @@
 
     async def test_object_that_is_cut(self) -> None:
         """Guards against a part of an object that is taken for all of it."""
-        headers = (b'etag: "4"', b"x-revision: 4")
-        for name, answer, resets in cut_answers(b"value", *headers):
+        for name, answer, resets in cut_answers(b"value", *OBJECT_FIELDS):
             value = b"value"
             with trio.fail_after(10):
                 async with RawHost(answer, resets).running() as host:
@@ -40,3 +46,13 @@
                     await store.aclose()
             with self.subTest(name):
                 self.assertEqual(value, b"value")
+
+    async def test_object_in_a_malformed_answer(self) -> None:
+        """Guards against a value or a version that the store has not sent as such."""
+        for name, answer in malformed_answers(b"value", *OBJECT_FIELDS):
+            with trio.fail_after(10):
+                async with RawHost(answer).running() as host:
+                    store = HttpObjectStore(f"http://{host.address}")
+                    with self.subTest(name), self.assertRaises(StoreUnavailableError):
+                        await store.get("k")
+                    await store.aclose()
--- a/packages/corianderlb-router/tests/test_upstream_client.py
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -12,14 +12,17 @@
     Outbound,
     UpstreamClient,
 )
-from corianderlb_standins.connection_texts import cut_answers
+from corianderlb_standins.connection_texts import cut_answers, malformed_answers
 from corianderlb_standins.loopback import RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
+ATTEMPT = b"corianderlb-attempt-id: a1"
+"""Field that an answer to a call needs."""
+
 TIMEOUTS = ExchangeTimeouts(1.0, 1.0)
 
 
-class CutAnswerTest(RealTimeTestCase):
+class BrokenAnswerTest(RealTimeTestCase):
     async def get(self, client: UpstreamClient, address: str) -> bytes:
         """Return the answer to a call about an instance."""
         return (await client.get(address, "/health", TIMEOUTS)).content
@@ -35,10 +38,9 @@
 
     async def test_cut_at_each_byte(self) -> None:
         """Guards against a part of an answer that is taken for all of it."""
-        attempt = b"corianderlb-attempt-id: a1"
         for ask in (self.get, self.call):
             n_whole = 0
-            for name, answer, resets in cut_answers(b"value", attempt):
+            for name, answer, resets in cut_answers(b"value", ATTEMPT):
                 value = None
                 with trio.fail_after(10):
                     async with RawHost(answer, resets).running() as host:
@@ -50,3 +52,17 @@
                 with self.subTest(name, ask=ask.__name__):
                     self.assertIn(value, (None, b"value"))
             self.assertGreater(n_whole, 0)
+
+    async def test_malformed_answers(self) -> None:
+        """Guards against a field, a body or a status that the instance has not sent."""
+        for ask in (self.get, self.call):
+            for name, answer in malformed_answers(b"value", ATTEMPT):
+                value = None
+                with trio.fail_after(10):
+                    async with RawHost(answer).running() as host:
+                        client = UpstreamClient(TcpConnector())
+                        with suppress(UpstreamError):
+                            value = await ask(client, host.address)
+                        await client.close()
+                with self.subTest(name, ask=ask.__name__):
+                    self.assertIsNone(value)
