Bytes after an answer of the store are not read as the next answer

A store, or a proxy before it, that sends more than its answer had the rest read as the answer to the next call on the connection: `get` returned another object's value, or was lost for two bytes. The library keeps such bytes for the next response. The transport now follows the framing of the response, and tells the library that an idle connection with more on it is readable, for which it closes it, as it does for bytes that arrive later.

Calls to instances held: a connection with bytes after the answer isn't used again, also after a status that has no body (test_upstream_client).

--- a/packages/corianderlb-router/src/corianderlb_router/checked_transport.py
+++ b/packages/corianderlb-router/src/corianderlb_router/checked_transport.py
@@ -1,7 +1,8 @@
 """Transport of httpx that checks responses as they arrive.
 
 For calls to the store, which use the library's TLS and pool. Its parser is lenient in
-the same way as that of ``connection``; see ``_response_head``.
+the same way as that of ``connection``; see ``_response_head``. It also reads what
+follows the end of a response as the next one.
 """
 
 from __future__ import annotations
@@ -15,24 +16,43 @@
 
 from ._chunked_body import ChunkedBody, ChunkError
 from ._response_head import HeadCheck, HeadError
+from .connection import BODILESS_STATUSES
 
 
 class _ResponseCheck:
-    """Checks the head and the trailers of one response."""
+    """Checks one response, and tells whether more than it has arrived."""
 
     def __init__(self) -> None:
+        self.has_more = False
+        """Whether bytes have arrived after the end of the response."""
         self._head = HeadCheck()
+        self._n_left: int | None = None
+        """Bytes of the body that have not arrived, if its length is known."""
         self._chunks: ChunkedBody | None = None
 
     def add(self, data: bytes) -> None:
         """Add received bytes; raise ``HeadError`` or ``ChunkError``."""
         is_first = not self._head.status
         data = self._head.add(data)
-        if is_first and b"transfer-encoding" in self._head.fields:
-            self._chunks = ChunkedBody(b"")
+        if is_first and self._head.status:
+            self._read_framing()
         if self._chunks is not None:
             self._chunks.add(data)
             self._chunks.take()
+            self.has_more = self._chunks.is_complete and bool(self._chunks.rest)
+        elif self._n_left is not None:
+            self.has_more |= len(data) > self._n_left
+            self._n_left -= min(len(data), self._n_left)
+
+    def _read_framing(self) -> None:
+        fields = self._head.fields
+        length = fields.get(b"content-length", b"")
+        if self._head.status in BODILESS_STATUSES:
+            self._n_left = 0
+        elif b"transfer-encoding" in fields:
+            self._chunks = ChunkedBody(b"")
+        elif length.isdigit():
+            self._n_left = int(length)
 
 
 class _CheckedStream(httpcore.AsyncNetworkStream):
@@ -71,7 +91,12 @@
         return _CheckedStream(inner)
 
     def get_extra_info(self, info: str) -> Any:
-        """Return what the library asks of a connection."""
+        """Return what the library asks of a connection.
+
+        It closes an idle one that is readable, since nothing is due there.
+        """
+        if info == "is_readable" and self._response.has_more:
+            return True
         return self._inner.get_extra_info(info)
 
 
--- a/packages/corianderlb-router/tests/test_store_connection.py
+++ b/packages/corianderlb-router/tests/test_store_connection.py
@@ -12,9 +12,10 @@
 from corianderlb_standins.connection_texts import (
     bad_answers,
     cut_answers,
+    framed_answers,
     malformed_answers,
 )
-from corianderlb_standins.loopback import RawHost
+from corianderlb_standins.loopback import KeptHost, RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 OBJECT_FIELDS = (b'etag: "4"', b"x-revision: 4")
@@ -56,3 +57,20 @@
                     with self.subTest(name), self.assertRaises(StoreUnavailableError):
                         await store.get("k")
                     await store.aclose()
+
+    async def test_bytes_after_an_answer(self) -> None:
+        """Guards against what follows an answer being read as the next one."""
+        stale = framed_answers(b"stale", *OBJECT_FIELDS)["length"]
+        for name, answer in framed_answers(b"value", *OBJECT_FIELDS).items():
+            for more in (b"", stale, b"\r\n"):
+                async with KeptHost(answer + more).running() as host:
+                    store = HttpObjectStore(f"http://{host.address}", 0.5)
+                    values = []
+                    with suppress(StoreUnavailableError):
+                        for _ in range(3):
+                            values.append((await store.get("k")).value)
+                    await store.aclose()
+                with self.subTest(name, more=more):
+                    # A body without length doesn't end on a connection that stays open.
+                    n_whole = 0 if name == "close" else 3
+                    self.assertEqual(values, [b"value"] * n_whole)
--- a/packages/corianderlb-router/tests/test_upstream_client.py
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -12,8 +12,12 @@
     Outbound,
     UpstreamClient,
 )
-from corianderlb_standins.connection_texts import cut_answers, malformed_answers
-from corianderlb_standins.loopback import RawHost
+from corianderlb_standins.connection_texts import (
+    cut_answers,
+    framed_answers,
+    malformed_answers,
+)
+from corianderlb_standins.loopback import KeptHost, RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 ATTEMPT = b"corianderlb-attempt-id: a1"
@@ -66,3 +70,23 @@
                         await client.close()
                 with self.subTest(name, ask=ask.__name__):
                     self.assertIsNone(value)
+
+    async def test_bytes_after_an_answer(self) -> None:
+        """Guards against what follows an answer being read as the next one."""
+        stale = framed_answers(b"stale", ATTEMPT)["length"]
+        no_body = b"HTTP/1.1 204 No\r\n" + ATTEMPT + b"\r\ncontent-length: 5\r\n\r\n"
+        answers = {**framed_answers(b"value", ATTEMPT), "no body": no_body}
+        del answers["close"]
+        for ask in (self.get, self.call):
+            for name, answer in answers.items():
+                for more in (b"", stale, b"\r\n"):
+                    values = []
+                    with trio.fail_after(10):
+                        async with KeptHost(answer + more).running() as host:
+                            client = UpstreamClient(TcpConnector())
+                            for _ in range(3):
+                                values.append(await ask(client, host.address))
+                            await client.close()
+                    with self.subTest(name, ask=ask.__name__, more=more):
+                        expected = b"" if name == "no body" else b"value"
+                        self.assertEqual(values, [expected] * 3)
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -74,6 +74,17 @@
         await trio.aclose_forcefully(stream)
 
 
+class KeptHost(RawHost):
+    """Host that answers all requests of a connection with the same bytes."""
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some():
+                self.requests.append(data)
+                await stream.send_all(self._answer)
+        await trio.aclose_forcefully(stream)
+
+
 class EarlyEnding(Enum):
     """How a host ends a connection on which it has answered before its request."""
 
