Malformed answers in further attempts, behind a peer and after an informational head

Tests alone, all held since heads are checked as they arrive: the router that has the caller reads what a peer's link carries, and each attempt has a connection of the same kind. An informational head is checked like the one after it.

--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -14,6 +14,7 @@
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from cut_answers import (
     BODY,
+    INFORMATIONAL,
     SHAPES,
     CutAnswer,
     Ending,
@@ -234,11 +235,12 @@
 class MalformedAnswerTest(RealTimeTestCase):
     """Answers that are none, over loopback."""
 
-    async def check(self, answer: bytes, name: str) -> None:
+    async def check(self, network: UpstreamNetwork, answer: bytes, name: str) -> None:
         """Check that nothing passes for an answer, to a call and to a stream."""
-        async with trio.open_nursery() as nursery, RawHost(answer).running() as host:
+        async with RawHost(answer).running() as host:
             for path in ("/book/1", "/quick/1"):
-                network = HostNetwork(nursery, {ROUTES[path]: host})
+                network.upstreams.clear()
+                network.upstreams[ROUTES[path]] = host
                 router = a_router_in(network)
                 with trio.fail_after(10):
                     caller = await router.ask(path, x_prompt=PROMPT)
@@ -250,5 +252,32 @@
 
     async def test_malformed_answers(self) -> None:
         """Guards against a field, a body or a status that the upstream has not sent."""
-        for name, answer in malformed_answers(BODY, b"x-seal: s"):
-            await self.check(answer, name)
+        async with trio.open_nursery() as nursery:
+            network = HostNetwork(nursery, {})
+            for name, answer in malformed_answers(BODY, b"x-seal: s"):
+                await self.check(network, answer, name)
+                await self.check(network, INFORMATIONAL + answer, f"103, {name}")
+
+    async def test_malformed_answers_behind_a_peer(self) -> None:
+        """The router that helps passes on bytes; the one that asks checks them."""
+        async with a_tunnel_fleet(kind=LoopbackFleet) as fleet:
+            fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
+            async with trio.open_nursery() as nursery:
+                network = TunnelNetwork(nursery, {})
+                network.tunnels = fleet.tunnels("r00")
+                hosts = HostNetwork(nursery, network.upstreams)
+                fleet.servers["r01"]._connector = hosts
+                for name, answer in malformed_answers(BODY, b"x-seal: s"):
+                    if "length" in name:
+                        await self.check(network, answer, name)
+
+    async def test_malformed_rest_of_a_stream(self) -> None:
+        """Guards against a further attempt whose answer is read less strictly."""
+        for name, answer in malformed_answers(an_event(3), b"x-seal: s"):
+            engine = Upstream([break_off, answer], closes=True)
+            async with trio.open_nursery() as nursery:
+                network = UpstreamNetwork(nursery, {"e1": engine, "e2": engine})
+                caller = await a_router_in(network).ask("/long/1", x_prompt=PROMPT)
+            with self.subTest(name):
+                self.assertEqual(len(engine.requests), 2)
+                self.assertEqual((caller.status, caller.finished), (200, False))
