--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -192,7 +192,7 @@
         pause_s: float,
     ) -> None:
         """Ask a host that answers early on all kinds of route."""
-        host = EarlyHost(EARLY_ANSWERS[framing], len(LONG_BODY), ending, pause_s)
+        host = EarlyHost(EARLY_ANSWERS[framing], ending, pause_s)
         is_known = framing != "close" or ending.takes_request
         async with host.running():
             for path, name in ROUTES.items():
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -106,40 +107,41 @@
     """Host that answers once it has the head of a request, and ends as scripted."""
 
     def __init__(
-        self, answer: bytes, n_bytes: int, ending: EarlyEnding, pause_s: float = 0.0
+        self, answer: bytes, ending: EarlyEnding, pause_s: float = 0.0
     ) -> None:
-        """Expect a request body of ``n_bytes``; pause before and while it is read."""
+        """Pause for a time between the answer and what follows."""
         super().__init__(answer)
-        self._n_bytes = n_bytes
         self._ending = ending
         self._pause_s = pause_s
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         with suppress(trio.BrokenResourceError):
-            head, found, body = await self._read_head(stream)
-            if not found:
-                return
-            self.requests.append(head)
+            n_left = await self._read_head(stream)
             await stream.send_all(self._answer)
             if self._ending is EarlyEnding.END_FIRST:
                 await stream.send_eof()
             await trio.sleep(self._pause_s)
             if self._ending.takes_request:
-                await self._read(stream, self._n_bytes - len(body), 0.0)
+                await self._read(stream, n_left, 0.0)
             elif self._ending is EarlyEnding.RESET_READING:
-                await self._read(stream, self._n_bytes // 8, 0.001)
+                await self._read(stream, n_left // 8, 0.001)
             resets = self._ending in (EarlyEnding.RESET, EarlyEnding.RESET_READING)
             linger = struct.pack("ii", resets, 0)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         await trio.aclose_forcefully(stream)
 
-    @staticmethod
-    async def _read_head(stream: trio.SocketStream) -> tuple[bytes, bytes, bytes]:
-        """Read little at a time, so that most of the body stays with the sender."""
+    async def _read_head(self, stream: trio.SocketStream) -> int:
+        """Read a head, and little more; return how much of the body is left."""
         data = b""
-        while b"\r\n\r\n" not in data and (part := await stream.receive_some(1024)):
+        while b"\r\n\r\n" not in data:
+            part = await stream.receive_some(1024)
+            if not part:
+                raise trio.BrokenResourceError("closed without a request")
             data += part
-        return data.partition(b"\r\n\r\n")
+        head, _, body = data.partition(b"\r\n\r\n")
+        self.requests.append(head)
+        length = re.search(rb"(?i)\r\ncontent-length: *([0-9]+)", head)
+        return int(length[1]) - len(body) if length else 0
 
     @staticmethod
     async def _read(stream: trio.SocketStream, n_bytes: int, pause_s: float) -> None:
