--- a/packages/corianderlb-router/tests/test_upstream_client.py
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from contextlib import suppress
 
 import trio
@@ -17,7 +18,7 @@
     framed_answers,
     malformed_answers,
 )
-from corianderlb_standins.loopback import KeptHost, RawHost
+from corianderlb_standins.loopback import EarlyEnding, EarlyHost, KeptHost, RawHost
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 ATTEMPT = b"corianderlb-attempt-id: a1"
@@ -31,9 +32,11 @@
         """Return the answer to a call about an instance."""
         return (await client.get(address, "/health", TIMEOUTS)).content
 
-    async def call(self, client: UpstreamClient, address: str) -> bytes:
+    async def call(
+        self, client: UpstreamClient, address: str, body: bytes = b""
+    ) -> bytes:
         """Return the answer to a call that is passed on for a caller."""
-        outbound = Outbound(address, "POST", "/x", "a1")
+        outbound = Outbound(address, "POST", "/x", "a1", body=body)
         response = await client.open(outbound, TIMEOUTS)
         try:
             return b"".join([part async for part in response.aiter_raw()])
@@ -90,3 +93,18 @@
                     with self.subTest(name, ask=ask.__name__, more=more):
                         expected = b"" if name == "no body" else b"value"
                         self.assertEqual(values, [expected] * 3)
+
+    async def test_answer_before_the_upload_is_read(self) -> None:
+        """Guards against a reset that the upload was told of, and whole ones lost."""
+        answers = framed_answers(b"value", ATTEMPT)
+        for framing, ending in itertools.product(answers, EarlyEnding):
+            value = None
+            with trio.fail_after(10):
+                async with EarlyHost(answers[framing], ending).running() as host:
+                    client = UpstreamClient(TcpConnector())
+                    with suppress(UpstreamError):
+                        value = await self.call(client, host.address, bytes(1 << 22))
+                    await client.close()
+            with self.subTest(framing, ending=ending):
+                # An answer without length is never read here.
+                self.assertEqual(value, None if framing == "close" else b"value")
