--- a/packages/corianderlb-router/tests/test_connection.py
+++ b/packages/corianderlb-router/tests/test_connection.py
@@ -69,6 +69,13 @@
             await receive_all(HEAD, CHUNK)
 
 
+def a_connection() -> tuple[socket.socket, socket.socket]:
+    """Return both sides of a connection over loopback."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        raw = socket.create_connection(server.getsockname())
+        return raw, server.accept()[0]
+
+
 def write(stream: SocketStream, raw: socket.socket) -> None:
     """Write to a connection that has failed."""
     with suppress(trio.BrokenResourceError):
@@ -90,9 +97,7 @@
         """Guards against a reset that looks like the end of a stream."""
         for name, take_error in READERS_OF_ERRORS.items():
             for ends_first in (False, True):
-                with socket.create_server(("127.0.0.1", 0)) as server:
-                    raw = socket.create_connection(server.getsockname())
-                    remote, _ = server.accept()
+                raw, remote = a_connection()
                 stream = SocketStream(raw)
                 remote.sendall(b"part")
                 if ends_first:
@@ -117,9 +122,7 @@
     async def test_end_that_is_none_of_a_reset(self) -> None:
         """Guards against whole answers that count as cut."""
         for ends_writes in (False, True):
-            with socket.create_server(("127.0.0.1", 0)) as server:
-                raw = socket.create_connection(server.getsockname())
-                remote, _ = server.accept()
+            raw, remote = a_connection()
             stream = SocketStream(raw)
             stream.send_at_once(b"request")
             remote.recv(64)
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -1,9 +1,10 @@
-"""Tests of answers that end early, at any byte and in any way."""
+"""Tests of answers that end early, at any byte and in any way, or are malformed."""
 
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 
 import trio
 
@@ -69,6 +70,18 @@
         return await TcpConnector().connect(host.address)
 
 
+@asynccontextmanager
+async def hosts_behind_a_peer(kind: type[Fleet]) -> AsyncIterator[TunnelNetwork]:
+    """Run two routers; yield the network of the one that reaches hosts by the other."""
+    async with a_tunnel_fleet(kind=kind) as fleet, trio.open_nursery() as nursery:
+        fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
+        network = TunnelNetwork(nursery, {})
+        network.tunnels = fleet.tunnels("r00")
+        hosts = HostNetwork(nursery, network.upstreams)
+        fleet.servers["r01"]._connector = hosts
+        yield network
+
+
 def an_upstream(case: CutAnswer) -> Upstream:
     """Build an upstream that gives a cut answer to each request."""
     return Upstream([case.answer], resets=case.ending is Ending.RESET)
@@ -222,14 +235,8 @@
     async def test_reset_behind_a_peer(self) -> None:
         """Guards against an end of the router that helps in place of a reset."""
         for kind in (Fleet, LoopbackFleet):
-            async with a_tunnel_fleet(kind=kind) as fleet:
-                fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
-                async with trio.open_nursery() as nursery:
-                    network = TunnelNetwork(nursery, {})
-                    network.tunnels = fleet.tunnels("r00")
-                    hosts = HostNetwork(nursery, network.upstreams)
-                    fleet.servers["r01"]._connector = hosts
-                    await self.check_all(network, (0.0, 0.005, 0.05))
+            async with hosts_behind_a_peer(kind) as network:
+                await self.check_all(network, (0.0, 0.005, 0.05))
 
 
 class MalformedAnswerTest(RealTimeTestCase):
@@ -238,7 +245,7 @@
     async def check(self, network: UpstreamNetwork, answer: bytes, name: str) -> None:
         """Check that nothing passes for an answer, to a call and to a stream."""
         async with RawHost(answer).running() as host:
-            for path in ("/book/1", "/quick/1"):
+            for n_requests, path in enumerate(("/book/1", "/quick/1"), 1):
                 network.upstreams.clear()
                 network.upstreams[ROUTES[path]] = host
                 router = a_router_in(network)
@@ -246,6 +253,8 @@
                     caller = await router.ask(path, x_prompt=PROMPT)
                 await router.parts.transport.aclose()
                 with self.subTest(name, path=path):
+                    # A check whether the host still listens sends nothing.
+                    self.assertEqual(sum(map(bool, host.requests)), n_requests)
                     has_begun = path == "/quick/1" and caller.status == 200
                     self.assertFalse(caller.finished and caller.status != 502)
                     self.assertTrue(has_begun or caller.status == 502, caller.status)
@@ -260,16 +269,10 @@
 
     async def test_malformed_answers_behind_a_peer(self) -> None:
         """The router that helps passes on bytes; the one that asks checks them."""
-        async with a_tunnel_fleet(kind=LoopbackFleet) as fleet:
-            fleet.add("r01", s1=Upstream([b""]), e1=Upstream([b""]))
-            async with trio.open_nursery() as nursery:
-                network = TunnelNetwork(nursery, {})
-                network.tunnels = fleet.tunnels("r00")
-                hosts = HostNetwork(nursery, network.upstreams)
-                fleet.servers["r01"]._connector = hosts
-                for name, answer in malformed_answers(BODY, b"x-seal: s"):
-                    if "length" in name:
-                        await self.check(network, answer, name)
+        async with hosts_behind_a_peer(LoopbackFleet) as network:
+            for name, answer in malformed_answers(BODY, b"x-seal: s"):
+                if "length" in name:
+                    await self.check(network, answer, name)
 
     async def test_malformed_rest_of_a_stream(self) -> None:
         """Guards against a further attempt whose answer is read less strictly."""
--- a/packages/corianderlb-router/tests/test_upstream_client.py
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -1,4 +1,4 @@
-"""Tests of the client for upstream instances with answers that are cut."""
+"""Tests of the client for upstream instances with broken answers."""
 
 from __future__ import annotations
 
