Patterns of a status line and of a field in the guard list

The list of byte texts names the two patterns of the head check. The parts of a status line are taken by position, since map keys are guarded too.

--- a/packages/corianderlb-router/src/corianderlb_router/_response_head.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -20,7 +20,7 @@
 (RFC 9110, section 5.5)."""
 
 _STATUS_LINE: Final = re.compile(
-    rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
+    rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 """Pattern of a status line without its line end. A status outside 100 to 599 has no
 class (RFC 9110, section 15), so nobody can tell what it says of the request."""
@@ -94,6 +94,7 @@
     if found is None:
         shown = first[:_MAX_SHOWN]
         raise HeadError(f"{shown!r} is no status line of HTTP/1, status 100 to 599")
+    minor_version, status = found.groups()
     fields: dict[bytes, bytes] = {}
     for line in lines:
         if not _FIELD_LINE.fullmatch(line):
@@ -104,6 +105,6 @@
         # Either may be from a sender that knows nothing of the other (RFC 9112, 6).
         if b"content-length" in fields:
             raise HeadError("a transfer-encoding beside a content-length")
-        if found["minor"] == b"0":
+        if minor_version == b"0":
             raise HeadError("a transfer-encoding in HTTP/1.0")
-    return int(found["status"]), fields
+    return int(status), fields
--- a/packages/corianderlb-router/tests/test_wire_names.py
+++ b/packages/corianderlb-router/tests/test_wire_names.py
@@ -970,7 +970,9 @@
     "HEAD",
     "HTTP/1.1 500 Internal Server Error\r\n"
     "content-length: 0\r\nconnection: close\r\n\r\n",
+    "HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: [\\t\\x20-\\x7e\\x80-\\xff]*)?",
     "Host",
+    "[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\x00\\r\\n]*",
     "[DONE]\n\n",
     "\\r\\n([0-9A-Fa-f]{1,16})[ \\t]*(?:;[^\\r\\n]*)?\\r\\n",
     "accept",
