--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -155,7 +155,7 @@
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return the available bytes, at least one; empty at end of stream.
 
-        A connection that has failed has no end of stream, whatever was told of that.
+        A connection that has failed has no end of stream, whoever was told of that.
         """
         try:
             while True:
@@ -516,8 +516,8 @@
     async def _finish_request(self) -> None:
         """Send what is left of the request; raise ``BrokenError`` if it isn't taken.
 
-        An upstream may end its side early and read on. One that has closed before it
-        has read a request resets the connection, only later, as if it had ended it.
+        An upstream may end its side early and read on. One that has closed looks the
+        same until more of the request arrives, which draws a reset.
         """
         if not isinstance(self._stream, SocketStream):
             return
--- a/packages/corianderlb-router/tests/test_chunked_body.py
+++ b/packages/corianderlb-router/tests/test_chunked_body.py
@@ -8,7 +8,7 @@
 import h11
 
 from corianderlb_router._chunked_body import ChunkedBody, ChunkError
-from corianderlb_standins.connection_texts import NO_NAME_BYTES, bad_field_lines
+from corianderlb_standins.malformed_answers import NO_NAME_BYTES, bad_field_lines
 
 BODY = (
     b"5\r\nhello\r\n00a;note=1\r\n\r\n0\r\n\r\nab\r\r\n1\r\n!\r\n"
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -10,8 +10,9 @@
 
 from corianderlb_router.connection import TcpConnector
 from corianderlb_router.peer_tunnel import Tunnels
-from corianderlb_standins.connection_texts import framed_answers, malformed_answers
+from corianderlb_standins.connection_texts import framed_answers
 from corianderlb_standins.loopback import EarlyEnding, EarlyHost, RawHost
+from corianderlb_standins.malformed_answers import malformed_answers
 from corianderlb_standins.trio_case import RealTimeTestCase, TrioTestCase
 from cut_answers import (
     BODY,
--- a/packages/corianderlb-router/tests/test_response_head.py
+++ b/packages/corianderlb-router/tests/test_response_head.py
@@ -5,7 +5,7 @@
 import unittest
 
 from corianderlb_router._response_head import MAX_INFORMATIONAL, HeadCheck, HeadError
-from corianderlb_standins.connection_texts import (
+from corianderlb_standins.malformed_answers import (
     NO_NAME_BYTES,
     bad_field_lines,
     bad_status_lines,
--- a/packages/corianderlb-router/tests/test_store_connection.py
+++ b/packages/corianderlb-router/tests/test_store_connection.py
@@ -13,9 +13,9 @@
     bad_answers,
     cut_answers,
     framed_answers,
-    malformed_answers,
 )
 from corianderlb_standins.loopback import KeptHost, RawHost
+from corianderlb_standins.malformed_answers import malformed_answers
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 OBJECT_FIELDS = (b'etag: "4"', b"x-revision: 4")
--- a/packages/corianderlb-router/tests/test_upstream_client.py
+++ b/packages/corianderlb-router/tests/test_upstream_client.py
@@ -13,12 +13,9 @@
     Outbound,
     UpstreamClient,
 )
-from corianderlb_standins.connection_texts import (
-    cut_answers,
-    framed_answers,
-    malformed_answers,
-)
+from corianderlb_standins.connection_texts import cut_answers, framed_answers
 from corianderlb_standins.loopback import EarlyEnding, EarlyHost, KeptHost, RawHost
+from corianderlb_standins.malformed_answers import malformed_answers
 from corianderlb_standins.trio_case import RealTimeTestCase
 
 ATTEMPT = b"corianderlb-attempt-id: a1"
--- a/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/connection_texts.py
@@ -9,7 +9,7 @@
 import base64
 import gzip
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
@@ -118,137 +118,6 @@
                 yield f"{name}, {n_sent}, {ending}", answer[:n_sent], resets
 
 
-NO_NAME_BYTES = (*range(33), 127, *range(128, 256), *b'"(),/;<=>?@[]{}\\')
-"""Bytes that the name of a field never holds."""
-
-FEW_NO_NAME_BYTES = (0, 1, 9, 10, 13, 32, 127, 233)
-"""One of each kind of these bytes."""
-
-
-def bad_field_lines(codes: Iterable[int] = FEW_NO_NAME_BYTES) -> dict[str, bytes]:
-    """Return lines by name that are no field of a head, each without its line end.
-
-    The bytes of ``codes`` stand in front of, within and after the name of one.
-    """
-    lines = {
-        "line end behind": b"X-Bad: v\n",
-        "line end between two fields": b"X-Bad: v\nX-Good: v",
-        "continued by a blank line": b"X-Bad: v\r\n ",
-        "no name": b": v",
-        "no colon": b"X-Bad",
-        "carriage return in the value": b"X-Bad: v\rw",
-        "NUL in the value": b"X-Bad: v\0w",
-    }
-    for code in codes:
-        for place, line in (
-            ("in front", b"%cX-Bad: v"),
-            ("within", b"X%cBad: v"),
-            ("before the colon", b"X-Bad%c: v"),
-        ):
-            lines[f"byte {code:#04x} {place}"] = line % code
-    return lines
-
-
-def bad_field_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes]]:
-    """Yield answers with a bad line, by name: its place, the line and the framing.
-
-    It stands before, between or after the good fields.
-    """
-    for name, line in bad_field_lines().items():
-        for place, fields in (
-            ("first", (line, *headers)),
-            ("between", (*headers, line)),
-        ):
-            for framing, answer in framed_answers(body, *fields).items():
-                yield f"{place}, {name}, {framing}", answer
-        for framing, answer in framed_answers(body, *headers).items():
-            head, end, rest = answer.partition(b"\r\n\r\n")
-            yield f"last, {name}, {framing}", head + b"\r\n" + line + end + rest
-
-
-def bad_status_lines() -> dict[str, bytes]:
-    """Return lines by name that are no status line of a response, without line end."""
-    statuses = (
-        *("000", "001", "099", "600", "999"),
-        *("2", "20", "0200", "2000", "abc", "2x0", "+20", "-20", "2 0", "\u0662"),
-        "101",
-    )
-    lines = {status: f"HTTP/1.1 {status} OK".encode() for status in statuses}
-    for name, line in {
-        "no status": b"HTTP/1.1 OK",
-        "blank in front": b" HTTP/1.1 200 OK",
-        "two blanks": b"HTTP/1.1  200 OK",
-        "tab": b"HTTP/1.1\t200 OK",
-        "lower case": b"http/1.1 200 OK",
-        "another protocol": b"ICY 200 OK",
-        "HTTP/0.9": b"HTTP/0.9 200 OK",
-        "HTTP/2.0": b"HTTP/2.0 200 OK",
-        "version of one digit": b"HTTP/1 200 OK",
-        "control byte in the reason": b"HTTP/1.1 200 O\x01K",
-        "DEL in the reason": b"HTTP/1.1 200 O\x7fK",
-        "line end in the reason": b"HTTP/1.1 200 O\nK",
-    }.items():
-        lines[name] = line
-    return lines
-
-
-def bad_framings(body: bytes, *headers: bytes) -> dict[str, bytes]:
-    """Return answers by name that don't delimit their body as they should."""
-    chunk = b"%x\r\n%b\r\n" % (len(body), body)
-    length, chunked = b"content-length: %d" % len(body), b"transfer-encoding: chunked"
-    lengths = {
-        "length and chunks": (length, chunked),
-        "two lengths": (length, b"content-length: %d" % (len(body) - 1)),
-        "length with a sign": (b"content-length: +%d" % len(body),),
-        "negative length": (b"content-length: -1",),
-        "empty length": (b"content-length:",),
-        "length that is no number": (b"content-length: 0x1",),
-    }
-    codings = {
-        name: (b"transfer-encoding: %b" % value,)
-        for name, value in {
-            "unknown coding": b"gzip",
-            "coding after chunks": b"chunked, gzip",
-            "chunks twice": b"chunked, chunked",
-            "identity": b"identity",
-        }.items()
-    }
-    bodies = {
-        "chunk line with a bare line feed": chunk.replace(b"\r\n", b"\n", 1),
-        "negative chunk": b"-1\r\n",
-        "no last chunk": chunk,
-        "last chunk without its end": chunk + b"0\r\n",
-    }
-    for name, trailer in bad_field_lines().items():
-        bodies[f"trailers, {name}"] = chunk + b"0\r\n" + trailer + b"\r\n\r\n"
-    head = b"\r\n".join([b"HTTP/1.1 200 OK", *headers, b""])
-    answers = {
-        name: b"\r\n".join([head + lines[0], *lines[1:], b"", body])
-        for name, lines in lengths.items()
-    }
-    for name, lines in codings.items():
-        answers[name] = head + lines[0] + b"\r\n\r\n" + chunk + b"0\r\n\r\n"
-    for name, data in bodies.items():
-        answers[name] = head + chunked + b"\r\n\r\n" + data
-    both = answers["length and chunks"]
-    answers["length and chunks"] = both[: -len(body)] + chunk + b"0\r\n\r\n"
-    answers["chunks in HTTP/1.0"] = answers["no last chunk"].replace(
-        b"HTTP/1.1", b"HTTP/1.0", 1
-    ) + (b"0\r\n\r\n")
-    return answers
-
-
-def malformed_answers(body: bytes, *headers: bytes) -> Iterator[tuple[str, bytes]]:
-    """Yield answers by name that are none, of any kind."""
-    yield from bad_field_answers(body, *headers)
-    for name, line in bad_status_lines().items():
-        for framing, answer in framed_answers(body, *headers).items():
-            answer = line + answer.removeprefix(b"HTTP/1.1 200 OK")
-            yield f"status, {name}, {framing}", answer
-    for name, answer in bad_framings(body, *headers).items():
-        yield f"framing, {name}", answer
-
-
 def endless_answers() -> dict[str, tuple[bytes, bytes]]:
     """Return the start of answers by name, each with bytes that go on without end."""
     piece = b"x" * 50_000
