One loop for the rest of a request, for undelivered bytes, and for asking a host

No change of behaviour. The rest of a request was sent by two equal loops; the linger of a caller's connection waited for delivery by a loop of its own, with an interval of its own; names of fields were collected again from the parser though the head check has them. Tests: the linger option of RawHost, the informational head and the status line of their builders are used instead of copies, and hosts are asked by one function. Assertions are unchanged.

--- a/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_http_connection.py
@@ -40,9 +40,6 @@
 LINGER_S: Final = 2.0
 """Longest time for which a connection is kept for what its caller has not read."""
 
-LINGER_CHECK_S: Final = 0.01
-"""Interval at which is looked whether the caller's kernel has all of an answer."""
-
 N_CHUNKS_A_STEP: Final = 32
 """Chunks of a body after which other tasks run; a chunk can be as short as a byte."""
 
@@ -196,8 +193,7 @@
         with trio.move_on_after(LINGER_S):
             while is_body_due and await self._receive():
                 pass
-            while self._stream.has_undelivered:
-                await trio.sleep(LINGER_CHECK_S)
+            await self._stream.wait_until_delivered()
 
     def close_if_idle(self) -> None:
         """Close the socket unless a request is served or has begun to arrive."""
--- a/packages/corianderlb-router/src/corianderlb_router/_response_head.py
+++ b/packages/corianderlb-router/src/corianderlb_router/_response_head.py
@@ -22,8 +22,8 @@
 _STATUS_LINE: Final = re.compile(
     rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
-"""Pattern of a status line without its line end. A status outside 100 to 599 has no
-class (RFC 9110, section 15), so nobody can tell what it says of the request."""
+"""Pattern of a status line without its line end. A status outside 100 to 599 is invalid
+(RFC 9110, section 15)."""
 
 _FIELD_LINE: Final = re.compile(FIELD_LINE)
 _END: Final = re.compile(rb"\n\r?\n")
--- a/packages/corianderlb-router/src/corianderlb_router/connection.py
+++ b/packages/corianderlb-router/src/corianderlb_router/connection.py
@@ -446,14 +446,17 @@
 
             nursery.start_soon(wait_for_answer)
             try:
-                while self._unsent:
-                    await stream.wait_send_all_might_not_block()
-                    self._unsent = stream.send_at_once(self._unsent)
+                await self._send_unsent(stream)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # An answer may have arrived before; the next read tells.
                 self._unsent, self._is_cut = b"", True
             nursery.cancel_scope.cancel()
 
+    async def _send_unsent(self, stream: SocketStream) -> None:
+        while self._unsent:
+            await stream.wait_send_all_might_not_block()
+            self._unsent = stream.send_at_once(self._unsent)
+
     def _encode(self, request: OutgoingRequest) -> bytes:
         self._is_head = request.method == b"HEAD"
         event = h11.Request(
@@ -480,7 +483,7 @@
                 raise BrokenError(f"{self.address}: closed before response", sent=True)
 
     def _record_framing(self, head: h11.Response) -> None:
-        names = {name for name, _ in head.headers}
+        names = self._head.fields.keys()
         has_body = not self._is_head and head.status_code not in BODILESS_STATUSES
         self.ends_by_close = has_body and not names & _FRAMING_HEADERS
         self.content_length = None
@@ -522,9 +525,7 @@
         if not isinstance(self._stream, SocketStream):
             return
         try:
-            while self._unsent:
-                await self._stream.wait_send_all_might_not_block()
-                self._unsent = self._stream.send_at_once(self._unsent)
+            await self._send_unsent(self._stream)
             await self._stream.wait_until_delivered()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             message = f"{self.address}: closed before it took the request"
--- a/packages/corianderlb-router/tests/test_connection.py
+++ b/packages/corianderlb-router/tests/test_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -102,8 +101,7 @@
                 remote.sendall(b"part")
                 if ends_first:
                     remote.shutdown(socket.SHUT_WR)
-                linger = struct.pack("ii", 1, 0)
-                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                SocketStream(remote).set_reset_on_close(True)
                 remote.close()
                 if not ends_first:
                     # What has arrived before is not lost.
--- a/packages/corianderlb-router/tests/test_cut_answers.py
+++ b/packages/corianderlb-router/tests/test_cut_answers.py
@@ -83,6 +83,19 @@
         yield network
 
 
+async def ask_host(
+    network: UpstreamNetwork, host: RawHost, path: str, body: bytes = b""
+) -> FakeCaller:
+    """Send a request to a host as the only instance of a network."""
+    network.upstreams.clear()
+    network.upstreams[ROUTES[path]] = host
+    router = a_router_in(network)
+    with trio.fail_after(10):
+        caller = await router.ask(path, body, x_prompt=PROMPT)
+    await router.parts.transport.aclose()
+    return caller
+
+
 def an_upstream(case: CutAnswer) -> Upstream:
     """Build an upstream that gives a cut answer to each request."""
     return Upstream([case.answer], resets=case.ending is Ending.RESET)
@@ -209,13 +222,8 @@
         host = EarlyHost(EARLY_ANSWERS[framing], ending, pause_s)
         is_known = framing != "close" or ending.takes_request
         async with host.running():
-            for path, name in ROUTES.items():
-                network.upstreams.clear()
-                network.upstreams[name] = host
-                router = a_router_in(network)
-                with trio.fail_after(10):
-                    caller = await router.ask(path, LONG_BODY, x_prompt=PROMPT)
-                await router.parts.transport.aclose()
+            for path in ROUTES:
+                caller = await ask_host(network, host, path, LONG_BODY)
                 with self.subTest(framing, path=path, ending=ending, pause_s=pause_s):
                     is_whole = caller.status == 200 and caller.finished
                     self.assertEqual(is_whole, is_known, caller.status)
@@ -247,12 +255,7 @@
         """Check that nothing passes for an answer, to a call and to a stream."""
         async with RawHost(answer).running() as host:
             for n_requests, path in enumerate(("/book/1", "/quick/1"), 1):
-                network.upstreams.clear()
-                network.upstreams[ROUTES[path]] = host
-                router = a_router_in(network)
-                with trio.fail_after(10):
-                    caller = await router.ask(path, x_prompt=PROMPT)
-                await router.parts.transport.aclose()
+                caller = await ask_host(network, host, path)
                 with self.subTest(name, path=path):
                     # A check whether the host still listens sends nothing.
                     self.assertEqual(sum(map(bool, host.requests)), n_requests)
--- a/packages/corianderlb-router/tests/test_response_head.py
+++ b/packages/corianderlb-router/tests/test_response_head.py
@@ -7,11 +7,11 @@
 from corianderlb_router._response_head import MAX_INFORMATIONAL, HeadCheck, HeadError
 from corianderlb_standins.malformed_answers import (
     NO_NAME_BYTES,
+    STATUS_LINE,
     bad_field_lines,
     bad_status_lines,
 )
-
-STATUS_LINE = b"HTTP/1.1 200 OK"
+from cut_answers import INFORMATIONAL
 
 GOOD_LINES = {
     "empty value": b"X-Good:",
@@ -31,8 +31,6 @@
     b"HTTP/1.1 404 n\xe9 \tpas",
 )
 
-EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
-
 
 def a_head(*lines: bytes, end: bytes = b"\r\n") -> bytes:
     """Build a head with these lines among others."""
@@ -53,11 +51,11 @@
 class HeadCheckTest(unittest.TestCase):
     def test_line_that_is_no_field(self) -> None:
         for name, line in bad_field_lines(NO_NAME_BYTES).items():
-            for before in (b"", EARLY_HINTS):
+            for before in (b"", INFORMATIONAL):
                 with self.subTest(name, before=before):
                     self.assertFalse(is_accepted(before + a_head(line) + b"body"))
             with self.subTest(name, before="as an informational head"):
-                hints = EARLY_HINTS.replace(b"link: </x>", line)
+                hints = INFORMATIONAL.replace(b"link: </x>", line)
                 self.assertFalse(is_accepted(hints + a_head()))
 
     def test_line_that_is_a_field(self) -> None:
@@ -69,7 +67,7 @@
     def test_line_that_is_no_status_line(self) -> None:
         """The parser refuses 101, which is a status but answers no request here."""
         for name, line in bad_status_lines().items():
-            for before in (b"", EARLY_HINTS):
+            for before in (b"", INFORMATIONAL):
                 with self.subTest(name, before=before):
                     head = a_head().replace(STATUS_LINE, line)
                     self.assertEqual(is_accepted(before + head), name == "101")
@@ -96,7 +94,7 @@
                 self.assertEqual(is_accepted(head), accepted)
 
     def test_head_that_arrives_in_parts(self) -> None:
-        good, bad = EARLY_HINTS + a_head(), EARLY_HINTS + a_head(b"X-Bad\n: v")
+        good, bad = INFORMATIONAL + a_head(), INFORMATIONAL + a_head(b"X-Bad\n: v")
         for place in range(len(good) + 1):
             self.assertTrue(is_accepted(good[:place], good[place:]), place)
         for place in range(len(bad) + 1):
@@ -117,5 +115,5 @@
 
     def test_informational_heads_without_end(self) -> None:
         """Guards against heads whose check takes longer than callers should wait."""
-        self.assertTrue(is_accepted(EARLY_HINTS * MAX_INFORMATIONAL + a_head()))
-        self.assertFalse(is_accepted(EARLY_HINTS * (MAX_INFORMATIONAL + 1)))
+        self.assertTrue(is_accepted(INFORMATIONAL * MAX_INFORMATIONAL + a_head()))
+        self.assertFalse(is_accepted(INFORMATIONAL * (MAX_INFORMATIONAL + 1)))
--- a/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
+++ b/packages/corianderlb-standins/src/corianderlb_standins/loopback.py
@@ -110,7 +110,8 @@
         self, answer: bytes, ending: EarlyEnding, pause_s: float = 0.0
     ) -> None:
         """Pause for a time between the answer and what follows."""
-        super().__init__(answer)
+        resets = ending in (EarlyEnding.RESET, EarlyEnding.RESET_READING)
+        super().__init__(answer, resets)
         self._ending = ending
         self._pause_s = pause_s
 
@@ -125,9 +126,7 @@
                 await self._read(stream, n_left, 0.0)
             elif self._ending is EarlyEnding.RESET_READING:
                 await self._read(stream, n_left // 8, 0.001)
-            resets = self._ending in (EarlyEnding.RESET, EarlyEnding.RESET_READING)
-            linger = struct.pack("ii", resets, 0)
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self._linger)
         await trio.aclose_forcefully(stream)
 
     async def _read_head(self, stream: trio.SocketStream) -> int:
