--- /dev/null
+++ b/review/7/run.py
@@ -0,0 +1,69 @@
+"""Calls that may run once and fail at their runner after they have run."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from second.client import request
+from second.config import a_config, a_tenant, request_headers
+from second.fleet import a_fleet
+from second.http_server import Request
+from second.play import main
+from second.record import Record
+from second.service import Outcome, Service
+from second.sites import KISLOVRT
+
+N_REQUESTS = 60
+BUDGET_MS = 1500
+PAUSE_S = 0.03
+
+FAIL_EVERY = 3
+"""One of this many runs fails, at runners whose health is good."""
+
+PROMISES = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
+
+
+async def play(record: Record, has_trouble: bool) -> list[str]:
+    """Play the case; return the calls that ran and got a promise that they didn't."""
+    n_runs = 0
+
+    def outcome(req: Request) -> Outcome:
+        """Fail after the work; nothing states that the request has not run."""
+        nonlocal n_runs
+        n_runs += 1
+        if n_runs % FAIL_EVERY:
+            return Outcome()
+        return Outcome(503 if has_trouble else 500, b"the ledger did not confirm")
+
+    runners = [Service(f"s{number}", record, outcome) for number in (1, 2, 3)]
+    config = a_config(1, [a_tenant("acme", "key1")])
+    answers: dict[str, int] = {}
+    async with a_fleet(KISLOVRT, config, runners) as fleet:
+        for number in range(N_REQUESTS):
+            name = f"q{number}"
+            record.line("client sends", name)
+            answer = await request(
+                fleet.routers[number % len(fleet.routers)].front,
+                "POST",
+                "/order/x",
+                request_headers(name, "key1", BUDGET_MS),
+                b"one pallet",
+            )
+            answers[name] = answer.status
+            record.line("client got", name, answer.status)
+            await asyncio.sleep(PAUSE_S)
+    ran = {name for runner in runners for name in runner.runs}
+    return [
+        f"REFUSED: {name} has run and was answered {status}"
+        for name, status in answers.items()
+        if name in ran and status in PROMISES
+    ]
+
+
+if __name__ == "__main__":
+    main(play, Path(__file__).parent)
