A 421 without a statement may have run, unless another instance gave it

What callers saw: an instance ran an order and answered it with 421 in its own name, without the header that states "not run".

So it counts as not run with the header, or in the name of another instance than the one asked; in the name of that one, or of none, it may have run: 502 where it may run once, another try where it may run again.

--- a/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_attempt.py
@@ -626,7 +626,7 @@
             self.settle(turned_away=head.not_run)
             self._target.reported(self.placement, head.load)
         self._target.head(self.key, self.placement, head)
-        if head.not_run or head.is_misdirected:
+        if head.not_run:
             raise NotRunError(f"refused with status {head.status}", sent=False)
         if head.is_encoded or (head.status < 300 and not head.is_sealed):
             raise WrongAnswerError("the answer is encoded or lacks its seal", sent=True)
@@ -700,10 +700,11 @@
     def _is_failure(self, head: UpstreamHead) -> bool:
         """Return whether an answer other than a success is not for the caller as it is.
 
-        The upstream has failed, or its status may not be passed on.
+        The upstream has failed, another instance may take the request, or the status
+        may not be passed on.
         """
         is_unstated = head.promises_not_run and not self._route.may_run_again
-        return head.status >= SERVER_ERROR or is_unstated
+        return head.status >= SERVER_ERROR or head.is_misdirected or is_unstated
 
     async def _confirm_end(self, exchange: Exchange) -> None:
         """Raise unless the instance itself has ended an answer that has no mark of it.
--- a/packages/corianderlb-router/src/corianderlb_router/forward_request.py
+++ b/packages/corianderlb-router/src/corianderlb_router/forward_request.py
@@ -76,7 +76,9 @@
     not_run: bool
     """Whether it states that the request has not run and will not."""
     is_misdirected: bool
-    """Whether another instance, or one with other weights, answered."""
+    """Whether its status says that the request was meant for another instance, or for
+    other weights. Without ``not_run`` that is certain only if another instance has
+    answered."""
     is_sealed: bool
     """Whether it carries the upstream's seal, the proof that the upstream sent it."""
     is_encoded: bool
--- a/packages/corianderlb-router/tests/test_not_run_statuses.py
+++ b/packages/corianderlb-router/tests/test_not_run_statuses.py
@@ -22,6 +22,7 @@
     a_configuration,
     a_route,
     a_router,
+    a_stream,
     an_answer,
     unframed,
     unsealed,
@@ -53,8 +54,6 @@
 OTHER_FAILURES: Final = (400, 404, 409, 500, 502, 504)
 """Statuses of an instance that tell nothing of whether a request has run."""
 
-UNSTATED_STATUSES: Final = tuple(sorted(NOT_RUN_STATUSES - {421}))
-
 NO_RETRIES: Final = BudgetTerms(ratio=0.0, fixed=0.0)
 
 Form = Callable[[int, str], bytes]
@@ -142,7 +141,7 @@
         """Guards against an instance's own 503 that makes its caller order twice."""
         for route in ONCE:
             for way in WAYS:
-                for status in UNSTATED_STATUSES:
+                for status in sorted(NOT_RUN_STATUSES):
                     for name, form in UNSTATED.items():
                         with self.subTest(name, route=route, way=way, status=status):
                             answer = partial(form, status)
@@ -188,7 +187,7 @@
     async def test_request_that_may_run_again(self) -> None:
         """Guards against changed answers where a repeat does no harm."""
         for route in set(HOSTS) - set(ONCE):
-            for status in UNSTATED_STATUSES:
+            for status in sorted(NOT_RUN_STATUSES):
                 with self.subTest(route, status=status):
                     answer = an_answer(BODY, status)
                     found = await self.ask(route, answer)
@@ -207,3 +206,19 @@
         # A repeat that is refused leaves the first answer to be passed on.
         found = await self.ask("read", an_answer(BODY, 500), NOT_RUN)
         self.assertEqual(found.caller.status, 500)
+
+    async def test_repeat_after_a_misdirected_answer(self) -> None:
+        """Guards against an instance with other weights that ends a repeatable call."""
+        for route, good in (("read", an_answer()), ("long", a_stream(1, 2))):
+            with self.subTest(route):
+                bad = an_answer(BODY, 421)
+                upstreams = {name: Upstream([good]) for name in HOSTS[route]}
+                upstreams[HOSTS[route][0]].script = [bad, good]
+                async with a_router(**upstreams) as router:
+                    router.configure(a_configuration(routes=ROUTES))
+                    for number in range(4):
+                        name = f"q{number}"
+                        caller = await router.ask(
+                            f"/{route}/7", x_prompt=PROMPT, x_id=name
+                        )
+                        self.assertEqual(caller.status, 200)
