Result codes of what may have run no longer have a status for "not run"

What callers saw: `RETRY_BUDGET_SPENT` and `CUT_BY_SHUTDOWN` came with 503 and "ran: unknown". A caller that reads statuses alone takes 503 for "not run"; at an immediate shutdown a call that may run once and had been sent got it too.

Cause: the table in result.py pairs a status with "ran?", and nothing held the two together. The forwarding path has its own answer to a cut, 502, since it was written; only the project's own interface sent these.

Change: both codes come with 502. A request that was cut before an upstream can have begun it is told so, as 503 `DRAINING`: that used to be the one thing that this 503 got right. The attempts of a request keep `may_have_run` for that.

--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -102,9 +102,10 @@
 
 
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-"""HTTP statuses that promise that the request has not run and never will.
+"""HTTP statuses that promise a caller that its request has not run and never will.
 
-Callers send a request that may run once again after one of these."""
+After one of them a caller sends again what may run only once. A test checks that no
+other code has one of them."""
 
 _NOT_RUN: Final = RunStatus.NO
 _MAY_HAVE_RUN: Final = RunStatus.UNKNOWN
@@ -189,12 +190,12 @@
     ),
     ResultCode.UPSTREAM_FAILED: _info(502, _MAY_HAVE_RUN, True, "Repeat the request."),
     ResultCode.UPSTREAM_TIMEOUT: _info(504, _MAY_HAVE_RUN, True, "Repeat the request."),
-    ResultCode.RETRY_BUDGET_SPENT: _info(503, _MAY_HAVE_RUN, True, _RETRY_LATER),
+    ResultCode.RETRY_BUDGET_SPENT: _info(502, _MAY_HAVE_RUN, True, _RETRY_LATER),
     ResultCode.DEADLINE_EXCEEDED: _info(
         504, _MAY_HAVE_RUN, True, "Repeat with a longer deadline."
     ),
     ResultCode.CUT_BY_SHUTDOWN: _info(
-        503, _MAY_HAVE_RUN, True, "Repeat the request on another instance."
+        502, _MAY_HAVE_RUN, True, "Repeat the request on another instance."
     ),
     ResultCode.CALLER_GONE: _info(
         499, _MAY_HAVE_RUN, True, "Seen in records alone: the caller left first."
--- a/packages/corianderlb-router/src/corianderlb_router/attempt.py
+++ b/packages/corianderlb-router/src/corianderlb_router/attempt.py
@@ -205,6 +205,7 @@
             self._facts.body_digest,
             is_exclusive,
         )
+        self._caller.may_have_run = True
         self._parts.in_flight.begin(flight)
         self._parts.placer.attempt_started(self._facts, attempt.candidate)
         try:
@@ -222,6 +223,8 @@
 
     def failed(self, attempt: Attempt, failure: AttemptFailure) -> None:
         """Record an attempt that failed."""
+        may_have_run = self.retries.may_have_run or failure.may_have_run
+        self._caller.may_have_run = may_have_run
         self._avoid.add(attempt.candidate.incarnation.instance)
         code = FAILURE_CODES.get(failure.kind, ResultCode.UPSTREAM_FAILED)
         verdict = VERDICTS.get(failure.kind)
--- a/packages/corianderlb-router/src/corianderlb_router/caller.py
+++ b/packages/corianderlb-router/src/corianderlb_router/caller.py
@@ -110,6 +110,9 @@
         """True when the answer asks the caller to close its connection."""
         self.replayed = False
         """True when the answer was recorded by an earlier run of the same call."""
+        self.may_have_run = False
+        """True while an upstream may have begun the request; kept by its
+        ``AttemptSeries``."""
 
     def header(self, name: str) -> str | None:
         """Return a request header, or None."""
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -46,6 +46,9 @@
 SHUTDOWN_ERROR_S: Final = 0.5
 """Longest time that the error of a request cut by a shutdown may take to send."""
 
+SHUTDOWN_RETRY_S: Final = 1.0
+"""Retry-after of a request that was cut by a shutdown."""
+
 
 class Dispatcher:
     """Check, admit, run and answer each request of a caller."""
@@ -217,6 +220,9 @@
 
     async def _send_shutdown_error(self, caller: CallerExchange) -> None:
         detail = "This router is shutting down immediately."
+        code = ResultCode.DRAINING
+        if caller.may_have_run:
+            code = ResultCode.CUT_BY_SHUTDOWN
         caller.stall_s = SHUTDOWN_ERROR_S
         with trio.CancelScope(shield=True), suppress(CallerStalledError):
-            await caller.fail(Refusal(ResultCode.CUT_BY_SHUTDOWN, detail, 1.0))
+            await caller.fail(Refusal(code, detail, SHUTDOWN_RETRY_S))
