A service's own 503 to a call that may run once leaves its outcome unknown

What callers of the project's own interface saw: a service ran a call of a route with `repeatable: false` and answered 503 (or 408, 421, 429) without stating that it had not run it. The router passed the status on with result code 0, "ran: yes"; a caller that reads the status alone takes it for "not run", and for one that comes back with another key the call runs twice.

Cause: `ServiceRun._attempt` forwarded every answer whose head names the attempt. Only 409, 412, 429 and 503 with `corianderlb-not-run` were told apart before.

Calls that may be repeated get the answer as before, and so do all other statuses, a 500 as a 500.

--- a/packages/corianderlb-router/src/corianderlb_router/service_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/service_run.py
@@ -15,7 +15,7 @@
 
 from corianderlb_core.catalogue import Catalogue
 from corianderlb_core.request import AttemptOutcome, Refusal
-from corianderlb_core.result import ResultCode
+from corianderlb_core.result import NOT_RUN_STATUSES, ResultCode
 from corianderlb_core.retry import (
     AttemptFailure,
     FailureKind,
@@ -126,12 +126,14 @@
         except BaseException:
             self._series.abandoned(attempt)
             raise
+        failure = AttemptFailure(FailureKind.FAILED, f"status {answer.status}")
         if answer.status >= MIN_SERVER_ERROR:
-            # Forward the answer to the caller, but count a failure for the health.
-            detail = f"status {answer.status}"
-            self._series.failed(attempt, AttemptFailure(FailureKind.FAILED, detail))
+            self._series.failed(attempt, failure)
         else:
             self._series.succeeded(attempt, _outcome(attempt))
+        if begun is not None and answer.status in NOT_RUN_STATUSES:
+            # The service has not stated what this status would tell the caller.
+            return failure
         return answer
 
     async def _classify_failure(
