`corianderctl losses` takes an instance's 503 for a failure of its upstream

An answer that a router passes on has `UPSTREAM_FAILED` and the status of the instance; `losses` looked at the status first and counted 401, 404, 429 and 503 as refusals of the router. The result goes first now.

--- a/packages/corianderlb-ctl/src/corianderlb_ctl/losses.py
+++ b/packages/corianderlb-ctl/src/corianderlb_ctl/losses.py
@@ -149,7 +149,8 @@
         return Reason.REFUSED_NO_ENGINE
     if result == "RATE_LIMITED":
         return Reason.REFUSED_CAP
-    if fields.get("status") in (401, 404, 429, 503):
+    is_forwarded = result == "UPSTREAM_FAILED"
+    if not is_forwarded and fields.get("status") in (401, 404, 429, 503):
         return Reason.REFUSED_OTHER
     return _OUTCOMES.get(outcomes[-1] if outcomes else "", Reason.DEADLINE_EXCEEDED)
 
--- a/packages/corianderlb-ctl/tests/test_losses.py
+++ b/packages/corianderlb-ctl/tests/test_losses.py
@@ -66,12 +66,28 @@
                 Reason.FAILED,
                 {"result": "UPSTREAM_FAILED", "attempts": attempts("serverfailure")},
             ),
+            (
+                Reason.FAILED,
+                {
+                    "result": "OUTCOME_UNKNOWN",
+                    "status": 502,
+                    "attempts": attempts("serverfailure"),
+                },
+            ),
             (Reason.DEADLINE_EXCEEDED, {"result": "DEADLINE_EXCEEDED", "status": 504}),
             (Reason.CALLER_LEFT, {"result": "CALLER_GONE"}),
         ):
             (req,) = counted_requests([a_line(**fields)])
             self.assertIs(req.reason, expected, fields)
 
+    def test_status_of_an_instance_is_no_refusal(self) -> None:
+        """Guards against failures of an upstream that are counted as the router's."""
+        for status in (401, 404, 429, 503):
+            failed = attempts("serverfailure", "serverfailure")
+            line = a_line(result="UPSTREAM_FAILED", status=status, attempts=failed)
+            (req,) = counted_requests([line])
+            self.assertIs(req.reason, Reason.FAILED, status)
+
     def test_estimate_only_with_a_single_attempt(self) -> None:
         (req,) = counted_requests([a_line()])
         self.assertEqual((req.first_ms, req.estimate_ms), (100.0, 50.0))
--- a/packages/corianderlb-router/tests/test_not_run_statuses.py
+++ b/packages/corianderlb-router/tests/test_not_run_statuses.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
+from unittest import mock
 
 import trio
 
@@ -149,6 +150,18 @@
                             self.assert_outcome_unknown(found)
                             self.assertEqual(found.n_arrivals, 1)
 
+    async def test_log_tells_both_statuses(self) -> None:
+        """Guards against logs that hide what an instance has answered."""
+        log = mock.Mock()
+        with mock.patch("corianderlb_router.forward_dispatcher.log_request", log):
+            await self.ask("book", an_answer(BODY, 503))
+        line = log.call_args.kwargs
+        self.assertEqual((line["result"], line["status"]), ("OUTCOME_UNKNOWN", 502))
+        (attempt,) = line["attempts"]
+        self.assertEqual(
+            (attempt.outcome, attempt.detail), ("serverfailure", "status 503")
+        )
+
     async def test_request_that_has_certainly_not_run(self) -> None:
         """Guards against a 502 that costs a caller its next try."""
         for route in HOSTS:
