--- a/packages/corianderlb-router/tests/test_not_run_statuses.py
+++ b/packages/corianderlb-router/tests/test_not_run_statuses.py
@@ -17,6 +17,7 @@
 from corianderlb_core.result import NOT_RUN_STATUSES, ResultCode
 from corianderlb_standins.trio_case import TrioTestCase
 from data_path_fakes import FakeCaller
+from detour_builders import a_cut_router
 from forward_builders import (
     NOT_RUN,
     ForwardRouter,
@@ -29,7 +30,6 @@
     unframed,
     unsealed,
 )
-from test_detour import a_cut_router
 
 PROMPT: Final = "a:100,own:50"
 BODY: Final = b"not confirmed"
