--- a/packages/corianderlb-router/tests/test_not_run_statuses.py
+++ b/packages/corianderlb-router/tests/test_not_run_statuses.py
@@ -141,6 +141,11 @@
         self.assertIn(ResultCode.OUTCOME_UNKNOWN.name.encode(), found.caller.answer)
         self.assertEqual((found.is_sealed, found.retry_after_s), (False, 0.0))
 
+    def assert_passed_on(self, found: Outcome, status: int) -> None:
+        caller = found.caller
+        self.assertEqual((caller.status, caller.answer), (status, BODY))
+        self.assertTrue(found.is_sealed)
+
     def assert_refused(self, found: Outcome) -> None:
         self.assertEqual(found.caller.status, 503)
         self.assertFalse(found.is_sealed)
@@ -193,9 +198,7 @@
                 with self.subTest(route, status=status):
                     answer = an_answer(BODY, status)
                     found = await self.ask(route, answer)
-                    caller = found.caller
-                    self.assertEqual((caller.status, caller.answer), (status, BODY))
-                    self.assertTrue(found.is_sealed)
+                    self.assert_passed_on(found, status)
 
     async def test_request_that_may_run_again(self) -> None:
         """Guards against changed answers where a repeat does no harm."""
@@ -204,9 +207,7 @@
                 with self.subTest(route, status=status):
                     answer = an_answer(BODY, status)
                     found = await self.ask(route, answer)
-                    caller = found.caller
-                    self.assertEqual((caller.status, caller.answer), (status, BODY))
-                    self.assertTrue(found.is_sealed)
+                    self.assert_passed_on(found, status)
                     self.assertLessEqual(found.n_arrivals, 2)
 
     async def test_refusal_before_or_after_a_run(self) -> None:
