The failure of a service's answer is made only for answers that fail

It was built for every call, also those that succeed. The set of statuses for "not run" stands with the constants at the top of its module, and the code of a cut request is chosen in one expression.

--- a/packages/corianderlb-core/src/corianderlb_core/result.py
+++ b/packages/corianderlb-core/src/corianderlb_core/result.py
@@ -11,6 +11,12 @@
 
 from .data_class import dataclass
 
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""HTTP statuses that promise a caller that its request has not run and never will.
+
+After one of them a caller sends again what may run only once, so a result code may have
+one of them only if the request has not run."""
+
 
 @unique
 class ResultCode(IntEnum):
@@ -101,12 +107,6 @@
     return ResultInfo(status, ran, may_repeat, advice)
 
 
-NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-"""HTTP statuses that promise a caller that its request has not run and never will.
-
-After one of them a caller sends again what may run only once. A test checks that no
-other code has one of them."""
-
 _NOT_RUN: Final = RunStatus.NO
 _MAY_HAVE_RUN: Final = RunStatus.UNKNOWN
 _RETRY_LATER: Final = "Come back after Retry-After."
--- a/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
+++ b/packages/corianderlb-router/src/corianderlb_router/dispatcher.py
@@ -220,9 +220,8 @@
 
     async def _send_shutdown_error(self, caller: CallerExchange) -> None:
         detail = "This router is shutting down immediately."
-        code = ResultCode.DRAINING
-        if caller.may_have_run:
-            code = ResultCode.CUT_BY_SHUTDOWN
+        is_unknown = caller.may_have_run
+        code = ResultCode.CUT_BY_SHUTDOWN if is_unknown else ResultCode.DRAINING
         caller.stall_s = SHUTDOWN_ERROR_S
         with trio.CancelScope(shield=True), suppress(CallerStalledError):
             await caller.fail(Refusal(code, detail, SHUTDOWN_RETRY_S))
--- a/packages/corianderlb-router/src/corianderlb_router/service_run.py
+++ b/packages/corianderlb-router/src/corianderlb_router/service_run.py
@@ -126,14 +126,13 @@
         except BaseException:
             self._series.abandoned(attempt)
             raise
-        failure = AttemptFailure(FailureKind.FAILED, f"status {answer.status}")
         if answer.status >= MIN_SERVER_ERROR:
-            self._series.failed(attempt, failure)
+            self._series.failed(attempt, _failure(answer))
         else:
             self._series.succeeded(attempt, _outcome(attempt))
         if begun is not None and answer.status in NOT_RUN_STATUSES:
             # The service has not stated what this status would tell the caller.
-            return failure
+            return _failure(answer)
         return answer
 
     async def _classify_failure(
@@ -208,6 +207,10 @@
             await self._series.wait_after_crash()
 
 
+def _failure(answer: CallAnswer) -> AttemptFailure:
+    return AttemptFailure(FailureKind.FAILED, f"status {answer.status}")
+
+
 def _outcome(attempt: Attempt) -> AttemptOutcome:
     return AttemptOutcome(
         attempt.candidate.incarnation, ResultCode.OK, at=trio.current_time()
